--- /dev/null
+++ b/problem/problem.go
@@ -0,0 +1,154 @@
+// Package problem holds the closed list of error kinds and the table from kind to the answer that a caller gets.
+package problem
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/samber/oops"
+)
+
+// Kind names one entry of the closed list of errors a caller can get.
+type Kind string
+
+// The closed list of error kinds.
+const (
+	InvalidRequest    Kind = "invalid_request"
+	RequestTooLarge   Kind = "request_too_large"
+	UnknownService    Kind = "unknown_service"
+	UnknownRoute      Kind = "unknown_route"
+	UnknownVersion    Kind = "unknown_version"
+	UnknownWorkspace  Kind = "unknown_workspace"
+	UnknownRequest    Kind = "unknown_request"
+	KeyMissing        Kind = "key_missing"
+	KeyReused         Kind = "key_reused"
+	LimitExceeded     Kind = "limit_exceeded"
+	Overloaded        Kind = "overloaded"
+	Quarantined       Kind = "quarantined"
+	NoEndpoint        Kind = "no_endpoint"
+	NotReady          Kind = "not_ready"
+	StoreUnavailable  Kind = "store_unavailable"
+	EndpointFailed    Kind = "endpoint_failed"
+	OutcomeUnknown    Kind = "outcome_unknown"
+	AnswerNotRetained Kind = "answer_not_retained"
+	StreamBroken      Kind = "stream_broken"
+	Internal          Kind = "internal"
+)
+
+// Outcome tells the caller whether the request ran.
+type Outcome string
+
+// Outcomes of a refused or broken request.
+const (
+	NotRun  Outcome = "not_run" // no endpoint has received the request
+	Unknown Outcome = "unknown" // an endpoint may have run the request
+	Partial Outcome = "partial" // a part of the answer was delivered
+)
+
+// Answer is a row of the table from kind to answer.
+type Answer struct {
+	Status  int           // HTTP status code
+	Outcome Outcome       // what the caller may assume about the run
+	Retry   time.Duration // default Retry-After; zero when a retry can't help
+	Title   string        // short text for people
+}
+
+var answers = map[Kind]Answer{
+	InvalidRequest:    {http.StatusBadRequest, NotRun, 0, "The request is malformed."},
+	RequestTooLarge:   {http.StatusRequestEntityTooLarge, NotRun, 0, "The request exceeds a size limit."},
+	UnknownService:    {http.StatusNotFound, NotRun, 0, "No such service is configured."},
+	UnknownRoute:      {http.StatusNotFound, NotRun, 0, "The service has no such route."},
+	UnknownVersion:    {http.StatusNotFound, NotRun, 0, "The service has no such version."},
+	UnknownWorkspace:  {http.StatusForbidden, NotRun, 0, "The service has no such workspace."},
+	UnknownRequest:    {http.StatusNotFound, Unknown, time.Second, "No instance holds this request; repeat the POST with Last-Event-ID."},
+	KeyMissing:        {http.StatusBadRequest, NotRun, 0, "This call is not idempotent and needs an Idempotency-Key."},
+	KeyReused:         {http.StatusUnprocessableEntity, NotRun, 0, "The Idempotency-Key was used with another body."},
+	LimitExceeded:     {http.StatusTooManyRequests, NotRun, time.Second, "The workspace is over its rate limit."},
+	Overloaded:        {http.StatusServiceUnavailable, NotRun, time.Second, "The request can't be served before its deadline."},
+	Quarantined:       {http.StatusUnprocessableEntity, Unknown, 0, "This request crashed its endpoints and is quarantined."},
+	NoEndpoint:        {http.StatusServiceUnavailable, NotRun, 2 * time.Second, "No endpoint can take the request."},
+	NotReady:          {http.StatusServiceUnavailable, NotRun, 2 * time.Second, "The instance is starting or leaving."},
+	StoreUnavailable:  {http.StatusServiceUnavailable, NotRun, 5 * time.Second, "The claim of this call could not be recorded."},
+	EndpointFailed:    {http.StatusBadGateway, Unknown, time.Second, "The endpoint failed while it held the request."},
+	OutcomeUnknown:    {http.StatusBadGateway, Unknown, 0, "The call may have run; it is not run again under this key."},
+	AnswerNotRetained: {http.StatusConflict, Unknown, 0, "The call ran; its answer is not retained."},
+	StreamBroken:      {http.StatusBadGateway, Partial, time.Second, "The answer broke off and could not be resumed."},
+	Internal:          {http.StatusInternalServerError, Unknown, 0, "Internal error."},
+}
+
+// Kinds returns all kinds in alphabetical order.
+func Kinds() []Kind {
+	kinds := make([]Kind, 0, len(answers))
+	for k := range answers {
+		kinds = append(kinds, k)
+	}
+	slices.Sort(kinds)
+	return kinds
+}
+
+// AnswerFor returns the table row of a kind, and the row of Internal for a kind outside the list.
+func AnswerFor(k Kind) Answer {
+	if a, ok := answers[k]; ok {
+		return a
+	}
+	return answers[Internal]
+}
+
+// New returns an error of the given kind with a detail for the caller.
+func New(k Kind, format string, args ...any) error {
+	return oops.Code(string(k)).Errorf(format, args...)
+}
+
+// Wrap gives err the kind k. It returns nil when err is nil.
+func Wrap(k Kind, err error) error {
+	return oops.Code(string(k)).Wrap(err)
+}
+
+// KindOf returns the kind of err, and Internal when err carries none.
+func KindOf(err error) Kind {
+	o, ok := oops.AsOops(err)
+	if !ok {
+		return Internal
+	}
+	code, _ := o.Code().(string)
+	if _, known := answers[Kind(code)]; known {
+		return Kind(code)
+	}
+	return Internal
+}
+
+// Details is the RFC 9457 problem details body.
+type Details struct {
+	Type      string  `json:"type"`
+	Title     string  `json:"title"`
+	Status    int     `json:"status"`
+	Detail    string  `json:"detail,omitempty"`
+	Kind      Kind    `json:"kind"`
+	Outcome   Outcome `json:"outcome"`
+	RequestID string  `json:"request_id,omitempty"`
+}
+
+// DetailsFor builds the problem details of err for a request.
+func DetailsFor(err error, requestID string) Details {
+	k := KindOf(err)
+	a := AnswerFor(k)
+	return Details{
+		Type: "about:blank", Title: a.Title, Status: a.Status, Detail: err.Error(),
+		Kind: k, Outcome: a.Outcome, RequestID: requestID,
+	}
+}
+
+// Write answers a request with the problem details of err.
+func Write(w http.ResponseWriter, err error, requestID string) {
+	d := DetailsFor(err, requestID)
+	w.Header().Set("Content-Type", "application/problem+json")
+	if retry := AnswerFor(d.Kind).Retry; retry > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(retry.Seconds())))
+	}
+	w.WriteHeader(d.Status)
+	// The caller may be gone; there is nobody else to tell.
+	_ = json.NewEncoder(w).Encode(d)
+}
--- /dev/null
+++ b/table/table.go
@@ -0,0 +1,84 @@
+// Package table holds the entity tables that the systems run over each tick, and the immutable snapshot of them
+// that the request path reads.
+package table
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/trefoillug/trefoillug/config"
+)
+
+// Condition is an endpoint's state as this instance sees it.
+type Condition int
+
+// Conditions of an endpoint.
+const (
+	Ready   Condition = iota
+	Leaving           // announced to leave; gets no new work
+	Suspect           // failed recently; gets no new work until ProbeAfter
+)
+
+// Load is an endpoint's own load report, which lags.
+type Load struct {
+	Running int       // requests being run
+	Waiting int       // requests queued at the endpoint
+	KVUsed  float64   // share of the KV cache in use, 0 to 1
+	At      time.Time // when the endpoint measured it
+}
+
+// Endpoint is a row of the endpoint table. A row is immutable once a snapshot holds it, except for Live.
+type Endpoint struct {
+	ID            string
+	Address       string // host:port
+	FailureDomain string
+	Class         string  // machine class
+	Price         float64 // currency units per hour
+	Reclaimable   bool
+	Service       string
+	Version       string
+	Condition     Condition
+	LeaveBy       time.Time // of a leaving endpoint
+	ProbeAfter    time.Time // of a suspect endpoint
+	Load          Load
+	Live          *Counters // shared by all snapshots
+}
+
+// Counters are the live figures of an endpoint as seen by this instance. They are safe for concurrent use.
+type Counters struct {
+	InFlight   atomic.Int64 // attempts of this instance in flight
+	Generation atomic.Int64 // connection pool generation
+	Limit      atomic.Int64 // adaptive concurrency limit; 0: the service's default
+	// FirstToken and PerToken are moving averages in microseconds; 0: not yet measured.
+	FirstToken atomic.Int64
+	PerToken   atomic.Int64
+}
+
+// Share is a version's part of a service's traffic.
+type Share struct {
+	Version string
+	Part    float64 // 0 to 1; the parts of a service add up to 1
+}
+
+// Service is a service with its endpoints in a snapshot.
+type Service struct {
+	Config    *config.Service
+	Shares    []Share
+	Endpoints []*Endpoint // sorted by ID
+}
+
+// Snapshot is an immutable view of the tables.
+type Snapshot struct {
+	Revision    uint64
+	Services    map[string]*Service
+	Quarantined map[uint64]struct{} // fingerprints of requests that crash endpoints
+}
+
+// Service returns the named service of the snapshot.
+func (s *Snapshot) Service(name string) (*Service, bool) {
+	if s == nil {
+		return nil, false
+	}
+	svc, ok := s.Services[name]
+	return svc, ok
+}
