--- /dev/null
+++ b/core/events.go
@@ -0,0 +1,129 @@
+package core
+
+import (
+	"time"
+
+	"github.com/trefoillug/trefoillug/config"
+	"github.com/trefoillug/trefoillug/peer"
+	"github.com/trefoillug/trefoillug/platform"
+	"github.com/trefoillug/trefoillug/problem"
+	"github.com/trefoillug/trefoillug/table"
+)
+
+// Event is an input of the core. The set is closed.
+type Event interface{ isEvent() }
+
+// ConfigAccepted carries the configuration of a revision.
+type ConfigAccepted struct {
+	Revision uint64
+	Services []config.Service
+}
+
+// InstancesListed carries the platform's instance list.
+type InstancesListed struct{ Instances []platform.Instance }
+
+// EndpointLeaving tells that an endpoint, or each endpoint of a failure domain, will be gone by a time.
+type EndpointLeaving struct {
+	Endpoint      string // empty: the whole failure domain
+	FailureDomain string
+	By            time.Time
+}
+
+// LoadReported carries an endpoint's own load report.
+type LoadReported struct {
+	Endpoint string
+	Load     table.Load
+}
+
+// Result tells how an attempt ended.
+type Result int
+
+// Results of an attempt.
+const (
+	Succeeded    Result = iota
+	Failed              // the endpoint answered with an error of its own
+	EndpointLost        // the connection broke or went silent
+	Cancelled           // the caller went away, or the attempt was moved elsewhere on purpose
+	TimedOut            // the endpoint worked past the deadline
+)
+
+// AttemptDone tells the end of one attempt at an endpoint.
+type AttemptDone struct {
+	Endpoint, Service, Version, Route, Workspace string
+
+	Result      Result
+	Started     time.Time
+	FirstToken  time.Duration // time to the first token, or to the response header of a plain service
+	PerToken    time.Duration // mean time between tokens; 0 for plain services
+	Total       time.Duration
+	InFlight    int    // attempts in flight at the endpoint when this one was dispatched
+	Fingerprint uint64 // of the request content
+	Tokens      int    // tokens generated
+	Recomputed  int    // tokens of prefix computed again because of a resume
+}
+
+// EndpointCrashed tells that an endpoint's connections broke while it ran requests.
+type EndpointCrashed struct {
+	Endpoint string
+	Running  []uint64 // fingerprints of this instance's requests on it
+}
+
+// Refused counts a refusal for the burn report.
+type Refused struct {
+	Service, Workspace string
+	Kind               problem.Kind
+}
+
+// Served counts a served request for the burn report.
+type Served struct{ Service, Workspace string }
+
+// FactReceived carries a fact of another member.
+type FactReceived struct{ Fact peer.Fact }
+
+// MoveSettled carries the recorded outcome of a move, as read from the store.
+type MoveSettled struct{ Record MoveRecord }
+
+// MoveRecord is the value stored under `move/<service>/<move id>`.
+type MoveRecord struct {
+	Service string    `cbor:"1,keyasint" json:"service"`
+	Move    string    `cbor:"2,keyasint" json:"move"`
+	Done    bool      `cbor:"3,keyasint" json:"done"` // false: rolled back
+	Reason  string    `cbor:"4,keyasint" json:"reason"`
+	By      string    `cbor:"5,keyasint" json:"by"` // instance that recorded it
+	At      time.Time `cbor:"6,keyasint" json:"at"`
+}
+
+func (ConfigAccepted) isEvent()  {}
+func (InstancesListed) isEvent() {}
+func (EndpointLeaving) isEvent() {}
+func (LoadReported) isEvent()    {}
+func (AttemptDone) isEvent()     {}
+func (EndpointCrashed) isEvent() {}
+func (Refused) isEvent()         {}
+func (Served) isEvent()          {}
+func (FactReceived) isEvent()    {}
+func (MoveSettled) isEvent()     {}
+
+// Command is an output of the core. The set is closed.
+type Command interface{ isCommand() }
+
+// PublishFact asks to spread a fact to all members.
+type PublishFact struct {
+	Key   string
+	Value []byte
+	TTL   time.Duration
+}
+
+// RecordMove asks to record the outcome of a move by one conditional update.
+type RecordMove struct{ Record MoveRecord }
+
+// Alert asks for a log line that needs an operator's attention.
+type Alert struct {
+	Message string
+	Service string
+	Subject string // endpoint, move or member that it is about
+}
+
+func (PublishFact) isCommand() {}
+func (RecordMove) isCommand()  {}
+func (Alert) isCommand()       {}
