--- /dev/null
+++ b/cmd/trefoillug/entry.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/urfave/cli/v3"
+
+	"github.com/trefoillug/trefoillug/entry"
+)
+
+func entryCommand() *cli.Command {
+	var s entry.Settings
+	return &cli.Command{
+		Name:  "entry",
+		Usage: "run the daemon of an entry instance",
+		Flags: []cli.Flag{
+			stringFlag("id", "unique name of this instance", "", &s.ID),
+			stringFlag("failure-domain", "failure domain of this instance", "", &s.FailureDomain),
+			stringFlag("region", "region of the failure domain", "", &s.Region),
+			stringFlag("listen", "host:port for callers", "127.0.0.1:8080", &s.Listen),
+			stringFlag("peer-listen", "host:port for peers and operators", "127.0.0.1:8081", &s.PeerListen),
+			stringFlag("advertise", "host:port under which peers reach this instance; empty: --peer-listen", "", &s.Advertise),
+			&cli.StringSliceFlag{Name: "peers", Usage: "host:port of peer listeners to join by",
+				Sources: cli.EnvVars("TREFOILLUG_PEERS"), Destination: &s.Peers},
+			stringFlag("store", "base URL of the object API", "", &s.StoreURL),
+			stringFlag("platform", "base URL of the instance list and reclaim notices", "", &s.PlatformURL),
+			stringFlag("log-level", "debug, info, warning or error", "info", &s.LogLevel),
+			durationFlag("balancer-delay", "time the balancer takes to notice that /readyz is false", 3*time.Second, &s.BalancerDelay),
+			durationFlag("shutdown-limit", "longest planned stop; streams still open then are handed over", 10*time.Minute, &s.ShutdownLimit),
+		},
+		Action: func(ctx context.Context, _ *cli.Command) error {
+			if err := s.Validate(); err != nil {
+				return fmt.Errorf("invalid settings:\n%w", err)
+			}
+			return runEntry(ctx, s)
+		},
+	}
+}
+
+func runEntry(ctx context.Context, s entry.Settings) error {
+	log := logrus.New()
+	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	level, err := logrus.ParseLevel(s.LogLevel)
+	if err != nil {
+		return err
+	}
+	log.SetLevel(level)
+	d, err := entry.New(s, log)
+	if err != nil {
+		return err
+	}
+	return d.Run(ctx)
+}
--- a/core/events.go
+++ b/core/events.go
@@ -127,3 +127,14 @@
 func (PublishFact) isCommand() {}
 func (RecordMove) isCommand()  {}
 func (Alert) isCommand()       {}
+
+// Urgent reports whether an event must be applied at once rather than at the next tick, because each moment
+// until then sends more requests to an endpoint or version that must not get them.
+func Urgent(e Event) bool {
+	switch e.(type) {
+	case EndpointLeaving, EndpointCrashed, FactReceived, ConfigAccepted, MoveSettled:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/entry/platform.go
@@ -0,0 +1,87 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/trefoillug/trefoillug/core"
+	"github.com/trefoillug/trefoillug/peer"
+	"github.com/trefoillug/trefoillug/platform"
+)
+
+const (
+	// listInterval is the time between two reads of the instance list, which itself lags by seconds.
+	listInterval = time.Second
+	// noticeInterval is the time between two reads of the reclaim notices, which leave seconds.
+	noticeInterval = 500 * time.Millisecond
+	// platformTimeout bounds one call to the platform.
+	platformTimeout = 2 * time.Second
+)
+
+// every calls fn at once and then at each interval until ctx is done.
+func every(ctx context.Context, interval time.Duration, fn func(context.Context)) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		fn(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// readInstances passes the instance list to the core and to the peers. A failed read keeps the last list.
+func (d *Daemon) readInstances(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	list, err := d.lister.Instances(ctx)
+	if err != nil {
+		d.log.WithError(err).Warn("instance list not read; the last one stays in use")
+		return
+	}
+	d.runner.Post(core.InstancesListed{Instances: list})
+	d.updateMembers(list)
+}
+
+// readNotices passes reclaim notices to the core, and starts the hand-over when this instance is to leave.
+func (d *Daemon) readNotices(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	notices, err := d.noticer.Notices(ctx)
+	if err != nil {
+		d.log.WithError(err).Warn("reclaim notices not read")
+		return
+	}
+	for _, n := range notices {
+		if d.seenNotices[n] || time.Now().After(n.By) {
+			continue
+		}
+		d.seenNotices[n] = true
+		if d.concernsSelf(n) {
+			d.reclaim(n.By)
+		}
+		d.runner.Post(core.EndpointLeaving{Endpoint: n.Instance, FailureDomain: n.FailureDomain, By: n.By})
+	}
+}
+
+func (d *Daemon) concernsSelf(n platform.Notice) bool {
+	if n.Instance != "" {
+		return n.Instance == d.settings.ID
+	}
+	return n.FailureDomain == d.settings.FailureDomain
+}
+
+func (d *Daemon) updateMembers(list []platform.Instance) {
+	var members []peer.Member
+	for _, in := range list {
+		if in.Role == platform.RoleEntry {
+			members = append(members, peer.Member{
+				ID: in.ID, Address: in.Address, FailureDomain: in.FailureDomain, Region: in.Region,
+				Leaving: in.State == platform.StateLeaving,
+			})
+		}
+	}
+	d.node.UpdateMembers(members)
+}
--- /dev/null
+++ b/entry/settings.go
@@ -0,0 +1,106 @@
+// Package entry wires the systems into the daemon that runs on each entry instance.
+package entry
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/url"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Settings hold what a daemon must know to start. Everything else comes from published service files.
+type Settings struct {
+	ID            string   // unique name of this instance
+	FailureDomain string   // where it runs
+	Region        string   // region of the failure domain
+	Listen        string   // host:port for callers
+	PeerListen    string   // host:port for peers and operators
+	Advertise     string   // host:port under which peers reach PeerListen; empty: PeerListen
+	Peers         []string // host:port of some other members' peer listeners
+	StoreURL      string   // base URL of the object API
+	PlatformURL   string   // base URL of the instance list and the reclaim notices
+	LogLevel      string   // logrus level
+	// BalancerDelay is how long the balancer may take to stop sending requests after /readyz turns false.
+	BalancerDelay time.Duration
+	// ShutdownLimit bounds a planned stop; streams still open then are handed over.
+	ShutdownLimit time.Duration
+}
+
+// Validate returns every problem of the settings, each naming its flag, or nil.
+func (s Settings) Validate() error {
+	return errors.Join(
+		required("--id", s.ID),
+		required("--failure-domain", s.FailureDomain),
+		hostPort("--listen", s.Listen),
+		hostPort("--peer-listen", s.PeerListen),
+		optionalHostPort("--advertise", s.Advertise),
+		eachHostPort("--peers", s.Peers),
+		baseURL("--store", s.StoreURL),
+		baseURL("--platform", s.PlatformURL),
+		logLevel("--log-level", s.LogLevel),
+		notNegative("--balancer-delay", s.BalancerDelay),
+		notNegative("--shutdown-limit", s.ShutdownLimit),
+	)
+}
+
+// advertised returns the address under which peers reach this instance.
+func (s Settings) advertised() string {
+	if s.Advertise != "" {
+		return s.Advertise
+	}
+	return s.PeerListen
+}
+
+func required(flag, v string) error {
+	if v == "" {
+		return fmt.Errorf("%s is empty; give it a value", flag)
+	}
+	return nil
+}
+
+func hostPort(flag, v string) error {
+	if _, _, err := net.SplitHostPort(v); err != nil {
+		return fmt.Errorf("%s: %q is not host:port; give for example 127.0.0.1:8080", flag, v)
+	}
+	return nil
+}
+
+func optionalHostPort(flag, v string) error {
+	if v == "" {
+		return nil
+	}
+	return hostPort(flag, v)
+}
+
+func eachHostPort(flag string, vs []string) error {
+	var errs []error
+	for _, v := range vs {
+		errs = append(errs, hostPort(flag, v))
+	}
+	return errors.Join(errs...)
+}
+
+func baseURL(flag, v string) error {
+	u, err := url.Parse(v)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		return fmt.Errorf("%s: %q is not an http or https URL; give for example http://127.0.0.1:7000", flag, v)
+	}
+	return nil
+}
+
+func logLevel(flag, v string) error {
+	if _, err := logrus.ParseLevel(v); err != nil {
+		return fmt.Errorf("%s: %q is not a level; use debug, info, warning or error", flag, v)
+	}
+	return nil
+}
+
+func notNegative(flag string, d time.Duration) error {
+	if d < 0 {
+		return fmt.Errorf("%s: %s is negative; use 0 or more", flag, d)
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/status.go
@@ -0,0 +1,91 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/trefoillug/trefoillug/table"
+)
+
+// Status is the answer of GET /status.
+type Status struct {
+	Instance      string          `json:"instance"`
+	FailureDomain string          `json:"failure_domain"`
+	Ready         bool            `json:"ready"`
+	Revision      uint64          `json:"revision"` // configuration in force here
+	Members       []MemberStatus  `json:"members"`
+	Services      []ServiceStatus `json:"services"`
+}
+
+// MemberStatus is a live entry instance.
+type MemberStatus struct {
+	ID            string `json:"id"`
+	HTTP          string `json:"http"` // host:port of its /status
+	FailureDomain string `json:"failure_domain"`
+	Leaving       bool   `json:"leaving,omitempty"`
+}
+
+// ServiceStatus is a configured service.
+type ServiceStatus struct {
+	Name      string           `json:"name"`
+	Shares    []ShareStatus    `json:"shares"`
+	Move      *MoveStatus      `json:"move,omitempty"`
+	Endpoints []EndpointStatus `json:"endpoints"`
+}
+
+// ShareStatus is the part of a service's traffic that a version gets.
+type ShareStatus struct {
+	Version string  `json:"version"`
+	Part    float64 `json:"part"` // 0 to 1
+}
+
+// MoveStatus is the present or latest move of a service.
+type MoveStatus struct {
+	ID       string    `json:"id"`
+	From     string    `json:"from"`
+	To       string    `json:"to"`
+	Deadline time.Time `json:"deadline"`
+	State    string    `json:"state"` // waiting, running, done or rolled_back
+	Reason   string    `json:"reason,omitempty"`
+}
+
+// EndpointStatus is an endpoint as this instance sees it.
+type EndpointStatus struct {
+	ID        string `json:"id"`
+	Version   string `json:"version"`
+	Condition string `json:"condition"`
+	InFlight  int64  `json:"in_flight"` // from this instance
+}
+
+func (d *Daemon) status() Status {
+	snap := d.core.Snapshot()
+	st := Status{
+		Instance: d.settings.ID, FailureDomain: d.settings.FailureDomain,
+		Ready: d.ready.Load(), Revision: snap.Revision,
+	}
+	for _, m := range d.node.Members() {
+		st.Members = append(st.Members, MemberStatus{ID: m.ID, HTTP: m.Address, FailureDomain: m.FailureDomain, Leaving: m.Leaving})
+	}
+	for _, name := range sortedKeys(snap.Services) {
+		st.Services = append(st.Services, serviceStatus(name, snap.Services[name]))
+	}
+	return st
+}
+
+func serviceStatus(name string, svc *table.Service) ServiceStatus {
+	st := ServiceStatus{Name: name}
+	for _, s := range svc.Shares {
+		st.Shares = append(st.Shares, ShareStatus{s.Version, s.Part})
+	}
+	for _, e := range svc.Endpoints {
+		st.Endpoints = append(st.Endpoints, EndpointStatus{e.ID, e.Version, e.Condition.String(), e.Live.InFlight.Load()})
+	}
+	return st
+}
+
+func (d *Daemon) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	// The reader may be gone; it then asks again.
+	_ = json.NewEncoder(w).Encode(d.status())
+}
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -54,29 +54,33 @@
 	Outcome Outcome       // what the caller may assume about the run
 	Retry   time.Duration // default Retry-After; zero when a retry can't help
 	Title   string        // short text for people
+	// CallerError tells that the caller must change the request; it does not count as a refusal minute.
+	CallerError bool
 }
 
 var answers = map[Kind]Answer{
-	InvalidRequest:    {http.StatusBadRequest, NotRun, 0, "The request is malformed."},
-	RequestTooLarge:   {http.StatusRequestEntityTooLarge, NotRun, 0, "The request exceeds a size limit."},
-	UnknownService:    {http.StatusNotFound, NotRun, 0, "No such service is configured."},
-	UnknownRoute:      {http.StatusNotFound, NotRun, 0, "The service has no such route."},
-	UnknownVersion:    {http.StatusNotFound, NotRun, 0, "The service has no such version."},
-	UnknownWorkspace:  {http.StatusForbidden, NotRun, 0, "The service has no such workspace."},
-	UnknownRequest:    {http.StatusNotFound, Unknown, time.Second, "No instance holds this request; repeat the POST with Last-Event-ID."},
-	KeyMissing:        {http.StatusBadRequest, NotRun, 0, "This call is not idempotent and needs an Idempotency-Key."},
-	KeyReused:         {http.StatusUnprocessableEntity, NotRun, 0, "The Idempotency-Key was used with another body."},
-	LimitExceeded:     {http.StatusTooManyRequests, NotRun, time.Second, "The workspace is over its rate limit."},
-	Overloaded:        {http.StatusServiceUnavailable, NotRun, time.Second, "The request can't be served before its deadline."},
-	Quarantined:       {http.StatusUnprocessableEntity, Unknown, 0, "This request crashed its endpoints and is quarantined."},
-	NoEndpoint:        {http.StatusServiceUnavailable, NotRun, 2 * time.Second, "No endpoint can take the request."},
-	NotReady:          {http.StatusServiceUnavailable, NotRun, 2 * time.Second, "The instance is starting or leaving."},
-	StoreUnavailable:  {http.StatusServiceUnavailable, NotRun, 5 * time.Second, "The claim of this call could not be recorded."},
-	EndpointFailed:    {http.StatusBadGateway, Unknown, time.Second, "The endpoint failed while it held the request."},
-	OutcomeUnknown:    {http.StatusBadGateway, Unknown, 0, "The call may have run; it is not run again under this key."},
-	AnswerNotRetained: {http.StatusConflict, Unknown, 0, "The call ran; its answer is not retained."},
-	StreamBroken:      {http.StatusBadGateway, Partial, time.Second, "The answer broke off and could not be resumed."},
-	Internal:          {http.StatusInternalServerError, Unknown, 0, "Internal error."},
+	InvalidRequest:   {http.StatusBadRequest, NotRun, 0, "The request is malformed.", true},
+	RequestTooLarge:  {http.StatusRequestEntityTooLarge, NotRun, 0, "The request exceeds a size limit.", true},
+	UnknownService:   {http.StatusNotFound, NotRun, 0, "No such service is configured.", true},
+	UnknownRoute:     {http.StatusNotFound, NotRun, 0, "The service has no such route.", true},
+	UnknownVersion:   {http.StatusNotFound, NotRun, 0, "The service has no such version.", true},
+	UnknownWorkspace: {http.StatusForbidden, NotRun, 0, "The service has no such workspace.", true},
+	UnknownRequest:   {http.StatusNotFound, Unknown, time.Second, "No instance holds this request; repeat the POST with Last-Event-ID.", false},
+	KeyMissing:       {http.StatusBadRequest, NotRun, 0, "This call is not idempotent and needs an Idempotency-Key.", true},
+	KeyReused:        {http.StatusUnprocessableEntity, NotRun, 0, "The Idempotency-Key was used with another body.", true},
+	LimitExceeded:    {http.StatusTooManyRequests, NotRun, time.Second, "The workspace is over its rate limit.", false},
+	Overloaded:       {http.StatusServiceUnavailable, NotRun, time.Second, "The request can't be served before its deadline.", false},
+	Quarantined:      {http.StatusUnprocessableEntity, Unknown, 0, "This request crashed its endpoints and is quarantined.", false},
+	NoEndpoint:       {http.StatusServiceUnavailable, NotRun, 2 * time.Second, "No endpoint can take the request.", false},
+	NotReady:         {http.StatusServiceUnavailable, NotRun, 2 * time.Second, "The instance is starting or leaving.", false},
+	// The attempt was not sent, but whether an earlier call with the key ran can't be checked, so the outcome of
+	// the key is unknown.
+	StoreUnavailable:  {http.StatusServiceUnavailable, Unknown, 5 * time.Second, "The claim of this call could not be recorded and nothing was sent; repeat it with the same key.", false},
+	EndpointFailed:    {http.StatusBadGateway, Unknown, time.Second, "The endpoint failed while it held the request.", false},
+	OutcomeUnknown:    {http.StatusBadGateway, Unknown, 0, "The call may have run; it is not run again under this key.", false},
+	AnswerNotRetained: {http.StatusConflict, Unknown, 0, "The call ran; its answer is not retained.", false},
+	StreamBroken:      {http.StatusBadGateway, Partial, time.Second, "The answer broke off and could not be resumed.", false},
+	Internal:          {http.StatusInternalServerError, Unknown, 0, "Internal error.", false},
 }
 
 // Kinds returns all kinds in alphabetical order.
--- /dev/null
+++ b/standin/cloud.go
@@ -0,0 +1,150 @@
+// Package standin holds small stand-ins for the systems around trefoillug: the platform's APIs, a model engine
+// and a plain service. Tests and `make run` use them; production never does.
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/trefoillug/trefoillug/platform"
+)
+
+// Cloud stands in for the platform's instance list, which lags, and its reclaim notices, which don't.
+type Cloud struct {
+	mux *http.ServeMux
+	lag time.Duration
+
+	mu        sync.Mutex
+	instances map[string]platform.Instance
+	notices   []platform.Notice
+	history   []listing // oldest first
+	faults    CloudFaults
+}
+
+// CloudFaults are set by POST /faults.
+type CloudFaults struct {
+	ListDown    bool `json:"list_down"`    // GET /instances answers 503
+	NoticesDown bool `json:"notices_down"` // GET /notices answers 503
+}
+
+type listing struct {
+	at        time.Time
+	instances []platform.Instance
+}
+
+// NewCloud returns a stand-in whose instance list shows what was true lag ago.
+func NewCloud(lag time.Duration) *Cloud {
+	c := &Cloud{mux: http.NewServeMux(), lag: lag, instances: map[string]platform.Instance{}}
+	c.mux.HandleFunc("GET /instances", c.list)
+	c.mux.HandleFunc("PUT /instances/{id}", c.put)
+	c.mux.HandleFunc("DELETE /instances/{id}", c.remove)
+	c.mux.HandleFunc("GET /notices", c.getNotices)
+	c.mux.HandleFunc("POST /notices", c.postNotice)
+	c.mux.HandleFunc("POST /faults", c.setFaults)
+	return c
+}
+
+// ServeHTTP implements http.Handler.
+func (c *Cloud) ServeHTTP(w http.ResponseWriter, r *http.Request) { c.mux.ServeHTTP(w, r) }
+
+func (c *Cloud) put(w http.ResponseWriter, r *http.Request) {
+	var in platform.Instance
+	if !decode(w, r, &in) {
+		return
+	}
+	in.ID = r.PathValue("id")
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.instances[in.ID] = in
+	c.record()
+}
+
+func (c *Cloud) remove(_ http.ResponseWriter, r *http.Request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.instances, r.PathValue("id"))
+	c.record()
+}
+
+// record appends the present listing to the history and drops listings that no reader can see any more.
+func (c *Cloud) record() {
+	now := time.Now()
+	current := make([]platform.Instance, 0, len(c.instances))
+	for _, in := range c.instances {
+		current = append(current, in)
+	}
+	slices.SortFunc(current, func(a, b platform.Instance) int { return strings.Compare(a.ID, b.ID) })
+	c.history = append(c.history, listing{now, current})
+	for len(c.history) > 1 && now.Sub(c.history[1].at) > c.lag {
+		c.history = c.history[1:]
+	}
+}
+
+func (c *Cloud) list(w http.ResponseWriter, _ *http.Request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.faults.ListDown {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	visible := []platform.Instance{}
+	for _, l := range c.history {
+		if time.Since(l.at) >= c.lag {
+			visible = l.instances
+		}
+	}
+	encode(w, visible)
+}
+
+func (c *Cloud) getNotices(w http.ResponseWriter, _ *http.Request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.faults.NoticesDown {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	encode(w, c.notices)
+}
+
+// postNotice announces a reclaim and marks the instances as leaving in the list.
+func (c *Cloud) postNotice(w http.ResponseWriter, r *http.Request) {
+	var n platform.Notice
+	if !decode(w, r, &n) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.notices = append(c.notices, n)
+	for id, in := range c.instances {
+		if id == n.Instance || (n.Instance == "" && in.FailureDomain == n.FailureDomain) {
+			in.State, in.LeaveBy = platform.StateLeaving, n.By
+			c.instances[id] = in
+		}
+	}
+	c.record()
+}
+
+func (c *Cloud) setFaults(w http.ResponseWriter, r *http.Request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.faults = CloudFaults{}
+	decode(w, r, &c.faults)
+}
+
+func decode(w http.ResponseWriter, r *http.Request, out any) bool {
+	if err := json.NewDecoder(r.Body).Decode(out); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func encode(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	// The reader may be gone; it then asks again.
+	_ = json.NewEncoder(w).Encode(v)
+}
--- a/table/table.go
+++ b/table/table.go
@@ -82,3 +82,15 @@
 	svc, ok := s.Services[name]
 	return svc, ok
 }
+
+// String returns the condition as shown to operators.
+func (c Condition) String() string {
+	switch c {
+	case Ready:
+		return "ready"
+	case Leaving:
+		return "leaving"
+	default:
+		return "suspect"
+	}
+}
