--- /dev/null
+++ b/standin/faults.go
@@ -0,0 +1,89 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// Duration is a time.Duration that JSON shows as text such as "250ms".
+type Duration time.Duration
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil || parsed < 0 {
+		return fmt.Errorf("%q is not a duration such as 250ms", text)
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// Faults are the faults of the object API that are on. The zero value means none.
+type Faults struct {
+	Down          bool           `json:"down"`           // every call gets status 503, waiting watches too
+	Slow          Duration       `json:"slow"`           // delay of every call
+	LoseAnswers   int            `json:"lose_answers"`   // number of next writes that take effect and get no answer
+	LosePrefix    string         `json:"lose_prefix"`    // limits LoseAnswers to keys with this prefix
+	Old           map[string]int `json:"old"`            // key to number of revisions that readers are behind
+	SilentWatches bool           `json:"silent_watches"` // waiting and new watches never answer
+}
+
+// Counts are the calls since the start. Waiting is the number of watches that wait now; each counts as a call.
+type Counts struct {
+	Reads   uint64 `json:"reads"` // gets, lists and opened watches
+	Writes  uint64 `json:"writes"`
+	Watches uint64 `json:"watches"` // opened
+	Waiting int    `json:"waiting"`
+	Limited uint64 `json:"limited"` // calls refused by a rate limit
+}
+
+// takeLostAnswer tells whether the answer to a write of key is to be lost and uses up one of LoseAnswers.
+func (f *Faults) takeLostAnswer(key string) bool {
+	if f.LoseAnswers == 0 || !strings.HasPrefix(key, f.LosePrefix) {
+		return false
+	}
+	f.LoseAnswers--
+	return true
+}
+
+// Faults returns the faults that are on.
+func (s *Objects) Faults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// SetFaults replaces all faults.
+func (s *Objects) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+	s.broadcast()
+}
+
+// Counts returns the calls so far.
+func (s *Objects) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts
+}
+
+func (s *Objects) postFaults(w http.ResponseWriter, r *http.Request) {
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxFaultBytes))
+	dec.DisallowUnknownFields()
+	var f Faults
+	if err := dec.Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(f)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Objects) getCounts(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Counts()) }
