Add at-most-once claims on slot objects

A call that is not idempotent claims its key by a conditional update of a slot object. The home of a slot batches for all instances; an instance without an answer from the home writes the slot itself, and the attempt ID in the entry decides which attempt may be dispatched. Full open segments are sealed into immutable objects.

--- /dev/null
+++ b/claim/claim_test.go
@@ -0,0 +1,100 @@
+package claim
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/trefoillug/trefoillug/problem"
+)
+
+func testCall(key, body string) Call {
+	return Call{Service: "orders", Workspace: "w", Key: key, Body: DigestBody([]byte(body))}
+}
+
+func within(d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	context.AfterFunc(ctx, cancel)
+	return ctx
+}
+
+// Guards against a repeat at another instance that runs again instead of getting the recorded response.
+func TestClaim_RepeatGetsRecordedResponse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(3, 1, Options{})
+		defer c.stop()
+		r, err := c.services[0].Claim(within(5*time.Second), testCall("k", "body"))
+		must.NoError(t, err)
+		must.NotNil(t, r.Attempt)
+		go func() {
+			time.Sleep(time.Second)
+			c.services[0].Complete(r.Attempt, Response{Status: 201, Body: []byte("done")})
+		}()
+		for _, s := range c.services {
+			again, err := s.Claim(within(5*time.Second), testCall("k", "body"))
+			must.NoError(t, err)
+			must.Eq(t, &Response{Status: 201, Body: []byte("done"), Retained: true}, again.Response)
+			_, err = s.Claim(within(5*time.Second), testCall("k", "other"))
+			must.Eq(t, problem.KeyReused, problem.KindOf(err))
+		}
+	})
+}
+
+// Guards against a wrong answer to a repeat whose first attempt is unknown, still pending, too large or released.
+func TestClaim_RepeatAfterOtherEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(3, 1, Options{})
+		defer c.stop()
+		first := map[string]*Attempt{}
+		for _, key := range []string{"unknown", "pending", "large", "released"} {
+			r, err := c.services[0].Claim(within(20*time.Second), testCall(key, ""))
+			must.NoError(t, err)
+			first[key] = r.Attempt
+		}
+		c.services[0].MarkUnknown(first["unknown"])
+		c.services[0].Complete(first["large"], Response{Status: 200, Body: make([]byte, MaxRecordedBody+1)})
+		c.services[0].Release(first["released"])
+		for key, kind := range map[string]problem.Kind{
+			"unknown": problem.OutcomeUnknown, "pending": problem.OutcomeUnknown, "large": problem.AnswerNotRetained,
+		} {
+			_, err := c.services[1].Claim(within(2*time.Second), testCall(key, ""))
+			must.Eq(t, kind, problem.KindOf(err), must.Sprint(key))
+		}
+		r, err := c.services[1].Claim(within(2*time.Second), testCall("released", ""))
+		must.NoError(t, err)
+		must.NotNil(t, r.Attempt)
+	})
+}
+
+// Guards against a first call that is not refused at its deadline in an outage, against its claim staying recorded
+// afterwards, and against telling a repeat in the outage that the key did not run.
+func TestClaim_StoreDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(3, 1, Options{})
+		defer c.stop()
+		_, err := c.services[0].Claim(within(time.Second), testCall("ran", ""))
+		must.NoError(t, err)
+		time.Sleep(time.Minute)
+		for _, client := range c.clients {
+			client.set(faults{Down: 1})
+		}
+		start := time.Now()
+		_, err = c.services[0].Claim(within(3*time.Second), testCall("new", ""))
+		must.Eq(t, problem.StoreUnavailable, problem.KindOf(err))
+		must.Eq(t, 3*time.Second, time.Since(start))
+		for _, s := range c.services {
+			_, err = s.Claim(within(3*time.Second), testCall("ran", ""))
+			must.Eq(t, problem.OutcomeUnknown, problem.KindOf(err))
+		}
+		for _, client := range c.clients {
+			client.set(faults{})
+		}
+		time.Sleep(10 * time.Second)
+		r, err := c.services[1].Claim(within(time.Second), testCall("new", ""))
+		must.NoError(t, err)
+		must.NotNil(t, r.Attempt)
+	})
+}
--- /dev/null
+++ b/claim/fake_test.go
@@ -0,0 +1,239 @@
+package claim
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/trefoillug/trefoillug/objstore"
+	"github.com/trefoillug/trefoillug/peer"
+)
+
+// faults are the shares of store operations and peer calls that fail in a way.
+type faults struct {
+	Down, Lost, Late, Slow float64 // store
+	Cut, AnswerLost        float64 // peers
+}
+
+// fakeStore is an object API in memory. Each instance has its own client, so faults can differ between them.
+type fakeStore struct {
+	mu      sync.Mutex
+	rng     *rand.Rand
+	objects map[string]objstore.Object
+	latency time.Duration
+	writes  int
+	bytes   int
+	reads   int
+	rbytes  int
+}
+
+func newFakeStore(seed uint64) *fakeStore {
+	return &fakeStore{rng: rand.New(rand.NewPCG(seed, 1)), objects: map[string]objstore.Object{}, latency: 2 * time.Millisecond}
+}
+
+func (s *fakeStore) chance(p float64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rng.Float64() < p
+}
+
+func (s *fakeStore) get(key string) (objstore.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	obj, ok := s.objects[key]
+	if !ok {
+		return obj, objstore.ErrNotFound
+	}
+	s.reads++
+	s.rbytes += len(obj.Value)
+	return obj, nil
+}
+
+func (s *fakeStore) put(key string, value []byte, ifVersion uint64) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writes++
+	s.bytes += len(value)
+	if len(value) > objstore.MaxValueBytes {
+		panic("object over the size limit: " + key)
+	}
+	if s.objects[key].Version != ifVersion {
+		return 0, objstore.ErrConflict
+	}
+	s.objects[key] = objstore.Object{Key: key, Version: ifVersion + 1, Value: value}
+	return ifVersion + 1, nil
+}
+
+// fakeClient is one instance's access to a fakeStore.
+type fakeClient struct {
+	*fakeStore
+	mu sync.Mutex
+	f  faults
+}
+
+func (c *fakeClient) set(f faults) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.f = f
+}
+
+func (c *fakeClient) faults() faults {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.f
+}
+
+func (c *fakeClient) Get(ctx context.Context, key string) (objstore.Object, error) {
+	if err := c.travel(ctx); err != nil {
+		return objstore.Object{}, err
+	}
+	return c.get(key)
+}
+
+func (c *fakeClient) travel(ctx context.Context) error {
+	f := c.faults()
+	pause(ctx, c.latency)
+	if c.chance(f.Slow) {
+		pause(ctx, 2*time.Second)
+	}
+	if ctx.Err() != nil || c.chance(f.Down) {
+		return objstore.ErrUnavailable
+	}
+	return nil
+}
+
+func (c *fakeClient) Put(ctx context.Context, key string, value []byte, ifVersion uint64) (uint64, error) {
+	f := c.faults()
+	if err := c.travel(ctx); err != nil {
+		return 0, err
+	}
+	if c.chance(f.Late) {
+		// The write takes effect after the client has given up.
+		go func() {
+			time.Sleep(500 * time.Millisecond)
+			_, _ = c.put(key, value, ifVersion)
+		}()
+		return 0, objstore.ErrUnknownResult
+	}
+	version, err := c.put(key, value, ifVersion)
+	if c.chance(f.Lost) {
+		return 0, objstore.ErrUnknownResult
+	}
+	return version, err
+}
+
+func (c *fakeClient) List(context.Context, string) ([]objstore.Object, error) { panic("not used") }
+
+func (c *fakeClient) Watch(context.Context, string, uint64) (objstore.Object, error) {
+	panic("not used")
+}
+
+// fakeNet connects the meshes of a test.
+type fakeNet struct {
+	mu     sync.Mutex
+	rng    *rand.Rand
+	meshes map[string]*fakeMesh
+}
+
+// fakeMesh is one instance's mesh. Members returns what the test set, so that views can disagree.
+type fakeMesh struct {
+	net     *fakeNet
+	self    string
+	handler peer.Handler
+	view    []string
+	f       faults
+}
+
+func (n *fakeNet) join(id string) *fakeMesh {
+	m := &fakeMesh{net: n, self: id}
+	n.meshes[id] = m
+	return m
+}
+
+func (n *fakeNet) chance(p float64) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.rng.Float64() < p
+}
+
+func (m *fakeMesh) set(f faults, view []string) {
+	m.net.mu.Lock()
+	defer m.net.mu.Unlock()
+	m.f, m.view = f, view
+}
+
+func (m *fakeMesh) Self() peer.Member { return peer.Member{ID: m.self} }
+
+func (m *fakeMesh) Members() []peer.Member {
+	m.net.mu.Lock()
+	defer m.net.mu.Unlock()
+	var members []peer.Member
+	for _, id := range slices.Sorted(slices.Values(m.view)) {
+		members = append(members, peer.Member{ID: id})
+	}
+	return members
+}
+
+func (m *fakeMesh) Publish(string, []byte, time.Duration) {}
+func (m *fakeMesh) Subscribe(string, func(peer.Fact))     {}
+
+func (m *fakeMesh) Handle(_ string, handler peer.Handler) {
+	m.net.mu.Lock()
+	defer m.net.mu.Unlock()
+	m.handler = handler
+}
+
+// Call runs the handler in a context that outlives the caller's, as on a connection that went silent.
+func (m *fakeMesh) Call(ctx context.Context, member, _ string, body []byte) ([]byte, error) {
+	m.net.mu.Lock()
+	to, f := m.net.meshes[member], m.f
+	handler, cut := to.handler, max(f.Cut, to.f.Cut)
+	m.net.mu.Unlock()
+	pause(ctx, time.Millisecond)
+	if m.net.chance(cut) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	answer, err := handler(context.WithoutCancel(ctx), m.self, body)
+	if m.net.chance(f.AnswerLost) {
+		<-ctx.Done()
+	}
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	return answer, err
+}
+
+// cluster is a set of instances on one store.
+type cluster struct {
+	store    *fakeStore
+	net      *fakeNet
+	ids      []string
+	clients  []*fakeClient
+	meshes   []*fakeMesh
+	services []*Service
+}
+
+func newCluster(n int, seed uint64, opts Options) *cluster {
+	c := &cluster{store: newFakeStore(seed)}
+	c.net = &fakeNet{rng: rand.New(rand.NewPCG(seed, 2)), meshes: map[string]*fakeMesh{}}
+	for i := range n {
+		c.ids = append(c.ids, "i"+strings.Repeat("x", i))
+	}
+	for _, id := range c.ids {
+		mesh, client := c.net.join(id), &fakeClient{fakeStore: c.store}
+		mesh.view = c.ids
+		c.meshes, c.clients = append(c.meshes, mesh), append(c.clients, client)
+		c.services = append(c.services, New(client, mesh, opts))
+	}
+	return c
+}
+
+func (c *cluster) stop() {
+	for _, s := range c.services {
+		s.cancel()
+	}
+}
--- /dev/null
+++ b/claim/options.go
@@ -0,0 +1,61 @@
+package claim
+
+import "time"
+
+// Options of a Service. Zero values take the defaults below.
+type Options struct {
+	// Slots is the number of slot objects. All instances must use the same number.
+	Slots int
+	// WritesPerSecond is the store write budget of all slots together.
+	WritesPerSecond float64
+	// HomeTimeout is the time an instance waits for the home of a slot before it writes the slot itself.
+	HomeTimeout time.Duration
+	// HomeAvoid is the time for which a home that gave no answer is passed over.
+	HomeAvoid time.Duration
+	// StoreTimeout bounds one store operation.
+	StoreTimeout time.Duration
+	// MaxWait bounds a claim whose context has no earlier deadline.
+	MaxWait time.Duration
+	// Retention is the shortest time for which an outcome is kept.
+	Retention time.Duration
+	// CacheBytes bounds the memory of cached indexes of sealed segments.
+	CacheBytes int
+
+	sealBytes int // size at which the open segment is sealed; tests lower it
+}
+
+const (
+	// A write interval of defaultSlots/defaultWrites = 107 ms per slot bounds the added delay at high load; more
+	// slots would spread the work of homes wider but lengthen it in proportion.
+	defaultSlots  = 16
+	defaultWrites = 150
+
+	defaultHomeTimeout  = 750 * time.Millisecond
+	defaultHomeAvoid    = 2 * time.Second
+	defaultStoreTimeout = 3 * time.Second
+	defaultMaxWait      = 10 * time.Minute
+	// One hour above the promised 24 hours covers clock differences and the longest dispatch after a claim.
+	defaultRetention  = 25 * time.Hour
+	defaultCacheBytes = 48 << 20
+	defaultSealBytes  = 256 << 10
+)
+
+func (o Options) withDefaults() Options {
+	o.Slots = orDefault(o.Slots, defaultSlots)
+	o.WritesPerSecond = orDefault(o.WritesPerSecond, defaultWrites)
+	o.HomeTimeout = orDefault(o.HomeTimeout, defaultHomeTimeout)
+	o.HomeAvoid = orDefault(o.HomeAvoid, defaultHomeAvoid)
+	o.StoreTimeout = orDefault(o.StoreTimeout, defaultStoreTimeout)
+	o.MaxWait = orDefault(o.MaxWait, defaultMaxWait)
+	o.Retention = orDefault(o.Retention, defaultRetention)
+	o.CacheBytes = orDefault(o.CacheBytes, defaultCacheBytes)
+	o.sealBytes = orDefault(o.sealBytes, defaultSealBytes)
+	return o
+}
+
+func orDefault[T int | float64 | time.Duration](v, def T) T {
+	if v > 0 {
+		return v
+	}
+	return def
+}
--- /dev/null
+++ b/claim/wire.go
@@ -0,0 +1,107 @@
+package claim
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// callKind names the peer call that submits an operation to the home of a slot.
+const callKind = "claim"
+
+type opKind uint8
+
+const (
+	opClaim opKind = iota + 1
+	opComplete
+	opUnknown
+	opRelease
+)
+
+// operation changes the entry of a key. Repeating an operation has no further effect.
+type operation struct {
+	Kind      opKind    `cbor:"1,keyasint"`
+	Slot      int       `cbor:"2,keyasint"`
+	Key       Digest    `cbor:"3,keyasint"`
+	Attempt   Digest    `cbor:"4,keyasint"`
+	Body      Digest    `cbor:"5,keyasint"`
+	CallUntil int64     `cbor:"6,keyasint"` // deadline of the call, Unix milliseconds
+	Within    int64     `cbor:"7,keyasint"` // the home drops the operation after this time, in milliseconds
+	Response  *Response `cbor:"8,keyasint,omitempty"`
+}
+
+type verdict uint8
+
+const (
+	verdictGranted  verdict = iota + 1 // the key belongs to the asking attempt
+	verdictPending                     // another attempt holds the key
+	verdictUnknown                     // another attempt may have run
+	verdictDone                        // the key has a recorded outcome
+	verdictReused                      // the key was used with another body
+	verdictReleased                    // the asking attempt was released before
+	verdictNoted                       // an outcome or release was recorded
+	verdictBusy                        // the home is working on it; ask again
+)
+
+// answer is the result of an operation.
+type answer struct {
+	Verdict  verdict   `cbor:"1,keyasint"`
+	Response *Response `cbor:"2,keyasint,omitempty"`
+}
+
+type entryState uint8
+
+const (
+	statePending entryState = iota + 1
+	stateDone
+	stateUnknown
+	stateReleased
+)
+
+// entry is the latest state of a key. A later entry for the same key replaces an earlier one.
+type entry struct {
+	_        struct{} `cbor:",toarray"`
+	Key      Digest
+	Attempt  Digest
+	Body     Digest
+	State    entryState
+	Until    int64 // deadline of the call, Unix milliseconds
+	Response *Response
+}
+
+// segmentRef names a sealed segment.
+type segmentRef struct {
+	_    struct{} `cbor:",toarray"`
+	Seq  uint64
+	Last int64 // Unix seconds of the latest entry
+}
+
+// head is the value of a slot object.
+type head struct {
+	Open    []entry      `cbor:"1,keyasint"`
+	Sealed  []segmentRef `cbor:"2,keyasint"` // oldest first
+	NextSeq uint64       `cbor:"3,keyasint"`
+}
+
+func encode(v any) []byte {
+	data, err := cbor.Marshal(v)
+	if err != nil {
+		// All encoded types are plain data, so this is a fault of the program.
+		panic(fmt.Sprintf("claim: encode %T: %v", v, err))
+	}
+	return data
+}
+
+// newEntry returns the entry that operation o leaves behind.
+func (o *operation) newEntry(state entryState) entry {
+	return entry{Key: o.Key, Attempt: o.Attempt, Body: o.Body, State: state, Until: o.CallUntil, Response: o.Response}
+}
+
+// size estimates the encoded size of an entry in bytes.
+func (e *entry) size() int {
+	const fixed = 70
+	if e.Response == nil {
+		return fixed
+	}
+	return fixed + 40 + len(e.Response.Body) + len(e.Response.ContentType)
+}
