Add the peer mesh: membership, facts and calls over WebSocket

A member is a state machine (machine) that Node drives with connections and time. A ring neighbour accuses a member that it can't reach; the accusation is the member's own fact at a higher status, which the member refutes with a higher incarnation. One fact stands for a lost failure domain.

--- /dev/null
+++ b/peer/call.go
@@ -0,0 +1,230 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/samber/oops"
+)
+
+// Errors of Call. With ErrUnknownMember, ErrUnreachable, ErrNoHandler and ErrBusy the call did not run.
+var (
+	ErrUnknownMember  = errors.New("no address is known for the member")
+	ErrUnreachable    = errors.New("the member can't be reached")
+	ErrNoHandler      = errors.New("the member has no handler for this kind of call")
+	ErrBusy           = errors.New("the member runs too many calls")
+	ErrConnectionLost = errors.New("the connection was lost while the call waited; it may have run")
+	ErrClosed         = errors.New("this member has stopped")
+	ErrTooLarge       = errors.New("the body exceeds the size limit of a call")
+)
+
+// RemoteError is the error that the handler at the called member returned.
+type RemoteError struct {
+	Member, Kind, Text string
+}
+
+// Error implements error.
+func (e *RemoteError) Error() string { return e.Kind + " at " + e.Member + ": " + e.Text }
+
+const (
+	// MaxBody is the largest body of a call or reply in bytes.
+	MaxBody = 1<<20 + 64<<10
+	// maxRunningCalls bounds the handlers that run at once for other members.
+	maxRunningCalls = 256
+	directIdle      = 30 * time.Second
+	handshakeLimit  = time.Second
+)
+
+// dialing is a connection for calls that is being set up, or was.
+type dialing struct {
+	done chan struct{}
+	s    *session
+	err  error
+}
+
+// Call implements Mesh.
+func (n *Node) Call(ctx context.Context, member, kind string, body []byte) ([]byte, error) {
+	if len(body) > MaxBody {
+		return nil, oops.Wrapf(ErrTooLarge, "%d bytes for %s", len(body), kind)
+	}
+	if member == n.id {
+		return n.callSelf(ctx, kind, body)
+	}
+	s, err := n.sessionFor(ctx, member)
+	if err != nil {
+		return nil, err
+	}
+	return s.call(ctx, kind, body)
+}
+
+func (n *Node) callSelf(ctx context.Context, kind string, body []byte) ([]byte, error) {
+	h := n.handlers[kind]
+	if h == nil {
+		return nil, oops.Wrapf(ErrNoHandler, "calling %s here", kind)
+	}
+	out, err := h(ctx, n.id, body)
+	if err != nil {
+		return nil, &RemoteError{Member: n.id, Kind: kind, Text: err.Error()}
+	}
+	return out, nil
+}
+
+// sessionFor returns an established connection to a member, or dials one for calls only.
+func (n *Node) sessionFor(ctx context.Context, member string) (*session, error) {
+	n.mu.Lock()
+	if n.closed {
+		n.mu.Unlock()
+		return nil, oops.Wrapf(ErrClosed, "calling %s", member)
+	}
+	if l := n.m.byPeer[member]; l != nil {
+		if s := n.sessions[l.id]; s != nil {
+			n.mu.Unlock()
+			return s, nil
+		}
+	}
+	d := n.direct[member]
+	if d == nil {
+		address := n.m.addressOf(member)
+		if address == "" {
+			n.mu.Unlock()
+			return nil, oops.Wrapf(ErrUnknownMember, "calling %s", member)
+		}
+		d = &dialing{done: make(chan struct{})}
+		n.direct[member] = d
+		n.spawn(func() { n.dialDirect(d, address, member) })
+	}
+	n.mu.Unlock()
+	select {
+	case <-d.done:
+		return d.s, d.err
+	case <-ctx.Done():
+		return nil, oops.Wrapf(errors.Join(ErrUnreachable, ctx.Err()), "dialling %s", member)
+	}
+}
+
+func (m *machine) addressOf(member string) string {
+	if r := m.members.records[member]; r != nil {
+		return r.Address
+	}
+	return m.contact.listed[member].Address
+}
+
+// dialDirect opens a connection for calls and serves it until it ends.
+func (n *Node) dialDirect(d *dialing, address, member string) {
+	s, _, err := n.open(address, member, true)
+	if err != nil {
+		d.err = oops.Wrapf(errors.Join(ErrUnreachable, err), "dialling %s", member)
+		n.dropDirect(member, d)
+		close(d.done)
+		return
+	}
+	n.mu.Lock()
+	if n.closed {
+		s.close()
+	}
+	d.s = s
+	close(d.done)
+	n.mu.Unlock()
+	n.spawn(s.write)
+	n.readCalls(s)
+	n.dropDirect(member, d)
+}
+
+func (n *Node) dropDirect(member string, d *dialing) {
+	n.mu.Lock()
+	if n.direct[member] == d {
+		delete(n.direct, member)
+	}
+	n.mu.Unlock()
+}
+
+// readCalls serves a connection that carries calls only.
+func (n *Node) readCalls(s *session) {
+	defer s.close()
+	for {
+		m, err := s.receive()
+		if err != nil {
+			return
+		}
+		switch m.Kind {
+		case kindPing:
+			s.send(&message{Kind: kindPong, Seq: m.Seq})
+		case kindCall:
+			n.serveCall(s, m.Call)
+		case kindReply:
+			s.resolve(m.Reply)
+		}
+	}
+}
+
+// checkDirect pings the direct connections on which calls wait, and closes idle and silent ones.
+func (n *Node) checkDirect(now time.Time) {
+	for member, d := range n.direct {
+		select {
+		case <-d.done:
+		default:
+			continue
+		}
+		s := d.s
+		if s == nil {
+			continue
+		}
+		used, heard := time.Unix(0, s.used.Load()), time.Unix(0, s.heard.Load())
+		if s.waiting() == 0 {
+			if now.Sub(used) >= directIdle {
+				s.close()
+				delete(n.direct, member)
+			}
+			continue
+		}
+		if now.Sub(later(used, heard)) >= silenceLimit {
+			s.close()
+			delete(n.direct, member)
+			continue
+		}
+		s.send(&message{Kind: kindPing})
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// serveCall runs the handler of a call and sends its reply.
+func (n *Node) serveCall(s *session, c *call) {
+	h := n.handlers[c.Kind]
+	if h == nil {
+		s.send(&message{Kind: kindReply, Reply: &reply{ID: c.ID, Failure: replyNoHandler}})
+		return
+	}
+	select {
+	case n.running <- struct{}{}:
+	default:
+		s.send(&message{Kind: kindReply, Reply: &reply{ID: c.ID, Failure: replyBusy}})
+		return
+	}
+	n.spawn(func() {
+		defer func() { <-n.running }()
+		s.send(&message{Kind: kindReply, Reply: n.runHandler(h, s, c)})
+	})
+}
+
+func (n *Node) runHandler(h Handler, s *session, c *call) *reply {
+	ctx, cancel := n.ctx, context.CancelFunc(func() {})
+	if c.Timeout > 0 && c.Timeout < uint64(time.Hour/time.Millisecond) {
+		ctx, cancel = context.WithTimeout(n.ctx, time.Duration(c.Timeout)*time.Millisecond)
+	}
+	defer cancel()
+	body, err := h(ctx, s.peer, c.Body)
+	if err == nil && len(body) > MaxBody {
+		err = ErrTooLarge
+	}
+	if err != nil {
+		return &reply{ID: c.ID, Failure: replyFailed, Text: err.Error()}
+	}
+	return &reply{ID: c.ID, Body: body}
+}
--- /dev/null
+++ b/peer/mesh.go
@@ -0,0 +1,163 @@
+package peer
+
+import (
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// drainLimit is the time that Close gives the last facts to leave.
+const drainLimit = 200 * time.Millisecond
+
+func discardLog() logrus.FieldLogger {
+	l := logrus.New()
+	l.SetOutput(io.Discard)
+	l.SetLevel(logrus.PanicLevel)
+	return l
+}
+
+// Self implements Mesh.
+func (n *Node) Self() Member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.m.self
+}
+
+// Members implements Mesh. The result is shared and must not be changed.
+func (n *Node) Members() []Member { return *n.members.Load() }
+
+// Publish implements Mesh. Values of more than 8 KiB, keys of more than 256 bytes, more than 512 keys of one member
+// and keys that begin with "peer/" are not published; a log line says so.
+func (n *Node) Publish(key string, value []byte, ttl time.Duration) {
+	if len(key) > maxKeyBytes || len(value) > maxValueBytes || strings.HasPrefix(key, reservedPrefix) {
+		n.log.WithFields(logrus.Fields{"key": key, "bytes": len(value)}).Error("fact exceeds a limit and is not published")
+		return
+	}
+	value = slices.Clone(value)
+	full := false
+	n.do(func(m *machine, now time.Time) {
+		m.publish(key, value, ttl, now)
+		full = m.facts.byID[factID(m.self.ID, key)] == nil
+	})
+	if full {
+		n.log.WithFields(logrus.Fields{"key": key}).Error("too many facts; the fact is not published")
+	}
+}
+
+// Subscribe implements Mesh. Facts that are already known are delivered too.
+func (n *Node) Subscribe(keyPrefix string, fn func(Fact)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	sub := &subscription{keyPrefix, fn}
+	n.subs = append(slices.Clone(n.subs), sub)
+	for _, f := range n.m.facts.byID {
+		if f.Origin != n.id && f.Origin != "" && f.Key != memberKey && strings.HasPrefix(f.Key, keyPrefix) {
+			n.notify(event{fact: f.Fact, only: sub})
+		}
+	}
+}
+
+// Handle implements Mesh.
+func (n *Node) Handle(kind string, h Handler) { n.handlers[kind] = h }
+
+// UpdateMembers takes the platform's list of instances. It is used to find members, not to remove them.
+func (n *Node) UpdateMembers(list []Member) {
+	n.do(func(m *machine, _ time.Time) { m.updateListed(list) })
+}
+
+// Leave tells the others that this member is leaving. It stays in the mesh until Close.
+func (n *Node) Leave() {
+	n.do(func(m *machine, now time.Time) { m.leave(statusLeaving, now) })
+}
+
+// Close tells the others that this member has left and closes all connections.
+func (n *Node) Close() {
+	n.do(func(m *machine, now time.Time) {
+		m.leave(statusLeft, now)
+		for _, l := range m.links {
+			m.flush(l, now)
+		}
+	})
+	n.mu.Lock()
+	if n.closed {
+		n.mu.Unlock()
+		return
+	}
+	n.closed = true
+	open := n.openSessions()
+	n.mu.Unlock()
+	for _, s := range open {
+		s.drain(drainLimit)
+	}
+	time.Sleep(5 * time.Millisecond) // the last message of a queue may still be on its way to the network
+	n.shutdown(open)
+}
+
+// kill closes all connections without telling the others, as a crash does.
+func (n *Node) kill() {
+	n.mu.Lock()
+	n.closed = true
+	open := n.openSessions()
+	n.mu.Unlock()
+	n.shutdown(open)
+}
+
+func (n *Node) shutdown(open []*session) {
+	n.cancel()
+	for _, s := range open {
+		s.close()
+	}
+	n.wg.Wait()
+}
+
+// openSessions needs n.mu.
+func (n *Node) openSessions() []*session {
+	var open []*session
+	for _, s := range n.sessions {
+		open = append(open, s)
+	}
+	for s := range n.accepted {
+		open = append(open, s)
+	}
+	for _, d := range n.direct {
+		select {
+		case <-d.done:
+			if d.s != nil {
+				open = append(open, d.s)
+			}
+		default:
+		}
+	}
+	return open
+}
+
+// Stats returns the counters.
+func (n *Node) Stats() Stats {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s := Stats{
+		BytesSent: n.stats.bytesSent.Load(), BytesReceived: n.stats.bytesReceived.Load(),
+		MessagesSent: n.stats.messagesSent.Load(), MessagesReceived: n.stats.messagesReceived.Load(),
+		Connections: len(n.m.links), Facts: len(n.m.facts.byID),
+	}
+	for _, l := range n.m.links {
+		if l.outbound {
+			s.Outgoing++
+		}
+	}
+	return s
+}
+
+// leave announces a status from which this member doesn't return.
+func (m *machine) leave(st status, now time.Time) {
+	if st <= m.status {
+		return
+	}
+	m.status = st
+	m.self.Leaving = true
+	m.publishSelf(now)
+	m.finish(now)
+}
--- /dev/null
+++ b/peer/spread.go
@@ -0,0 +1,227 @@
+package peer
+
+import (
+	"strings"
+	"time"
+)
+
+// publish gives value the next version of this member's fact key.
+func (m *machine) publish(key string, value []byte, ttl time.Duration, now time.Time) {
+	m.seq++
+	f := Fact{Origin: m.self.ID, Key: key, Version: m.start<<epochShift | m.seq, Value: value, TTL: ttl}
+	m.store(f, nil, now)
+}
+
+// publishSelf announces this member with its incarnation and status.
+func (m *machine) publishSelf(now time.Time) {
+	w := wireMember{
+		ID: m.self.ID, Address: m.self.Address, FailureDomain: m.self.FailureDomain,
+		Region: m.self.Region, Start: m.start,
+	}
+	m.announce(&w, m.self.Incarnation, m.status, now)
+}
+
+// announce stores a member fact and spreads it.
+func (m *machine) announce(w *wireMember, incarnation uint64, st status, now time.Time) {
+	value, err := encMode.Marshal(w)
+	if err != nil {
+		panic(err) // every field has a CBOR form
+	}
+	f := Fact{Origin: w.ID, Key: memberKey, Version: incarnation<<statusBits | uint64(st), Value: value}
+	if st == statusAccused || st == statusLeft {
+		f.TTL = deadRetention
+	}
+	m.store(f, nil, now)
+}
+
+// store keeps a fact that is newer than the stored one, acts on it and queues it for the connections but from.
+func (m *machine) store(f Fact, from *link, now time.Time) bool {
+	s := m.facts.put(f, now)
+	if s == nil {
+		return false
+	}
+	m.interpret(s, now)
+	for _, l := range m.links {
+		if l != from {
+			m.queue(l, s, now)
+		}
+	}
+	return true
+}
+
+func (m *machine) interpret(f *storedFact, now time.Time) {
+	switch {
+	case f.Key == memberKey:
+		m.applyMember(f, now)
+	case strings.HasPrefix(f.Key, domainPrefix):
+		m.applyDomain(f, now)
+	case f.Origin != m.self.ID:
+		m.emit(factOutput{f.Fact})
+	}
+}
+
+func (m *machine) applyMember(f *storedFact, now time.Time) {
+	var w wireMember
+	if err := decMode.Unmarshal(f.Value, &w); err != nil || w.ID != f.Origin {
+		return
+	}
+	if old := m.members.records[w.ID]; old != nil && w.Start > old.start {
+		m.dropEarlierLife(w.ID, w.Start)
+	}
+	m.members.apply(&w, f.Version, now)
+	m.membersChanged = true
+}
+
+// dropEarlierLife removes what a process with the same ID published before it restarted.
+func (m *machine) dropEarlierLife(id string, start uint64) {
+	m.facts.removeOrigin(id, func(f *storedFact) bool {
+		return f.Key == memberKey || f.Version>>epochShift >= start
+	})
+}
+
+func (m *machine) applyDomain(f *storedFact, now time.Time) {
+	d, ok := domainOfKey(f.Key)
+	if !ok {
+		return
+	}
+	if f.Version%2 == 0 {
+		m.contact.refuted[d] = now
+	}
+	m.members.applyDomain(d, f.Version, now)
+	m.membersChanged = true
+}
+
+// queue schedules a fact for a connection.
+func (m *machine) queue(l *link, f *storedFact, now time.Time) {
+	l.pending[f.id] = struct{}{}
+	if l.flushAt.IsZero() {
+		l.flushAt = now.Add(m.jitter(flushWindow))
+	}
+}
+
+// flush sends the pending facts of a connection in messages of bounded size.
+func (m *machine) flush(l *link, now time.Time) {
+	l.flushAt = time.Time{}
+	var batch []wireFact
+	size := 0
+	for id := range l.pending {
+		w, ok := m.wire(id, now)
+		if !ok {
+			continue
+		}
+		batch = append(batch, w)
+		size += len(w.Origin) + len(w.Key) + len(w.Value) + 24
+		if size >= maxDeltaBytes {
+			m.send(l, &message{Kind: kindDelta, Facts: batch}, now)
+			batch, size = nil, 0
+		}
+	}
+	clear(l.pending)
+	if len(batch) > 0 {
+		m.send(l, &message{Kind: kindDelta, Facts: batch}, now)
+	}
+}
+
+func (m *machine) wire(id uint64, now time.Time) (wireFact, bool) {
+	f := m.facts.byID[id]
+	if f == nil {
+		return wireFact{}, false
+	}
+	ttl, ok := f.remaining(now)
+	return wireFact{Origin: f.Origin, Key: f.Key, Version: f.Version, Value: f.Value, TTL: ttl}, ok
+}
+
+// applyFact takes a fact from a connection.
+func (m *machine) applyFact(w *wireFact, from *link, now time.Time) {
+	id := factID(w.Origin, w.Key)
+	if _, waiting := from.pending[id]; waiting {
+		if mine := m.facts.byID[id]; mine == nil || mine.Version <= w.Version {
+			delete(from.pending, id)
+		}
+	}
+	f := Fact{Origin: w.Origin, Key: w.Key, Version: w.Version, Value: w.Value, TTL: time.Duration(w.TTL) * time.Millisecond}
+	if w.Origin == m.self.ID {
+		m.applyOwn(&f, now)
+		return
+	}
+	if !m.acceptable(&f) {
+		return
+	}
+	if m.store(f, from, now) {
+		m.refuteDomain(&f, now)
+	}
+}
+
+// acceptable rejects facts of an earlier life of their origin.
+func (m *machine) acceptable(f *Fact) bool {
+	if strings.HasPrefix(f.Key, domainPrefix) {
+		return f.Origin == ""
+	}
+	if f.Key == memberKey {
+		var w wireMember
+		if err := decMode.Unmarshal(f.Value, &w); err != nil || w.ID != f.Origin || w.ID == "" {
+			return false
+		}
+		r := m.members.records[f.Origin]
+		return !m.members.buried(f.Origin, w.Start) && (r == nil || w.Start >= r.start || f.Version>>statusBits > r.Incarnation)
+	}
+	start := f.Version >> epochShift
+	r := m.members.records[f.Origin]
+	return !m.members.buried(f.Origin, start) && (r == nil || start >= r.start)
+}
+
+// applyOwn answers a fact about this member: an accusation, or one that an earlier process with this ID published.
+func (m *machine) applyOwn(f *Fact, now time.Time) {
+	if f.Key != memberKey {
+		if f.Version>>epochShift > m.start {
+			m.restart(f.Version>>epochShift+1, now)
+		}
+		return
+	}
+	mine := m.self.Incarnation<<statusBits | uint64(m.status)
+	if f.Version <= mine || m.status == statusLeft {
+		return
+	}
+	var w wireMember
+	if err := decMode.Unmarshal(f.Value, &w); err == nil && w.Start > m.start {
+		m.restart(w.Start+1, now)
+	}
+	m.self.Incarnation = max(m.self.Incarnation, f.Version>>statusBits) + 1
+	m.publishSelf(now)
+}
+
+// restart moves this process above an earlier one whose clock was ahead, and republishes its facts.
+func (m *machine) restart(start uint64, now time.Time) {
+	m.start = start
+	own := make([]*storedFact, 0, len(m.facts.byOrigin[m.self.ID]))
+	for _, f := range m.facts.byOrigin[m.self.ID] {
+		own = append(own, f)
+	}
+	m.self.Incarnation = max(m.self.Incarnation, start) + 1
+	m.publishSelf(now)
+	for _, f := range own {
+		ttl, ok := f.remaining(now)
+		if f.Key != memberKey && ok {
+			m.publish(f.Key, f.Value, time.Duration(ttl)*time.Millisecond, now)
+		}
+	}
+}
+
+// refuteDomain contradicts a loss of this member's own failure domain. All its members send the same version, so
+// that the refutations merge into one fact.
+func (m *machine) refuteDomain(f *Fact, now time.Time) {
+	own := m.self.domain()
+	if f.Key != own.key() || f.Version%2 == 0 || m.status == statusLeft {
+		return
+	}
+	if m.self.Incarnation >= f.Version>>1 {
+		return // started after the loss
+	}
+	if now.Sub(m.begun) < suspicionPeriod {
+		// The loss was there before this process started, which then had no part in it.
+		m.self.Incarnation = f.Version>>1 + 1
+		m.publishSelf(now)
+		return
+	}
+	m.store(Fact{Key: f.Key, Version: f.Version + 1, TTL: deadRetention}, nil, now)
+}
--- /dev/null
+++ b/peer/transport.go
@@ -0,0 +1,19 @@
+package peer
+
+import "context"
+
+// Transport opens connections to other members. Implementations are safe for concurrent use.
+type Transport interface {
+	// Dial connects to the peer listener at address (host:port).
+	Dial(ctx context.Context, address string) (Conn, error)
+}
+
+// Conn carries whole messages in order. Send and Receive may run at the same time, each in one goroutine.
+type Conn interface {
+	// Send blocks until the message is handed to the network. It fails when that takes too long.
+	Send(message []byte) error
+	// Receive blocks until a message arrives or the connection is closed.
+	Receive() ([]byte, error)
+	// Close ends pending calls of Send and Receive. It may be called repeatedly.
+	Close() error
+}
--- /dev/null
+++ b/peer/websocket.go
@@ -0,0 +1,129 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/samber/oops"
+)
+
+const (
+	// Path is where the peer listener serves connections of other members.
+	Path = "/peer"
+	// sendTimeout closes a connection that accepts no bytes, in line with the 3 s of a silent one.
+	sendTimeout = 3 * time.Second
+)
+
+// WebSocket is the Transport between processes. It counts the bytes of its outgoing connections.
+type WebSocket struct {
+	client   *http.Client
+	sent     atomic.Int64
+	received atomic.Int64
+}
+
+// NewWebSocket returns a transport that opens one TCP connection for each Conn.
+func NewWebSocket() *WebSocket {
+	w := &WebSocket{}
+	d := &net.Dialer{}
+	w.client = &http.Client{Transport: &http.Transport{
+		DisableKeepAlives: true,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := d.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &countingConn{Conn: c, sent: &w.sent, received: &w.received}, nil
+		},
+	}}
+	return w
+}
+
+// Bytes returns the bytes written to and read from the TCP connections, WebSocket handshakes and frames included.
+func (w *WebSocket) Bytes() (sent, received int64) { return w.sent.Load(), w.received.Load() }
+
+// Listener wraps l so that Bytes covers its connections too.
+func (w *WebSocket) Listener(l net.Listener) net.Listener {
+	return &countingListener{Listener: l, transport: w}
+}
+
+// Dial implements Transport.
+func (w *WebSocket) Dial(ctx context.Context, address string) (Conn, error) {
+	c, _, err := websocket.Dial(ctx, "ws://"+address+Path, &websocket.DialOptions{HTTPClient: w.client})
+	if err != nil {
+		return nil, oops.Wrapf(err, "dialling peer %s", address)
+	}
+	return newSocket(c), nil
+}
+
+// Handler returns the HTTP handler that accepts connections of other members; it belongs at Path.
+func (n *Node) Handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, err := websocket.Accept(w, r, nil)
+		if err != nil {
+			return // Accept has answered the request
+		}
+		n.Serve(newSocket(c))
+	})
+}
+
+type socket struct {
+	c      *websocket.Conn
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+func newSocket(c *websocket.Conn) *socket {
+	c.SetReadLimit(maxMessageBytes)
+	ctx, cancel := context.WithCancel(context.Background())
+	return &socket{c: c, ctx: ctx, cancel: cancel}
+}
+
+func (s *socket) Send(b []byte) error {
+	ctx, cancel := context.WithTimeout(s.ctx, sendTimeout)
+	defer cancel()
+	return s.c.Write(ctx, websocket.MessageBinary, b)
+}
+
+func (s *socket) Receive() ([]byte, error) {
+	_, b, err := s.c.Read(s.ctx)
+	return b, err
+}
+
+func (s *socket) Close() error {
+	s.cancel()
+	return s.c.CloseNow()
+}
+
+type countingConn struct {
+	net.Conn
+	sent, received *atomic.Int64
+}
+
+func (c *countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.received.Add(int64(n))
+	return n, err
+}
+
+func (c *countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.sent.Add(int64(n))
+	return n, err
+}
+
+type countingListener struct {
+	net.Listener
+	transport *WebSocket
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countingConn{Conn: c, sent: &l.transport.sent, received: &l.transport.received}, nil
+}
