--- a/table/table.go
+++ b/table/table.go
@@ -25,6 +25,8 @@
 	Waiting int       // requests queued at the endpoint
 	KVUsed  float64   // share of the KV cache in use, 0 to 1
 	At      time.Time // when the endpoint measured it
+	// Own is the number of this instance's attempts in flight at the endpoint when the report arrived.
+	Own int
 }
 
 // Endpoint is a row of the endpoint table. A row is immutable once a snapshot holds it, except for Live.
@@ -52,6 +54,12 @@
 	// FirstToken and PerToken are moving averages in microseconds; 0: not yet measured.
 	FirstToken atomic.Int64
 	PerToken   atomic.Int64
+	// Prefill is the number of prompt tokens of this instance's attempts that wait for their first token.
+	Prefill atomic.Int64
+	// Isolated is set while a suspected request runs alone on the endpoint.
+	Isolated atomic.Bool
+	// Prefixes holds the prompt prefixes that the endpoint is expected to have in its cache.
+	Prefixes PrefixCache
 }
 
 // Share is a version's part of a service's traffic.
@@ -65,6 +73,18 @@
 	Config    *config.Service
 	Shares    []Share
 	Endpoints []*Endpoint // sorted by ID
+	Index     []VersionIndex
+}
+
+// VersionIndex holds what endpoint selection precomputes for the endpoints of a version. route.Build fills it.
+type VersionIndex struct {
+	Version string
+	Members []int32  // positions in Service.Endpoints, rising
+	Ring    []uint64 // sorted; hash in the upper 32 bits, position in Service.Endpoints in the lower
+	// MeanOthers is the mean number of other instances' attempts at an endpoint, by recent load reports.
+	MeanOthers float64
+	MeanLoad   float64 // mean number of all attempts at an endpoint, by recent load reports
+	MinPrice   float64 // currency units per hour
 }
 
 // Snapshot is an immutable view of the tables.
