Add the request path with engine and service stand-ins

A first version end to end: model streams with resume at another endpoint, JSON answers, plain calls, and calls that run at most once behind a Claimer. The other systems stand behind small interfaces with plain defaults. Moves of streams off leaving endpoints, handover and remote re-attach are not part of it yet.

--- /dev/null
+++ b/dispatch/call.go
@@ -0,0 +1,114 @@
+package dispatch
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/trefoillug/trefoillug/table"
+)
+
+// PlainCall is an attempt to run a call of a plain service.
+type PlainCall struct {
+	Endpoint *table.Endpoint
+	Method   string
+	Path     string // escaped path with the query
+	Header   http.Header
+	Body     []byte
+	// Once is set for calls that are not idempotent. They use a fresh connection, and the transport never repeats them.
+	Once bool
+	// AnswerTimeout is the time to the buffered part of the answer; 0: until the context ends.
+	AnswerTimeout time.Duration
+	// BufferBytes is the part of the answer that is read before Call returns.
+	BufferBytes int
+}
+
+// Answer is the answer of a plain service. Rest is nil when Body is the whole answer; otherwise the caller reads
+// the rest and closes it.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	Rest   io.ReadCloser
+}
+
+// Call runs an attempt at a plain service.
+func (c *Client) Call(ctx context.Context, call *PlainCall) (*Answer, Result) {
+	p := c.pool(call.Endpoint)
+	g := p.current()
+	if call.Once {
+		// A transport of its own guarantees a connection that no other request has used or can take over.
+		g = &generation{transport: c.newTransport(), attempts: map[*attempt]struct{}{}}
+		g.transport.DisableKeepAlives = true
+	}
+	ctx, a := c.start(ctx, g)
+	if call.AnswerTimeout > 0 {
+		watch := time.AfterFunc(call.AnswerTimeout, func() { a.cancel(errSilent); p.retireIdle(g) })
+		defer watch.Stop()
+	}
+	answer, result := c.roundTrip(ctx, a, call)
+	if answer == nil || answer.Rest == nil {
+		a.done()
+	}
+	return answer, result
+}
+
+// retireIdle replaces a generation without ending its attempts: a missing header alone doesn't prove that the
+// connections are silent, since the service may be slow.
+func (p *pool) retireIdle(g *generation) { p.retire(g, time.Hour) }
+
+func (c *Client) roundTrip(ctx context.Context, a *attempt, call *PlainCall) (*Answer, Result) {
+	req, err := newPlainRequest(ctx, call)
+	if err != nil {
+		return nil, Result{End: Cancelled, Err: err}
+	}
+	resp, err := a.gen.transport.RoundTrip(req)
+	if err != nil {
+		return nil, a.failure(ctx, err)
+	}
+	a.received()
+	first := a.now().Sub(a.started)
+	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(call.BufferBytes)+1))
+	if err != nil {
+		resp.Body.Close()
+		r := a.failure(ctx, fmt.Errorf("read answer: %w", err))
+		r.Status = resp.StatusCode
+		return nil, r
+	}
+	answer := &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}
+	result := Result{End: Complete, Sent: All, Status: resp.StatusCode, FirstEvent: first}
+	if len(body) <= call.BufferBytes {
+		resp.Body.Close()
+		return answer, result
+	}
+	result.Sent = Some
+	answer.Rest = &restBody{ReadCloser: resp.Body, attempt: a}
+	return answer, result
+}
+
+// restBody ends the attempt when the rest of an answer has been read.
+type restBody struct {
+	io.ReadCloser
+	attempt *attempt
+}
+
+func (b *restBody) Close() error {
+	defer b.attempt.done()
+	return b.ReadCloser.Close()
+}
+
+func newPlainRequest(ctx context.Context, call *PlainCall) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+call.Endpoint.Address+call.Path, bytes.NewReader(call.Body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header = call.Header
+	if call.Once {
+		// With GetBody the transport could send the body a second time.
+		req.GetBody = nil
+	}
+	return req, nil
+}
--- /dev/null
+++ b/dispatch/control.go
@@ -0,0 +1,67 @@
+package dispatch
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/trefoillug/trefoillug/engine"
+	"github.com/trefoillug/trefoillug/table"
+)
+
+const (
+	// cancelTime bounds a cancel call, which is sent on a best effort: closing the stream cancels it too.
+	cancelTime = time.Second
+	// maxKVBytes bounds an exported KV cache.
+	maxKVBytes = 64 << 20
+)
+
+// Cancel asks an engine to stop an attempt.
+func (c *Client) Cancel(e *table.Endpoint, ref engine.AttemptRef) {
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTime)
+	defer cancel()
+	// The engine may be gone; the attempt is over then as well.
+	_ = c.control(ctx, e, engine.PathCancel, ref, nil)
+}
+
+// ExportKV ends an attempt and returns its KV cache.
+func (c *Client) ExportKV(ctx context.Context, e *table.Endpoint, ref engine.AttemptRef) (*engine.KV, error) {
+	var kv engine.KV
+	if err := c.control(ctx, e, engine.PathKVExport, ref, &kv); err != nil {
+		return nil, err
+	}
+	return &kv, nil
+}
+
+// ImportKV gives a KV cache to an engine.
+func (c *Client) ImportKV(ctx context.Context, e *table.Endpoint, kv *engine.KV) error {
+	return c.control(ctx, e, engine.PathKVImport, kv, nil)
+}
+
+func (c *Client) control(ctx context.Context, e *table.Endpoint, path string, in, out any) error {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.Address+path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.pool(e).current().transport.RoundTrip(req)
+	if err != nil {
+		return fmt.Errorf("%s at %s: %w", path, e.ID, err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode >= 300 {
+		return fmt.Errorf("%s at %s: status %d", path, e.ID, resp.StatusCode)
+	}
+	if out == nil {
+		return nil
+	}
+	return json.NewDecoder(io.LimitReader(resp.Body, maxKVBytes)).Decode(out)
+}
--- /dev/null
+++ b/dispatch/dispatch.go
@@ -0,0 +1,148 @@
+// Package dispatch makes one attempt at an endpoint: connections, detection of silent ones and checks of streams.
+package dispatch
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/trefoillug/trefoillug/table"
+)
+
+// Dialer opens connections to endpoints.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Settings of a client. Zero values mean the defaults.
+type Settings struct {
+	Dialer      Dialer
+	DialTimeout time.Duration // default DefaultDialTimeout
+	StreamGap   time.Duration // longest silence of a stream; default DefaultStreamGap
+	Now         func() time.Time
+}
+
+const (
+	// DefaultDialTimeout leaves time for one lost SYN (retransmitted after 1 s) within a region.
+	DefaultDialTimeout = 1500 * time.Millisecond
+	// DefaultStreamGap is the longest silence of a healthy stream. Engines send comments while a request waits.
+	DefaultStreamGap = 2 * time.Second
+	// maxIdle bounds the idle connections kept for an endpoint.
+	maxIdle = 64
+	// idleTimeout is below the keep-alive time of common servers, so that few reused connections are found closed.
+	idleTimeout = 20 * time.Second
+)
+
+// End tells how an attempt ended.
+type End int
+
+// Ends of an attempt.
+const (
+	Complete  End = iota // the whole answer arrived
+	NoConn               // no connection could be opened
+	Lost                 // the connection broke
+	Silent               // the connection stopped carrying bytes
+	Answered             // the endpoint answered with an error status
+	Broken               // the stream had a gap or a foreign request ID
+	Moved                // the engine exported the KV cache and ended the stream
+	Cancelled            // the context ended
+)
+
+// Sent tells what the endpoint may have received.
+type Sent int
+
+// What an endpoint may have received of a request.
+const (
+	Nothing Sent = iota // no byte was written
+	Some                // bytes were written, no whole answer arrived
+	All                 // the whole answer arrived
+)
+
+// Result is the end of an attempt.
+type Result struct {
+	End        End
+	Sent       Sent
+	Status     int           // HTTP status of the endpoint, 0 without one
+	FirstEvent time.Duration // from the start to the first event or the response header
+	Err        error
+}
+
+// Client makes attempts. It keeps a pool of connections for each endpoint.
+type Client struct {
+	settings Settings
+	mu       sync.Mutex
+	pools    map[string]*pool // by endpoint address
+}
+
+// New returns a client without connections.
+func New(s Settings) *Client {
+	if s.DialTimeout == 0 {
+		s.DialTimeout = DefaultDialTimeout
+	}
+	if s.StreamGap == 0 {
+		s.StreamGap = DefaultStreamGap
+	}
+	if s.Dialer == nil {
+		s.Dialer = &net.Dialer{Timeout: s.DialTimeout}
+	}
+	if s.Now == nil {
+		s.Now = time.Now
+	}
+	return &Client{settings: s, pools: map[string]*pool{}}
+}
+
+// Close closes all connections and ends all attempts as lost.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range c.pools {
+		p.retire(p.current(), 0)
+	}
+}
+
+// Forget drops the pools of addresses that are not in use any more. Attempts in flight go on.
+func (c *Client) Forget(inUse func(address string) bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, p := range c.pools {
+		if !inUse(address) {
+			p.current().transport.CloseIdleConnections()
+			delete(c.pools, address)
+		}
+	}
+}
+
+func (c *Client) pool(e *table.Endpoint) *pool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p, ok := c.pools[e.Address]
+	if !ok {
+		p = &pool{client: c, live: e.Live}
+		c.pools[e.Address] = p
+	}
+	return p
+}
+
+// newTransport returns a transport that sends requests as they are: no proxy, no compression, HTTP/1.1 only.
+func (c *Client) newTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:            c.dial,
+		DisableCompression:     true,
+		MaxIdleConns:           maxIdle,
+		MaxIdleConnsPerHost:    maxIdle,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: 64 << 10,
+	}
+}
+
+func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.settings.DialTimeout)
+	defer cancel()
+	conn, err := c.settings.Dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &countingConn{Conn: conn}, nil
+}
--- /dev/null
+++ b/relay/acquire.go
@@ -0,0 +1,202 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/trefoillug/trefoillug/problem"
+	"github.com/trefoillug/trefoillug/table"
+)
+
+const (
+	// pollInterval is the time between looks for an endpoint. Snapshots follow each other at 100 ms or less.
+	pollInterval = 10 * time.Millisecond
+	// widenAfter is how long a call waits for the endpoints it prefers before it takes one that it tried already, or
+	// one of another version. Two snapshots have passed by then.
+	widenAfter = 200 * time.Millisecond
+	// suspectRetry is the least time between two tries of a call at suspect endpoints.
+	suspectRetry = 500 * time.Millisecond
+)
+
+// search is a call's search for an endpoint over all its attempts.
+type search struct {
+	call        *Call
+	tried       map[string]bool // endpoints that failed this call
+	prefer      string          // endpoint that holds the KV cache of the request
+	suspectNext time.Time       // when suspect endpoints may be tried again
+}
+
+// slot is an endpoint taken for one attempt.
+type slot struct {
+	endpoint *table.Endpoint
+	attempt  string
+	inFlight int
+	running  *running
+}
+
+func (s *slot) release() { s.running.leave(s.endpoint, s.attempt) }
+
+// acquire waits until an endpoint takes the call, at most until the call's deadline.
+func (r *Relay) acquire(ctx context.Context, s *search) (*slot, error) {
+	if got := r.tryAcquire(s, false); got != nil {
+		return got, nil
+	}
+	select {
+	case r.waiting <- struct{}{}:
+		defer func() { <-r.waiting }()
+	default:
+		return nil, problem.New(problem.Overloaded, "%d calls wait for an endpoint", cap(r.waiting))
+	}
+	began := time.Now()
+	poll := time.NewTicker(pollInterval)
+	defer poll.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil, problem.New(problem.NoEndpoint, "no endpoint of service %s was ready in time", s.call.Service.Name)
+		case <-poll.C:
+		}
+		if got := r.tryAcquire(s, time.Since(began) >= widenAfter); got != nil {
+			return got, nil
+		}
+	}
+}
+
+// tryAcquire looks once through the current snapshot.
+func (r *Relay) tryAcquire(s *search, widened bool) *slot {
+	svc, ok := r.cfg.Snapshots().Service(s.call.Service.Name)
+	if !ok {
+		return nil
+	}
+	attempt := r.cfg.NewID()
+	if r.cfg.Quarantine.MustIsolate(s.call.Fingerprint) {
+		return r.isolated(s, svc, attempt)
+	}
+	e := r.choose(s, svc, widened)
+	if e == nil || !r.running.enter(e, attempt, s.call.Fingerprint) {
+		return nil
+	}
+	return &slot{endpoint: e, attempt: attempt, inFlight: int(e.Live.InFlight.Load()), running: r.running}
+}
+
+func (r *Relay) choose(s *search, svc *table.Service, widened bool) *table.Endpoint {
+	if e := find(svc, s.prefer); e != nil && e.Condition == table.Ready && !r.running.isReserved(e.ID) {
+		s.prefer = ""
+		return e
+	}
+	version := drawVersion(s.call.RequestID, svc.Shares)
+	untried := func(e *table.Endpoint) bool { return s.tried[e.ID] || r.running.isReserved(e.ID) }
+	if e, ok := r.cfg.Chooser.Choose(s.call, svc, version, untried); ok {
+		return e
+	}
+	if !widened {
+		return nil
+	}
+	return r.chooseWidened(s, svc, version)
+}
+
+// chooseWidened also takes endpoints that failed this call, other versions with a share and, when no endpoint is
+// ready at all, suspect ones: after a silent connection the endpoint itself may be fine.
+func (r *Relay) chooseWidened(s *search, svc *table.Service, version string) *table.Endpoint {
+	if e, ok := r.cfg.Chooser.Choose(s.call, svc, version, r.reserved); ok {
+		return e
+	}
+	for _, share := range svc.Shares {
+		if share.Part == 0 || share.Version == version {
+			continue
+		}
+		if e, ok := r.cfg.Chooser.Choose(s.call, svc, share.Version, r.reserved); ok {
+			return e
+		}
+	}
+	if !s.call.once() && !time.Now().Before(s.suspectNext) {
+		s.suspectNext = time.Now().Add(suspectRetry)
+		return r.suspect(svc)
+	}
+	return nil
+}
+
+func (r *Relay) reserved(e *table.Endpoint) bool { return r.running.isReserved(e.ID) }
+
+// suspect returns the suspect endpoint with the fewest attempts, unless an endpoint is ready.
+func (r *Relay) suspect(svc *table.Service) *table.Endpoint {
+	var best *table.Endpoint
+	for _, e := range svc.Endpoints {
+		switch {
+		case e.Condition == table.Ready:
+			return nil
+		case e.Condition != table.Suspect || r.reserved(e):
+		case best == nil || e.Live.InFlight.Load() < best.Live.InFlight.Load():
+			best = e
+		}
+	}
+	return best
+}
+
+// isolated reserves an endpoint for a request that is suspected of crashing endpoints. The slot is granted once the
+// endpoint has ended what it ran.
+func (r *Relay) isolated(s *search, svc *table.Service, attempt string) *slot {
+	version := drawVersion(s.call.RequestID, svc.Shares)
+	reserver := "isolated/" + s.call.RequestID
+	held := find(svc, s.prefer)
+	if held == nil || held.Condition != table.Ready {
+		held, _ = r.cfg.Chooser.Choose(s.call, svc, version, r.reserved)
+	}
+	if held == nil {
+		return nil
+	}
+	idle, ok := r.running.reserve(held.ID, reserver)
+	if !ok {
+		return nil
+	}
+	s.prefer = held.ID
+	if !idle {
+		return nil
+	}
+	r.running.unreserve(held.ID, reserver)
+	if _, ok := r.running.reserve(held.ID, attempt); !ok || !r.running.enter(held, attempt, s.call.Fingerprint) {
+		return nil
+	}
+	return &slot{endpoint: held, attempt: attempt, inFlight: 1, running: r.running}
+}
+
+// stopSearch gives up what a search has reserved.
+func (r *Relay) stopSearch(s *search) {
+	if s.prefer != "" {
+		r.running.unreserve(s.prefer, "isolated/"+s.call.RequestID)
+	}
+}
+
+func find(svc *table.Service, id string) *table.Endpoint {
+	if id == "" {
+		return nil
+	}
+	for _, e := range svc.Endpoints {
+		if e.ID == id {
+			return e
+		}
+	}
+	return nil
+}
+
+// drawVersion picks a version by share. A request ID gets the same version while the shares stay the same.
+func drawVersion(requestID string, shares []table.Share) string {
+	point := float64(xxhash.Sum64String("version\x00"+requestID)>>11) / (1 << 53)
+	last := ""
+	for _, s := range shares {
+		if s.Part <= 0 {
+			continue
+		}
+		last = s.Version
+		if point < s.Part {
+			return s.Version
+		}
+		point -= s.Part
+	}
+	return last
+}
+
+// once tells that the call runs at most once. Model requests are generations under a seed, which may be repeated.
+func (c *Call) once() bool { return c.Chat == nil && !c.Route.Idempotent }
--- /dev/null
+++ b/relay/defaults.go
@@ -0,0 +1,67 @@
+package relay
+
+import (
+	"context"
+
+	"github.com/trefoillug/trefoillug/problem"
+	"github.com/trefoillug/trefoillug/table"
+)
+
+// LeastInFlight chooses the ready endpoint with the fewest attempts of this instance in flight.
+type LeastInFlight struct{}
+
+// Choose implements Chooser.
+func (LeastInFlight) Choose(_ *Call, svc *table.Service, version string, skip func(*table.Endpoint) bool) (*table.Endpoint, bool) {
+	var best *table.Endpoint
+	var bestInFlight int64
+	for _, e := range svc.Endpoints {
+		if e.Condition != table.Ready || e.Version != version || skip(e) {
+			continue
+		}
+		if n := e.Live.InFlight.Load(); best == nil || n < bestInFlight {
+			best, bestInFlight = e, n
+		}
+	}
+	return best, best != nil
+}
+
+// AdmitAll admits every call at once.
+type AdmitAll struct{}
+
+// Admit implements Admitter.
+func (AdmitAll) Admit(context.Context, *Call) (func(), error) { return func() {}, nil }
+
+// NoClaims refuses calls that need a claim.
+type NoClaims struct{}
+
+// Claim implements Claimer.
+func (NoClaims) Claim(context.Context, *Call) (Claim, error) {
+	return Claim{}, problem.New(problem.StoreUnavailable, "no store for claims is configured")
+}
+
+// Complete implements Claimer.
+func (NoClaims) Complete(*Call, Recorded) {}
+
+// MarkUnknown implements Claimer.
+func (NoClaims) MarkUnknown(*Call) {}
+
+// Release implements Claimer.
+func (NoClaims) Release(*Call) {}
+
+// NoQuarantine lets every request run anywhere.
+type NoQuarantine struct{}
+
+// IsQuarantined implements Quarantine.
+func (NoQuarantine) IsQuarantined(uint64) bool { return false }
+
+// MustIsolate implements Quarantine.
+func (NoQuarantine) MustIsolate(uint64) bool { return false }
+
+// NoBudget allows every retry.
+type NoBudget struct{}
+
+// Request implements RetryBudget.
+func (NoBudget) Request(string) {}
+
+// Retry implements RetryBudget.
+func (NoBudget) Retry(string) bool { return true }
--- /dev/null
+++ b/relay/generate.go
@@ -0,0 +1,204 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/trefoillug/trefoillug/core"
+	"github.com/trefoillug/trefoillug/dispatch"
+	"github.com/trefoillug/trefoillug/engine"
+	"github.com/trefoillug/trefoillug/problem"
+)
+
+const (
+	// maxErrorAnswers bounds the attempts of a request that endpoints answer with errors of their own.
+	maxErrorAnswers = 4
+	// budgetPoll is the time between looks at an exhausted retry budget.
+	budgetPoll = 50 * time.Millisecond
+)
+
+// engineRun is the attempt that a session has in progress.
+type engineRun struct {
+	slot   *slot
+	cancel context.CancelCauseFunc
+	move   *kvMove // set once the stream is being moved away
+}
+
+// generate runs attempts until the answer is complete, the deadline passes or the session is given up.
+func (s *session) generate() {
+	defer s.relay.stopSearch(&s.search)
+	defer s.cancel(nil)
+	s.relay.cfg.RetryBudget.Request(s.call.Service.Name)
+	errorAnswers := 0
+	for {
+		got, err := s.relay.acquire(s.ctx, &s.search)
+		if err != nil {
+			s.finish(s.ended(err))
+			return
+		}
+		result := s.attempt(got)
+		if result.End == dispatch.Answered {
+			errorAnswers++
+		}
+		if done, err := s.judge(result, errorAnswers); done {
+			s.finish(err)
+			return
+		}
+		if err := s.beforeRetry(result, got); err != nil {
+			s.finish(err)
+			return
+		}
+	}
+}
+
+// ended explains a session whose search for an endpoint was cut off.
+func (s *session) ended(err error) error {
+	if cause := context.Cause(s.ctx); errors.Is(cause, errCallerGone) || errors.Is(cause, errClosed) {
+		return s.broken(problem.Internal, "request was given up: %v", cause)
+	}
+	return s.broken(problem.KindOf(err), "%v", err)
+}
+
+// attempt runs one attempt and reports its end.
+func (s *session) attempt(got *slot) dispatch.Result {
+	defer got.release()
+	offset, text := s.emitted()
+	ctx, cancel := context.WithCancelCause(s.ctx)
+	defer cancel(nil)
+	s.setRun(&engineRun{slot: got, cancel: cancel})
+	body, err := s.body(offset, text)
+	if err != nil {
+		return dispatch.Result{End: dispatch.Cancelled, Err: err}
+	}
+	s.setEndpoint(got.endpoint)
+	log := attemptLog{started: s.relay.cfg.Now()}
+	result := s.relay.cfg.Dispatch.Stream(ctx, &dispatch.StreamCall{
+		Endpoint: got.endpoint, RequestID: s.call.RequestID, AttemptID: got.attempt, Body: body, First: offset,
+	}, func(e *engine.StreamEvent) error { s.receive(e, &log, offset > 0); return nil })
+	s.relay.noteEnd(s.call, got, &log, result)
+	if result.End == dispatch.Cancelled || result.End == dispatch.Broken || result.End == dispatch.Silent {
+		go s.relay.cfg.Dispatch.Cancel(got.endpoint, engine.AttemptRef{RequestID: s.call.RequestID, AttemptID: got.attempt})
+	}
+	return result
+}
+
+func (s *session) body(offset int, text string) ([]byte, error) {
+	var resume *engine.Resume
+	if offset > 0 {
+		resume = &engine.Resume{Offset: offset, Text: text}
+	}
+	return s.call.Chat.engineBody(s.call, resume)
+}
+
+func (s *session) setRun(run *engineRun) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.engine = run
+}
+
+// attemptLog gathers the figures of an attempt.
+type attemptLog struct {
+	started    time.Time
+	first      time.Duration
+	tokens     int
+	recomputed int
+}
+
+func (s *session) receive(e *engine.StreamEvent, log *attemptLog, resumed bool) {
+	if e.Usage != nil && resumed {
+		log.recomputed = e.Usage.RecomputedTokens
+		s.mu.Lock()
+		s.route.recomputed += e.Usage.RecomputedTokens
+		s.mu.Unlock()
+	}
+	if e.Finish != "" {
+		return
+	}
+	if log.tokens == 0 {
+		log.first = s.relay.cfg.Now().Sub(log.started)
+	}
+	log.tokens++
+	s.add(e.Content)
+}
+
+// judge tells whether the session is over after an attempt.
+func (s *session) judge(result dispatch.Result, errorAnswers int) (bool, error) {
+	switch {
+	case result.End == dispatch.Complete:
+		return true, nil
+	case s.ctx.Err() != nil:
+		return true, s.ended(problem.New(problem.EndpointFailed, "the deadline passed while an endpoint held the request"))
+	case result.End == dispatch.Answered && result.Status >= 400 && result.Status < 500 && result.Status != 429:
+		return true, s.broken(problem.InvalidRequest, "%v", result.Err)
+	case errorAnswers >= maxErrorAnswers:
+		return true, s.broken(problem.EndpointFailed, "%d endpoints failed: %v", errorAnswers, result.Err)
+	case s.relay.cfg.Quarantine.IsQuarantined(s.call.Fingerprint):
+		return true, s.broken(problem.Quarantined, "the request crashed its endpoints")
+	}
+	return false, nil
+}
+
+// beforeRetry waits for a move in progress or for the retry budget.
+func (s *session) beforeRetry(result dispatch.Result, got *slot) error {
+	s.mu.Lock()
+	move := s.engine.move
+	s.route.resumes++
+	s.mu.Unlock()
+	if move != nil {
+		s.search.prefer = move.wait()
+		return nil
+	}
+	s.search.tried[got.endpoint.ID] = true
+	return s.relay.awaitBudget(s.ctx, s.call, func() error {
+		return s.broken(problem.EndpointFailed, "no retry before the deadline: %v", result.Err)
+	})
+}
+
+// awaitBudget waits for a retry from the budget. The budget delays retries instead of refusing the request.
+func (r *Relay) awaitBudget(ctx context.Context, call *Call, refused func() error) error {
+	for !r.cfg.RetryBudget.Retry(call.Service.Name) {
+		select {
+		case <-ctx.Done():
+			return refused()
+		case <-time.After(budgetPoll):
+		}
+	}
+	return nil
+}
+
+// noteEnd posts the end of an attempt, and the crash when the endpoint broke with requests running on it.
+func (r *Relay) noteEnd(call *Call, got *slot, log *attemptLog, result dispatch.Result) {
+	total := r.cfg.Now().Sub(log.started)
+	done := core.AttemptDone{
+		Endpoint: got.endpoint.ID, Service: call.Service.Name, Version: got.endpoint.Version, Route: call.Route.Name,
+		Workspace: call.Workspace, Result: resultOf(result), Started: log.started, FirstToken: log.first, Total: total,
+		InFlight: got.inFlight, Fingerprint: call.Fingerprint, Tokens: log.tokens, Recomputed: log.recomputed,
+	}
+	if log.tokens > 1 {
+		done.PerToken = (total - log.first) / time.Duration(log.tokens-1)
+	}
+	r.cfg.Post(done)
+	if result.End == dispatch.Lost && !r.isLeaving(call.Service.Name, got.endpoint.ID) {
+		if fingerprints, first := r.running.crashed(got.endpoint.ID); first {
+			r.cfg.Post(core.EndpointCrashed{Endpoint: got.endpoint.ID, Running: fingerprints})
+		}
+	}
+}
+
+func resultOf(r dispatch.Result) core.Result {
+	switch r.End {
+	case dispatch.Complete:
+		return core.Succeeded
+	case dispatch.NoConn, dispatch.Lost, dispatch.Silent:
+		return core.EndpointLost
+	case dispatch.Answered, dispatch.Broken:
+		return core.Failed
+	case dispatch.Moved:
+		return core.Cancelled
+	}
+	if errors.Is(r.Err, context.DeadlineExceeded) {
+		return core.TimedOut
+	}
+	return core.Cancelled
+}
--- /dev/null
+++ b/relay/input.go
@@ -0,0 +1,178 @@
+package relay
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"maps"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/trefoillug/trefoillug/config"
+	"github.com/trefoillug/trefoillug/engine"
+	"github.com/trefoillug/trefoillug/problem"
+	"github.com/trefoillug/trefoillug/table"
+)
+
+const (
+	// MaxBodyBytes bounds the body of a request.
+	MaxBodyBytes = 1 << 20
+	// MaxHeaderBytes bounds the headers of a request.
+	MaxHeaderBytes = 16 << 10
+	// MaxAnswerTokens bounds an answer, and with it the memory of a stream.
+	MaxAnswerTokens = 16384
+	// defaultTimeout is the time from acceptance to the end of the answer when the route states none.
+	defaultTimeout = time.Minute
+	// defaultWorkspace is the workspace of a request that names none.
+	defaultWorkspace = "default"
+	// maxKeyBytes bounds an Idempotency-Key.
+	maxKeyBytes = 256
+)
+
+// Headers of requests and answers.
+const (
+	headerRequestID = engine.HeaderRequestID
+	headerEndpoint  = "X-Endpoint"
+	headerVersion   = "X-Version"
+	headerService   = "X-Service"
+	headerWorkspace = "X-Workspace"
+	headerKey       = "Idempotency-Key"
+	headerLastEvent = "Last-Event-ID"
+)
+
+// Chat is the parsed body of a model request. Fields that the relay doesn't know are passed on.
+type Chat struct {
+	Model     string            `json:"model"`
+	Messages  []json.RawMessage `json:"messages"`
+	MaxTokens int               `json:"max_tokens"`
+	Stream    bool              `json:"stream"`
+	Seed      *uint64           `json:"seed"`
+	fields    map[string]json.RawMessage
+}
+
+func headerBytes(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	return n
+}
+
+// readBody reads a body within its size and time.
+func (r *Relay) readBody(w http.ResponseWriter, req *http.Request) ([]byte, error) {
+	rc := http.NewResponseController(w)
+	// Recorders and other writers without a connection have no deadline to set.
+	_ = rc.SetReadDeadline(time.Now().Add(r.cfg.Limits.BodyTime))
+	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, MaxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, problem.New(problem.RequestTooLarge, "body exceeds %d bytes", MaxBodyBytes)
+	case err != nil:
+		return nil, problem.New(problem.InvalidRequest, "body was not received: %v", err)
+	}
+	// The connection is watched for the caller's leaving from here on, without a deadline.
+	_ = rc.SetReadDeadline(time.Time{})
+	return body, nil
+}
+
+func parseChat(body []byte) (*Chat, error) {
+	var c Chat
+	if err := json.Unmarshal(body, &c); err != nil {
+		return nil, problem.New(problem.InvalidRequest, "body is not a chat completion request: %v", err)
+	}
+	if err := json.Unmarshal(body, &c.fields); err != nil {
+		return nil, problem.New(problem.InvalidRequest, "body is not a JSON object: %v", err)
+	}
+	if len(c.Messages) == 0 {
+		return nil, problem.New(problem.InvalidRequest, "messages: at least one message is required")
+	}
+	if c.MaxTokens < 0 || c.MaxTokens > MaxAnswerTokens {
+		return nil, problem.New(problem.InvalidRequest, "max_tokens: must be between 0 and %d", MaxAnswerTokens)
+	}
+	return &c, nil
+}
+
+// content returns the request without the fields that differ between repeats of the same content.
+func (c *Chat) content() []byte {
+	fields := maps.Clone(c.fields)
+	for _, volatile := range []string{"seed", "stream", "stream_options", "user", "metadata"} {
+		delete(fields, volatile)
+	}
+	// Marshalling raw messages that were just decoded can't fail.
+	b, _ := json.Marshal(fields)
+	return b
+}
+
+// engineBody returns the body for an engine. The seed follows from the request ID, so that an answer which is
+// generated again by another instance is the same.
+func (c *Chat) engineBody(call *Call, resume *engine.Resume) ([]byte, error) {
+	fields := maps.Clone(c.fields)
+	set := map[string]any{"stream": true, "priority": call.Route.Priority}
+	if c.Seed == nil {
+		set["seed"] = xxhash.Sum64String(call.RequestID)
+	}
+	if resume != nil {
+		set["resume"] = resume
+	}
+	for name, value := range set {
+		b, err := json.Marshal(value)
+		if err != nil {
+			return nil, err
+		}
+		fields[name] = b
+	}
+	return json.Marshal(fields)
+}
+
+// newCall finds service, route and workspace of a request and bounds it in time.
+func (r *Relay) newCall(req *http.Request, svc *table.Service, id, path string, body []byte) (*Call, error) {
+	route, ok := svc.Config.RouteFor(req.Method, path)
+	if !ok {
+		return nil, problem.New(problem.UnknownRoute, "service %s has no route for %s %s", svc.Config.Name, req.Method, path)
+	}
+	workspace, err := workspaceOf(req, svc.Config)
+	if err != nil {
+		return nil, err
+	}
+	key := req.Header.Get(headerKey)
+	if len(key) > maxKeyBytes {
+		return nil, problem.New(problem.InvalidRequest, "%s exceeds %d bytes", headerKey, maxKeyBytes)
+	}
+	timeout := route.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	now := r.cfg.Now()
+	return &Call{
+		RequestID: id, Service: svc.Config, Route: route, Workspace: workspace, Key: key, Method: req.Method,
+		Path: path, Header: req.Header, Body: body, Accepted: now, Deadline: now.Add(timeout),
+	}, nil
+}
+
+func workspaceOf(req *http.Request, svc *config.Service) (string, error) {
+	name := req.Header.Get(headerWorkspace)
+	if name == "" {
+		name = defaultWorkspace
+	}
+	if _, ok := svc.WorkspaceFor(name); !ok && (len(svc.Workspaces) > 0 || name != defaultWorkspace) {
+		return "", problem.New(problem.UnknownWorkspace, "service %s has no workspace %q", svc.Name, name)
+	}
+	return name, nil
+}
+
+// fingerprint is the digest of a request's content.
+func fingerprint(service, route string, content []byte) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	// Digest writes never fail.
+	_, _ = d.WriteString(service + "\x00" + route + "\x00")
+	_, _ = d.Write(content)
+	return d.Sum64()
+}
+
+func (r *Relay) newRequestID() string { return r.cfg.Instance + "." + r.cfg.NewID() }
--- /dev/null
+++ b/relay/relay.go
@@ -0,0 +1,123 @@
+// Package relay is the request path: it parses, admits, claims and dispatches requests, relays the answers and
+// resumes them at another endpoint when one is lost.
+package relay
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/trefoillug/trefoillug/core"
+	"github.com/trefoillug/trefoillug/dispatch"
+	"github.com/trefoillug/trefoillug/peer"
+	"github.com/trefoillug/trefoillug/problem"
+	"github.com/trefoillug/trefoillug/table"
+)
+
+// Config of a relay. Instance, FailureDomain and Snapshots are required; other nil fields get plain defaults.
+type Config struct {
+	Instance      string
+	FailureDomain string
+	Snapshots     func() *table.Snapshot
+	Post          func(core.Event) // must not block
+	Mesh          peer.Mesh        // nil: no handover and no re-attach at other instances
+	Dispatch      *dispatch.Client
+	Chooser       Chooser
+	Admitter      Admitter
+	Claimer       Claimer
+	Quarantine    Quarantine
+	RetryBudget   RetryBudget
+	NewID         func() string // unique IDs of requests and attempts, without "." and "/"
+	Now           func() time.Time
+	Log           logrus.FieldLogger
+	Limits        Limits
+}
+
+// Limits bound what callers can hold. Zero values mean the defaults.
+type Limits struct {
+	BodyTime  time.Duration // to receive a body; default 10 s
+	WriteTime time.Duration // for a caller to take a part of the answer; default 10 s
+	Retain    time.Duration // to keep an answer without a caller after a handover; default 60 s
+	Waiting   int           // calls that wait for an endpoint; default 4096
+	Retained  int           // streams held for re-attach; default 1024
+}
+
+// Relay serves callers.
+type Relay struct {
+	cfg     Config
+	mux     *http.ServeMux
+	running *running
+	waiting chan struct{} // one token for each call that waits for an endpoint
+
+	mu       sync.Mutex
+	sessions map[string]*session // by request ID
+	calls    sync.WaitGroup      // plain calls in progress
+	retained int
+	stop     context.CancelFunc
+}
+
+// New returns a relay and starts its watch over leaving endpoints. Close ends it.
+func New(cfg Config) *Relay {
+	cfg = cfg.withDefaults()
+	r := &Relay{
+		cfg: cfg, mux: http.NewServeMux(), running: newRunning(cfg.Now),
+		waiting: make(chan struct{}, cfg.Limits.Waiting), sessions: map[string]*session{},
+	}
+	r.mux.HandleFunc("POST /v1/chat/completions", r.serveModel)
+	r.mux.HandleFunc("GET /v1/requests/{id}", r.serveAttach)
+	r.mux.HandleFunc("/services/{service}/{path...}", r.servePlain)
+	r.mux.HandleFunc("/", r.serveUnknown)
+	ctx, cancel := context.WithCancel(context.Background())
+	r.stop = cancel
+	go r.watchLeaving(ctx)
+	return r
+}
+
+// Close ends the watch over leaving endpoints and all streams. Drain comes before it.
+func (r *Relay) Close() {
+	r.stop()
+	for _, s := range r.openSessions() {
+		s.cancel(errClosed)
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (r *Relay) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	if headerBytes(req) > MaxHeaderBytes {
+		r.refuse(w, refusal{err: problem.New(problem.RequestTooLarge, "headers exceed %d bytes", MaxHeaderBytes)})
+		return
+	}
+	r.mux.ServeHTTP(w, req)
+}
+
+func (r *Relay) serveUnknown(w http.ResponseWriter, req *http.Request) {
+	r.refuse(w, refusal{err: problem.New(problem.UnknownRoute, "no route for %s %s", req.Method, req.URL.Path)})
+}
+
+// refusal is an error answer with what is known of the request.
+type refusal struct {
+	err                error
+	requestID          string
+	service, workspace string
+}
+
+func (r *Relay) refuse(w http.ResponseWriter, f refusal) {
+	if f.requestID != "" {
+		w.Header().Set(headerRequestID, f.requestID)
+	}
+	problem.Write(w, f.err, f.requestID)
+	r.cfg.Post(core.Refused{Service: f.service, Workspace: f.workspace, Kind: problem.KindOf(f.err)})
+}
+
+// NewServer returns a server for callers with the bounds on headers and idle connections.
+func NewServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		MaxHeaderBytes:    MaxHeaderBytes,
+		ReadHeaderTimeout: 5 * time.Second,
+		IdleTimeout:       60 * time.Second,
+	}
+}
--- /dev/null
+++ b/relay/running.go
@@ -0,0 +1,108 @@
+package relay
+
+import (
+	"sync"
+	"time"
+
+	"github.com/trefoillug/trefoillug/table"
+)
+
+// crashWindow joins the broken attempts of one crash: they all end within it.
+const crashWindow = time.Second
+
+// running knows the attempts of this instance on each endpoint.
+type running struct {
+	now       func() time.Time
+	mu        sync.Mutex
+	endpoints map[string]*endpointRuns
+}
+
+type endpointRuns struct {
+	attempts  map[string]uint64 // attempt ID to fingerprint
+	reserved  string            // attempt that must run alone
+	crashedAt time.Time
+}
+
+func newRunning(now func() time.Time) *running {
+	return &running{now: now, endpoints: map[string]*endpointRuns{}}
+}
+
+func (r *running) runs(endpoint string) *endpointRuns {
+	e, ok := r.endpoints[endpoint]
+	if !ok {
+		e = &endpointRuns{attempts: map[string]uint64{}}
+		r.endpoints[endpoint] = e
+	}
+	return e
+}
+
+// enter registers an attempt. It reports false while the endpoint is reserved for another one.
+func (r *running) enter(e *table.Endpoint, attempt string, fingerprint uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	runs := r.runs(e.ID)
+	if runs.reserved != "" && runs.reserved != attempt {
+		return false
+	}
+	runs.attempts[attempt] = fingerprint
+	e.Live.InFlight.Add(1)
+	return true
+}
+
+func (r *running) leave(e *table.Endpoint, attempt string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e.Live.InFlight.Add(-1)
+	runs := r.runs(e.ID)
+	delete(runs.attempts, attempt)
+	if runs.reserved == attempt {
+		runs.reserved = ""
+	}
+	if len(runs.attempts) == 0 && runs.reserved == "" && r.now().Sub(runs.crashedAt) > crashWindow {
+		delete(r.endpoints, e.ID)
+	}
+}
+
+// reserve keeps other attempts off an endpoint. It reports whether the endpoint is already idle.
+func (r *running) reserve(endpoint, attempt string) (idle, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	runs := r.runs(endpoint)
+	if runs.reserved != "" && runs.reserved != attempt {
+		return false, false
+	}
+	runs.reserved = attempt
+	return len(runs.attempts) == 0, true
+}
+
+func (r *running) unreserve(endpoint, attempt string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if runs := r.runs(endpoint); runs.reserved == attempt {
+		runs.reserved = ""
+	}
+}
+
+func (r *running) isReserved(endpoint string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	runs, ok := r.endpoints[endpoint]
+	return ok && runs.reserved != ""
+}
+
+// crashed returns the fingerprints that ran on an endpoint, and false when its crash is already known.
+func (r *running) crashed(endpoint string) ([]uint64, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	runs := r.runs(endpoint)
+	now := r.now()
+	if now.Sub(runs.crashedAt) < crashWindow {
+		return nil, false
+	}
+	runs.crashedAt = now
+	fingerprints := make([]uint64, 0, len(runs.attempts))
+	for _, f := range runs.attempts {
+		fingerprints = append(fingerprints, f)
+	}
+	return fingerprints, true
+}
--- /dev/null
+++ b/standin/engine_control.go
@@ -0,0 +1,110 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/trefoillug/trefoillug/engine"
+)
+
+// kvState is the opaque part of an exported KV cache.
+type kvState struct {
+	Tokens int `json:"tokens"` // of prompt and answer
+}
+
+// serveExport ends an attempt at its current offset and returns its KV cache.
+func (e *Engine) serveExport(w http.ResponseWriter, r *http.Request) {
+	var ref engine.AttemptRef
+	if err := json.NewDecoder(r.Body).Decode(&ref); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	run := e.find(ref.AttemptID)
+	if run == nil {
+		http.Error(w, "no such attempt", http.StatusNotFound)
+		return
+	}
+	run.end(endMoved)
+	_, offset := run.status()
+	tokens := len(run.prompt) + offset
+	time.Sleep(time.Duration(tokens) * e.cfg.TransferToken)
+	state, err := json.Marshal(kvState{Tokens: tokens})
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	e.count(func(c *EngineCounts) { c.Exports++ })
+	writeJSON(w, engine.KV{RequestID: ref.RequestID, Offset: offset, State: state})
+}
+
+func (e *Engine) serveImport(w http.ResponseWriter, r *http.Request) {
+	var kv engine.KV
+	var state kvState
+	if err := json.NewDecoder(r.Body).Decode(&kv); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if err := json.Unmarshal(kv.State, &state); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	time.Sleep(time.Duration(state.Tokens) * e.cfg.TransferToken)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.kv[kv.RequestID] = state.Tokens
+	e.counts.Imports++
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// keptLoadReports bounds the reports from which the lagging one is taken.
+const keptLoadReports = 64
+
+func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	running, waiting := e.slots.load()
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	used := min(1, float64(len(e.cache.order)*cacheBlock)/float64(e.cfg.CacheTokens))
+	e.loads = append(e.loads, engine.LoadReport{Running: running, Waiting: waiting, KVUsed: used, AtMS: now.UnixMilli()})
+	e.loads = e.loads[max(0, len(e.loads)-keptLoadReports):]
+	report := e.loads[0]
+	for _, l := range e.loads {
+		if l.AtMS <= now.Add(-e.cfg.LoadLag).UnixMilli() {
+			report = l
+		}
+	}
+	writeJSON(w, report)
+}
+
+func (e *Engine) serveEvents(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	writeJSON(w, e.cache.after(time.Now(), after))
+}
+
+// serveOrder records an order. An engine that checks fencing tokens rejects one below the highest seen.
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var order engine.Order
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if n := len(e.orders); e.cfg.Fencing && n > 0 && order.Fence < e.orders[n-1].Fence {
+		http.Error(w, "stale fencing token", http.StatusPreconditionFailed)
+		return
+	}
+	e.orders = append(e.orders, order)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// Orders returns the accepted orders.
+func (e *Engine) Orders() []engine.Order {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]engine.Order{}, e.orders...)
+}
--- /dev/null
+++ b/standin/engine_events.go
@@ -0,0 +1,121 @@
+package standin
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/trefoillug/trefoillug/engine"
+)
+
+var errResumeText = errors.New("resume text differs from the answer of this seed")
+
+// eventWriter writes the events of a run, with the faults that are switched on.
+type eventWriter struct {
+	w      http.ResponseWriter
+	rc     *http.ResponseController
+	faults EngineFaults
+	run    *run
+	usage  *engine.Usage
+	sent   int // events written by this attempt
+	held   *engine.StreamEvent
+}
+
+func newEventWriter(w http.ResponseWriter, f EngineFaults, r *run) *eventWriter {
+	return &eventWriter{w: w, rc: http.NewResponseController(w), faults: f, run: r}
+}
+
+func (o *eventWriter) flush() { _ = o.rc.Flush() }
+
+// pause waits for ready while it sends comments. It reports false when the run ended first.
+func (o *eventWriter) pause(r *http.Request, run *run, ready any) bool {
+	slot, _ := ready.(chan struct{})
+	timer, _ := ready.(<-chan time.Time)
+	ticker := time.NewTicker(keepAlive)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-slot:
+			return true
+		case <-timer:
+			return true
+		case <-ticker.C:
+			_, _ = o.w.Write([]byte(": waiting\n\n"))
+			o.flush()
+		case <-run.stop:
+			return false
+		case <-r.Context().Done():
+			run.end(endGone)
+			return false
+		}
+	}
+}
+
+func (o *eventWriter) token(offset int, content string) {
+	event := engine.StreamEvent{
+		RequestID: o.run.ref.RequestID, AttemptID: o.run.ref.AttemptID, Seq: offset, Content: content,
+	}
+	if o.sent == 0 {
+		event.Usage = o.usage
+	}
+	o.sent++
+	o.disturb(event)
+}
+
+func (o *eventWriter) finish(offset int, reason string) {
+	o.sent++
+	o.disturb(engine.StreamEvent{
+		RequestID: o.run.ref.RequestID, AttemptID: o.run.ref.AttemptID, Seq: offset, Finish: reason,
+	})
+}
+
+// abort ends the stream of a run that stopped early.
+func (o *eventWriter) abort(reason endReason) {
+	switch reason {
+	case endMoved:
+		o.finish(o.run.offset, engine.FinishMoved)
+	case endCrashed:
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// disturb writes an event as the faults have it.
+func (o *eventWriter) disturb(event engine.StreamEvent) {
+	f := o.faults
+	if f.SilentFrom > 0 && o.sent >= f.SilentFrom {
+		return
+	}
+	if f.LateAttempt && o.sent == 2 {
+		late := event
+		late.AttemptID, late.Content = "abandoned", "late "
+		o.write(&late)
+	}
+	switch o.sent {
+	case f.Drop:
+		return
+	case f.Reorder:
+		o.held = &event
+		return
+	case f.Foreign:
+		event.RequestID = "foreign"
+	case f.Double:
+		o.write(&event)
+	}
+	o.write(&event)
+	if o.held != nil {
+		o.write(o.held)
+		o.held = nil
+	}
+}
+
+func (o *eventWriter) write(event *engine.StreamEvent) {
+	b, err := json.Marshal(event)
+	if err != nil {
+		panic(err)
+	}
+	b = append(append([]byte("data: "), b...), '\n', '\n')
+	// A failed write shows as the end of the request's context.
+	_, _ = o.w.Write(b)
+	o.flush()
+}
