--- /dev/null
+++ b/config/publisher.go
@@ -0,0 +1,301 @@
+package config
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/trefoillug/trefoillug/objstore"
+)
+
+// publishBackoff is the pause before a store call is repeated; the deadline of the caller's context ends it.
+const publishBackoff = 200 * time.Millisecond
+
+// RaceError says that another publish was accepted first. Nothing of this one was applied.
+type RaceError struct {
+	Base  uint64 // revision on which this publish was based
+	Other uint64 // revision that is accepted now
+}
+
+// Error implements error.
+func (e *RaceError) Error() string {
+	return fmt.Sprintf("based on revision %d, but revision %d has been accepted meanwhile; nothing was applied", e.Base, e.Other)
+}
+
+// Result is the outcome of a publish.
+type Result struct {
+	Revision uint64 // accepted configuration that holds the files
+	Changed  bool   // false when the accepted configuration already held them
+}
+
+// Publisher writes configuration to the object API.
+type Publisher struct {
+	store objstore.Store
+}
+
+// NewPublisher returns a publisher on a store.
+func NewPublisher(store objstore.Store) *Publisher { return &Publisher{store: store} }
+
+// Publish merges services into the accepted configuration and removes the named ones, in one conditional update of
+// the head as read at the start. It returns a *RaceError when another publish was accepted in between, an error
+// with objstore.ErrUnavailable when nothing was written, and one with objstore.ErrUnknownResult when ctx ended
+// before the result of the update was known. It repeats failed calls until ctx ends.
+func (p *Publisher) Publish(ctx context.Context, services []Service, remove []string) (Result, error) {
+	base, version, err := p.readHead(ctx)
+	if err != nil {
+		return Result{}, err
+	}
+	d, err := p.merge(ctx, base, services, remove)
+	if err != nil {
+		return Result{}, err
+	}
+	next := base.next(rand.Text())
+	next.Shards = d.digests
+	if next.Shards == base.Shards {
+		return Result{Revision: base.Revision}, nil
+	}
+	for key, object := range d.objects {
+		if err := p.putImmutable(ctx, key, object); err != nil {
+			return Result{}, err
+		}
+	}
+	revision, err := p.moveHead(ctx, &next, version)
+	return Result{Revision: revision, Changed: err == nil}, err
+}
+
+// readHead returns the accepted head and its object version, and zeros when there is none yet.
+func (p *Publisher) readHead(ctx context.Context) (Head, uint64, error) {
+	o, err := p.get(ctx, HeadKey)
+	if errors.Is(err, objstore.ErrNotFound) {
+		return Head{}, 0, nil
+	}
+	if err != nil {
+		return Head{}, 0, err
+	}
+	h, err := decodeHead(o.Value)
+	if err != nil {
+		return Head{}, 0, err
+	}
+	return *h, o.Version, nil
+}
+
+// get repeats a read until it succeeds, the object is known not to exist, or ctx ends.
+func (p *Publisher) get(ctx context.Context, key string) (objstore.Object, error) {
+	for {
+		o, err := p.store.Get(ctx, key)
+		if err == nil || errors.Is(err, objstore.ErrNotFound) || !pause(ctx, publishBackoff) {
+			return o, err
+		}
+	}
+}
+
+func (p *Publisher) getVerified(ctx context.Context, key string, d Digest) ([]byte, error) {
+	o, err := p.get(ctx, key)
+	if err != nil {
+		return nil, fmt.Errorf("read %s: %w", key, err)
+	}
+	return o.Value, verify(o.Value, d)
+}
+
+// putImmutable writes an object that has its digest as key; one that exists has the same content.
+func (p *Publisher) putImmutable(ctx context.Context, key string, object []byte) error {
+	for {
+		_, err := p.store.Put(ctx, key, object, 0)
+		if err == nil || errors.Is(err, objstore.ErrConflict) {
+			return nil
+		}
+		if !pause(ctx, publishBackoff) {
+			// The head has not moved, so whatever was written is not in force.
+			return fmt.Errorf("%w: write %s: %w", objstore.ErrUnavailable, key, context.Cause(ctx))
+		}
+	}
+}
+
+// moveHead writes the head over the given version and settles lost answers by its write ID.
+func (p *Publisher) moveHead(ctx context.Context, next *Head, version uint64) (uint64, error) {
+	object, err := encoder.Marshal(next)
+	if err != nil {
+		return 0, err
+	}
+	sent := false // an earlier try may have taken effect
+	for {
+		_, err := p.store.Put(ctx, HeadKey, object, version)
+		if err == nil {
+			return next.Revision, nil
+		}
+		if !errors.Is(err, objstore.ErrUnavailable) {
+			sent = true
+			revision, settled, err := p.settle(ctx, next, version)
+			if settled {
+				return revision, err
+			}
+		}
+		if !pause(ctx, publishBackoff) {
+			return 0, headError(next, sent, err)
+		}
+	}
+}
+
+func headError(next *Head, sent bool, err error) error {
+	if sent {
+		return fmt.Errorf("%w: publish of revision %d: %w", objstore.ErrUnknownResult, next.Revision, err)
+	}
+	return fmt.Errorf("%w: publish of revision %d: %w", objstore.ErrUnavailable, next.Revision, err)
+}
+
+// settle reads the head back. It is not settled while the store does not answer or shows a head that is not newer
+// than the one this publish is based on: then the write has not taken effect yet, or the read is stale.
+func (p *Publisher) settle(ctx context.Context, next *Head, version uint64) (uint64, bool, error) {
+	o, err := p.store.Get(ctx, HeadKey)
+	if err != nil || o.Version <= version {
+		return 0, false, nil
+	}
+	h, err := decodeHead(o.Value)
+	if err != nil {
+		return 0, false, nil
+	}
+	if revision, mine := h.revisionOf(next.WriteID); mine {
+		return revision, true, nil
+	}
+	if h.Revision > next.Revision+recentWrites {
+		err := fmt.Errorf("%w: revision %d no longer names the writes after %d", objstore.ErrUnknownResult, h.Revision, next.Revision-1)
+		return 0, true, err
+	}
+	return 0, true, &RaceError{Base: next.Revision - 1, Other: h.Revision}
+}
+
+// draft is the published form of a merge before it is accepted.
+type draft struct {
+	digests [ShardCount]Digest
+	objects map[string][]byte // new objects by key
+	shards  map[int]*shard    // shards that may change
+}
+
+func (p *Publisher) merge(ctx context.Context, base Head, services []Service, remove []string) (*draft, error) {
+	d := &draft{digests: base.Shards, objects: map[string][]byte{}, shards: map[int]*shard{}}
+	for i := range services {
+		if err := p.add(ctx, d, services[i]); err != nil {
+			return nil, err
+		}
+	}
+	if err := p.removeAll(ctx, d, services, remove); err != nil {
+		return nil, err
+	}
+	return d, d.encodeShards()
+}
+
+func (p *Publisher) shard(ctx context.Context, d *draft, i int) (*shard, error) {
+	if s := d.shards[i]; s != nil {
+		return s, nil
+	}
+	s := &shard{}
+	if digest := d.digests[i]; digest != (Digest{}) {
+		object, err := p.getVerified(ctx, shardKey(digest), digest)
+		if err != nil {
+			return nil, err
+		}
+		if s, err = decodeShard(object); err != nil {
+			return nil, err
+		}
+	}
+	d.shards[i] = s
+	return s, nil
+}
+
+func (p *Publisher) add(ctx context.Context, d *draft, service Service) error {
+	sh, err := p.shard(ctx, d, shardOf(service.Name))
+	if err != nil {
+		return err
+	}
+	old, found := sh.get(service.Name)
+	if found && service.Move != nil && service.Move.StartAtPublish {
+		if service.Move, err = p.keepStart(ctx, old, *service.Move); err != nil {
+			return err
+		}
+	}
+	object, err := encodeService(&service)
+	if err != nil {
+		return err
+	}
+	digest := digestOf(object)
+	if !found || digest != old {
+		sh.set(service.Name, digest)
+		d.objects[serviceKey(digest)] = object
+	}
+	return nil
+}
+
+// keepStart gives a move without a start of its own the start under which it was published before. Publishing the
+// same file again would otherwise restart the move.
+func (p *Publisher) keepStart(ctx context.Context, old Digest, m Move) (*Move, error) {
+	object, err := p.getVerified(ctx, serviceKey(old), old)
+	if err != nil {
+		return nil, err
+	}
+	s, err := decodeService(object)
+	if err != nil {
+		return nil, err
+	}
+	if s.Move != nil && s.Move.ID == m.ID {
+		m.Start = s.Move.Start
+	}
+	return &m, nil
+}
+
+func (p *Publisher) removeAll(ctx context.Context, d *draft, services []Service, remove []string) error {
+	var unknown []string
+	for _, s := range services {
+		for _, name := range remove {
+			if s.Name == name {
+				return fmt.Errorf("service %q is both published and removed", name)
+			}
+		}
+	}
+	for _, name := range remove {
+		sh, err := p.shard(ctx, d, shardOf(name))
+		if err != nil {
+			return err
+		}
+		if !sh.remove(name) {
+			unknown = append(unknown, name)
+		}
+	}
+	if len(unknown) > 0 {
+		return fmt.Errorf("not in the accepted configuration: %s", strings.Join(unknown, ", "))
+	}
+	return nil
+}
+
+func (d *draft) encodeShards() error {
+	for i, sh := range d.shards {
+		if len(sh.Entries) == 0 {
+			d.digests[i] = Digest{}
+			continue
+		}
+		object, err := encoder.Marshal(sh)
+		if err != nil {
+			return err
+		}
+		digest := digestOf(object)
+		if digest != d.digests[i] {
+			d.digests[i] = digest
+			d.objects[shardKey(digest)] = object
+		}
+	}
+	return nil
+}
+
+// pause waits and returns false when ctx ended.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/config/publisher_test.go
@@ -0,0 +1,157 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/trefoillug/trefoillug/objstore"
+)
+
+// service returns a small service whose content differs by concurrency.
+func service(name string, concurrency int) Service {
+	return Service{Name: name, Kind: KindPlain, Serve: "v1", Versions: []Version{{"v1"}}, Concurrency: concurrency}
+}
+
+func publish(t testing.TB, store objstore.Store, services ...Service) Result {
+	t.Helper()
+	r, err := NewPublisher(store).Publish(t.Context(), services, nil)
+	must.NoError(t, err)
+	return r
+}
+
+func headOf(t testing.TB, store objstore.Store) *Head {
+	t.Helper()
+	o, err := store.Get(context.Background(), HeadKey)
+	must.NoError(t, err)
+	h, err := decodeHead(o.Value)
+	must.NoError(t, err)
+	return h
+}
+
+// Guards against a publish that drops services it does not name, and against revisions without a change.
+func TestPublisher_MergesAndRemoves(t *testing.T) {
+	store := newMemStore()
+	must.Eq(t, Result{1, true}, publish(t, store, service("a", 1), service("b", 1)))
+	must.Eq(t, Result{2, true}, publish(t, store, service("b", 2)))
+	must.Eq(t, Result{2, false}, publish(t, store, service("b", 2)))
+	p := NewPublisher(store)
+	_, err := p.Publish(t.Context(), nil, []string{"a", "x"})
+	must.ErrorContains(t, err, "not in the accepted configuration: x")
+	_, err = p.Publish(t.Context(), []Service{service("a", 1)}, []string{"a"})
+	must.ErrorContains(t, err, "both published and removed")
+	r, err := p.Publish(t.Context(), []Service{service("c", 1)}, []string{"a"})
+	must.NoError(t, err)
+	must.Eq(t, Result{3, true}, r)
+	names := []string{}
+	for _, s := range loadAll(t, store) {
+		names = append(names, fmt.Sprint(s.Name, s.Concurrency))
+	}
+	must.Eq(t, "b2 c1", strings.Join(names, " "))
+}
+
+func loadAll(t *testing.T, store objstore.Store) []*Service {
+	t.Helper()
+	c := newCache()
+	h := headOf(t, store)
+	for missing := c.missing(h); len(missing) > 0; missing = c.missing(h) {
+		for _, m := range missing {
+			o, err := store.Get(t.Context(), m.key())
+			must.NoError(t, err)
+			must.NoError(t, c.add(m, o.Value))
+		}
+	}
+	return c.services(h)
+}
+
+// Guards against a publish over another operator's, and against traces of the loser.
+func TestPublisher_RaceHasOneWinner(t *testing.T) {
+	store := newMemStore()
+	publish(t, store, service("a", 1))
+	raced := false
+	store.beforePut = func(string) {
+		if !raced {
+			raced = true
+			publish(t, store, service("a", 3))
+		}
+	}
+	_, err := NewPublisher(store).Publish(t.Context(), []Service{service("a", 2), service("b", 2)}, nil)
+	var race *RaceError
+	must.True(t, errors.As(err, &race))
+	must.Eq(t, RaceError{Base: 1, Other: 2}, *race)
+	services := loadAll(t, store)
+	must.Len(t, 1, services)
+	must.Eq(t, 3, services[0].Concurrency)
+}
+
+// Guards against a publish reported as lost, or done twice, when the answer to its write was lost.
+func TestPublisher_LostAnswerIsSettled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newMemStore()
+		publish(t, store, service("a", 1))
+		store.loseNext = 1
+		must.Eq(t, Result{2, true}, publish(t, store, service("a", 2)))
+		must.Eq(t, 2, headOf(t, store).Revision)
+	})
+}
+
+// Guards against the winner being told that it lost when others published on top before it could read back.
+func TestPublisher_LostAnswerWithLaterPublish(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newMemStore()
+		store.loseNext = 1
+		later := &laterStore{memStore: store, then: func() { publish(t, store, service("b", 1)) }}
+		must.Eq(t, Result{1, true}, publish(t, later, service("a", 1)))
+		must.Eq(t, 2, headOf(t, store).Revision)
+	})
+}
+
+// laterStore lets another publish be accepted between a lost answer and the read that settles it.
+type laterStore struct {
+	*memStore
+	then func()
+}
+
+func (s *laterStore) Put(ctx context.Context, key string, value []byte, ifVersion uint64) (uint64, error) {
+	v, err := s.memStore.Put(ctx, key, value, ifVersion)
+	if errors.Is(err, objstore.ErrUnknownResult) {
+		s.then()
+	}
+	return v, err
+}
+
+// Guards against a publish that claims an outcome it does not know: the answer is lost and the store goes down.
+func TestPublisher_LostAnswerDuringOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newMemStore()
+		store.loseNext = 1
+		down := &laterStore{memStore: store, then: func() { store.set(func(m *memStore) { m.down = true }) }}
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		_, err := NewPublisher(down).Publish(ctx, []Service{service("a", 1)}, nil)
+		must.ErrorIs(t, err, objstore.ErrUnknownResult)
+		_, err = NewPublisher(down).Publish(ctx, []Service{service("a", 1)}, nil)
+		must.ErrorIs(t, err, objstore.ErrUnavailable)
+	})
+}
+
+// Guards against a move that starts anew when its unchanged file is published again.
+func TestPublisher_KeepsStartOfMove(t *testing.T) {
+	store := newMemStore()
+	s := service("a", 1)
+	s.Move = &Move{ID: "m", From: "v1", To: "v2", Start: testNow, Deadline: testNow.Add(time.Hour), StartAtPublish: true}
+	publish(t, store, s)
+	again := *s.Move
+	again.Start = testNow.Add(time.Minute)
+	s.Move = &again
+	must.Eq(t, Result{1, false}, publish(t, store, s))
+	again.ID = "m2"
+	must.Eq(t, Result{2, true}, publish(t, store, s))
+	must.Eq(t, again.Start, loadAll(t, store)[0].Move.Start)
+}
--- a/config/service.go
+++ b/config/service.go
@@ -82,6 +82,8 @@
 	Start    time.Time `cbor:"4,keyasint"`
 	Deadline time.Time `cbor:"5,keyasint"`
 	Stages   []Stage   `cbor:"6,keyasint"` // empty: the default ramp
+	// StartAtPublish says that the file gave no start. It is not published.
+	StartAtPublish bool `cbor:"-"`
 }
 
 // Stage is a step of a move's ramp.
