--- /dev/null
+++ b/limit/limit_test.go
@@ -0,0 +1,155 @@
+package limit
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/trefoillug/trefoillug/config"
+	"github.com/trefoillug/trefoillug/peer"
+	"github.com/trefoillug/trefoillug/problem"
+	"github.com/trefoillug/trefoillug/table"
+)
+
+// fakeNet connects the fake meshes of a test.
+type fakeNet struct {
+	mu    sync.Mutex
+	nodes map[string]*fakeMesh
+}
+
+// fakeMesh is a peer whose view of the membership the test sets.
+type fakeMesh struct {
+	net     *fakeNet
+	id      string
+	mu      sync.Mutex
+	members []peer.Member
+	handler peer.Handler
+	cut     bool // neither calls nor is called: frozen, dead or partitioned
+}
+
+func (n *fakeNet) add(id string) *fakeMesh {
+	m := &fakeMesh{net: n, id: id, members: []peer.Member{{ID: id}}}
+	n.mu.Lock()
+	n.nodes[id] = m
+	n.mu.Unlock()
+	return m
+}
+
+func (m *fakeMesh) Self() peer.Member { return peer.Member{ID: m.id} }
+
+func (m *fakeMesh) Members() []peer.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.members
+}
+
+func (m *fakeMesh) Handle(_ string, h peer.Handler) { m.handler = h }
+
+func (m *fakeMesh) isCut() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.cut
+}
+
+func (m *fakeMesh) Call(ctx context.Context, member, _ string, body []byte) ([]byte, error) {
+	m.net.mu.Lock()
+	to := m.net.nodes[member]
+	m.net.mu.Unlock()
+	time.Sleep(time.Millisecond)
+	if to == nil || to.isCut() || m.isCut() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	out, err := to.handler(ctx, m.id, body)
+	time.Sleep(time.Millisecond)
+	return out, err
+}
+
+func testSnapshot(rate, burst float64, concurrency int) *table.Snapshot {
+	svc := &config.Service{
+		Name: "s", Concurrency: concurrency,
+		Workspaces: []config.Workspace{{Name: "w", Rate: rate, Burst: burst}, {Name: "free"}},
+	}
+	endpoints := []*table.Endpoint{{ID: "e1", Service: "s", Live: &table.Counters{}}}
+	return &table.Snapshot{Services: map[string]*table.Service{"s": {Config: svc, Endpoints: endpoints}}}
+}
+
+func startAlone(s *table.Snapshot, logOnly bool) *Admission {
+	a := New(Settings{Mesh: (&fakeNet{nodes: map[string]*fakeMesh{}}).add("a"), LogOnly: logOnly})
+	a.Update(s)
+	a.Start()
+	return a
+}
+
+func admitWithin(a *Admission, workspace string, patience time.Duration) (func(Result), error) {
+	return a.Admit(context.Background(), Request{
+		Service: "s", Workspace: workspace, Priority: config.PriorityNormal, Deadline: time.Now().Add(patience),
+	})
+}
+
+// Guards against refusals with the wrong kind and a Retry-After that comes too early or far too late.
+func TestAdmit_TruthfulRetryAfter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := startAlone(testSnapshot(0.25, 1, 100), false)
+		defer a.Close()
+		time.Sleep(10 * time.Second)
+		release, err := admitWithin(a, "w", time.Second)
+		must.NoError(t, err)
+		release(Result{})
+		_, err = admitWithin(a, "w", time.Second)
+		must.Eq(t, problem.LimitExceeded, problem.KindOf(err))
+		after := problem.RetryAfter(err)
+		must.Between(t, time.Second, after, 15*time.Second)
+		time.Sleep(after)
+		release, err = admitWithin(a, "w", time.Second)
+		must.NoError(t, err)
+		release(Result{})
+		_, err = admitWithin(a, "nobody", time.Second)
+		must.Eq(t, problem.UnknownWorkspace, problem.KindOf(err))
+	})
+}
+
+// Guards against a queue that refuses what can still run, never refuses, or leaks places.
+func TestAdmit_QueuesUntilDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := startAlone(testSnapshot(0, 0, 1), false)
+		defer a.Close()
+		release, err := admitWithin(a, "free", time.Second)
+		must.NoError(t, err)
+		start := time.Now()
+		time.AfterFunc(300*time.Millisecond, func() { release(Result{}) })
+		second, err := admitWithin(a, "free", time.Second)
+		must.NoError(t, err)
+		must.Eq(t, 300*time.Millisecond, time.Since(start))
+		_, err = admitWithin(a, "free", 200*time.Millisecond)
+		must.Eq(t, problem.Overloaded, problem.KindOf(err))
+		must.Eq(t, 300*time.Millisecond, time.Since(start))
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(50*time.Millisecond, cancel)
+		_, err = a.Admit(ctx, Request{Service: "s", Workspace: "free", Deadline: time.Now().Add(time.Minute)})
+		must.ErrorIs(t, err, context.Canceled)
+		second(Result{})
+		third, err := admitWithin(a, "free", 0)
+		must.NoError(t, err)
+		third(Result{})
+	})
+}
+
+// Guards against a log-only limit that refuses, or that doesn't count what it would have refused.
+func TestAdmit_LogOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := startAlone(testSnapshot(1, 1, 100), true)
+		defer a.Close()
+		time.Sleep(10 * time.Second)
+		for range 20 {
+			release, err := admitWithin(a, "w", 0)
+			must.NoError(t, err)
+			release(Result{})
+		}
+		must.GreaterEq(t, int64(18), a.Stats().OverLimit)
+	})
+}
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -3,6 +3,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net/http"
 	"slices"
 	"strconv"
@@ -145,8 +146,9 @@
 func Write(w http.ResponseWriter, err error, requestID string) {
 	d := DetailsFor(err, requestID)
 	w.Header().Set("Content-Type", "application/problem+json")
-	if retry := AnswerFor(d.Kind).Retry; retry > 0 {
-		w.Header().Set("Retry-After", strconv.Itoa(int(retry.Seconds())))
+	if retry := RetryAfter(err); retry > 0 {
+		// The header has whole seconds; rounding up keeps it true.
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(retry.Seconds()))))
 	}
 	w.WriteHeader(d.Status)
 	// The caller may be gone; there is nobody else to tell.
