--- a/engine/engine.go
+++ b/engine/engine.go
@@ -1,4 +1,5 @@
-// Package engine holds the wire types of the model engine protocol.
+// Package engine holds the wire types of the model engine protocol. An engine sends the response header of a stream
+// at once, and comments while a request waits for a slot or for its prompt, so that silence means a lost connection.
 package engine
 
 import "encoding/json"
--- a/relay/acquire.go
+++ b/relay/acquire.go
@@ -36,7 +36,12 @@
 	running  *running
 }
 
-func (s *slot) release() { s.running.leave(s.endpoint, s.attempt) }
+// release gives the endpoint back. It does nothing on a nil slot.
+func (s *slot) release() {
+	if s != nil {
+		s.running.leave(s.endpoint, s.attempt)
+	}
+}
 
 // acquire waits until an endpoint takes the call, at most until the call's deadline.
 func (r *Relay) acquire(ctx context.Context, s *search) (*slot, error) {
--- a/relay/attach.go
+++ b/relay/attach.go
@@ -1,9 +1,9 @@
 package relay
 
 import (
-	"context"
 	"net/http"
 
+	"github.com/trefoillug/trefoillug/core"
 	"github.com/trefoillug/trefoillug/problem"
 )
 
@@ -24,13 +24,13 @@
 		r.refuse(w, refusal{err: problem.New(problem.UnknownRequest, "request %s is not held", id), requestID: id})
 		return
 	}
-	r.deliver(w, req, src, from, req.URL.Query().Get("stream") != "false")
+	r.reattach(w, req, src, from, req.URL.Query().Get("stream") != "false")
 }
 
-// findHolder returns the answer of a request that is held here or at another instance.
-func (r *Relay) findHolder(_ context.Context, at position) (source, bool) {
-	if s := r.session(at.requestID); s != nil {
-		return s, true
+// reattach delivers the rest of an answer in progress.
+func (r *Relay) reattach(w http.ResponseWriter, req *http.Request, src source, from position, stream bool) {
+	if r.deliver(w, req, src, from, stream) == delivered {
+		service, workspace := src.owner()
+		r.cfg.Post(core.Served{Service: service, Workspace: workspace})
 	}
-	return nil, false
 }
--- a/relay/config.go
+++ b/relay/config.go
@@ -16,7 +16,7 @@
 	defaultWriteTime = 10 * time.Second
 	defaultRetain    = time.Minute
 	defaultWaiting   = 4096
-	defaultRetained  = 1024
+	defaultRetained  = 64 << 20
 )
 
 func (c Config) withDefaults() Config {
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -22,7 +22,7 @@
 type engineRun struct {
 	slot   *slot
 	cancel context.CancelCauseFunc
-	move   *kvMove // set once the stream is being moved away
+	move   *streamMove // set once the stream is being moved away
 }
 
 // generate runs attempts until the answer is complete, the deadline passes or the session is given up.
@@ -30,9 +30,12 @@
 	defer s.relay.stopSearch(&s.search)
 	defer s.cancel(nil)
 	s.relay.cfg.RetryBudget.Request(s.call.Service.Name)
-	errorAnswers := 0
-	for {
-		got, err := s.relay.acquire(s.ctx, &s.search)
+	var next *slot
+	for errorAnswers := 0; ; {
+		got, err := next, error(nil)
+		if got == nil {
+			got, err = s.relay.acquire(s.ctx, &s.search)
+		}
 		if err != nil {
 			s.finish(s.ended(err))
 			return
@@ -41,11 +44,15 @@
 		if result.End == dispatch.Answered {
 			errorAnswers++
 		}
+		to, moved := s.endRun()
 		if done, err := s.judge(result, errorAnswers); done {
+			to.release()
 			s.finish(err)
 			return
 		}
-		if err := s.beforeRetry(result, got); err != nil {
+		next = to
+		if err := s.beforeRetry(result, got, moved); err != nil {
+			to.release()
 			s.finish(err)
 			return
 		}
@@ -139,14 +146,12 @@
 	return false, nil
 }
 
-// beforeRetry waits for a move in progress or for the retry budget.
-func (s *session) beforeRetry(result dispatch.Result, got *slot) error {
+// beforeRetry waits for the retry budget. Moves are not charged: the endpoint has not failed.
+func (s *session) beforeRetry(result dispatch.Result, got *slot, moved bool) error {
 	s.mu.Lock()
-	move := s.engine.move
 	s.route.resumes++
 	s.mu.Unlock()
-	if move != nil {
-		s.search.prefer = move.wait()
+	if moved {
 		return nil
 	}
 	s.search.tried[got.endpoint.ID] = true
--- a/relay/model.go
+++ b/relay/model.go
@@ -25,7 +25,7 @@
 	if hasPosition {
 		if source, ok := r.findHolder(req.Context(), position); ok {
 			r.drainBody(w, req)
-			r.deliver(w, req, source, position, true)
+			r.reattach(w, req, source, position, true)
 			return
 		}
 	}
@@ -91,24 +91,10 @@
 	return call, refusal{}
 }
 
-// follow delivers a session to the caller that started it, and gives it up when the caller leaves.
+// follow delivers a session to the caller that started it.
 func (r *Relay) follow(w http.ResponseWriter, req *http.Request, s *session, from position) {
-	defer r.forgetUnlessRetained(s)
-	outcome := r.deliver(w, req, s, from, s.call.Chat.Stream)
-	switch {
-	case outcome == delivered:
+	if r.deliver(w, req, s, from, s.call.Chat.Stream) == delivered {
 		r.cfg.Post(core.Served{Service: s.call.Service.Name, Workspace: s.call.Workspace})
-	case outcome == callerLeft:
-		s.cancel(errCallerGone)
-	}
-}
-
-func (r *Relay) forgetUnlessRetained(s *session) {
-	s.mu.Lock()
-	keep := s.retained
-	s.mu.Unlock()
-	if !keep {
-		r.forget(s)
 	}
 }
 
@@ -124,6 +110,8 @@
 
 // source is an answer in progress, here or at another instance.
 type source interface {
+	attach()
+	detach()
 	// read waits for what follows a position.
 	read(ctx context.Context, position int) (part, error)
 	id() string
@@ -142,6 +130,8 @@
 
 // deliver writes an answer from a position on, as a stream or as one JSON answer.
 func (r *Relay) deliver(w http.ResponseWriter, req *http.Request, src source, from position, stream bool) outcome {
+	src.attach()
+	defer src.detach()
 	if stream {
 		return r.deliverStream(w, req, src, from.next)
 	}
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -27,7 +27,7 @@
 // servePlain answers calls of plain services.
 func (r *Relay) servePlain(w http.ResponseWriter, req *http.Request) {
 	r.calls.Add(1)
-	defer r.calls.Done()
+	defer r.calls.Add(-1)
 	id := r.newRequestID()
 	call, f := r.plainCall(w, req, id)
 	if f.err != nil {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -6,6 +6,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -42,7 +43,7 @@
 	WriteTime time.Duration // for a caller to take a part of the answer; default 10 s
 	Retain    time.Duration // to keep an answer without a caller after a handover; default 60 s
 	Waiting   int           // calls that wait for an endpoint; default 4096
-	Retained  int           // streams held for re-attach; default 1024
+	Retained  int           // bytes of streams held for re-attach; default 64 MiB
 }
 
 // Relay serves callers.
@@ -54,8 +55,9 @@
 
 	mu       sync.Mutex
 	sessions map[string]*session // by request ID
-	calls    sync.WaitGroup      // plain calls in progress
-	retained int
+	calls    atomic.Int64        // plain calls in progress
+	draining atomic.Bool
+	retained int // bytes held for re-attach
 	stop     context.CancelFunc
 }
 
@@ -72,6 +74,10 @@
 	r.mux.HandleFunc("/", r.serveUnknown)
 	ctx, cancel := context.WithCancel(context.Background())
 	r.stop = cancel
+	if cfg.Mesh != nil {
+		cfg.Mesh.Handle(kindHandover, r.handleHandover)
+		cfg.Mesh.Handle(kindAttach, r.handleAttach)
+	}
 	go r.watchLeaving(ctx)
 	return r
 }
--- a/relay/session.go
+++ b/relay/session.go
@@ -12,6 +12,7 @@
 
 // Causes of the end of a session before its answer is complete.
 var (
+	errHandedOver = errors.New("handed over to another instance")
 	errCallerGone = errors.New("caller gone")
 	errClosed     = errors.New("relay closed")
 )
@@ -32,7 +33,8 @@
 	gone     bool  // handed over
 	readers  map[chan struct{}]struct{}
 	route    delivery
-	retained bool // kept without a caller
+	retained int // bytes counted for an answer that is kept without a caller; 0: not kept
+	callers  int // callers that follow the answer
 	engine   *engineRun
 }
 
@@ -62,15 +64,32 @@
 	return r.sessions[id]
 }
 
+// attach counts a caller that follows a session.
+func (s *session) attach() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.callers++
+}
+
+// detach ends the following of a caller. A session without callers is given up, unless it is kept for re-attach.
+func (s *session) detach() {
+	s.mu.Lock()
+	s.callers--
+	keep := s.callers > 0 || s.retained > 0
+	s.mu.Unlock()
+	if !keep {
+		s.cancel(errCallerGone)
+		s.relay.forget(s)
+	}
+}
+
 // forget drops a session.
 func (r *Relay) forget(s *session) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.sessions[s.call.RequestID] == s {
 		delete(r.sessions, s.call.RequestID)
-		if s.retained {
-			r.retained--
-		}
+		r.retained -= s.retained
 	}
 }
 
--- a/standin/engine_run.go
+++ b/standin/engine_run.go
@@ -155,7 +155,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	total := len(run.prompt) + run.offset
-	cached := min(total, max(e.cache.match(run.cacheKey(run.offset)), e.kv[run.ref.RequestID]))
+	cached := min(total, max(e.cache.match(run.cacheKey(run.offset)), e.kv[run.ref.RequestID], e.shared(run)))
 	delete(e.kv, run.ref.RequestID)
 	usage := &engine.Usage{PromptTokens: len(run.prompt), CachedTokens: cached}
 	if run.req.Resume != nil {
@@ -166,6 +166,18 @@
 	return usage, time.Duration(total-cached) * e.cfg.PrefillToken
 }
 
+// shared returns the tokens that another attempt at the same request holds. e.mu is held.
+func (e *Engine) shared(run *run) int {
+	tokens := 0
+	for _, other := range e.runs {
+		if other != run && other.ref.RequestID == run.ref.RequestID {
+			_, offset := other.status()
+			tokens = max(tokens, len(other.prompt)+offset)
+		}
+	}
+	return tokens
+}
+
 // generate emits the tokens of an answer at the decode rate.
 func (e *Engine) generate(r *http.Request, run *run, out *eventWriter) {
 	step := e.slowed(e.cfg.DecodeStep)
@@ -187,6 +199,10 @@
 		e.crashOnMarker(run)
 	}
 	out.finish(run.offset, engine.FinishStop)
+	if out.faults.SilentFrom > 0 {
+		// A silent stream keeps its connection.
+		<-r.Context().Done()
+	}
 }
 
 // cacheKey returns the tokens of prompt and answer up to offset, which the prefix cache is indexed by.
