Distribute the accepted configuration to instances

Two instances per failure domain watch the head; the others learn the revision from their announcements and fetch head and objects from peers along a tree per failure domain and revision, then from announcing members, then from the store, each object verified by digest. A start takes the highest revision of the store and of peers in two failure domains. Only watchers announce: 650 announcements of about 60 bytes for each change would use up about half of the 4 KB a second for control.

--- a/config/cache.go
+++ b/config/cache.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 )
 
@@ -104,6 +105,21 @@
 	return services
 }
 
-
 // String names an object in errors.
 func (id objectID) String() string { return fmt.Sprintf("object %s", id.key()) }
+
+// retain drops the objects that none of the heads names.
+func (c *cache) retain(heads ...*Head) {
+	keep := map[objectID]bool{}
+	for _, h := range heads {
+		if h == nil {
+			continue
+		}
+		for _, id := range c.objectsOf(h) {
+			keep[id] = true
+		}
+	}
+	maps.DeleteFunc(c.raw, func(id objectID, _ []byte) bool { return !keep[id] })
+	maps.DeleteFunc(c.shards, func(d Digest, _ *shard) bool { return !keep[objectID{shardObject, d}] })
+	maps.DeleteFunc(c.service, func(d Digest, _ *Service) bool { return !keep[objectID{serviceObject, d}] })
+}
--- /dev/null
+++ b/config/distributor_test.go
@@ -0,0 +1,442 @@
+package config
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
+
+	"github.com/trefoillug/trefoillug/objstore"
+	"github.com/trefoillug/trefoillug/peer"
+)
+
+// inForceBound is the bound of guarantee G8.
+const inForceBound = 13 * time.Second
+
+// fleet is a set of distributors on one fake store and one fake mesh.
+type fleet struct {
+	t      testing.TB
+	store  *memStore
+	net    *memNet
+	timing Timing
+	step   time.Duration // between looks at the revisions
+	nodes  []*node
+	wg     sync.WaitGroup
+}
+
+type node struct {
+	id    string
+	d     *Distributor
+	mesh  *memMesh
+	store *nodeStore
+	log   *logtest.Hook
+	stop  context.CancelFunc
+
+	mu      sync.Mutex
+	applied []uint64
+}
+
+func newFleet(t testing.TB, n, domains int) *fleet {
+	f := &fleet{t: t, store: newMemStore(), net: &memNet{latency: time.Millisecond, corrupt: map[string]bool{}}, timing: DefaultTiming(), step: 20 * time.Millisecond}
+	t.Cleanup(f.stop)
+	for i := range n {
+		f.add(fmt.Sprintf("fd%d", i%domains))
+	}
+	return f
+}
+
+func (f *fleet) add(domain string) *node {
+	logger, hook := logtest.NewNullLogger()
+	n := &node{id: fmt.Sprintf("i%03d", len(f.nodes)), store: &nodeStore{memStore: f.store}, log: hook}
+	n.mesh = f.net.join(peer.Member{ID: n.id, FailureDomain: domain})
+	n.d = NewDistributor(Options{
+		Store: n.store, Mesh: n.mesh, Log: logger, Timing: f.timing, Seed: uint64(len(f.nodes)),
+		Apply: func(revision uint64, _ []*Service) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			if len(n.applied) > 0 && revision <= slices.Max(n.applied) {
+				f.t.Errorf("%s went from %v to revision %d", n.id, n.applied, revision)
+			}
+			n.applied = append(n.applied, revision)
+		},
+	})
+	f.nodes = append(f.nodes, n)
+	return n
+}
+
+func (f *fleet) run(nodes ...*node) {
+	for _, n := range nodes {
+		ctx, cancel := context.WithCancel(context.Background())
+		n.stop = cancel
+		f.wg.Go(func() { n.d.Run(ctx) })
+	}
+}
+
+// stop ends all distributors; a second call does nothing.
+func (f *fleet) stop() {
+	for _, n := range f.nodes {
+		if n.stop != nil {
+			n.stop()
+		}
+	}
+	f.wg.Wait()
+}
+
+// settled waits until the revision is in force on all nodes and returns how long that took.
+func (f *fleet) settled(revision uint64, bound time.Duration) (time.Duration, bool) {
+	begin := time.Now()
+	for time.Since(begin) <= bound {
+		if len(f.behind(revision)) == 0 {
+			return time.Since(begin), true
+		}
+		time.Sleep(f.step)
+	}
+	return bound, false
+}
+
+func (f *fleet) behind(revision uint64) []string {
+	var behind []string
+	for _, n := range f.nodes {
+		if n.d.Revision() < revision {
+			behind = append(behind, fmt.Sprintf("%s at %d", n.id, n.d.Revision()))
+		}
+	}
+	return behind
+}
+
+func (f *fleet) mustSettle(revision uint64, bound time.Duration) {
+	f.t.Helper()
+	_, ok := f.settled(revision, bound)
+	must.True(f.t, ok, must.Sprintf("revision %d not in force after %s: %v", revision, bound, f.behind(revision)))
+}
+
+func (f *fleet) publish(revision int) {
+	f.t.Helper()
+	must.Eq(f.t, uint64(revision), publish(f.t, &operatorStore{f.store}, service("a", revision)).Revision)
+}
+
+// operatorStore is a way to the store on which the faults of the instances' way are not felt.
+type operatorStore struct{ *memStore }
+
+func (s *operatorStore) Get(_ context.Context, key string) (objstore.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.objects[key]
+	if !ok {
+		return o, objstore.ErrNotFound
+	}
+	return o, nil
+}
+
+func (s *operatorStore) Put(_ context.Context, key string, value []byte, ifVersion uint64) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.objects[key].Version != ifVersion {
+		return 0, objstore.ErrConflict
+	}
+	s.objects[key] = objstore.Object{Key: key, Version: ifVersion + 1, Value: value}
+	s.wake()
+	return ifVersion + 1, nil
+}
+
+func (n *node) isReady() bool {
+	select {
+	case <-n.d.Ready():
+		return true
+	default:
+		return false
+	}
+}
+
+func (n *node) alarmed(kind string) bool {
+	return slices.ContainsFunc(n.log.AllEntries(), func(e *logrus.Entry) bool {
+		return e.Level == logrus.ErrorLevel && e.Data["alarm"] == kind
+	})
+}
+
+// inBubble runs a test with a fleet that has revision 1 in force, on fake time.
+func inBubble(t *testing.T, n, domains int, test func(t *testing.T, f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, n, domains)
+		f.publish(1)
+		f.run(f.nodes...)
+		f.mustSettle(1, inForceBound)
+		time.Sleep(5 * time.Second)
+		test(t, f)
+		f.stop()
+	})
+}
+
+// Guards against a configuration that does not reach every instance in time, and against a load on the store that
+// rises with the fleet by more than its polls.
+func TestDistributor_InForceWithFewCalls(t *testing.T) {
+	inBubble(t, 64, 4, func(t *testing.T, f *fleet) {
+		f.publish(2)
+		f.mustSettle(2, inForceBound)
+		f.store.set(func(m *memStore) { m.calls = 0 })
+		time.Sleep(10 * time.Minute)
+		synctest.Wait()
+		// Eight watchers open a watch each 10 s, 64 instances poll at least each 48 s.
+		must.LessEq(t, 10*(8*6+64*60/48), f.store.calls)
+	})
+}
+
+// Guards against a start that needs the store, and one that trusts a single failure domain.
+func TestDistributor_StartDuringOutage(t *testing.T) {
+	inBubble(t, 8, 4, func(t *testing.T, f *fleet) {
+		f.store.set(func(m *memStore) { m.down = true })
+		late := f.add("fd0")
+		f.run(late)
+		f.mustSettle(1, inForceBound)
+		must.True(t, late.isReady())
+
+		alone := f.add("fd1")
+		for _, n := range f.nodes {
+			if n != alone && n.mesh.self.FailureDomain != "fd1" {
+				f.net.setCut(true, n.id)
+			}
+		}
+		f.run(alone)
+		time.Sleep(time.Minute)
+		must.False(t, alone.isReady())
+		f.store.set(func(m *memStore) { m.down = false })
+		f.mustSettle(1, inForceBound)
+		must.True(t, alone.isReady())
+	})
+}
+
+// Guards against instances that wait for peers which don't exist, or become ready before the store has answered.
+func TestDistributor_FirstStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, 3)
+		f.store.down = true
+		f.run(f.nodes...)
+		time.Sleep(time.Minute)
+		must.False(t, f.nodes[0].isReady())
+		f.store.set(func(m *memStore) { m.down = false })
+		time.Sleep(inForceBound)
+		must.True(t, f.nodes[0].isReady())
+		f.publish(1)
+		f.mustSettle(1, inForceBound)
+		f.stop()
+	})
+}
+
+// Guards against a watch that goes silent and is waited for forever. Polls would hide it only after a minute.
+func TestDistributor_SilentWatch(t *testing.T) {
+	inBubble(t, 8, 4, func(t *testing.T, f *fleet) {
+		f.store.set(func(m *memStore) { m.silent = true })
+		synctest.Wait()
+		f.store.set(func(m *memStore) { m.silent = false })
+		f.publish(2)
+		f.mustSettle(2, inForceBound)
+	})
+}
+
+// Guards against a store that shows an old revision being believed, by a running and by a starting instance.
+func TestDistributor_StaleStore(t *testing.T) {
+	inBubble(t, 8, 4, func(t *testing.T, f *fleet) {
+		old, err := f.store.Get(t.Context(), HeadKey)
+		must.NoError(t, err)
+		f.publish(2)
+		f.mustSettle(2, inForceBound)
+		f.store.set(func(m *memStore) { m.stale = &old })
+		late := f.add("fd2")
+		f.run(late)
+		f.mustSettle(2, inForceBound)
+		time.Sleep(2 * time.Minute)
+		for _, n := range f.nodes {
+			must.True(t, n.alarmed("config_reverted"), must.Sprint(n.id))
+			must.Eq(t, 2, n.d.Revision())
+		}
+		must.Eq(t, []uint64{2}, late.applied)
+	})
+}
+
+// Guards against a start from a stale store alone, before the mesh has found the peers that know better.
+func TestDistributor_StartWaitsForPeers(t *testing.T) {
+	inBubble(t, 8, 4, func(t *testing.T, f *fleet) {
+		old, err := f.store.Get(t.Context(), HeadKey)
+		must.NoError(t, err)
+		f.publish(2)
+		f.mustSettle(2, inForceBound)
+		f.store.set(func(m *memStore) { m.stale = &old })
+		late := f.add("fd2")
+		f.net.setCut(true, late.id)
+		f.run(late)
+		time.Sleep(time.Second)
+		must.False(t, late.isReady())
+		f.net.setCut(false, late.id)
+		f.mustSettle(2, inForceBound)
+		must.Eq(t, []uint64{2}, late.applied)
+	})
+}
+
+// Guards against a head being put in force over a newer one, whichever way it came in.
+func TestTracker_OnlyForward(t *testing.T) {
+	record := func(revision uint64) *headRecord { return &headRecord{head: &Head{Revision: revision}} }
+	tr := newTracker()
+	must.True(t, tr.advance(record(2)))
+	must.False(t, tr.advance(record(1)))
+	must.False(t, tr.advance(record(2)))
+	tr.offer(record(1))
+	must.Nil(t, tr.pending)
+	must.False(t, tr.hear(storeSource, announcement{Revision: 1}, tr.floor(storeSource)))
+	must.True(t, tr.hear("lagging", announcement{Revision: 1}, tr.floor("lagging")))
+	must.False(t, tr.behind())
+	must.True(t, tr.advance(record(3)))
+}
+
+// Guards against a peer that shows an older revision than before being believed.
+func TestDistributor_PeerReverts(t *testing.T) {
+	inBubble(t, 4, 4, func(t *testing.T, f *fleet) {
+		f.publish(2)
+		f.mustSettle(2, inForceBound)
+		time.Sleep(time.Second)
+		value, err := encoder.Marshal(announcement{Revision: 1})
+		must.NoError(t, err)
+		f.nodes[0].mesh.Publish(factHead, value, 0)
+		time.Sleep(time.Second)
+		must.True(t, f.nodes[1].alarmed("config_reverted"))
+		must.Eq(t, 2, f.nodes[1].d.Revision())
+	})
+}
+
+// Guards against an instance that misses changes while it is cut off, and is not told of them when it is back.
+func TestDistributor_CutOffAndBack(t *testing.T) {
+	inBubble(t, 16, 4, func(t *testing.T, f *fleet) {
+		n := f.nodes[3]
+		f.net.setCut(true, n.id)
+		n.store.cut.Store(true)
+		f.publish(2)
+		f.publish(3)
+		time.Sleep(2 * time.Minute)
+		must.Eq(t, []string{n.id + " at 1"}, f.behind(3))
+		n.store.cut.Store(false)
+		f.net.setCut(false, n.id)
+		f.mustSettle(3, inForceBound)
+	})
+}
+
+// Guards against the poll being the only or a missing way: without peers and watches it must still work.
+func TestDistributor_PollAlone(t *testing.T) {
+	inBubble(t, 16, 4, func(t *testing.T, f *fleet) {
+		f.store.set(func(m *memStore) { m.silent = true })
+		for _, n := range f.nodes {
+			n.mesh.net.setCut(true, n.id)
+		}
+		f.publish(2)
+		f.mustSettle(2, 75*time.Second)
+	})
+}
+
+// Guards against content from a peer that does not have its digest.
+func TestDistributor_CorruptPeers(t *testing.T) {
+	inBubble(t, 16, 4, func(t *testing.T, f *fleet) {
+		f.net.mu.Lock()
+		for _, n := range f.nodes {
+			f.net.corrupt[n.id] = true
+		}
+		f.net.mu.Unlock()
+		f.publish(2)
+		f.mustSettle(2, inForceBound)
+		must.True(t, slices.ContainsFunc(f.nodes, func(n *node) bool { return n.alarmed("config_corrupt") }))
+		for _, n := range f.nodes {
+			must.Eq(t, KindPlain, n.d.cache.services(n.d.tracker.inForce.head)[0].Kind)
+		}
+	})
+}
+
+// fault disturbs a fleet and returns the way back.
+type fault struct {
+	name  string
+	begin func(f *fleet) (end func())
+}
+
+func storeFault(set func(*memStore, bool)) func(*fleet) func() {
+	return func(f *fleet) func() {
+		f.store.set(func(m *memStore) { set(m, true) })
+		return func() { f.store.set(func(m *memStore) { set(m, false) }) }
+	}
+}
+
+func faults(old objstore.Object) []fault {
+	return []fault{
+		{"none", func(*fleet) func() { return func() {} }},
+		{"store down", storeFault(func(m *memStore, on bool) { m.down = on })},
+		{"store slow", storeFault(func(m *memStore, on bool) {
+			m.slow = 0
+			if on {
+				m.slow = time.Second
+			}
+		})},
+		{"silent watches", storeFault(func(m *memStore, on bool) { m.silent = on })},
+		{"old revision", storeFault(func(m *memStore, on bool) {
+			m.stale = nil
+			if on {
+				m.stale = &old
+			}
+		})},
+		{"domain cut off", func(f *fleet) func() {
+			var cut []*node
+			for _, n := range f.nodes {
+				if n.mesh.self.FailureDomain == "fd0" {
+					cut = append(cut, n)
+				}
+			}
+			set := func(on bool) {
+				for _, n := range cut {
+					n.store.cut.Store(on)
+					f.net.setCut(on, n.id)
+				}
+			}
+			set(true)
+			return func() { set(false) }
+		}},
+		{"process ended", func(f *fleet) func() {
+			n := f.nodes[1]
+			n.stop()
+			f.net.mu.Lock()
+			n.mesh.down = true
+			f.net.mu.Unlock()
+			f.nodes = slices.Delete(f.nodes, 1, 2)
+			return func() { f.run(f.add("fd1")) }
+		}},
+	}
+}
+
+// Guards against faults that keep a configuration from coming into force once they are over, alone or two at a
+// time, and against an instance that goes back meanwhile.
+func TestDistributor_FaultsAloneAndInPairs(t *testing.T) {
+	count := len(faults(objstore.Object{}))
+	for i := range count {
+		for j := i + 1; j < count; j++ {
+			inBubble(t, 8, 4, func(t *testing.T, f *fleet) {
+				old, err := f.store.Get(t.Context(), HeadKey)
+				must.NoError(t, err)
+				f.publish(2)
+				f.mustSettle(2, inForceBound)
+				first, second := faults(old)[i], faults(old)[j]
+				end1 := first.begin(f)
+				time.Sleep(3 * time.Second)
+				end2 := second.begin(f)
+				f.publish(3)
+				time.Sleep(20 * time.Second)
+				end1()
+				end2()
+				_, ok := f.settled(3, inForceBound)
+				must.True(t, ok, must.Sprintf("%s and %s: %v", first.name, second.name, f.behind(3)))
+				f.publish(4)
+				_, ok = f.settled(4, inForceBound)
+				must.True(t, ok, must.Sprintf("after %s and %s: %v", first.name, second.name, f.behind(4)))
+			})
+		}
+	}
+}
--- a/config/fakes_test.go
+++ b/config/fakes_test.go
@@ -1,12 +1,18 @@
 package config
 
 import (
+	"bytes"
 	"context"
+	"errors"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/trefoillug/trefoillug/objstore"
+	"github.com/trefoillug/trefoillug/peer"
 )
 
 // memStore is an objstore.Store in memory with the faults of the platform's object API.
@@ -15,6 +21,7 @@
 	objects   map[string]objstore.Object
 	changed   chan struct{}
 	down      bool
+	slow      time.Duration    // delay of a read
 	silent    bool             // new and waiting watches get no answer; those waiting stay so
 	stale     *objstore.Object // shown for the head in place of the current one
 	loseNext  int              // next writes of the head that take effect without an answer
@@ -53,7 +60,13 @@
 	return o, nil
 }
 
-func (m *memStore) Get(_ context.Context, key string) (objstore.Object, error) {
+func (m *memStore) Get(ctx context.Context, key string) (objstore.Object, error) {
+	m.mu.Lock()
+	slow := m.slow
+	m.mu.Unlock()
+	if slow > 0 && !pause(ctx, slow) {
+		return objstore.Object{}, objstore.ErrUnavailable
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.calls++
@@ -116,3 +129,136 @@
 		}
 	}
 }
+
+// nodeStore is one instance's access to the store, which can be cut.
+type nodeStore struct {
+	*memStore
+	cut atomic.Bool
+}
+
+func (s *nodeStore) Get(ctx context.Context, key string) (objstore.Object, error) {
+	if s.cut.Load() {
+		return objstore.Object{}, objstore.ErrUnavailable
+	}
+	return s.memStore.Get(ctx, key)
+}
+
+func (s *nodeStore) Watch(ctx context.Context, key string, after uint64) (objstore.Object, error) {
+	if s.cut.Load() {
+		return objstore.Object{}, objstore.ErrUnavailable
+	}
+	return s.memStore.Watch(ctx, key, after)
+}
+
+// memNet connects fake meshes. Facts and calls take the latency.
+type memNet struct {
+	mu      sync.Mutex
+	latency time.Duration
+	nodes   []*memMesh
+	corrupt map[string]bool // members whose answers to object calls are altered
+}
+
+// memMesh is a peer.Mesh in memory.
+type memMesh struct {
+	net      *memNet
+	self     peer.Member
+	cut      bool
+	down     bool // the process has ended
+	subs     []func(peer.Fact)
+	handlers map[string]peer.Handler
+	fact     peer.Fact
+}
+
+func (n *memNet) join(m peer.Member) *memMesh {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	mesh := &memMesh{net: n, self: m, handlers: map[string]peer.Handler{}}
+	n.nodes = append(n.nodes, mesh)
+	return mesh
+}
+
+// setCut cuts members off or reconnects them; a reconnected member exchanges its facts with the others.
+func (n *memNet) setCut(cut bool, ids ...string) {
+	n.mu.Lock()
+	for _, m := range n.nodes {
+		if slices.Contains(ids, m.self.ID) {
+			m.cut = cut
+		}
+	}
+	nodes := slices.Clone(n.nodes)
+	n.mu.Unlock()
+	for _, from := range nodes {
+		for _, to := range nodes {
+			if slices.Contains(ids, from.self.ID) || slices.Contains(ids, to.self.ID) {
+				n.deliver(from, to)
+			}
+		}
+	}
+}
+
+func (n *memNet) deliver(from, to *memMesh) {
+	n.mu.Lock()
+	fact, subs := from.fact, to.subs
+	ok := n.linked(from, to) && from != to && fact.Version > 0
+	n.mu.Unlock()
+	if !ok {
+		return
+	}
+	time.AfterFunc(n.latency, func() {
+		for _, fn := range subs {
+			fn(fact)
+		}
+	})
+}
+
+// linked expects the lock to be held.
+func (n *memNet) linked(a, b *memMesh) bool {
+	return a == b || !a.cut && !b.cut && !a.down && !b.down
+}
+
+func (m *memMesh) Self() peer.Member { return m.self }
+
+func (m *memMesh) Members() []peer.Member {
+	m.net.mu.Lock()
+	defer m.net.mu.Unlock()
+	var members []peer.Member
+	for _, other := range m.net.nodes {
+		if m.net.linked(m, other) {
+			members = append(members, other.self)
+		}
+	}
+	return members
+}
+
+func (m *memMesh) Publish(key string, value []byte, _ time.Duration) {
+	m.net.mu.Lock()
+	m.fact = peer.Fact{Origin: m.self.ID, Key: key, Version: m.fact.Version + 1, Value: value}
+	nodes := slices.Clone(m.net.nodes)
+	m.net.mu.Unlock()
+	for _, to := range nodes {
+		m.net.deliver(m, to)
+	}
+}
+
+func (m *memMesh) Subscribe(_ string, fn func(peer.Fact)) { m.subs = append(m.subs, fn) }
+
+func (m *memMesh) Handle(kind string, h peer.Handler) { m.handlers[kind] = h }
+
+func (m *memMesh) Call(ctx context.Context, member, kind string, body []byte) ([]byte, error) {
+	if !pause(ctx, 2*m.net.latency) {
+		return nil, ctx.Err()
+	}
+	m.net.mu.Lock()
+	i := slices.IndexFunc(m.net.nodes, func(o *memMesh) bool { return o.self.ID == member && m.net.linked(m, o) })
+	corrupt := m.net.corrupt[member] && kind == callObjects
+	nodes := m.net.nodes
+	m.net.mu.Unlock()
+	if i < 0 {
+		return nil, errors.New("member not reachable")
+	}
+	answer, err := nodes[i].handlers[kind](ctx, m.self.ID, body)
+	if corrupt && len(answer) > 0 {
+		answer = bytes.Replace(answer, []byte("plain"), []byte("model"), 1)
+	}
+	return answer, err
+}
