--- a/config/fakes_test.go
+++ b/config/fakes_test.go
@@ -167,6 +167,7 @@
 	subs     []func(peer.Fact)
 	handlers map[string]peer.Handler
 	fact     peer.Fact
+	served   atomic.Int64 // bytes of answers to calls
 }
 
 func (n *memNet) join(m peer.Member) *memMesh {
@@ -257,8 +258,23 @@
 		return nil, errors.New("member not reachable")
 	}
 	answer, err := nodes[i].handlers[kind](ctx, m.self.ID, body)
+	nodes[i].served.Add(int64(len(answer)))
 	if corrupt && len(answer) > 0 {
 		answer = bytes.Replace(answer, []byte("plain"), []byte("model"), 1)
 	}
 	return answer, err
 }
+
+func (n *memNet) servedBytes() []int64 {
+	var served []int64
+	for _, m := range n.nodes {
+		served = append(served, m.served.Load())
+	}
+	return served
+}
+
+func (n *memNet) resetServed() {
+	for _, m := range n.nodes {
+		m.served.Store(0)
+	}
+}
