--- /dev/null
+++ b/move/model_test.go
@@ -0,0 +1,354 @@
+package move
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/trefoillug/trefoillug/config"
+	"github.com/trefoillug/trefoillug/table"
+)
+
+const modelTick = 500 * time.Millisecond
+
+var modelStart = time.Unix(1_700_000_000, 0)
+
+// scenario is a kind of version and of circumstances for the model.
+type scenario struct {
+	name    string
+	bad     bool
+	rate    float64       // requests a second over all instances
+	fail    float64       // failure rate of both versions
+	extra   float64       // further failure rate of the new version
+	slow    float64       // latency factor of the new version; 0: 1
+	onset   time.Duration // of the fault after the start
+	load    int           // the fault shows from this load on
+	route   int           // the fault shows on this route only; -1: on all
+	wave    bool          // a reclaim wave in the middle: lost attempts, more load
+	stages  []config.Stage
+	pause   [2]time.Duration // instance 3 stands still
+	split   [2]time.Duration // instances 0 to 3 don't reach 4 to 7
+	store   [2]time.Duration // the store is down
+	restart time.Duration    // instance 5 restarts with a new epoch
+}
+
+var modelRoutes = []struct {
+	name string
+	part float64
+	base time.Duration // median first token
+}{{"review", 0.3, 600 * time.Millisecond}, {"answer", 0.6, 200 * time.Millisecond}, {"tag", 0.1, 100 * time.Millisecond}}
+
+// result is what a run measured.
+type result struct {
+	badPart     float64       // part of all requests up to the deadline on the new version
+	toZero      time.Duration // from the first faulty attempt to zero share at the last instance; -1: never
+	outcome     Outcome       // recorded; empty: none
+	settled     time.Duration // after the start
+	onTime      bool          // done and all traffic moved by the deadline
+	movedBack   bool
+	factBytes   int // largest fact
+	shareAtHalf float64
+}
+
+type message struct {
+	at     time.Time
+	origin int
+	fact   Fact
+}
+
+// model drives eight systems with seeded arrivals, versions, message delays and a store.
+type model struct {
+	sc      scenario
+	rng     *rand.Rand
+	now     time.Time
+	length  time.Duration
+	svc     *config.Service
+	systems []*System
+	shares  []float64
+	inbox   [][]message
+	objects map[Object]*Record
+	ids     []string
+	res     result
+	total   int
+	onNew   int
+	fault   time.Time
+	lastHot time.Time // last tick with a share after the fault
+	offered [sides]float64
+	fixed   *fixedSteps // replaces the systems when set
+}
+
+func newModel(sc scenario, seed uint64, length time.Duration) *model {
+	m := &model{sc: sc, rng: rand.New(rand.NewPCG(seed, 99)), now: modelStart, length: length, objects: map[Object]*Record{}}
+	m.svc = &config.Service{Name: "quotes", Serve: "v1", Move: &config.Move{ID: "m1", From: "v1", To: "v2",
+		Start: modelStart, Deadline: modelStart.Add(length), Stages: sc.stages}}
+	for _, r := range modelRoutes {
+		m.svc.Routes = append(m.svc.Routes, config.Route{Name: r.name})
+	}
+	for i := range 8 {
+		m.ids = append(m.ids, fmt.Sprint("n", i))
+	}
+	for i := range 8 {
+		m.systems = append(m.systems, m.start(i, 1))
+	}
+	m.shares, m.inbox = make([]float64, 8), make([][]message, 8)
+	m.res.toZero = -1
+	return m
+}
+
+func (m *model) start(i int, epoch uint64) *System {
+	s := New(Settings{Self: m.ids[i], Epoch: epoch})
+	s.SetMembers(m.ids)
+	s.Configure(m.now, m.svc)
+	return s
+}
+
+func (m *model) elapsed() time.Duration { return m.now.Sub(modelStart) }
+
+func (m *model) within(w [2]time.Duration) bool { return m.elapsed() >= w[0] && m.elapsed() < w[1] }
+
+func (m *model) inWave() bool {
+	return m.sc.wave && m.within([2]time.Duration{m.length / 3, m.length/3 + 90*time.Second})
+}
+
+// run advances the model to the end of the watch period, each tick observed by look when given.
+func (m *model) run(look func()) result {
+	end := modelStart.Add(m.length * 3 / 2)
+	for ; m.now.Before(end); m.now = m.now.Add(modelTick) {
+		m.arrivals()
+		if m.fixed != nil {
+			m.fixed.tick(m)
+		} else {
+			m.tick()
+		}
+		m.measure()
+		if look != nil {
+			look()
+		}
+	}
+	return m.finish()
+}
+
+func (m *model) arrivals() {
+	mean := m.sc.rate * modelTick.Seconds() / 8
+	var count [sides]float64
+	for i := range m.systems {
+		for range m.poisson(mean) {
+			s := oldSide
+			if m.rng.Float64() < m.shares[i] {
+				s = newSide
+			}
+			count[s]++
+			m.attempt(i, s)
+		}
+	}
+	for s := range count {
+		m.offered[s] = 0.8*m.offered[s] + 0.2*count[s]/modelTick.Seconds()
+	}
+}
+
+func (m *model) attempt(i int, s side) {
+	route := m.route()
+	// Each version has eight endpoints, and a request takes 1.5 s.
+	load := m.poisson(m.offered[s] * 1.5 / 8)
+	if m.inWave() {
+		load += m.poisson(3)
+	}
+	r := Result{Service: "quotes", Version: []string{"v1", "v2"}[s], Route: modelRoutes[route].name, Load: load}
+	faulty := s == newSide && m.sc.bad && m.elapsed() >= m.sc.onset && load >= m.sc.load &&
+		(m.sc.route < 0 || m.sc.route == route)
+	fail, slow := m.sc.fail, 1+0.06*float64(load)
+	if faulty {
+		fail += m.sc.extra
+		slow *= max(m.sc.slow, 1)
+		if m.fault.IsZero() {
+			m.fault = m.now
+		}
+	}
+	r.FirstToken = time.Duration(float64(modelRoutes[route].base) * slow * math.Exp(0.5*m.rng.NormFloat64()))
+	r.PerToken = time.Duration(float64(15*time.Millisecond) * slow * math.Exp(0.25*m.rng.NormFloat64()))
+	if m.rng.Float64() < fail {
+		r.Outcome = Failed
+	}
+	if m.inWave() && m.rng.Float64() < 0.2 {
+		r.Outcome = Excluded
+	}
+	if m.elapsed() < m.length {
+		m.total++
+		m.onNew += int(s)
+	}
+	if m.fixed != nil {
+		m.fixed.observe(s, r)
+	} else if i != 3 || !m.within(m.sc.pause) {
+		m.systems[i].Observe(m.now, r)
+	}
+}
+
+func (m *model) route() int {
+	x := m.rng.Float64()
+	for i, r := range modelRoutes {
+		if x -= r.part; x < 0 {
+			return i
+		}
+	}
+	return 0
+}
+
+func (m *model) poisson(mean float64) int {
+	n, p, limit := 0, 1.0, math.Exp(-mean)
+	for {
+		if p *= m.rng.Float64(); p < limit {
+			return n
+		}
+		n++
+	}
+}
+
+func (m *model) tick() {
+	if m.sc.restart > 0 && m.elapsed() == m.sc.restart {
+		m.systems[5] = m.start(5, 2)
+	}
+	for i, s := range m.systems {
+		if i == 3 && m.within(m.sc.pause) {
+			continue
+		}
+		m.deliver(i)
+		out := s.Tick(m.now)
+		m.shares[i] = part(out.Shares["quotes"], "v2")
+		m.send(i, out.Facts)
+		m.serve(s, out)
+	}
+}
+
+func part(shares []table.Share, version string) float64 {
+	for _, s := range shares {
+		if s.Version == version {
+			return s.Part
+		}
+	}
+	return 0
+}
+
+func (m *model) deliver(i int) {
+	keep := m.inbox[i][:0]
+	for _, msg := range m.inbox[i] {
+		if msg.at.After(m.now) {
+			keep = append(keep, msg)
+			continue
+		}
+		if err := m.systems[i].Receive(m.now, m.ids[msg.origin], msg.fact.Key, msg.fact.Value); err != nil {
+			panic(err)
+		}
+	}
+	m.inbox[i] = keep
+}
+
+// send delays facts by up to a second; a partition holds them until it ends.
+func (m *model) send(from int, facts []Fact) {
+	for _, f := range facts {
+		m.res.factBytes = max(m.res.factBytes, len(f.Value))
+		for to := range m.systems {
+			if to == from {
+				continue
+			}
+			at := m.now.Add(time.Duration(m.rng.Int64N(int64(time.Second))))
+			if m.within(m.sc.split) && (from < 4) != (to < 4) {
+				at = at.Add(m.sc.split[1] - m.elapsed())
+			}
+			m.inbox[to] = append(m.inbox[to], message{at, from, f})
+		}
+	}
+}
+
+func (m *model) serve(s *System, out Output) {
+	if m.within(m.sc.store) {
+		return
+	}
+	for _, p := range out.Proposals {
+		o := Object{Service: p.Service, Move: p.Move}
+		if m.objects[o] == nil {
+			m.objects[o] = &p
+			if p.Move == "m1" {
+				m.res.settled = m.elapsed()
+			}
+		}
+		s.Recorded(m.now, o, m.objects[o])
+	}
+	for _, o := range out.Reads {
+		s.Recorded(m.now, o, m.objects[o])
+	}
+}
+
+func (m *model) measure() {
+	hot := 0.0
+	for _, s := range m.shares {
+		hot = max(hot, s)
+	}
+	if !m.fault.IsZero() && hot > 0 {
+		m.lastHot = m.now
+	}
+	if m.elapsed() == m.length/2 {
+		m.res.shareAtHalf = hot
+	}
+	if m.elapsed() == m.length {
+		m.res.onTime = true
+		for _, s := range m.shares {
+			m.res.onTime = m.res.onTime && s == 1
+		}
+	}
+}
+
+func (m *model) finish() result {
+	r := &m.res
+	r.badPart = float64(m.onNew) / float64(max(m.total, 1))
+	if rec := m.objects[Object{"quotes", "m1"}]; rec != nil {
+		r.outcome = rec.Outcome
+	}
+	r.movedBack = m.objects[Object{"quotes", "m1-back"}] != nil
+	r.onTime = r.onTime && r.outcome == Done && !r.movedBack && r.settled <= m.length
+	if hot := m.lastHot; !m.fault.IsZero() && m.now.Sub(hot) > 2*modelTick {
+		r.toZero = hot.Add(modelTick).Sub(m.fault)
+	}
+	return *r
+}
+
+// fixedSteps is the baseline: stage times are fixed, and only the failure rate at the end of a stage rolls back.
+type fixedSteps struct {
+	failed, n int
+	stage     int
+	back      bool
+}
+
+var fixedShares = [...]float64{0.05, 0.25, 0.5, 1}
+
+func (f *fixedSteps) observe(s side, r Result) {
+	if s == newSide && r.Outcome != Excluded {
+		f.n++
+		if r.Outcome == Failed {
+			f.failed++
+		}
+	}
+}
+
+func (f *fixedSteps) tick(m *model) {
+	stage := min(int(4*m.elapsed()/m.length), len(fixedShares)-1)
+	over := m.elapsed() >= m.length
+	if stage != f.stage || over && m.objects[Object{"quotes", "m1"}] == nil {
+		f.back = f.back || f.n > 0 && float64(f.failed)/float64(f.n) > 0.05
+		f.stage, f.failed, f.n = stage, 0, 0
+	}
+	outcome := Done
+	if f.back {
+		outcome = RolledBack
+	}
+	if (over || f.back) && m.objects[Object{"quotes", "m1"}] == nil {
+		m.objects[Object{"quotes", "m1"}] = &Record{Outcome: outcome}
+		m.res.settled = m.elapsed()
+	}
+	for i := range m.shares {
+		m.shares[i] = fixedShares[stage]
+		if f.back {
+			m.shares[i] = 0
+		}
+	}
+}
--- /dev/null
+++ b/move/policy_test.go
@@ -0,0 +1,122 @@
+package move
+
+import (
+	"flag"
+	"fmt"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+var (
+	seeds = flag.Int("seeds", 4, "seeds for each case of the move experiment")
+	base  = flag.Uint64("seed", 1, "first seed of the move experiment")
+)
+
+const modelLength = 20 * time.Minute
+
+var cases = []scenario{
+	{name: "fails at once, all", bad: true, rate: 32, fail: 0.005, extra: 1, route: -1},
+	{name: "fails at once, 5 points", bad: true, rate: 32, fail: 0.01, extra: 0.05, route: -1},
+	{name: "fails later, 30 points", bad: true, rate: 32, fail: 0.005, extra: 0.3, onset: 8 * time.Minute, route: -1},
+	{name: "fails after done, 30 points", bad: true, rate: 32, fail: 0.005, extra: 0.3, onset: 18 * time.Minute, route: -1},
+	{name: "fails under load, 20 points", bad: true, rate: 32, fail: 0.005, extra: 0.2, load: 6, route: -1},
+	{name: "fails on one route, 10 points", bad: true, rate: 32, fail: 0.005, extra: 0.1, route: 2},
+	{name: "1.5 times slower", bad: true, rate: 32, fail: 0.005, slow: 1.5, route: -1},
+	{name: "good", rate: 32, fail: 0.005},
+	{name: "good, noisy", rate: 32, fail: 0.04},
+	{name: "good, reclaim wave", rate: 32, fail: 0.01, wave: true},
+	{name: "good, little traffic", rate: 0.3, fail: 0.005},
+	{name: "good, store down 2 to 16 min", rate: 32, fail: 0.005, store: [2]time.Duration{2 * time.Minute, 16 * time.Minute}},
+}
+
+// summary gathers the runs of a case under one policy.
+type summary struct {
+	runs, back, late, onTime, unsettled int
+	part                                float64
+	toZero                              []time.Duration
+	bytes                               int
+}
+
+func (s *summary) add(r result) {
+	s.runs++
+	s.part += r.badPart
+	s.bytes = max(s.bytes, r.factBytes)
+	if r.outcome == RolledBack || r.movedBack {
+		s.back++
+	}
+	if r.outcome == "" {
+		s.unsettled++
+	}
+	if r.outcome != "" && r.settled > modelLength {
+		s.late++
+	}
+	if r.onTime {
+		s.onTime++
+	}
+	if r.toZero >= 0 {
+		s.toZero = append(s.toZero, r.toZero)
+	}
+}
+
+func (s *summary) row(name, policy string) string {
+	slices.Sort(s.toZero)
+	zero := "-"
+	if n := len(s.toZero); n > 0 {
+		zero = fmt.Sprintf("%.0f / %.0f / %.0f", s.toZero[n/2].Seconds(), s.toZero[n*95/100].Seconds(), s.toZero[n-1].Seconds())
+	}
+	return fmt.Sprintf("| %s | %s | %.2f%% | %s | %d of %d | %d of %d |", name, policy, 100*s.part/float64(s.runs), zero,
+		s.back, s.runs, s.onTime, s.runs)
+}
+
+// experiment runs a case over all seeds on half of the cores.
+func experiment(sc scenario, fixed bool) *summary {
+	var wg sync.WaitGroup
+	results := make([]result, *seeds)
+	slots := make(chan struct{}, min(4, max(1, runtime.GOMAXPROCS(0)/2)))
+	for i := range results {
+		wg.Go(func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			m := newModel(sc, *base+uint64(i), modelLength)
+			if fixed {
+				m.fixed = &fixedSteps{}
+			}
+			results[i] = m.run(nil)
+		})
+	}
+	wg.Wait()
+	sum := &summary{}
+	for _, r := range results {
+		sum.add(r)
+	}
+	return sum
+}
+
+// Guards against bad versions that are kept, good versions that are rolled back or late, and settlements after the
+// deadline, within the stated error rates.
+func TestMove_StatedErrorRates(t *testing.T) {
+	rows := []string{"| case | policy | traffic on the new version | fault to zero share, median / p95 / max (s) | rolled back | done on time |",
+		"|---|---|---|---|---|---|"}
+	var good, lost, bytes int
+	for _, sc := range cases {
+		ours := experiment(sc, false)
+		rows = append(rows, ours.row(sc.name, "evidence"), experiment(sc, true).row(sc.name, "fixed steps"))
+		bytes = max(bytes, ours.bytes)
+		must.Eq(t, 0, ours.unsettled, must.Sprint(sc.name))
+		must.Eq(t, 0, ours.late, must.Sprint(sc.name))
+		if sc.bad {
+			must.LessEq(t, ours.runs/20, ours.runs-ours.back, must.Sprint(sc.name))
+			continue
+		}
+		good += ours.runs
+		lost += ours.runs - ours.onTime
+	}
+	t.Logf("%d seeds from %d, largest fact %d bytes\n%s", *seeds, *base, bytes, strings.Join(rows, "\n"))
+	must.LessEq(t, good/100, lost)
+}
