Test the request path against the losses it must survive

Real handlers over loopback: endpoints and failure domains leaving with streams, entry instances reclaimed and killed, disturbed events, silent and broken connections, lost answers of calls that run once, bad input.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -29,6 +29,13 @@
 	return strings.TrimPrefix(srv.URL, "http://")
 }
 
+func forward(t *testing.T, target string) *standin.Forwarder {
+	f, err := standin.NewForwarder(target)
+	must.NoError(t, err)
+	t.Cleanup(f.Close)
+	return f
+}
+
 func streamCall(e *table.Endpoint, id string, tokens int) *dispatch.StreamCall {
 	body, _ := json.Marshal(engine.ChatRequest{Messages: []engine.Message{{Content: "fold the linen"}}, MaxTokens: tokens, Seed: 7, Stream: true})
 	return &dispatch.StreamCall{Endpoint: e, RequestID: id, AttemptID: id + "-1", Body: body}
@@ -72,8 +79,8 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			e := standin.NewEngine(standin.EngineConfig{DecodeStep: 10 * time.Millisecond})
-			f := newForwarder(t, serve(t, e))
-			ep := endpoint(f.address())
+			f := forward(t, serve(t, e))
+			ep := endpoint(f.Address())
 			client := dispatch.New(dispatch.Settings{})
 			results := make(chan dispatch.Result, 8)
 			for i := range cap(results) {
@@ -82,17 +89,17 @@
 				}()
 			}
 			time.Sleep(200 * time.Millisecond)
-			f.silence(ways[0], ways[1])
+			f.Silence(ways[0], ways[1])
 			start := time.Now()
 			for range cap(results) {
 				must.Eq(t, dispatch.Silent, (<-results).End)
 			}
 			must.Less(t, 3*time.Second, time.Since(start))
 			must.Greater(t, 1, ep.Live.Generation.Load())
-			before := f.accepted.Load()
+			before := f.Accepted()
 			r := client.Stream(t.Context(), streamCall(ep, "z", 3), func(*engine.StreamEvent) error { return nil })
 			must.Eq(t, dispatch.Complete, r.End)
-			must.Eq(t, before+1, f.accepted.Load())
+			must.Eq(t, before+1, f.Accepted())
 		})
 	}
 }
@@ -116,16 +123,16 @@
 // Guards against attempts that hang when the connections they share a path with break.
 func TestStream_ConnectionsBreak(t *testing.T) {
 	e := standin.NewEngine(standin.EngineConfig{DecodeStep: 10 * time.Millisecond})
-	f := newForwarder(t, serve(t, e))
+	f := forward(t, serve(t, e))
 	client := dispatch.New(dispatch.Settings{})
 	results := make(chan dispatch.Result, 20)
 	for i := range cap(results) {
 		go func() {
-			results <- client.Stream(context.Background(), streamCall(endpoint(f.address()), string(rune('a'+i)), 2000), func(*engine.StreamEvent) error { return nil })
+			results <- client.Stream(context.Background(), streamCall(endpoint(f.Address()), string(rune('a'+i)), 2000), func(*engine.StreamEvent) error { return nil })
 		}()
 	}
 	time.Sleep(200 * time.Millisecond)
-	f.cut()
+	f.Cut()
 	for range cap(results) {
 		r := <-results
 		must.Eq(t, dispatch.Lost, r.End)
--- /dev/null
+++ b/relay/fakes_test.go
@@ -0,0 +1,130 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/trefoillug/trefoillug/peer"
+	"github.com/trefoillug/trefoillug/problem"
+)
+
+// network connects fake meshes of the relays in one test process.
+type network struct {
+	mu      sync.Mutex
+	members map[string]*fakeMesh
+}
+
+type fakeMesh struct {
+	net      *network
+	self     peer.Member
+	dead     bool
+	handlers map[string]peer.Handler
+}
+
+func (n *network) join(id, domain string) *fakeMesh {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.members == nil {
+		n.members = map[string]*fakeMesh{}
+	}
+	m := &fakeMesh{net: n, self: peer.Member{ID: id, FailureDomain: domain}, handlers: map[string]peer.Handler{}}
+	n.members[id] = m
+	return m
+}
+
+func (m *fakeMesh) kill() {
+	m.net.mu.Lock()
+	defer m.net.mu.Unlock()
+	m.dead = true
+}
+
+func (m *fakeMesh) Self() peer.Member { return m.self }
+
+func (m *fakeMesh) Members() (out []peer.Member) {
+	m.net.mu.Lock()
+	defer m.net.mu.Unlock()
+	for _, o := range m.net.members {
+		if !o.dead {
+			out = append(out, o.self)
+		}
+	}
+	slices.SortFunc(out, func(a, b peer.Member) int { return bytes.Compare([]byte(a.ID), []byte(b.ID)) })
+	return out
+}
+
+func (m *fakeMesh) Publish(string, []byte, time.Duration) {}
+func (m *fakeMesh) Subscribe(string, func(peer.Fact))     {}
+func (m *fakeMesh) Handle(kind string, h peer.Handler)    { m.handlers[kind] = h }
+func (n *network) find(id string) (*fakeMesh, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	o, ok := n.members[id]
+	return o, ok && !o.dead
+}
+
+func (m *fakeMesh) Call(ctx context.Context, member, kind string, body []byte) ([]byte, error) {
+	o, ok := m.net.find(member)
+	if !ok {
+		return nil, errors.New("member unreachable")
+	}
+	answer, err := o.handlers[kind](ctx, m.self.ID, body)
+	if _, ok := m.net.find(member); !ok {
+		return nil, errors.New("member unreachable")
+	}
+	return answer, err
+}
+
+// memoryClaims is a Claimer in memory.
+type memoryClaims struct {
+	mu     sync.Mutex
+	claims map[string]*memoryClaim
+}
+
+type memoryClaim struct {
+	body  []byte
+	state Claim
+}
+
+func newMemoryClaims() *memoryClaims { return &memoryClaims{claims: map[string]*memoryClaim{}} }
+
+func (m *memoryClaims) Claim(_ context.Context, call *Call) (Claim, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c, ok := m.claims[call.Key]
+	if !ok {
+		m.claims[call.Key] = &memoryClaim{body: call.Body, state: Claim{State: ClaimPending}}
+		return Claim{State: ClaimGranted}, nil
+	}
+	if !bytes.Equal(c.body, call.Body) {
+		return Claim{}, problem.New(problem.KeyReused, "key %s was used with another body", call.Key)
+	}
+	return c.state, nil
+}
+
+func (m *memoryClaims) Complete(call *Call, answer Recorded) {
+	m.set(call, Claim{State: ClaimRecorded, Answer: &answer})
+}
+
+func (m *memoryClaims) MarkUnknown(call *Call) { m.set(call, Claim{State: ClaimUnknown}) }
+
+func (m *memoryClaims) Release(call *Call) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.claims, call.Key)
+}
+
+func (m *memoryClaims) set(call *Call, c Claim) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.claims[call.Key].state = c
+}
+
+// suspects is a Quarantine with fixed content.
+type suspects struct{ isolate, quarantined bool }
+
+func (s suspects) IsQuarantined(uint64) bool { return s.quarantined }
+func (s suspects) MustIsolate(uint64) bool   { return s.isolate }
--- /dev/null
+++ b/relay/handover_test.go
@@ -0,0 +1,164 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/trefoillug/trefoillug/standin"
+)
+
+// entries starts relays in three failure domains that know each other.
+func (w *world) entries() (relays []*Relay, urls []string, meshes []*fakeMesh) {
+	n := &network{}
+	for i := range 3 {
+		id, domain := fmt.Sprint("e", i+1), fmt.Sprint("fd", i+1)
+		m := n.join(id, domain)
+		r, url := w.relay(Config{Instance: id, FailureDomain: domain, Mesh: m})
+		relays, urls, meshes = append(relays, r), append(urls, url), append(meshes, m)
+	}
+	return relays, urls, meshes
+}
+
+// beginStream starts a stream, reads n of its events and returns the text, the last event ID and the rest.
+func beginStream(t *testing.T, url, prompt string, tokens, n int) (reply, string, *bufio.Scanner) {
+	t.Helper()
+	resp, err := http.Post(url+"/v1/chat/completions", "application/json", strings.NewReader(chatBody(prompt, tokens, true)))
+	must.NoError(t, err)
+	t.Cleanup(func() { resp.Body.Close() })
+	lines, last := bufio.NewScanner(resp.Body), ""
+	var head reply
+	for n > 0 && lines.Scan() {
+		head.body += lines.Text() + "\n"
+		if id, ok := strings.CutPrefix(lines.Text(), "id: "); ok {
+			last = id
+		}
+		if strings.HasPrefix(lines.Text(), "data: ") {
+			n--
+		}
+	}
+	return head, last, lines
+}
+
+// Guards against streams lost with a reclaimed entry instance: the caller re-attaches at each other instance and gets
+// the rest of the answer, and the engine's cache is used again.
+func TestDrain_ReclaimHandsOver(t *testing.T) {
+	w := newWorld(t)
+	a := w.engine("a", "fd1", slow)
+	relays, urls, meshes := w.entries()
+	head, last, rest := beginStream(t, urls[0], "review", 200, 40)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	must.NoError(t, relays[0].Drain(ctx, DrainReclaim))
+	moved := ""
+	for rest.Scan() {
+		if id, ok := strings.CutPrefix(rest.Text(), "id: "); ok {
+			last = id
+		}
+		if rest.Text() == "event: moved" {
+			moved = rest.Text()
+		}
+		head.body += rest.Text() + "\n"
+	}
+	must.Eq(t, "event: moved", moved)
+	meshes[0].kill()
+	id, _, _ := strings.Cut(last, "/")
+	for _, url := range urls[1:] {
+		tail := send("GET", url+"/v1/requests/"+id, "", "Last-Event-ID", last)
+		must.Eq(t, 200, tail.status, must.Sprint(tail.body))
+		must.Eq(t, standin.EngineText(7, "review", 200), head.text()+tail.text())
+		must.StrContains(t, tail.body, "data: [DONE]")
+	}
+	// The engine's prefix cache holds whole blocks of 16 tokens, so less than a block is computed again.
+	must.Less(t, 16, a.Counts().Recomputed)
+}
+
+// Guards against a caller without streaming that loses its answer with a reclaimed entry instance.
+func TestDrain_ReclaimRedirectsJSON(t *testing.T) {
+	w := newWorld(t)
+	w.engine("a", "fd1", slow)
+	relays, urls, _ := w.entries()
+	answer := make(chan reply, 1)
+	go func() { answer <- send("POST", urls[0]+"/v1/chat/completions", chatBody("tag", 100, false)) }()
+	time.Sleep(100 * time.Millisecond)
+	must.NoError(t, relays[0].Drain(t.Context(), DrainReclaim))
+	first := <-answer
+	must.Eq(t, http.StatusSeeOther, first.status)
+	r := send("GET", urls[1]+first.header.Get("Location"), "")
+	must.StrContains(t, r.body, standin.EngineText(7, "tag", 100))
+}
+
+// Guards against a planned stop that cuts or hands over a stream or refuses a request that still arrives.
+func TestDrain_PlannedCutsNothing(t *testing.T) {
+	w := newWorld(t)
+	w.engine("a", "fd1", slow)
+	relays, urls, _ := w.entries()
+	answers := make(chan reply, 2)
+	go func() { answers <- chat(urls[0], "review", 150) }()
+	time.Sleep(100 * time.Millisecond)
+	go func() { time.Sleep(200 * time.Millisecond); answers <- chat(urls[0], "review", 150) }()
+	must.NoError(t, relays[0].Drain(t.Context(), DrainPlanned))
+	for range 2 {
+		mustWhole(t, <-answers, "review", 150)
+	}
+}
+
+// Guards against a caller that can't go on after its entry instance was killed: it repeats the POST elsewhere.
+func TestKilledEntry_PostRepeated(t *testing.T) {
+	w := newWorld(t)
+	w.engine("a", "fd1", slow)
+	_, urls, meshes := w.entries()
+	head, last, _ := beginStream(t, urls[0], "review", 100, 30)
+	meshes[0].kill()
+	id, _, _ := strings.Cut(last, "/")
+	r := send("GET", urls[1]+"/v1/requests/"+id, "", "Last-Event-ID", last)
+	must.Eq(t, 404, r.status)
+	must.StrContains(t, r.body, `"kind":"unknown_request"`)
+	tail := send("POST", urls[2]+"/v1/chat/completions", chatBody("review", 100, true), "Last-Event-ID", last)
+	must.Eq(t, 200, tail.status)
+	must.Eq(t, standin.EngineText(7, "review", 100), head.text()+tail.text())
+}
+
+// Guards against a seed that differs between instances, with which a repeated POST would continue another answer.
+func TestKilledEntry_SeedFollowsRequestID(t *testing.T) {
+	w := newWorld(t)
+	w.engine("a", "fd1", slow)
+	_, urls, _ := w.entries()
+	body := strings.Replace(chatBody("review", 10, true), `,"seed":7`, "", 1)
+	first := send("POST", urls[0]+"/v1/chat/completions", body)
+	again := send("POST", urls[1]+"/v1/chat/completions", body, "Last-Event-ID", first.header.Get("X-Request-Id")+"/4")
+	must.StrHasSuffix(t, again.text(), first.text())
+	must.Eq(t, 5, len(strings.Fields(again.text())))
+}
+
+// Guards against memory that grows with handovers: beyond the bound they are declined and the stream stays.
+func TestHandover_Bounded(t *testing.T) {
+	w := newWorld(t)
+	w.engine("a", "fd1", slow)
+	n := &network{}
+	r1, url := w.relay(Config{Instance: "e1", FailureDomain: "fd1", Mesh: n.join("e1", "fd1")})
+	r2, _ := w.relay(Config{Instance: "e2", FailureDomain: "fd2", Mesh: n.join("e2", "fd2"), Limits: Limits{
+		Retained: 150 << 10,
+	}})
+	replies := many(url, 4, 150, func() {
+		must.Len(t, 4, r1.openSessions())
+		r1.handOverAll(t.Context())
+		must.Len(t, 2, r1.openSessions())
+	})
+	whole := 0
+	for _, r := range replies {
+		if strings.Contains(r.body, "[DONE]") {
+			whole++
+		}
+	}
+	must.Eq(t, 2, whole)
+	r2.mu.Lock()
+	defer r2.mu.Unlock()
+	must.LessEq(t, 150<<10, r2.retained)
+}
--- a/relay/world_test.go
+++ b/relay/world_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -70,6 +71,18 @@
 	w.core.Step(time.Now(), e)
 }
 
+// crashes returns the numbers of fingerprints of the crashes posted.
+func (w *world) crashes() (counts []int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, e := range w.events {
+		if c, ok := e.(core.EndpointCrashed); ok {
+			counts = append(counts, len(c.Running))
+		}
+	}
+	return counts
+}
+
 func (w *world) list(in platform.Instance) {
 	in.Role, in.Version, in.State = platform.RoleEndpoint, "v1", platform.StateLive
 	w.instances = append(w.instances, in)
@@ -168,3 +181,17 @@
 	must.Eq(t, standin.EngineText(7, prompt, tokens), r.text())
 	must.StrContains(t, r.body, "data: [DONE]")
 }
+
+// counter returns an ID generator that counts.
+func counter() func() string {
+	var n atomic.Int64
+	return func() string { return fmt.Sprintf("%04d", n.Add(1)) }
+}
+
+// cutComment splits the comment about resumes off a stream.
+func cutComment(body string) (stream, comment string) {
+	if i := strings.LastIndex(body, ": endpoint="); i >= 0 {
+		return body[:i], body[i:]
+	}
+	return body, ""
+}
--- a/standin/engine_control.go
+++ b/standin/engine_control.go
@@ -30,6 +30,9 @@
 	_, offset := run.status()
 	tokens := len(run.prompt) + offset
 	time.Sleep(time.Duration(tokens) * e.cfg.TransferToken)
+	if e.down() {
+		panic(http.ErrAbortHandler)
+	}
 	state, err := json.Marshal(kvState{Tokens: tokens})
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
--- a/dispatch/forwarder_test.go
+++ b/standin/forwarder.go
@@ -1,18 +1,15 @@
-package dispatch_test
+package standin
 
 import (
 	"io"
 	"net"
 	"sync"
 	"sync/atomic"
-	"testing"
-
-	"github.com/shoenig/test/must"
 )
 
-// forwarder carries TCP connections to an address. Its established connections can stop carrying bytes in one or
+// Forwarder carries TCP connections to an address. Its established connections can stop carrying bytes in one or
 // both directions, or break, while new ones work.
-type forwarder struct {
+type Forwarder struct {
 	listener net.Listener
 	target   string
 	accepted atomic.Int64
@@ -21,22 +18,34 @@
 }
 
 type forwardedPair struct {
-	near, far  net.Conn
-	noUp, noDn atomic.Bool // swallow bytes towards or from the target
+	near, far    net.Conn
+	noUp, noDown atomic.Bool // swallow bytes towards or from the target
 }
 
-func newForwarder(t *testing.T, target string) *forwarder {
+// NewForwarder returns a forwarder to target that listens on a loopback address.
+func NewForwarder(target string) (*Forwarder, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	f := &forwarder{listener: l, target: target}
+	if err != nil {
+		return nil, err
+	}
+	f := &Forwarder{listener: l, target: target}
 	go f.run()
-	t.Cleanup(func() { l.Close(); f.cut() })
-	return f
+	return f, nil
 }
 
-func (f *forwarder) address() string { return f.listener.Addr().String() }
+// Address returns the address that the forwarder listens on.
+func (f *Forwarder) Address() string { return f.listener.Addr().String() }
+
+// Accepted returns the number of connections accepted so far.
+func (f *Forwarder) Accepted() int64 { return f.accepted.Load() }
+
+// Close stops the forwarder and breaks its connections.
+func (f *Forwarder) Close() {
+	f.listener.Close()
+	f.Cut()
+}
 
-func (f *forwarder) run() {
+func (f *Forwarder) run() {
 	for {
 		near, err := f.listener.Accept()
 		if err != nil {
@@ -53,7 +62,7 @@
 		f.pairs = append(f.pairs, p)
 		f.mu.Unlock()
 		go carry(far, near, &p.noUp)
-		go carry(near, far, &p.noDn)
+		go carry(near, far, &p.noDown)
 	}
 }
 
@@ -73,18 +82,18 @@
 	}
 }
 
-// silence stops the established connections from carrying bytes.
-func (f *forwarder) silence(up, down bool) {
+// Silence stops the established connections from carrying bytes towards the target (up) or from it (down).
+func (f *Forwarder) Silence(up, down bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, p := range f.pairs {
 		p.noUp.Store(up)
-		p.noDn.Store(down)
+		p.noDown.Store(down)
 	}
 }
 
-// cut breaks the established connections.
-func (f *forwarder) cut() {
+// Cut breaks the established connections.
+func (f *Forwarder) Cut() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, p := range f.pairs {
