--- a/burn/burn.go
+++ b/burn/burn.go
@@ -27,7 +27,7 @@
 	Refused map[problem.Kind]uint64 `cbor:"4,keyasint,omitempty"`
 }
 
-// Recorder counts served and refused requests of one instance and one day. It is not safe for concurrent use.
+// Recorder counts served and refused requests of one instance. It is not safe for concurrent use.
 type Recorder struct {
 	rows    map[minuteKey]*Minute
 	changed bool // a refusal was counted since the last flush
@@ -54,39 +54,41 @@
 	r.changed = true
 }
 
-// Changed reports whether a refusal was counted since the last call.
+// Changed reports whether a refusal was counted since the last call of Changed.
 func (r *Recorder) Changed() bool {
 	changed := r.changed
 	r.changed = false
 	return changed
 }
 
-// Day returns the minutes recorded on the UTC day of now, and forgets those of earlier days. Minutes without a
-// refusal are merged into one row an hour, which keeps a day below the store's value limit.
-func (r *Recorder) Day(now time.Time) []Minute {
-	dayStart := now.UTC().Truncate(24*time.Hour).Unix() / 60
-	merged := map[minuteKey]Minute{}
-	for key, row := range r.rows {
-		if key.start < dayStart {
-			delete(r.rows, key)
-			continue
+// MarkChanged makes the next call of Changed report true, for example after a failed write.
+func (r *Recorder) MarkChanged() { r.changed = true }
+
+// Days returns the recorded minutes by UTC day in the form of object keys. Minutes without a refusal are merged
+// into one row an hour, which keeps a day below the store's value limit.
+func (r *Recorder) Days() map[string][]Minute {
+	merged := map[string]map[minuteKey]Minute{}
+	for _, row := range r.rows {
+		day := dayOf(row.Start)
+		if merged[day] == nil {
+			merged[day] = map[minuteKey]Minute{}
 		}
-		addMinute(merged, *row)
+		addMinute(merged[day], *row)
+	}
+	days := make(map[string][]Minute, len(merged))
+	for day, rows := range merged {
+		days[day] = sortMinutes(rows)
 	}
-	return sortMinutes(merged)
+	return days
 }
 
-// BeforeToday reports whether minutes of an earlier UTC day than that of now are held.
-func (r *Recorder) BeforeToday(now time.Time) bool {
-	dayStart := now.UTC().Truncate(24*time.Hour).Unix() / 60
-	for key := range r.rows {
-		if key.start < dayStart {
-			return true
-		}
-	}
-	return false
+// Forget drops the minutes of a UTC day, once they are stored and over.
+func (r *Recorder) Forget(day string) {
+	maps.DeleteFunc(r.rows, func(key minuteKey, _ *Minute) bool { return dayOf(key.start) == day })
 }
 
+func dayOf(minute int64) string { return time.Unix(minute*60, 0).UTC().Format(dayLayout) }
+
 func (r *Recorder) row(now time.Time, s Subject) *Minute {
 	key := minuteKey{now.Unix() / 60, s}
 	row, ok := r.rows[key]
--- a/burn/burn_test.go
+++ b/burn/burn_test.go
@@ -22,7 +22,7 @@
 	b.Refused(start.Add(3*time.Minute), subject, problem.Overloaded)
 	a.Served(start.Add(3*time.Minute), subject)
 	to := start.Add(4 * time.Minute)
-	report := Make(append(a.Day(to), b.Day(to)...), start.Add(-time.Hour), to, 0.99)
+	report := Make(append(a.Days()["2026-12-04"], b.Days()["2026-12-04"]...), start.Add(-time.Hour), to, 0.99)
 	must.Len(t, 1, report.Lines)
 	line := report.Lines[0]
 	must.Eq(t, 2, line.RefusalMinutes)
@@ -36,7 +36,7 @@
 func TestReport_Rendered(t *testing.T) {
 	r := NewRecorder()
 	r.Refused(start, Subject{"orders", "kiosks"}, problem.NoEndpoint)
-	report := Make(r.Day(start), start.Add(-time.Hour), start.Add(time.Minute), 0.999)
+	report := Make(r.Days()["2026-12-04"], start.Add(-time.Hour), start.Add(time.Minute), 0.999)
 	var text, html strings.Builder
 	must.NoError(t, report.WriteText(&text))
 	must.NoError(t, report.WriteHTML(&html))
@@ -51,7 +51,7 @@
 	for m := range 600 {
 		r.Served(start.Add(time.Duration(m)*time.Minute), Subject{"orders", "kiosks"})
 	}
-	must.Len(t, 10, r.Day(start.Add(10*time.Hour)))
+	must.Len(t, 10, r.Days()["2026-12-04"])
 }
 
 func roundRate(r Rate) Rate {
--- a/burn/report.go
+++ b/burn/report.go
@@ -20,10 +20,8 @@
 // dayLayout formats a UTC day in object keys.
 const dayLayout = "2006-01-02"
 
-// DayKey returns the key under which an instance stores its minutes of the day of now.
-func DayKey(now time.Time, instance string) string {
-	return KeyPrefix + now.UTC().Format(dayLayout) + "/" + instance
-}
+// DayKey returns the key under which a process stores its minutes of a UTC day.
+func DayKey(day, process string) string { return KeyPrefix + day + "/" + process }
 
 // Windows over which burn rates are given, the shortest first. A short and a long window together tell a burst
 // from a lasting fault.
--- a/core/core.go
+++ b/core/core.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/trefoillug/trefoillug/move"
+	"github.com/trefoillug/trefoillug/route"
 	"github.com/trefoillug/trefoillug/table"
 )
 
@@ -16,7 +18,7 @@
 type Settings struct {
 	Instance      string // ID of this entry instance
 	FailureDomain string
-	Seed          uint64 // of the core's random numbers
+	Epoch         uint64 // differs between the starts of an instance, for example its start time
 }
 
 // Core holds the tables and runs the systems over them. Step must not be called concurrently; Snapshot may be
@@ -25,12 +27,13 @@
 	settings  Settings
 	endpoints endpoints
 	services  services
+	moves     *move.System
 	snapshot  atomic.Pointer[table.Snapshot]
 }
 
 // New returns a core without configuration or endpoints.
 func New(s Settings) *Core {
-	c := &Core{settings: s}
+	c := &Core{settings: s, moves: move.New(move.Settings{Self: s.Instance, Epoch: s.Epoch})}
 	c.snapshot.Store(&table.Snapshot{})
 	return c
 }
@@ -44,15 +47,16 @@
 	for _, e := range events {
 		out = append(out, c.apply(now, e)...)
 	}
-	out = append(out, c.endpoints.tick(now)...)
-	c.publish()
-	return out
+	c.endpoints.tick(now)
+	moves := c.moves.Tick(now)
+	c.publish(now, moves.Shares)
+	return append(out, moveCommands(moves)...)
 }
 
 func (c *Core) apply(now time.Time, e Event) []Command {
 	switch e := e.(type) {
 	case ConfigAccepted:
-		c.services.accept(e)
+		c.configure(now, e)
 	case InstancesListed:
 		c.endpoints.list(now, e.Instances)
 	case EndpointLeaving:
@@ -60,23 +64,32 @@
 	case LoadReported:
 		c.endpoints.load(e)
 	case AttemptDone:
+		c.moves.Observe(now, c.moveResult(e))
 		c.endpoints.attemptDone(now, e)
 	case EndpointCrashed:
 		c.endpoints.crashed(now, e.Endpoint)
 	case FactReceived:
-		c.factReceived(now, e.Fact)
+		return c.factReceived(now, e.Fact)
+	case MembersChanged:
+		c.moves.SetMembers(e.IDs)
+	case MoveRead:
+		c.moves.Recorded(now, e.Object, e.Record)
 	}
 	return nil
 }
 
-func (c *Core) publish() {
+// publish builds the snapshot of the tables.
+func (c *Core) publish(now time.Time, shares map[string][]table.Share) {
+	prev := c.snapshot.Load()
 	s := &table.Snapshot{Revision: c.services.revision, Services: make(map[string]*table.Service, len(c.services.rows))}
 	for name, cfg := range c.services.rows {
-		s.Services[name] = &table.Service{
+		svc := &table.Service{
 			Config:    cfg,
-			Shares:    []table.Share{{Version: cfg.Serve, Part: 1}},
+			Shares:    shares[name],
 			Endpoints: c.endpoints.ofService(name),
 		}
+		route.Build(svc, prev.Services[name], now)
+		s.Services[name] = svc
 	}
 	c.snapshot.Store(s)
 }
--- /dev/null
+++ b/core/core_test.go
@@ -0,0 +1,91 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/trefoillug/trefoillug/config"
+	"github.com/trefoillug/trefoillug/peer"
+	"github.com/trefoillug/trefoillug/platform"
+	"github.com/trefoillug/trefoillug/table"
+)
+
+var start = time.Date(2026, 12, 4, 4, 0, 0, 0, time.UTC)
+
+func instance(id, domain string) platform.Instance {
+	return platform.Instance{
+		ID: id, FailureDomain: domain, Role: platform.RoleEndpoint, Service: "labels", Version: "v1", State: platform.StateLive,
+	}
+}
+
+func newCore(instances ...platform.Instance) *Core {
+	c := New(Settings{Instance: "entry-1"})
+	c.Step(start, ConfigAccepted{Revision: 5, Services: []config.Service{{Name: "labels", Serve: "v1"}}},
+		InstancesListed{Instances: instances})
+	return c
+}
+
+func condition(c *Core, id string) table.Condition {
+	for _, e := range c.Snapshot().Services["labels"].Endpoints {
+		if e.ID == id {
+			return e.Condition
+		}
+	}
+	return -1
+}
+
+// Guards against a lagging instance list that puts an announced endpoint back into service.
+func TestCore_NoticeWinsOverLaggingList(t *testing.T) {
+	c := newCore(instance("e1", "a"), instance("e2", "b"))
+	c.Step(start.Add(time.Second), EndpointLeaving{Endpoint: "e1", By: start.Add(20 * time.Second)})
+	c.Step(start.Add(2*time.Second), InstancesListed{Instances: []platform.Instance{instance("e1", "a"), instance("e2", "b")}})
+	must.Eq(t, table.Leaving, condition(c, "e1"))
+	must.Eq(t, table.Ready, condition(c, "e2"))
+}
+
+// Guards against an instance that missed a notice and also has an old list: the notice of a peer is enough.
+func TestCore_NoticeFromPeer(t *testing.T) {
+	informed, missed := newCore(instance("e1", "a")), newCore(instance("e1", "a"))
+	commands := informed.Step(start, EndpointLeaving{Endpoint: "e1", By: start.Add(20 * time.Second)})
+	must.Len(t, 1, commands)
+	fact := commands[0].(PublishFact)
+	missed.Step(start.Add(200*time.Millisecond), FactReceived{peer.Fact{Origin: "entry-2", Key: fact.Key, Value: fact.Value}})
+	must.Eq(t, table.Leaving, condition(missed, "e1"))
+}
+
+// Guards against endpoints of a leaving failure domain that appear on the list after the notice.
+func TestCore_LateEndpointOfLeavingDomain(t *testing.T) {
+	c := newCore(instance("e1", "a"))
+	c.Step(start, EndpointLeaving{FailureDomain: "a", By: start.Add(20 * time.Second)})
+	c.Step(start.Add(time.Second), InstancesListed{Instances: []platform.Instance{instance("e1", "a"), instance("e3", "a")}})
+	must.Eq(t, table.Leaving, condition(c, "e3"))
+}
+
+// Guards against an endpoint that keeps getting work after its connections broke, and against one that never gets
+// work again.
+func TestCore_SuspectBacksOff(t *testing.T) {
+	c := newCore(instance("e1", "a"))
+	now := start
+	for _, wait := range []time.Duration{2 * time.Second, 4 * time.Second, 8 * time.Second} {
+		c.Step(now, AttemptDone{Endpoint: "e1", Result: EndpointLost})
+		must.Eq(t, table.Suspect, condition(c, "e1"))
+		c.Step(now.Add(wait - time.Millisecond))
+		must.Eq(t, table.Suspect, condition(c, "e1"))
+		now = now.Add(wait)
+		c.Step(now)
+		must.Eq(t, table.Ready, condition(c, "e1"))
+	}
+	c.Step(now, AttemptDone{Endpoint: "e1", Result: Succeeded}, AttemptDone{Endpoint: "e1", Result: EndpointLost})
+	c.Step(now.Add(2 * time.Second))
+	must.Eq(t, table.Ready, condition(c, "e1"))
+}
+
+// Guards against a configuration that goes back to an earlier revision.
+func TestCore_OldRevisionIgnored(t *testing.T) {
+	c := newCore()
+	c.Step(start, ConfigAccepted{Revision: 4, Services: nil})
+	must.Eq(t, uint64(5), c.Snapshot().Revision)
+	must.MapContainsKey(t, c.Snapshot().Services, "labels")
+}
--- a/core/endpoints.go
+++ b/core/endpoints.go
@@ -7,7 +7,6 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/trefoillug/trefoillug/peer"
 	"github.com/trefoillug/trefoillug/platform"
 	"github.com/trefoillug/trefoillug/table"
 )
@@ -121,6 +120,7 @@
 
 func (t *endpoints) load(e LoadReported) {
 	if row, ok := t.rows[e.Endpoint]; ok && e.Load.At.After(row.Load.At) {
+		e.Load.Own = int(row.Live.InFlight.Load())
 		t.update(e.Endpoint, func(r *table.Endpoint) { r.Load = e.Load })
 	}
 }
@@ -152,7 +152,7 @@
 }
 
 // tick returns suspect endpoints to service after their wait and forgets notices about failure domains that passed.
-func (t *endpoints) tick(now time.Time) []Command {
+func (t *endpoints) tick(now time.Time) {
 	for id, row := range t.rows {
 		if row.Condition == table.Suspect && !now.Before(row.ProbeAfter) {
 			t.update(id, func(r *table.Endpoint) { r.Condition = table.Ready })
@@ -163,7 +163,6 @@
 			delete(t.domains, domain)
 		}
 	}
-	return nil
 }
 
 // update replaces a row by a changed copy, since snapshots hold the old one.
@@ -187,14 +186,3 @@
 	}
 	return t.sorted[name]
 }
-
-// factReceived applies what another member published.
-func (c *Core) factReceived(now time.Time, f peer.Fact) {
-	var by int64
-	if id, ok := strings.CutPrefix(f.Key, factLeaving); ok && cbor.Unmarshal(f.Value, &by) == nil {
-		c.endpoints.noteLeaving(now, EndpointLeaving{Endpoint: id, By: time.UnixMilli(by)})
-	}
-	if domain, ok := strings.CutPrefix(f.Key, factLeavingDomain); ok && cbor.Unmarshal(f.Value, &by) == nil {
-		c.endpoints.noteLeaving(now, EndpointLeaving{FailureDomain: domain, By: time.UnixMilli(by)})
-	}
-}
--- a/core/events.go
+++ b/core/events.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/trefoillug/trefoillug/config"
+	"github.com/trefoillug/trefoillug/move"
 	"github.com/trefoillug/trefoillug/peer"
 	"github.com/trefoillug/trefoillug/platform"
 	"github.com/trefoillug/trefoillug/problem"
@@ -80,19 +81,15 @@
 // FactReceived carries a fact of another member.
 type FactReceived struct{ Fact peer.Fact }
 
-// MoveSettled carries the recorded outcome of a move, as read from the store.
-type MoveSettled struct{ Record MoveRecord }
-
-// MoveRecord is the value stored under `move/<service>/<move id>`.
-type MoveRecord struct {
-	Service string    `cbor:"1,keyasint" json:"service"`
-	Move    string    `cbor:"2,keyasint" json:"move"`
-	Done    bool      `cbor:"3,keyasint" json:"done"` // false: rolled back
-	Reason  string    `cbor:"4,keyasint" json:"reason"`
-	By      string    `cbor:"5,keyasint" json:"by"` // instance that recorded it
-	At      time.Time `cbor:"6,keyasint" json:"at"`
+// MoveRead carries the outcome object of a move as the store holds it.
+type MoveRead struct {
+	Object move.Object
+	Record *move.Record // nil when the store holds none
 }
 
+// MembersChanged names the entry instances that should exist, reachable or not.
+type MembersChanged struct{ IDs []string }
+
 func (ConfigAccepted) isEvent()  {}
 func (InstancesListed) isEvent() {}
 func (EndpointLeaving) isEvent() {}
@@ -102,7 +99,8 @@
 func (Refused) isEvent()         {}
 func (Served) isEvent()          {}
 func (FactReceived) isEvent()    {}
-func (MoveSettled) isEvent()     {}
+func (MoveRead) isEvent()        {}
+func (MembersChanged) isEvent()  {}
 
 // Command is an output of the core. The set is closed.
 type Command interface{ isCommand() }
@@ -114,8 +112,12 @@
 	TTL   time.Duration
 }
 
-// RecordMove asks to record the outcome of a move by one conditional update.
-type RecordMove struct{ Record MoveRecord }
+// RecordMove asks to create the outcome object of a move by a conditional update, and for a MoveRead with the
+// record that the store then holds.
+type RecordMove struct{ Record move.Record }
+
+// ReadMove asks for a MoveRead of an outcome object.
+type ReadMove struct{ Object move.Object }
 
 // Alert asks for a log line that needs an operator's attention.
 type Alert struct {
@@ -126,13 +128,14 @@
 
 func (PublishFact) isCommand() {}
 func (RecordMove) isCommand()  {}
+func (ReadMove) isCommand()    {}
 func (Alert) isCommand()       {}
 
 // Urgent reports whether an event must be applied at once rather than at the next tick, because each moment
 // until then sends more requests to an endpoint or version that must not get them.
 func Urgent(e Event) bool {
 	switch e.(type) {
-	case EndpointLeaving, EndpointCrashed, FactReceived, ConfigAccepted, MoveSettled:
+	case EndpointLeaving, EndpointCrashed, FactReceived, ConfigAccepted, MoveRead:
 		return true
 	default:
 		return false
--- /dev/null
+++ b/core/facts.go
@@ -0,0 +1,36 @@
+package core
+
+import (
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/trefoillug/trefoillug/move"
+	"github.com/trefoillug/trefoillug/peer"
+)
+
+// factReceived applies what another member published. Facts of other systems are left to them.
+func (c *Core) factReceived(now time.Time, f peer.Fact) []Command {
+	switch {
+	case strings.HasPrefix(f.Key, factLeavingDomain):
+		return c.noticeReceived(now, f, EndpointLeaving{FailureDomain: f.Key[len(factLeavingDomain):]})
+	case strings.HasPrefix(f.Key, factLeaving):
+		return c.noticeReceived(now, f, EndpointLeaving{Endpoint: f.Key[len(factLeaving):]})
+	case strings.HasPrefix(f.Key, move.FactPrefix):
+		if err := c.moves.Receive(now, f.Origin, f.Key, f.Value); err != nil {
+			return []Command{Alert{Message: "fact about a move not understood: " + err.Error(), Subject: f.Origin}}
+		}
+	}
+	return nil
+}
+
+func (c *Core) noticeReceived(now time.Time, f peer.Fact, e EndpointLeaving) []Command {
+	var by int64
+	if err := cbor.Unmarshal(f.Value, &by); err != nil {
+		return []Command{Alert{Message: "reclaim notice of a peer not understood: " + err.Error(), Subject: f.Origin}}
+	}
+	e.By = time.UnixMilli(by)
+	c.endpoints.noteLeaving(now, e)
+	return nil
+}
--- /dev/null
+++ b/core/moves.go
@@ -0,0 +1,53 @@
+package core
+
+import (
+	"github.com/trefoillug/trefoillug/move"
+	"github.com/trefoillug/trefoillug/table"
+)
+
+// moveCommands turns what the moves ask for into commands.
+func moveCommands(out move.Output) []Command {
+	var commands []Command
+	for _, f := range out.Facts {
+		commands = append(commands, PublishFact{Key: f.Key, Value: f.Value, TTL: f.TTL})
+	}
+	for _, r := range out.Proposals {
+		commands = append(commands, RecordMove{Record: r})
+	}
+	for _, o := range out.Reads {
+		commands = append(commands, ReadMove{Object: o})
+	}
+	return commands
+}
+
+// moveResult turns the end of an attempt into evidence on its version.
+func (c *Core) moveResult(e AttemptDone) move.Result {
+	r := move.Result{
+		Service: e.Service, Version: e.Version, Route: e.Route, Outcome: c.evidence(e),
+		FirstToken: e.FirstToken, PerToken: e.PerToken, Load: e.InFlight,
+	}
+	if r.PerToken == 0 {
+		r.FirstToken = e.Total
+	}
+	return r
+}
+
+// evidence tells whether an attempt speaks for or against its version. The loss of an endpoint that was announced to
+// leave, or that a quarantined request crashed, says nothing about the version.
+func (c *Core) evidence(e AttemptDone) move.Attempt {
+	switch e.Result {
+	case Succeeded:
+		return move.OK
+	case Failed, TimedOut:
+		return move.Failed
+	case EndpointLost:
+		row, listed := c.endpoints.rows[e.Endpoint]
+		_, quarantined := c.Snapshot().Quarantined[e.Fingerprint]
+		if !listed || row.Condition == table.Leaving || quarantined {
+			return move.Excluded
+		}
+		return move.Failed
+	default:
+		return move.Excluded
+	}
+}
--- a/core/services.go
+++ b/core/services.go
@@ -1,6 +1,10 @@
 package core
 
-import "github.com/trefoillug/trefoillug/config"
+import (
+	"time"
+
+	"github.com/trefoillug/trefoillug/config"
+)
 
 // services is the table of configured services.
 type services struct {
@@ -8,14 +12,21 @@
 	rows     map[string]*config.Service
 }
 
-// accept replaces the table. A configuration never goes back to an earlier revision.
-func (t *services) accept(e ConfigAccepted) {
-	if e.Revision <= t.revision {
+// configure replaces the table and the plans of the moves. A configuration never goes back to an earlier revision.
+func (c *Core) configure(now time.Time, e ConfigAccepted) {
+	if e.Revision <= c.services.revision {
 		return
 	}
-	t.revision = e.Revision
-	t.rows = make(map[string]*config.Service, len(e.Services))
+	old := c.services.rows
+	c.services = services{revision: e.Revision, rows: make(map[string]*config.Service, len(e.Services))}
 	for i := range e.Services {
-		t.rows[e.Services[i].Name] = &e.Services[i]
+		svc := &e.Services[i]
+		c.services.rows[svc.Name] = svc
+		c.moves.Configure(now, svc)
+	}
+	for name := range old {
+		if _, kept := c.services.rows[name]; !kept {
+			c.moves.Remove(name)
+		}
 	}
 }
--- /dev/null
+++ b/entry/adapters.go
@@ -0,0 +1,136 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/trefoillug/trefoillug/claim"
+	"github.com/trefoillug/trefoillug/limit"
+	"github.com/trefoillug/trefoillug/relay"
+	"github.com/trefoillug/trefoillug/route"
+	"github.com/trefoillug/trefoillug/table"
+)
+
+// seedFor returns the seed of an instance's random numbers, different for each instance and process.
+func seedFor(id string) uint64 { return xxhash.Sum64String(id) ^ rand.Uint64() }
+
+// claimer adapts the claim service to the request path.
+type claimer struct {
+	service  *claim.Service
+	attempts sync.Map // *relay.Call to *claim.Attempt
+}
+
+// Claim implements relay.Claimer.
+func (c *claimer) Claim(ctx context.Context, call *relay.Call) (relay.Claim, error) {
+	res, err := c.service.Claim(ctx, claim.Call{
+		Service: call.Service.Name, Workspace: call.Workspace, Key: call.Key, Body: claim.DigestBody(call.Body),
+	})
+	if err != nil {
+		return relay.Claim{}, err
+	}
+	if r := res.Response; r != nil {
+		return relay.Claim{State: relay.ClaimRecorded, Answer: &relay.Recorded{
+			Status: r.Status, ContentType: r.ContentType, Body: r.Body,
+		}}, nil
+	}
+	c.attempts.Store(call, res.Attempt)
+	return relay.Claim{State: relay.ClaimGranted}, nil
+}
+
+// Complete implements relay.Claimer.
+func (c *claimer) Complete(call *relay.Call, a relay.Recorded) {
+	c.end(call, func(at *claim.Attempt) {
+		c.service.Complete(at, claim.Response{Status: a.Status, ContentType: a.ContentType, Body: a.Body})
+	})
+}
+
+// MarkUnknown implements relay.Claimer.
+func (c *claimer) MarkUnknown(call *relay.Call) { c.end(call, c.service.MarkUnknown) }
+
+// Release implements relay.Claimer.
+func (c *claimer) Release(call *relay.Call) { c.end(call, c.service.Release) }
+
+func (c *claimer) end(call *relay.Call, fn func(*claim.Attempt)) {
+	if at, ok := c.attempts.LoadAndDelete(call); ok {
+		fn(at.(*claim.Attempt))
+	}
+}
+
+// chooser adapts endpoint selection to the request path.
+type chooser struct {
+	rngs sync.Pool
+}
+
+func newChooser(seed uint64) *chooser {
+	var mu sync.Mutex
+	seeds := rand.New(rand.NewPCG(seed, 0))
+	return &chooser{rngs: sync.Pool{New: func() any {
+		mu.Lock()
+		defer mu.Unlock()
+		return rand.New(rand.NewPCG(seeds.Uint64(), seeds.Uint64()))
+	}}}
+}
+
+// Choose implements relay.Chooser.
+func (c *chooser) Choose(call *relay.Call, svc *table.Service, version string, skip func(*table.Endpoint) bool) (*table.Endpoint, bool) {
+	rng := c.rngs.Get().(*rand.Rand)
+	defer c.rngs.Put(rng)
+	req := route.Request{Version: version, Priority: call.Route.Priority, Deadline: call.Deadline}
+	if call.Chat != nil {
+		req.Prefixes, req.PromptTokens = prefixesOf(call.Chat.Messages)
+		req.ExpectedOutput = call.Chat.MaxTokens
+	}
+	for _, e := range svc.Endpoints {
+		if e.Version == version && skip(e) {
+			req.Exclude = append(req.Exclude, e.ID)
+		}
+	}
+	return route.Choose(svc, req, time.Now(), rng)
+}
+
+// bytesPerToken is the usual length of a token of text.
+const bytesPerToken = 4
+
+// prefixesOf returns a prefix for each message boundary, the shortest first, and the tokens of the whole prompt.
+func prefixesOf(messages []json.RawMessage) ([]route.Prefix, int) {
+	var digest xxhash.Digest
+	digest.Reset()
+	prefixes := make([]route.Prefix, 0, len(messages))
+	size := 0
+	for _, m := range messages {
+		// Digest writes never fail.
+		_, _ = digest.Write(m)
+		size += len(m)
+		prefixes = append(prefixes, route.Prefix{Hash: digest.Sum64(), Tokens: size / bytesPerToken})
+	}
+	return prefixes, size / bytesPerToken
+}
+
+// admitter adapts admission to the request path.
+type admitter struct{ admission *limit.Admission }
+
+// Admit implements relay.Admitter. The results of attempts reach the concurrency limits as they end, since a request
+// may take several.
+func (a admitter) Admit(ctx context.Context, call *relay.Call) (func(), error) {
+	release, err := a.admission.Admit(ctx, limit.Request{
+		Service: call.Service.Name, Workspace: call.Workspace, Priority: call.Route.Priority, Deadline: call.Deadline,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return func() { release(limit.Result{}) }, nil
+}
+
+// retryBudget adapts the retry budgets to the request path. Admission counts the requests.
+type retryBudget struct{ admission *limit.Admission }
+
+// Request implements relay.RetryBudget.
+func (retryBudget) Request(string) {}
+
+// Retry implements relay.RetryBudget.
+func (b retryBudget) Retry(service string) bool { return b.admission.Retry(service) }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -4,17 +4,20 @@
 	"context"
 	"errors"
 	"fmt"
-	"maps"
 	"net"
 	"net/http"
-	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/trefoillug/trefoillug/burn"
+	"github.com/trefoillug/trefoillug/claim"
+	"github.com/trefoillug/trefoillug/config"
 	"github.com/trefoillug/trefoillug/core"
+	"github.com/trefoillug/trefoillug/limit"
 	"github.com/trefoillug/trefoillug/objstore"
 	"github.com/trefoillug/trefoillug/peer"
 	"github.com/trefoillug/trefoillug/platform"
@@ -24,22 +27,257 @@
 const (
 	// headerTimeout bounds how long a peer or operator may take to send a request header.
 	headerTimeout = 5 * time.Second
-	// reclaimMargin is the time kept between the hand-over and the end of a reclaim notice.
-	reclaimMargin = 500 * time.Millisecond
+	// reclaimMargin is kept between the last hand-over and the end of a reclaim notice.
+	reclaimMargin = time.Second
+	// closeTimeout bounds the recording of claims and refusal minutes at the end.
+	closeTimeout = 5 * time.Second
+	// readyInterval is the time between two checks whether the instance may take requests.
+	readyInterval = 50 * time.Millisecond
 )
 
 // Daemon is an entry instance.
 type Daemon struct {
-	settings    Settings
-	log         logrus.FieldLogger
-	core        *core.Core
-	runner      *runner
-	store       objstore.Store
-	lister      platform.InstanceLister
-	noticer     platform.Noticer
-	node        *peer.Node
-	relay       *relay.Relay
-	ready       atomic.Bool
-	stop        chan time.Time // the time by which a reclaim ends this instance
-	seenNotices map[platform.Notice]bool
+	settings  Settings
+	log       logrus.FieldLogger
+	core      *core.Core
+	runner    *runner
+	store     objstore.Store
+	lister    platform.InstanceLister
+	noticer   platform.Noticer
+	node      *peer.Node
+	config    *config.Distributor
+	claims    *claim.Service
+	admission *limit.Admission
+	relay     *relay.Relay
+	metrics   *metrics
+
+	ready     atomic.Bool
+	leaving   atomic.Bool
+	listed    atomic.Bool    // the instance list was read once
+	reclaimed chan time.Time // the time by which a reclaim ends this instance
+
+	seenNotices map[platform.Notice]bool // used by readNotices only
+	loadTurn    int                      // used by readLoads only
+
+	burnMu       sync.Mutex
+	burn         *burn.Recorder
+	quietFlushes int    // flush intervals since the last write
+	started      string // start time, part of the key of this process's refusal minutes
+}
+
+// New returns a daemon. It fails when a system refuses its settings.
+func New(s Settings, log logrus.FieldLogger) (*Daemon, error) {
+	log = log.WithField("instance", s.ID)
+	hc := &http.Client{Timeout: storeTimeout}
+	client := platform.NewListClient(s.PlatformURL, hc)
+	d := &Daemon{
+		settings: s, log: log, lister: client, noticer: client,
+		store:       objstore.NewClient(s.StoreURL, http.DefaultClient),
+		core:        core.New(core.Settings{Instance: s.ID, FailureDomain: s.FailureDomain, Epoch: uint64(time.Now().UnixMilli())}),
+		reclaimed:   make(chan time.Time, 1),
+		seenNotices: map[platform.Notice]bool{},
+		burn:        burn.NewRecorder(),
+		started:     time.Now().UTC().Format("20060102T150405.000"),
+		metrics:     newMetrics(),
+	}
+	d.runner = newRunner(d.core, d.execute, func() { d.admission.Update(d.core.Snapshot()) })
+	node, err := peer.New(peer.Settings{
+		Self:  peer.Member{ID: s.ID, Address: s.advertised(), FailureDomain: s.FailureDomain, Region: s.Region},
+		Seeds: s.Peers, Transport: peer.NewWebSocket(), Log: log, Seed: seedFor(s.ID),
+	})
+	if err != nil {
+		return nil, err
+	}
+	d.node = node
+	d.admission = limit.New(limit.Settings{Mesh: node, Log: log})
+	d.claims = claim.New(d.store, node, claim.Options{})
+	d.config = config.NewDistributor(config.Options{
+		Store: d.store, Mesh: node, Log: log, Apply: d.applyConfig, Seed: seedFor(s.ID),
+	})
+	node.Subscribe("", func(f peer.Fact) { d.runner.Post(core.FactReceived{Fact: f}) })
+	d.relay = relay.New(d.relayConfig())
+	return d, nil
+}
+
+func (d *Daemon) relayConfig() relay.Config {
+	return relay.Config{
+		Instance: d.settings.ID, FailureDomain: d.settings.FailureDomain,
+		Snapshots: d.core.Snapshot, Post: d.post, Mesh: d.node, Log: d.log,
+		Claimer:  &claimer{service: d.claims},
+		Chooser:  newChooser(seedFor(d.settings.ID)),
+		Admitter: admitter{d.admission}, RetryBudget: retryBudget{d.admission},
+	}
+}
+
+func (d *Daemon) applyConfig(revision uint64, services []*config.Service) {
+	d.log.WithField("revision", revision).Info("configuration in effect")
+	accepted := core.ConfigAccepted{Revision: revision}
+	for _, svc := range services {
+		accepted.Services = append(accepted.Services, *svc)
+	}
+	d.runner.Post(accepted)
+}
+
+// Run serves until ctx is done or a reclaim notice ends this instance. It returns an error when a listener can't be
+// opened.
+func (d *Daemon) Run(ctx context.Context) error {
+	callers, err := net.Listen("tcp", d.settings.Listen)
+	if err != nil {
+		return fmt.Errorf("--listen: %w", err)
+	}
+	peers, err := net.Listen("tcp", d.settings.PeerListen)
+	if err != nil {
+		return errors.Join(fmt.Errorf("--peer-listen: %w", err), callers.Close())
+	}
+	// Systems outlive ctx, since a graceful shutdown needs them.
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, work := errgroup.WithContext(work)
+	peerServer := &http.Server{Handler: d.peerMux(), ReadHeaderTimeout: headerTimeout}
+	callerServer := relay.NewServer(d.callerMux())
+	group.Go(func() error { return serve(peerServer, peers) })
+	group.Go(func() error { return serve(callerServer, callers) })
+	d.startSystems(work, group)
+	group.Go(func() error {
+		defer stop()
+		d.waitForEnd(ctx, work)
+		d.shutdown(callerServer)
+		return peerServer.Close()
+	})
+	return group.Wait()
+}
+
+func (d *Daemon) startSystems(ctx context.Context, group *errgroup.Group) {
+	d.node.Start()
+	d.admission.Start()
+	group.Go(func() error { return d.runner.run(ctx) })
+	group.Go(func() error { d.config.Run(ctx); return nil })
+	group.Go(func() error { return every(ctx, listInterval, d.readInstances) })
+	group.Go(func() error { return every(ctx, noticeInterval, d.readNotices) })
+	group.Go(func() error { return every(ctx, loadInterval, d.readLoads) })
+	group.Go(func() error { return every(ctx, flushInterval, d.flushBurn) })
+	group.Go(func() error { return every(ctx, readyInterval, d.updateReady) })
+}
+
+// updateReady makes the instance ready once it has a configuration and an instance list.
+func (d *Daemon) updateReady(context.Context) {
+	configured := false
+	select {
+	case <-d.config.Ready():
+		configured = d.core.Snapshot().Revision > 0
+	default:
+	}
+	d.ready.Store(configured && d.listed.Load() && !d.leaving.Load())
+}
+
+// waitForEnd returns when a planned stop begins or when the time of a reclaim has come. On a reclaim notice the open
+// streams are handed over at once, since the process may die before its time; requests that the balancer still
+// sends are served and handed over at the end.
+func (d *Daemon) waitForEnd(ctx, work context.Context) {
+	select {
+	case <-work.Done():
+	case <-ctx.Done():
+	case by := <-d.reclaimed:
+		d.leave()
+		d.drain(by, relay.DrainReclaim)
+		sleep(work, time.Until(by.Add(-reclaimMargin)))
+		d.drain(by, relay.DrainReclaim)
+	}
+}
+
+// drain ends the open requests by a time, in the way that the mode tells.
+func (d *Daemon) drain(by time.Time, mode relay.DrainMode) {
+	ctx, cancel := context.WithDeadline(context.Background(), by)
+	defer cancel()
+	if err := d.relay.Drain(ctx, mode); err != nil {
+		d.log.WithError(err).Error("requests left at the end; their callers must repeat them")
+	}
+}
+
+// leave turns readiness off, which makes the balancer and the peers send new work elsewhere.
+func (d *Daemon) leave() {
+	if d.leaving.Swap(true) {
+		return
+	}
+	d.ready.Store(false)
+	d.node.Leave()
+	d.log.Info("leaving: readiness is off")
+}
+
+// shutdown serves until the balancer has noticed, waits for the open requests, and closes what remains.
+func (d *Daemon) shutdown(server *http.Server) {
+	if !d.leaving.Load() {
+		d.leave()
+		sleep(context.Background(), d.settings.BalancerDelay)
+		d.drain(time.Now().Add(d.settings.ShutdownLimit), relay.DrainPlanned)
+	}
+	d.closeServer(server)
+	d.relay.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if err := d.claims.Close(ctx); err != nil {
+		d.log.WithError(err).Error("claims not recorded at shutdown; repeats of their keys get outcome unknown")
+	}
+	d.flushBurn(ctx)
+	d.admission.Close()
+	d.node.Close()
+	d.log.Info("stopped")
+}
+
+// closeServer refuses new connections and lets the last answers reach their callers.
+func (d *Daemon) closeServer(server *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		d.log.WithError(err).Warn("callers' connections closed before their end")
+		_ = server.Close()
+	}
+}
+
+// reclaim starts the hand-over before the instance is taken away.
+func (d *Daemon) reclaim(by time.Time) {
+	select {
+	case d.reclaimed <- by:
+		d.log.WithField("by", by).Warn("this instance is being reclaimed")
+	default:
+	}
+}
+
+func (d *Daemon) callerMux() http.Handler {
+	mux := http.NewServeMux()
+	d.addHealth(mux)
+	mux.Handle("/", d.relay)
+	return mux
+}
+
+func (d *Daemon) peerMux() http.Handler {
+	mux := http.NewServeMux()
+	d.addHealth(mux)
+	mux.Handle(peer.Path, d.node.Handler())
+	mux.HandleFunc("GET /status", d.serveStatus)
+	mux.Handle("GET /metrics", d.metrics.handler)
+	return mux
+}
+
+func (d *Daemon) addHealth(mux *http.ServeMux) {
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !d.ready.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+}
+
+func serve(server *http.Server, l net.Listener) error {
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
 }
--- /dev/null
+++ b/entry/metrics.go
@@ -0,0 +1,51 @@
+package entry
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+
+	"github.com/trefoillug/trefoillug/core"
+)
+
+// reportInterval is how often counters reach the exposition under /metrics.
+const reportInterval = time.Second
+
+// metrics counts what the request path posts, and serves it in the Prometheus text format.
+type metrics struct {
+	scope   tally.Scope
+	handler http.Handler
+}
+
+func newMetrics() *metrics {
+	reporter := prometheus.NewReporter(prometheus.Options{})
+	scope, _ := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "trefoillug", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
+		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
+	}, reportInterval)
+	return &metrics{scope: scope, handler: reporter.HTTPHandler()}
+}
+
+// results names the results of attempts in the metrics.
+var results = map[core.Result]string{
+	core.Succeeded: "succeeded", core.Failed: "failed", core.EndpointLost: "endpoint_lost",
+	core.Cancelled: "cancelled", core.TimedOut: "timed_out",
+}
+
+func (m *metrics) observe(e core.Event) {
+	switch e := e.(type) {
+	case core.Served:
+		m.scope.Tagged(map[string]string{"service": e.Service, "workspace": e.Workspace}).Counter("served_total").Inc(1)
+	case core.Refused:
+		m.scope.Tagged(map[string]string{"service": e.Service, "workspace": e.Workspace, "kind": string(e.Kind)}).
+			Counter("refused_total").Inc(1)
+	case core.AttemptDone:
+		s := m.scope.Tagged(map[string]string{"service": e.Service, "version": e.Version, "result": results[e.Result]})
+		s.Counter("attempts_total").Inc(1)
+		s.Counter("tokens_total").Inc(int64(e.Tokens))
+		s.Counter("recomputed_tokens_total").Inc(int64(e.Recomputed))
+		s.Timer("attempt_first_token").Record(e.FirstToken)
+	}
+}
--- a/entry/platform.go
+++ b/entry/platform.go
@@ -42,6 +42,7 @@
 		return
 	}
 	d.runner.Post(core.InstancesListed{Instances: list})
+	d.listed.Store(true)
 	d.updateMembers(list)
 }
 
@@ -84,4 +85,14 @@
 		}
 	}
 	d.node.UpdateMembers(members)
+	d.runner.Post(core.MembersChanged{IDs: d.memberIDs(members)})
+}
+
+// memberIDs names the entry instances on the list and those that the peers know.
+func (d *Daemon) memberIDs(listed []peer.Member) []string {
+	ids := map[string]bool{}
+	for _, m := range append(listed, d.node.Members()...) {
+		ids[m.ID] = true
+	}
+	return sortedKeys(ids)
 }
--- a/entry/runner.go
+++ b/entry/runner.go
@@ -15,10 +15,11 @@
 	core   *core.Core
 	events chan core.Event
 	do     func(core.Command) // must not block
+	after  func()             // called after each step
 }
 
-func newRunner(c *core.Core, do func(core.Command)) *runner {
-	return &runner{core: c, events: make(chan core.Event, eventBuffer), do: do}
+func newRunner(c *core.Core, do func(core.Command), after func()) *runner {
+	return &runner{core: c, events: make(chan core.Event, eventBuffer), do: do, after: after}
 }
 
 // Post queues an event for the core.
@@ -43,6 +44,7 @@
 		for _, c := range r.core.Step(time.Now(), waiting...) {
 			r.do(c)
 		}
+		r.after()
 		waiting = waiting[:0]
 	}
 }
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -277,6 +277,10 @@
 	}
 }
 
+// Observe takes the result of one attempt into the concurrency limit of its endpoint. It is for callers whose requests
+// take several attempts; they release with the zero Result.
+func (a *Admission) Observe(r Result) { a.endpoints.sample(&r, time.Now()) }
+
 // Retry reports whether the retry budget of a service allows one more retry, and counts it when it does.
 func (a *Admission) Retry(serviceName string) bool {
 	a.servicesMu.RLock()
--- a/problem/problem_test.go
+++ b/problem/problem_test.go
@@ -1,7 +1,9 @@
 package problem
 
 import (
+	"fmt"
 	"net/http/httptest"
+	"os"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -28,3 +30,21 @@
 	must.Eq(t, "1", w.Header().Get("Retry-After"))
 	must.StrContains(t, w.Body.String(), `"outcome":"not_run"`)
 }
+
+// Guards against an operators' page that shows another answer than callers get.
+func TestAnswers_MatchDocs(t *testing.T) {
+	page, err := os.ReadFile("../docs/operations.md")
+	must.NoError(t, err)
+	for _, k := range Kinds() {
+		a := AnswerFor(k)
+		retry, refusal := "-", "yes"
+		if a.Retry > 0 {
+			retry = fmt.Sprintf("%d s", int(a.Retry.Seconds()))
+		}
+		if a.CallerError {
+			refusal = "no"
+		}
+		row := fmt.Sprintf("| `%s` | %d | `%s` | %s | %s | %s |", k, a.Status, a.Outcome, retry, refusal, a.Title)
+		must.StrContains(t, string(page), row)
+	}
+}
--- a/standin/cloud.go
+++ b/standin/cloud.go
@@ -1,5 +1,3 @@
-// Package standin holds small stand-ins for the systems around trefoillug: the platform's APIs, a model engine
-// and a plain service. Tests and `make run` use them; production never does.
 package standin
 
 import (
@@ -97,7 +95,7 @@
 			visible = l.instances
 		}
 	}
-	encode(w, visible)
+	writeJSON(w, visible)
 }
 
 func (c *Cloud) getNotices(w http.ResponseWriter, _ *http.Request) {
@@ -107,7 +105,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	encode(w, c.notices)
+	writeJSON(w, c.notices)
 }
 
 // postNotice announces a reclaim and marks the instances as leaving in the list.
@@ -142,9 +140,3 @@
 	}
 	return true
 }
-
-func encode(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	// The reader may be gone; it then asks again.
-	_ = json.NewEncoder(w).Encode(v)
-}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -1,5 +1,3 @@
-// Package standin holds small stand-ins for the parts of the platform. Each does only what the repository's tests
-// and the local run need.
 package standin
 
 import (
@@ -99,7 +97,7 @@
 
 // ServeHTTP implements http.Handler. While the engine is down it breaks every connection.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path != "/faults" && r.URL.Path != "/counts" && e.down() {
+	if r.URL.Path != "/faults" && r.URL.Path != "/counts" && e.Down() {
 		panic(http.ErrAbortHandler)
 	}
 	e.mux.ServeHTTP(w, r)
--- a/standin/engine_control.go
+++ b/standin/engine_control.go
@@ -30,7 +30,7 @@
 	_, offset := run.status()
 	tokens := len(run.prompt) + offset
 	time.Sleep(time.Duration(tokens) * e.cfg.TransferToken)
-	if e.down() {
+	if e.Down() {
 		panic(http.ErrAbortHandler)
 	}
 	state, err := json.Marshal(kvState{Tokens: tokens})
--- a/standin/engine_faults.go
+++ b/standin/engine_faults.go
@@ -77,7 +77,8 @@
 	e.cache.blocks, e.cache.order = nil, nil
 }
 
-func (e *Engine) down() bool {
+// Down reports whether the engine is down after a crash or by a fault.
+func (e *Engine) Down() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.state.down || time.Now().Before(e.state.downUntil)
--- a/standin/service.go
+++ b/standin/service.go
@@ -120,9 +120,3 @@
 	}
 	return s.faults, true
 }
-
-func writeJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	// The caller may be gone; there is nobody else to tell.
-	_ = json.NewEncoder(w).Encode(v)
-}
