--- a/config/distributor_test.go
+++ b/config/distributor_test.go
@@ -292,6 +292,10 @@
 	must.True(t, tr.hear("lagging", announcement{Revision: 1}, tr.floor("lagging")))
 	must.False(t, tr.behind())
 	must.True(t, tr.advance(record(3)))
+	must.True(t, tr.hear("ahead", announcement{Revision: 4}, 0))
+	tr.forget(nil)
+	must.True(t, tr.behind())
+	must.MapNotContainsKey(t, tr.heard, "lagging")
 }
 
 // Guards against a peer that shows an older revision than before being believed.
--- a/config/fakes_test.go
+++ b/config/fakes_test.go
@@ -241,9 +241,17 @@
 	}
 }
 
-func (m *memMesh) Subscribe(_ string, fn func(peer.Fact)) { m.subs = append(m.subs, fn) }
+func (m *memMesh) Subscribe(_ string, fn func(peer.Fact)) {
+	m.net.mu.Lock()
+	defer m.net.mu.Unlock()
+	m.subs = append(m.subs, fn)
+}
 
-func (m *memMesh) Handle(kind string, h peer.Handler) { m.handlers[kind] = h }
+func (m *memMesh) Handle(kind string, h peer.Handler) {
+	m.net.mu.Lock()
+	defer m.net.mu.Unlock()
+	m.handlers[kind] = h
+}
 
 func (m *memMesh) Call(ctx context.Context, member, kind string, body []byte) ([]byte, error) {
 	if !pause(ctx, 2*m.net.latency) {
@@ -252,12 +260,16 @@
 	m.net.mu.Lock()
 	i := slices.IndexFunc(m.net.nodes, func(o *memMesh) bool { return o.self.ID == member && m.net.linked(m, o) })
 	corrupt := m.net.corrupt[member] && kind == callObjects
+	var handler peer.Handler
+	if i >= 0 {
+		handler = m.net.nodes[i].handlers[kind]
+	}
 	nodes := m.net.nodes
 	m.net.mu.Unlock()
-	if i < 0 {
+	if handler == nil {
 		return nil, errors.New("member not reachable")
 	}
-	answer, err := nodes[i].handlers[kind](ctx, m.self.ID, body)
+	answer, err := handler(ctx, m.self.ID, body)
 	nodes[i].served.Add(int64(len(answer)))
 	if corrupt && len(answer) > 0 {
 		answer = bytes.Replace(answer, []byte("plain"), []byte("model"), 1)
--- a/config/publisher_test.go
+++ b/config/publisher_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -141,6 +142,59 @@
 	})
 }
 
+// Guards against the winner being told that it lost when the store shows it an old head after the lost answer.
+func TestPublisher_LostAnswerWithStaleReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newMemStore()
+		publish(t, store, service("a", 1))
+		old, err := store.Get(t.Context(), HeadKey)
+		must.NoError(t, err)
+		store.loseNext = 1
+		stale := &laterStore{memStore: store, then: func() {
+			store.set(func(m *memStore) { m.stale = &old })
+			time.AfterFunc(3*time.Second, func() { store.set(func(m *memStore) { m.stale = nil }) })
+		}}
+		must.Eq(t, Result{2, true}, publish(t, stale, service("a", 2)))
+	})
+}
+
+// Guards against two operators who both win one revision, and against a winner whose service is lost.
+func TestPublisher_ManyOperators(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newMemStore()
+		store.slow = time.Millisecond
+		store.loseNext = 4
+		var mu sync.Mutex
+		won := map[string]bool{}
+		var wg sync.WaitGroup
+		for i := range 40 {
+			wg.Go(func() {
+				time.Sleep(time.Duration(i) * 700 * time.Microsecond)
+				name := fmt.Sprint("s", i)
+				r, err := NewPublisher(store).Publish(t.Context(), []Service{service(name, 1)}, nil)
+				var race *RaceError
+				if (err != nil || !r.Changed) && !errors.As(err, &race) {
+					t.Errorf("publish of %s: %v, %v", name, r, err)
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				won[name] = err == nil
+			})
+		}
+		wg.Wait()
+		services := loadAll(t, store)
+		must.Eq(t, uint64(len(services)), headOf(t, store).Revision)
+		must.Between(t, 2, len(services), 39)
+		for _, s := range services {
+			must.True(t, won[s.Name], must.Sprint(s.Name))
+			delete(won, s.Name)
+		}
+		for name, ok := range won {
+			must.False(t, ok, must.Sprint(name))
+		}
+	})
+}
+
 // Guards against a move that starts anew when its unchanged file is published again.
 func TestPublisher_KeepsStartOfMove(t *testing.T) {
 	store := newMemStore()
--- a/config/tracker.go
+++ b/config/tracker.go
@@ -136,11 +136,12 @@
 	return len(t.announcers(self, members, revision)) > 0
 }
 
-// forget drops what was heard of members that are gone.
+// forget drops what was heard of members that are gone, but not a revision that is still to be loaded: the mesh
+// does not repeat an announcement when the member is back.
 func (t *tracker) forget(members []peer.Member) {
-	for id := range t.heard {
+	for id, a := range t.heard {
 		gone := !slices.ContainsFunc(members, func(m peer.Member) bool { return m.ID == id })
-		if gone && id != storeSource {
+		if gone && id != storeSource && a.Revision <= t.inForce.revision() {
 			delete(t.heard, id)
 		}
 	}
