Bound the store reads of a fleet that starts as a whole

Cause: without ready peers every starting instance read every object from the store, one after the other. Ruled out: the head reads, a few for each instance. Change: until it is ready, an instance that is not a watcher leaves the objects to the watchers of its failure domain for 30 s and takes them from peers; eight reads run at once.

--- a/config/distributor.go
+++ b/config/distributor.go
@@ -24,6 +24,8 @@
 	StartWait time.Duration // for peers at the start when the store answers
 	Retry     time.Duration // first pause after a failure; it doubles up to MaxRetry
 	MaxRetry  time.Duration
+	// StartObjects is how long a starting instance that is not a watcher waits for peers to have the objects.
+	StartObjects time.Duration
 }
 
 // DefaultTiming returns the intervals of the design. A watch that goes silent right before a publish delays its
@@ -32,6 +34,7 @@
 	return Timing{
 		Poll: time.Minute, Watch: 10 * time.Second, Role: time.Second, PeerCall: time.Second,
 		StoreCall: 2 * time.Second, StartWait: 3 * time.Second, Retry: 50 * time.Millisecond, MaxRetry: 5 * time.Second,
+		StartObjects: 30 * time.Second,
 	}
 }
 
@@ -62,6 +65,7 @@
 	cache   *cache
 	after   uint64 // object version of the head after which a watch waits
 	isReady bool
+	begin   time.Time // of the start
 	alarms  map[string]time.Time
 	rand    *rand.Rand
 }
--- a/config/distributor_test.go
+++ b/config/distributor_test.go
@@ -229,6 +229,24 @@
 	})
 }
 
+// Guards against a fleet that starts as a whole and reads every object once for each instance.
+func TestDistributor_ColdStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 64, 4)
+		f.store.slow = 2 * time.Millisecond
+		var services []Service
+		for i := range 50 {
+			services = append(services, service(fmt.Sprint("s", i), 1))
+		}
+		publish(t, &operatorStore{f.store}, services...)
+		f.run(f.nodes...)
+		f.mustSettle(1, inForceBound)
+		// Eight watchers read 50 services and up to 16 shards; the others read the head a few times.
+		must.LessEq(t, 8*66+64*10, f.store.calls)
+		f.stop()
+	})
+}
+
 // Guards against a watch that goes silent and is waited for forever. Polls would hide it only after a minute.
 func TestDistributor_SilentWatch(t *testing.T) {
 	inBubble(t, 8, 4, func(t *testing.T, f *fleet) {
--- a/config/fetch.go
+++ b/config/fetch.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -29,6 +31,8 @@
 	// three to four levels of the tree 750 ms.
 	parentTries = 30
 	parentPause = 25 * time.Millisecond
+	// storeParallel shortens a start without peers to a few seconds at 5,000 services.
+	storeParallel = 8
 )
 
 // headQuery asks for a head that is newer than a revision.
@@ -138,7 +142,7 @@
 	self, members := d.opts.Mesh.Self(), d.opts.Mesh.Members()
 	if pending != nil {
 		// One member that has the revision is enough: the store is at hand.
-		d.load(ctx, pending, d.announcers(self, members, pending.revision(), 1), true)
+		d.load(ctx, pending, d.announcers(self, members, pending.revision(), 1))
 	}
 	for _, m := range d.headSources(self, members, target) {
 		if !d.isBehind() || ctx.Err() != nil {
@@ -151,7 +155,7 @@
 		pending = d.tracker.pending
 		d.mu.Unlock()
 		if pending != nil {
-			d.load(ctx, pending, nil, true)
+			d.load(ctx, pending, nil)
 		} else {
 			// Either the store lags behind what a member has in force, or that member is wrong.
 			d.alarm("config_unconfirmed", storeSource, d.Revision(), target)
@@ -222,7 +226,7 @@
 		}
 		// The store serves the objects that neither this member nor an announcing one delivers.
 		others := d.announcers(self, members, r.revision(), 1)
-		d.load(ctx, r, append([]string{s.member}, others...), true)
+		d.load(ctx, r, append([]string{s.member}, others...))
 		if !d.isBehind() {
 			return
 		}
@@ -230,12 +234,12 @@
 }
 
 // load fetches the missing objects of a head from members, then from the store, and puts the head in force.
-func (d *Distributor) load(ctx context.Context, r *headRecord, members []string, store bool) bool {
+func (d *Distributor) load(ctx context.Context, r *headRecord, members []string) bool {
 	for _, m := range members {
 		for d.fetchFromPeer(ctx, m, d.missing(r.head)) {
 		}
 	}
-	for store && d.fetchFromStore(ctx, d.missing(r.head)) {
+	for d.mayReadObjects() && d.fetchFromStore(ctx, d.missing(r.head)) {
 	}
 	return d.putInForce(r)
 }
@@ -272,19 +276,39 @@
 
 // fetchFromStore returns whether it got all of the objects and there was at least one.
 func (d *Distributor) fetchFromStore(ctx context.Context, ids []objectID) bool {
+	var wg sync.WaitGroup
+	var failed atomic.Bool
+	slots := make(chan struct{}, storeParallel)
 	for _, id := range ids {
-		if !d.fetchObject(ctx, id) {
-			return false
+		slots <- struct{}{}
+		if failed.Load() {
+			break
 		}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			if !d.fetchObject(ctx, id) {
+				failed.Store(true)
+			}
+		})
 	}
-	return len(ids) > 0
+	wg.Wait()
+	return len(ids) > 0 && !failed.Load()
+}
+
+// mayReadObjects keeps a fleet that starts as a whole from reading each object once for each instance: until it is
+// ready, an instance that is not a watcher leaves the objects to the watchers and takes them from these.
+func (d *Distributor) mayReadObjects() bool {
+	d.mu.Lock()
+	ready, begin := d.isReady, d.begin
+	d.mu.Unlock()
+	return ready || time.Since(begin) >= d.opts.Timing.StartObjects || isWatcher(d.opts.Mesh.Self(), d.opts.Mesh.Members())
 }
 
 func (d *Distributor) fetchObject(ctx context.Context, id objectID) bool {
 	ctx, cancel := context.WithTimeout(ctx, d.opts.Timing.StoreCall)
 	defer cancel()
 	o, err := d.opts.Store.Get(ctx, id.key())
-	if err != nil && !errors.Is(err, objstore.ErrUnavailable) {
+	if errors.Is(err, objstore.ErrNotFound) {
 		d.alarm("config_object_missing", storeSource, 0, 0)
 	}
 	return err == nil && d.addObject(storeSource, id, o.Value)
--- a/config/start.go
+++ b/config/start.go
@@ -14,6 +14,9 @@
 // start finds the accepted configuration and puts it in force. It returns false when ctx ended first.
 func (d *Distributor) start(ctx context.Context) bool {
 	begin := time.Now()
+	d.mu.Lock()
+	d.begin = begin
+	d.mu.Unlock()
 	s := newStartup()
 	retry := d.backoff()
 	for {
@@ -46,7 +49,7 @@
 		return !d.isBehind()
 	}
 	self, members := d.opts.Mesh.Self(), d.opts.Mesh.Members()
-	d.load(ctx, pending, d.announcers(self, members, pending.revision(), maxAnnouncers), true)
+	d.load(ctx, pending, d.announcers(self, members, pending.revision(), maxAnnouncers))
 	return d.catchUp(ctx)
 }
 
