Add quarantine of requests that crash endpoints

A table of crashes merges facts of all instances in any order. A crash counts once however many instances report it, is attributed to a request that ran alone or is the only one not cleared since, and a request in two crashes with one attributed is refused after a settle time longer than the spread of facts.

The reservation now names its endpoint.

--- a/claim/submit.go
+++ b/claim/submit.go
@@ -34,7 +34,7 @@
 	op := w.attempt.operation(opClaim, nil)
 	for poll := minPoll; ; poll = min(2*poll, maxPoll) {
 		a, err := w.service.claimOnce(ctx, op)
-		if err == nil && a.Verdict == verdictGranted && ctx.Err() == nil {
+		if err == nil && a.Verdict == verdictGranted && ctx.Err() == nil && time.Now().Before(w.attempt.until) {
 			w.service.held.Store(w.attempt.key, w.attempt.id)
 			return Result{Attempt: w.attempt}, nil
 		}
@@ -42,7 +42,7 @@
 			return w.result(a)
 		}
 		w.taken = w.taken || a.Verdict == verdictPending
-		if err != nil || ctx.Err() != nil {
+		if err != nil || ctx.Err() != nil || a.Verdict == verdictGranted {
 			return Result{}, w.giveUp(err)
 		}
 		pause(ctx, poll)
--- /dev/null
+++ b/quarantine/fingerprint.go
@@ -0,0 +1,52 @@
+// Package quarantine finds requests that crash the endpoints that run them. It is pure: time arrives as a parameter,
+// and facts for the peers are returned to the caller, who publishes them.
+package quarantine
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Fingerprint is a digest of the content of a request. Requests with the same content under different IDs share it.
+type Fingerprint uint64
+
+// volatileFields of a JSON body differ between repeats of the same content and do not affect how it runs.
+var volatileFields = []string{
+	"user", "metadata", "stream", "stream_options", "request_id", "idempotency_key", "safety_identifier",
+}
+
+// Of returns the fingerprint of a request. Of a JSON object the order of keys, white space and volatile top-level
+// fields do not count; any other body counts byte for byte.
+func Of(service, route string, body []byte) Fingerprint {
+	d := xxhash.New()
+	for _, part := range [][]byte{[]byte(service), []byte(route), canonical(body)} {
+		// Digest writes never fail. The zero byte separates the parts.
+		_, _ = d.Write(part)
+		_, _ = d.Write([]byte{0})
+	}
+	return Fingerprint(d.Sum64())
+}
+
+func canonical(body []byte) []byte {
+	dec := json.NewDecoder(bytes.NewReader(body))
+	dec.UseNumber()
+	var fields map[string]any
+	if err := dec.Decode(&fields); err != nil || fields == nil {
+		return body
+	}
+	if _, err := dec.Token(); err != io.EOF {
+		return body
+	}
+	for _, name := range volatileFields {
+		delete(fields, name)
+	}
+	// Marshal writes the keys of maps in sorted order.
+	out, err := json.Marshal(fields)
+	if err != nil {
+		return body
+	}
+	return out
+}
--- /dev/null
+++ b/quarantine/quarantine_test.go
@@ -0,0 +1,90 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+var t0 = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func attempts(fps ...Fingerprint) []Running {
+	var out []Running
+	for _, fp := range fps {
+		out = append(out, Running{Fingerprint: fp, Started: t0})
+	}
+	return out
+}
+
+// Guards against a repeat that escapes by key order, white space, a new user or a new ID, and against taking
+// different content for the same.
+func TestOf_VolatileFields(t *testing.T) {
+	base := Of("s", "r", []byte(`{"model":"m","messages":[{"role":"user","content":"x"}],"n":1}`))
+	same := `{"n":1, "user":"u", "metadata":{"a":1}, "stream":true, "request_id":"q", "messages":[{"content":"x","role":"user"}],"model":"m"}`
+	must.Eq(t, base, Of("s", "r", []byte(same)))
+	for _, other := range []string{`{"model":"m","n":1}`, `{"model":"m","messages":[{"role":"user","content":"x"}],"n":2}`, `plain`, ``, `{}x`} {
+		must.NotEq(t, base, Of("s", "r", []byte(other)))
+	}
+	must.NotEq(t, Of("s", "r", []byte("ab")), Of("s", "ra", []byte("b")))
+	must.NotEq(t, Of("s", "r", []byte("{}{}")), Of("s", "r", []byte("{}{} ")))
+}
+
+// Guards against counting one crash that several instances report as several, in any order of facts.
+func TestTable_CrashReportedTwiceCountsOnce(t *testing.T) {
+	a, b := New(Options{}), New(Options{})
+	fa, _ := a.Crashed("e1", attempts(1), t0)
+	fb, _ := b.Crashed("e1", attempts(1), t0)
+	a.Merge(fb, t0)
+	b.Merge(fa, t0)
+	b.Merge(fa, t0)
+	late := New(Options{})
+	late.Merge(fa, t0.Add(time.Second))
+	_, _ = late.Crashed("e1", attempts(1), t0.Add(time.Second))
+	for _, table := range []*Table{a, b, late} {
+		must.True(t, table.MustIsolate(1, t0.Add(time.Minute)))
+	}
+}
+
+// Guards against refusing an innocent request that only shared endpoints with the one that crashes them, and against
+// losing a third endpoint when the cause follows by elimination.
+func TestTable_InnocentSuspects(t *testing.T) {
+	table, now := New(Options{}), t0.Add(time.Minute)
+	_, _ = table.Crashed("e1", attempts(1, 2), t0)
+	_, _ = table.Crashed("e2", attempts(1, 2, 3), t0)
+	must.True(t, table.MustIsolate(1, now))
+	must.True(t, table.MustIsolate(2, now))
+	must.SliceLen(t, 2, table.Completed(2, "e3", now))
+	must.SliceLen(t, 1, table.Completed(3, "e3", now))
+	must.Eq(t, Run, table.Decide(2, now).Action)
+	must.Eq(t, Run, table.Decide(3, now).Action)
+	must.True(t, table.IsQuarantined(1, now))
+	must.Eq(t, Run, table.Decide(1, t0.Add(DefaultTTL)).Action)
+}
+
+// Guards against a refusal before the other instances can have reported what else ran on the endpoint.
+func TestTable_HoldsUntilSettled(t *testing.T) {
+	table, now := New(Options{}), t0.Add(time.Minute)
+	_, _ = table.Crashed("e1", attempts(1), t0)
+	f, _ := table.Crashed("e2", []Running{{1, now}}, now)
+	must.Eq(t, Decision{Hold, now.Add(DefaultSettle)}, table.Decide(1, now))
+	table.Merge(Fact{Crash: f.Crash, Running: []Fingerprint{2}}, now)
+	table.Merge(Fact{Crash: CrashID{Endpoint: "e1", Number: 1}, Running: []Fingerprint{2}}, now)
+	must.True(t, table.MustIsolate(1, now.Add(DefaultSettle)))
+}
+
+// Guards against growth without bound and against two isolated runs of a request at once.
+func TestTable_Bounded(t *testing.T) {
+	table := New(Options{MaxCrashes: 10})
+	for i := range 1000 {
+		_, _ = table.Crashed(fmt.Sprint("e", i), attempts(Fingerprint(i), Fingerprint(i+1)), t0.Add(time.Duration(i)*time.Minute))
+	}
+	must.MapLen(t, 10, table.crashes)
+	must.MapLen(t, 11, table.byPrint)
+	_ = table.Decide(0, t0.Add(17*time.Hour))
+	must.Less(t, 100, len(table.numbers))
+	must.True(t, table.Begin(5, "e", time.Minute, t0))
+	must.False(t, table.Begin(5, "e", time.Minute, t0.Add(time.Second)))
+	must.True(t, table.Begin(5, "e", time.Minute, t0.Add(time.Minute)))
+}
