--- a/claim/fake_test.go
+++ b/claim/fake_test.go
@@ -136,6 +136,7 @@
 	mu     sync.Mutex
 	rng    *rand.Rand
 	meshes map[string]*fakeMesh
+	bytes  int // of peer calls and their answers
 }
 
 // fakeMesh is one instance's mesh. Members returns what the test set, so that views can disagree.
@@ -204,6 +205,9 @@
 	if ctx.Err() != nil {
 		return nil, ctx.Err()
 	}
+	m.net.mu.Lock()
+	m.net.bytes += len(body) + len(answer)
+	m.net.mu.Unlock()
 	return answer, err
 }
 
