Test the mesh in virtual time and check each guarantee by disabling it

Flaky under -race: one run of eight died with SIGSEGV in the race detector's runtime (a timer on g0 of a synctest bubble, Go 1.26.8) while the in-memory network slept once for each message.

--- /dev/null
+++ b/peer/machine_test.go
@@ -0,0 +1,71 @@
+package peer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+var machineStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// feedMachine passes a message to a machine with one connection.
+func feedMachine(msg *message) {
+	m := newMachine(testMember(0, 2, 1), nil, machineStart, 1)
+	m.linkUp(1, &hello{Member: testMember(1, 2, 1), Facts: 5}, true, machineStart)
+	m.receive(1, msg, machineStart)
+	m.tick(machineStart.Add(time.Second))
+	m.take()
+}
+
+// ownFact returns the version of a fact of the machine itself.
+func ownVersion(m *machine, key string) uint64 { return m.facts.byID[factID(m.self.ID, key)].Version }
+
+// Guards against a restarted process whose clock is behind: its facts must supersede those of the earlier process.
+func TestMachine_RestartWithClockBehind(t *testing.T) {
+	before := newMachine(testMember(0, 2, 1), nil, machineStart.Add(time.Hour), 1)
+	before.publish("k", []byte("old"), 0, machineStart)
+	old := []wireFact{}
+	for id := range before.facts.byID {
+		w, _ := before.wire(id, machineStart)
+		old = append(old, w)
+	}
+	m := newMachine(testMember(0, 2, 1), nil, machineStart, 1)
+	m.publish("k", []byte("new"), 0, machineStart)
+	m.linkUp(1, &hello{Member: testMember(1, 2, 1), Facts: 5}, true, machineStart)
+	m.receive(1, &message{Kind: kindDelta, Facts: old}, machineStart)
+	must.Greater(t, ownVersion(before, "k"), ownVersion(m, "k"))
+	must.Greater(t, ownVersion(before, memberKey), ownVersion(m, memberKey))
+	must.Eq(t, "new", string(m.facts.byID[factID(m.self.ID, "k")].Value))
+}
+
+// Guards against a member or its peers using unbounded memory for the facts of one origin.
+func TestMachine_BoundedFacts(t *testing.T) {
+	m := newMachine(testMember(0, 2, 1), nil, machineStart, 1)
+	for i := range 2 * maxOriginFacts {
+		m.publish(string(rune(i)), nil, 0, machineStart)
+	}
+	must.Eq(t, maxOriginFacts, len(m.facts.byID))
+}
+
+// Guards against a process that judges others by timers that ran while it was paused.
+func TestMachine_PauseRestartsTimers(t *testing.T) {
+	m := newMachine(testMember(0, 2, 1), nil, machineStart, 1)
+	m.tick(machineStart)
+	other := newMachine(testMember(1, 2, 1), nil, machineStart, 1)
+	m.linkUp(1, &hello{Member: other.self, Facts: 5}, true, machineStart)
+	alive, _ := other.wire(factID(other.self.ID, memberKey), machineStart)
+	accused := alive
+	accused.Version += uint64(statusAccused)
+	m.receive(1, &message{Kind: kindDelta, Facts: []wireFact{alive, accused}}, machineStart)
+	woken := machineStart.Add(time.Minute)
+	m.tick(woken)
+	must.MapLen(t, 1, m.links)
+	must.SliceLen(t, 2, m.members.live)
+	for range 20 {
+		woken = woken.Add(tickInterval)
+		m.tick(woken)
+	}
+	must.MapEmpty(t, m.links)
+	must.SliceLen(t, 1, m.members.live)
+}
--- /dev/null
+++ b/peer/memnet_test.go
@@ -0,0 +1,254 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+var errMemClosed = errors.New("connection closed")
+
+// memNet is an in-memory network with faults. Messages arrive at once: a timer for each of them made the race
+// detector's runtime crash in synctest (SIGSEGV in a timer on g0, Go 1.26.8, about one run of eight).
+type memNet struct {
+	mu      sync.Mutex
+	nodes   map[string]*Node // by address
+	conns   []*memConn
+	blocked func(from, to string) bool // drops messages and dials
+	held    func(from, to string) bool // delays messages until it is false
+	loss    float64                    // probability for messages after the hello
+	reorder time.Duration              // random extra delay of each message
+	rng     *rand.Rand
+	bytes   atomic.Int64 // payload and WebSocket frame headers
+}
+
+func newMemNet() *memNet {
+	no := func(string, string) bool { return false }
+	return &memNet{nodes: map[string]*Node{}, blocked: no, held: no, rng: rand.New(rand.NewPCG(1, 1))}
+}
+
+func (n *memNet) set(fn func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	fn()
+}
+
+type memTransport struct {
+	net  *memNet
+	from string
+}
+
+type memConn struct {
+	net      *memNet
+	from, to string
+	inbox    chan []byte
+	backlog  [][]byte // messages while held
+	other    *memConn
+	closed   chan struct{}
+	once     sync.Once
+	muted    atomic.Bool // drops what this end sends
+	sent     int
+	masked   int64 // bytes of the mask that a client adds to each frame
+}
+
+func (t memTransport) Dial(ctx context.Context, address string) (Conn, error) {
+	n := t.net
+	n.mu.Lock()
+	target, cut := n.nodes[address], n.blocked(t.from, address) || n.blocked(address, t.from)
+	n.mu.Unlock()
+	if cut {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	if target == nil {
+		return nil, errors.New("connection refused")
+	}
+	a, b := n.newEnd(t.from, address), n.newEnd(address, t.from)
+	a.other, b.other, a.masked = b, a, 4
+	n.set(func() { n.conns = append(n.conns, a, b) })
+	go target.Serve(b)
+	return a, nil
+}
+
+func (n *memNet) newEnd(from, to string) *memConn {
+	return &memConn{net: n, from: from, to: to, inbox: make(chan []byte, 1024), closed: make(chan struct{})}
+}
+
+// frameBytes is the size of a WebSocket frame with its header.
+func (c *memConn) frameBytes(payload int) int64 {
+	switch {
+	case payload < 126:
+		return int64(payload) + 2 + c.masked
+	case payload < 1<<16:
+		return int64(payload) + 4 + c.masked
+	default:
+		return int64(payload) + 10 + c.masked
+	}
+}
+
+func (c *memConn) Send(b []byte) error {
+	select {
+	case <-c.closed:
+		return errMemClosed
+	default:
+	}
+	c.net.bytes.Add(c.frameBytes(len(b)))
+	c.net.mu.Lock()
+	c.sent++
+	first := c.sent == 1 // the hello
+	lost := c.muted.Load() || c.net.blocked(c.from, c.to) || (!first && c.net.rng.Float64() < c.net.loss)
+	extra := time.Duration(c.net.rng.Float64() * float64(c.net.reorder))
+	held := len(c.backlog) > 0 || c.net.held(c.from, c.to)
+	if held {
+		c.backlog = append(c.backlog, b)
+		if len(c.backlog) == 1 {
+			go c.release()
+		}
+	}
+	c.net.mu.Unlock()
+	switch {
+	case lost || held:
+	case extra > 0 && !first:
+		time.AfterFunc(extra, func() { c.other.push(b) })
+	default:
+		c.other.push(b)
+	}
+	return nil
+}
+
+// release delivers the backlog once the connection is no longer held.
+func (c *memConn) release() {
+	for {
+		time.Sleep(20 * time.Millisecond)
+		c.net.mu.Lock()
+		if c.net.held(c.from, c.to) {
+			c.net.mu.Unlock()
+			continue
+		}
+		messages := c.backlog
+		c.backlog = nil
+		c.net.mu.Unlock()
+		for _, b := range messages {
+			c.other.push(b)
+		}
+		return
+	}
+}
+
+func (c *memConn) push(b []byte) {
+	select {
+	case c.inbox <- b:
+	case <-c.closed:
+	}
+}
+
+func (c *memConn) Receive() ([]byte, error) {
+	select {
+	case b := <-c.inbox:
+		return b, nil
+	case <-c.closed:
+		return nil, errMemClosed
+	}
+}
+
+// Close ends this side, and the other one unless the network between them is cut.
+func (c *memConn) Close() error {
+	c.net.mu.Lock()
+	cut := c.muted.Load() || c.net.blocked(c.from, c.to) || c.net.held(c.from, c.to)
+	c.net.mu.Unlock()
+	c.once.Do(func() { close(c.closed) })
+	if !cut {
+		c.other.once.Do(func() { close(c.other.closed) })
+	}
+	return nil
+}
+
+// mute silences the established connections between two addresses in the given direction.
+func (n *memNet) mute(from, to string) (muted int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, c := range n.conns {
+		if c.from == from && c.to == to {
+			c.muted.Store(true)
+			muted++
+		}
+	}
+	return muted
+}
+
+func (n *memNet) start(t testing.TB, self Member, seeds ...string) *Node {
+	node, err := New(Settings{Self: self, Seeds: seeds, Transport: memTransport{n, self.Address}, Seed: 7})
+	must.NoError(t, err)
+	node.Handle("echo", func(_ context.Context, from string, body []byte) ([]byte, error) {
+		return append([]byte(from+":"), body...), nil
+	})
+	n.set(func() { n.nodes[self.Address] = node })
+	node.Start()
+	t.Cleanup(node.kill)
+	return node
+}
+
+func (n *memNet) kill(node *Node) {
+	n.set(func() { delete(n.nodes, node.Self().Address) })
+	node.kill()
+}
+
+// cluster starts count members spread over failure domains and regions, and waits until all know all.
+func (n *memNet) cluster(t testing.TB, count, domains, regions int) []*Node {
+	nodes := make([]*Node, count)
+	for i := range nodes {
+		nodes[i] = n.start(t, testMember(i, domains, regions), testMember(0, domains, regions).Address)
+	}
+	waitFor(t, 30*time.Second, "all know all", func() bool { return allSee(nodes, count) })
+	return nodes
+}
+
+func testMember(i, domains, regions int) Member {
+	id := string(rune('a'+i/26/26)) + string(rune('a'+i/26%26)) + string(rune('a'+i%26))
+	d := i % domains
+	return Member{
+		ID: id, Address: "10.0.0." + id + ":7100", FailureDomain: "d" + string(rune('0'+d)),
+		Region: "r" + string(rune('0'+d%regions)),
+	}
+}
+
+func allSee(nodes []*Node, count int) bool {
+	return !slices.ContainsFunc(nodes, func(n *Node) bool { return len(n.Members()) != count })
+}
+
+// waitFor polls in real or virtual time and returns how long it took.
+func waitFor(t testing.TB, limit time.Duration, what string, ok func() bool) time.Duration {
+	t.Helper()
+	start := time.Now()
+	for !ok() {
+		if time.Since(start) > limit {
+			t.Fatalf("not within %v: %s", limit, what)
+		}
+		time.Sleep(25 * time.Millisecond)
+	}
+	return time.Since(start)
+}
+
+// value returns the value of a fact as a node knows it.
+func value(n *Node, origin, key string) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	f := n.m.facts.byID[factID(origin, key)]
+	if f == nil {
+		return ""
+	}
+	return string(f.Value)
+}
+
+func allHave(nodes []*Node, origin, key, want string) func() bool {
+	return func() bool {
+		return !slices.ContainsFunc(nodes, func(n *Node) bool { return value(n, origin, key) != want })
+	}
+}
