move: test versions by conditional likelihood ratios of batches

The conditional ratio has no nuisance parameter, adds up over load classes and routes, and a window is a difference of two sums. Evidence is published each second, latency counts as varint strings, and the other origins' counters are kept decoded.

--- a/move/evidence.go
+++ b/move/evidence.go
@@ -1,10 +1,11 @@
 package move
 
 import (
+	"encoding/binary"
 	"math"
+	"slices"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/samber/oops"
 )
 
@@ -127,7 +128,7 @@
 type sketchFact struct {
 	_      struct{} `cbor:",toarray"`
 	Start  uint8
-	Counts []uint32
+	Counts []byte // unsigned varints
 }
 
 func encodeCells(c *counters) []cellFact {
@@ -155,45 +156,62 @@
 	if lo >= hi {
 		return sketchFact{}
 	}
-	return sketchFact{Start: uint8(lo), Counts: append([]uint32(nil), s[lo:hi]...)}
+	f := sketchFact{Start: uint8(lo)}
+	for _, n := range s[lo:hi] {
+		f.Counts = binary.AppendUvarint(f.Counts, uint64(n))
+	}
+	return f
 }
 
-func decodeCells(cells []cellFact) (*counters, error) {
-	c := new(counters)
-	for i := range cells {
-		f := &cells[i]
-		if f.Side >= uint8(sides) || f.Stratum >= strata || f.Failed > f.N {
-			return nil, oops.Errorf("move: evidence cell %d is out of range", i)
-		}
-		x := &c[f.Side][f.Stratum]
-		x.n, x.failed = f.N, f.Failed
-		if !decodeSketch(&x.first, f.First) || !decodeSketch(&x.perTok, f.PerTok) {
-			return nil, oops.Errorf("move: evidence cell %d has a latency class out of range", i)
-		}
+// check reports a fact whose counters are out of range.
+func (f *cellFact) check() error {
+	if f.Side >= uint8(sides) || f.Stratum >= strata || f.Failed > f.N {
+		return oops.Errorf("move: evidence cell of version %d, load class %d is out of range", f.Side, f.Stratum)
 	}
-	return c, nil
+	var s sketch
+	if !f.First.into(&s) || !f.PerTok.into(&s) {
+		return oops.Errorf("move: evidence cell has a latency class out of range")
+	}
+	return nil
 }
 
-func decodeSketch(s *sketch, f sketchFact) bool {
-	if int(f.Start)+len(f.Counts) > bins {
-		return false
+// into overwrites the classes of s that the fact holds.
+func (f *sketchFact) into(s *sketch) bool {
+	raw := f.Counts
+	for b := int(f.Start); len(raw) > 0; b++ {
+		n, size := binary.Uvarint(raw)
+		if size <= 0 || b >= bins || n > math.MaxUint32 {
+			return false
+		}
+		s[b] = uint32(n)
+		raw = raw[size:]
 	}
-	copy(s[f.Start:], f.Counts)
 	return true
 }
 
+func (f *cellFact) cell() *cell {
+	c := &cell{n: f.N, failed: f.Failed}
+	f.First.into(&c.first)
+	f.PerTok.into(&c.perTok)
+	return c
+}
+
 // routeEvidence is the evidence of a route: own counters, those of other origins, and their sum.
 type routeEvidence struct {
-	name      string
-	own       counters
-	dirty     bool // own counters changed since they were published
-	origins   map[string][]byte
+	name    string
+	own     counters
+	dirty   bool // own counters changed since they were published
+	origins map[string][]cellFact
+
 	total     counters
-	baselines []counters // of total at the last window boundaries
+	seen      counters // part of total that is in the tally
+	past      *counters
+	tally     tally
+	baselines []tally // at the last window boundaries
 }
 
 func newRouteEvidence(name string) *routeEvidence {
-	return &routeEvidence{name: name, origins: map[string][]byte{}}
+	return &routeEvidence{name: name, origins: map[string][]cellFact{}}
 }
 
 func (r *routeEvidence) observe(s side, res Result) {
@@ -203,25 +221,28 @@
 }
 
 // merge takes over an origin's counters by maximum, so that late and repeated facts change nothing.
-func (r *routeEvidence) merge(origin string, cells *counters) error {
-	known := new(counters)
-	if raw, ok := r.origins[origin]; ok {
-		var f []cellFact
-		if err := cbor.Unmarshal(raw, &f); err != nil {
-			return oops.Wrapf(err, "move: stored evidence")
-		}
-		var err error
-		if known, err = decodeCells(f); err != nil {
+func (r *routeEvidence) merge(origin string, cells []cellFact) error {
+	for i := range cells {
+		if err := cells[i].check(); err != nil {
 			return err
 		}
 	}
-	cells.apply(known, func(a, b uint32) uint32 { return max(a, b) })
-	raw, err := cbor.Marshal(encodeCells(cells))
-	if err != nil {
-		return oops.Wrapf(err, "move: store evidence")
+	known := r.origins[origin]
+	for i := range cells {
+		f := &cells[i]
+		at := slices.IndexFunc(known, func(k cellFact) bool { return k.Side == f.Side && k.Stratum == f.Stratum })
+		if at < 0 {
+			known = append(known, cellFact{Side: f.Side, Stratum: f.Stratum})
+			at = len(known) - 1
+		}
+		if f.N <= known[at].N {
+			continue // the counters of a cell grow together, so those with more attempts are the maximum
+		}
+		gain := f.cell()
+		gain.apply(known[at].cell(), sub)
+		r.total[f.Side][f.Stratum].apply(gain, sum)
+		known[at] = *f
 	}
-	r.origins[origin] = raw
-	cells.apply(known, sub)
-	r.total.apply(cells, sum)
+	r.origins[origin] = known
 	return nil
 }
--- a/move/facts.go
+++ b/move/facts.go
@@ -152,15 +152,7 @@
 	if t.finished(now) {
 		return nil
 	}
-	cells, err := decodeCells(f.Cells)
-	if err != nil {
-		return err
-	}
-	if err := t.route(f.Route).merge(origin+"/"+strconv.FormatUint(f.Epoch, 36), cells); err != nil {
-		return err
-	}
-	t.changed = true
-	return nil
+	return t.route(f.Route).merge(origin+"/"+strconv.FormatUint(f.Epoch, 36), f.Cells)
 }
 
 func (s *System) receiveSettled(now time.Time, origin string, value []byte) error {
--- a/move/stat.go
+++ b/move/stat.go
@@ -2,93 +2,126 @@
 
 import "math"
 
-// logFault returns the logarithm of an e-value against "the event is at most margin more frequent on the new version
-// than on the old". The numerator is a Beta(1/2, 1/2) mixture for both versions, the denominator the largest
-// likelihood under the hypothesis, so the ratio is at most a likelihood ratio for every version that meets the
-// hypothesis. By Ville's inequality it ever reaches 1/a with probability at most a, however often it is looked at.
-func logFault(oldN, oldK, newN, newK, margin float64) float64 {
-	if newN == 0 || oldN == 0 {
-		return 0
-	}
-	numerator := logBeta(oldN, oldK) + logBeta(newN, newK)
-	if newK/newN <= oldK/oldN+margin {
-		return numerator - logMax(oldN, oldK) - logMax(newN, newK)
+// Odds ratios of an event on the new version against the old one that the tests weigh up. worse holds the
+// alternatives of the fault tests, better those of the tests that show a version to be sound.
+var (
+	worse  = [...]float64{1.25, 1.5, 2, 3, 4, 6, 10, 30, 100}
+	better = [...]float64{1 / 1.25, 1 / 1.5, 1.0 / 2, 1.0 / 4}
+
+	logWorse  = logs(worse[:])
+	logBetter = logs(better[:])
+)
+
+func logs(ratios []float64) []float64 {
+	out := make([]float64, len(ratios))
+	for i, r := range ratios {
+		out[i] = math.Log(r)
 	}
-	return numerator - logBoundary(oldN, oldK, newN, newK, margin)
+	return out
 }
 
-// logSound returns the logarithm of an e-value against "the event is at least gap more frequent on the new version".
-// The numerator is a Beta(1/2, 1/2) mixture of one frequency for both versions.
-func logSound(oldN, oldK, newN, newK, gap float64) float64 {
-	if newN == 0 || oldN == 0 {
-		return 0
-	}
-	numerator := logBeta(oldN+newN, oldK+newK)
-	if newK/newN >= oldK/oldN+gap {
-		return numerator - logMax(oldN, oldK) - logMax(newN, newK)
+// sample counts attempts and events on both versions.
+type sample struct {
+	n, k [sides]float64
+}
+
+func (s *sample) plus(o sample) {
+	for i := range s.n {
+		s.n[i] += o.n[i]
+		s.k[i] += o.k[i]
 	}
-	return numerator - logBoundary(oldN, oldK, newN, newK, gap)
 }
 
-// logBeta is the log likelihood of k events in n trials under a Beta(1/2, 1/2) mixture.
-func logBeta(n, k float64) float64 {
-	return lgamma(k+0.5) + lgamma(n-k+0.5) - lgamma(n+1) - math.Log(math.Pi)
+func (s *sample) minus(o sample) sample {
+	out := *s
+	for i := range s.n {
+		out.n[i] -= o.n[i]
+		out.k[i] -= o.k[i]
+	}
+	return out
 }
 
-// logMax is the largest binomial log likelihood.
-func logMax(n, k float64) float64 {
-	return xlog(k, k/n) + xlog(n-k, 1-k/n)
+// excess is how much more frequent the event is on the new version.
+func (s *sample) excess() float64 {
+	if s.n[oldSide] == 0 || s.n[newSide] == 0 {
+		return 0
+	}
+	return s.k[newSide]/s.n[newSide] - s.k[oldSide]/s.n[oldSide]
 }
 
-// logBoundary is the largest log likelihood with the new frequency exactly d above the old one.
-func logBoundary(oldN, oldK, newN, newK, d float64) float64 {
-	slope := func(p float64) float64 {
-		return ratio(oldK, p) - ratio(oldN-oldK, 1-p) + ratio(newK, p+d) - ratio(newN-newK, 1-p-d)
+// addConditional adds to sums the log likelihood ratio of each odds ratio against 1 for a batch of attempts, given
+// how many events the batch holds (Fisher's noncentral hypergeometric distribution). The base rate of events drops
+// out, so it may differ from batch to batch, and the product over batches is an e-value: whatever the number of
+// looks, it ever reaches 1/a with probability at most a when the odds ratio is at most 1 (Ville's inequality).
+func addConditional(sums, logRatios []float64, s sample) {
+	n0, n1, k := s.n[oldSide], s.n[newSide], s.k[oldSide]+s.k[newSide]
+	if n0 == 0 || n1 == 0 || k == 0 || k == n0+n1 {
+		return
 	}
-	lo, hi := 0.0, 1-d
-	// 30 halvings place p within 1e-9, which changes the likelihood of 1e6 trials by less than 1e-3.
-	for range 30 {
-		if mid := (lo + hi) / 2; slope(mid) > 0 {
-			lo = mid
-		} else {
-			hi = mid
+	var plain logSum
+	var tilted [len(worse)]logSum
+	weight := 0.0
+	for i := max(0, k-n0); i <= min(n1, k); i++ {
+		plain.add(weight)
+		for g, r := range logRatios {
+			tilted[g].add(weight + i*r)
 		}
+		weight += math.Log((n1 - i) * (k - i) / ((i + 1) * (n0 - k + i + 1)))
+	}
+	for g, r := range logRatios {
+		sums[g] += s.k[newSide]*r - tilted[g].value() + plain.value()
 	}
-	p := (lo + hi) / 2
-	return xlog(oldK, p) + xlog(oldN-oldK, 1-p) + xlog(newK, p+d) + xlog(newN-newK, 1-p-d)
 }
 
-func ratio(a, b float64) float64 {
-	if a == 0 {
-		return 0
+// addReference adds the log likelihood ratio of each odds ratio against an event frequency of at most p, for a batch
+// that the old version has no part in.
+func addReference(sums, logRatios []float64, n, k, p float64) {
+	for g, r := range logRatios {
+		sums[g] += k*r - n*math.Log1p(p*math.Expm1(r))
 	}
-	return a / b
 }
 
-func xlog(a, p float64) float64 {
-	if a == 0 {
-		return 0
-	}
-	return a * math.Log(p)
+// logSum is the logarithm of a sum of exponentials.
+type logSum struct {
+	top, sum float64
 }
 
-func lgamma(x float64) float64 {
-	v, _ := math.Lgamma(x)
-	return v
+func (l *logSum) add(x float64) {
+	switch {
+	case math.IsInf(x, -1):
+	case l.sum == 0:
+		l.top, l.sum = x, 1
+	case x <= l.top:
+		l.sum += math.Exp(x - l.top)
+	default:
+		l.sum = l.sum*math.Exp(l.top-x) + 1
+		l.top = x
+	}
 }
 
+func (l *logSum) value() float64 { return l.top + math.Log(l.sum) }
+
 // logMean is the logarithm of the mean of e-values, which is an e-value itself.
 func logMean(logs []float64) float64 {
-	if len(logs) == 0 {
-		return 0
+	var l logSum
+	for _, x := range logs {
+		l.add(x)
 	}
-	top := math.Inf(-1)
-	for _, l := range logs {
-		top = max(top, l)
-	}
-	sum := 0.0
-	for _, l := range logs {
-		sum += math.Exp(l - top)
+	return l.value() - math.Log(float64(len(logs)))
+}
+
+// logRare is the logarithm of an e-value against "the frequency is at least p", with a Beta(1/2, 1/(2p)) mixture as
+// the alternative, which favours frequencies well below p.
+func logRare(n, k, p float64) float64 {
+	if n == 0 || k/n >= p {
+		return 0
 	}
-	return top + math.Log(sum/float64(len(logs)))
+	a, b := 0.5, 0.5/p
+	mixture := lgamma(k+a) + lgamma(n-k+b) - lgamma(n+a+b) - lgamma(a) - lgamma(b) + lgamma(a+b)
+	return mixture - k*math.Log(p) - (n-k)*math.Log1p(-p)
+}
+
+func lgamma(x float64) float64 {
+	v, _ := math.Lgamma(x)
+	return v
 }
--- a/move/system.go
+++ b/move/system.go
@@ -18,9 +18,9 @@
 const FactPrefix = "move/"
 
 const (
-	publishInterval = 500 * time.Millisecond // of evidence, up to publishMembers members
+	publishInterval = time.Second            // of evidence, up to publishMembers members
 	publishMembers  = 16                     // above, the interval grows with the members, so that the traffic doesn't
-	freshIntervals  = 6                      // evidence is fresh up to this many publish intervals
+	freshIntervals  = 5                      // evidence is fresh up to this many publish intervals
 	pausedAfter     = 3 * time.Second        // a longer gap between ticks means that the instance stood still
 	maxPassed       = time.Second            // time on the ramp that one tick can add
 	proposalStep    = 250 * time.Millisecond // delay of a proposal for each member that ranks higher
@@ -182,7 +182,7 @@
 		return "", time.Time{}, false
 	}
 	t := x.current
-	return t.plan.move.From, t.doneAt.Add(t.plan.watch()), true
+	return t.plan.move.From, t.watchEnd(), true
 }
 
 // Recorded takes over an outcome object, nil when it doesn't exist. The store's answer is authoritative.
--- a/move/tracker.go
+++ b/move/tracker.go
@@ -35,7 +35,6 @@
 	routes  []*routeEvidence // sorted by name
 	assess  assessment
 	verdict verdict
-	changed bool // evidence arrived since the last assessment
 
 	share float64
 	clock time.Duration // time on the ramp with good evidence
@@ -96,15 +95,21 @@
 		t.route(r.Route).observe(oldSide, r)
 	case t.plan.move.To:
 		t.route(r.Route).observe(newSide, r)
-	default:
-		return
 	}
-	t.changed = true
 }
 
 // watching reports whether the move is done and the old version still held.
 func (t *tracker) watching(now time.Time) bool {
-	return t.doneRecorded() && t.abort == "" && now.Before(t.doneAt.Add(t.plan.watch()))
+	return t.doneRecorded() && t.abort == "" && now.Before(t.watchEnd())
+}
+
+// watchEnd is when the old version may go: after the watch period, and not before the deadline.
+func (t *tracker) watchEnd() time.Time {
+	end := t.doneAt.Add(t.plan.watch())
+	if end.Before(t.plan.move.Deadline) {
+		return t.plan.move.Deadline
+	}
+	return end
 }
 
 func (t *tracker) doneRecorded() bool { return t.recorded != nil && t.recorded.Outcome == Done }
@@ -131,10 +136,8 @@
 	if now.Before(t.plan.move.Start) || t.finished(now) {
 		return false
 	}
-	t.assess.roll(now, t.routes)
-	if t.changed {
-		t.verdict = t.assess.assess(t.routes)
-		t.changed = false
+	if v, ok := t.assess.update(now, t.routes, t.doneRecorded() || t.share == 1); ok {
+		t.verdict = v
 	}
 	if t.verdict.fault && t.abort == "" {
 		aborted = t.setAbort(now, t.verdict.reason())
