--- a/move/assess.go
+++ b/move/assess.go
@@ -26,6 +26,7 @@
 	windowsPer     = 24 // windows in the time from start to deadline
 	openWindows    = 2  // windows under test besides the whole move
 	assessInterval = time.Second
+	batchSize      = 100 // attempts on both versions
 	minEdge        = 20  // latencies of the old version that place a class edge
 	minPast        = 100 // attempts at a load class that make a reference
 	holdPart       = 0.6 // of the log threshold that stops a share from rising
@@ -113,8 +114,12 @@
 		return verdict{}, false
 	}
 	a.next = now.Add(assessInterval)
+	closed := false
 	for _, r := range routes {
-		r.batch(past)
+		closed = r.batch(now, past, a.windowLen/2) || closed
+	}
+	if !closed {
+		return verdict{}, false
 	}
 	v := a.assess(routes)
 	a.roll(now, routes)
@@ -223,8 +228,19 @@
 	return logMean(logs[:])
 }
 
-// batch adds the attempts since the last batch to the tally.
-func (r *routeEvidence) batch(past bool) {
+// batch adds the attempts since the last batch to the tally when the batch is full or maxAge old. Both depend on no
+// outcome. A larger batch holds more attempts of the old version to compare with, a smaller one is tested sooner.
+func (r *routeEvidence) batch(now time.Time, past bool, maxAge time.Duration) bool {
+	size := r.total.observed(oldSide) + r.total.observed(newSide) - r.seen.observed(oldSide) - r.seen.observed(newSide)
+	if size == 0 || size < batchSize && now.Sub(r.batchAt) < maxAge {
+		return false
+	}
+	r.batchAt = now
+	r.addBatch(past)
+	return true
+}
+
+func (r *routeEvidence) addBatch(past bool) {
 	if past && r.past == nil {
 		before := r.seen
 		r.past = &before
--- a/move/evidence.go
+++ b/move/evidence.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/binary"
 	"math"
-	"slices"
 	"time"
 
 	"github.com/samber/oops"
@@ -163,18 +162,6 @@
 	return f
 }
 
-// check reports a fact whose counters are out of range.
-func (f *cellFact) check() error {
-	if f.Side >= uint8(sides) || f.Stratum >= strata || f.Failed > f.N {
-		return oops.Errorf("move: evidence cell of version %d, load class %d is out of range", f.Side, f.Stratum)
-	}
-	var s sketch
-	if !f.First.into(&s) || !f.PerTok.into(&s) {
-		return oops.Errorf("move: evidence cell has a latency class out of range")
-	}
-	return nil
-}
-
 // into overwrites the classes of s that the fact holds.
 func (f *sketchFact) into(s *sketch) bool {
 	raw := f.Counts
@@ -189,11 +176,16 @@
 	return true
 }
 
-func (f *cellFact) cell() *cell {
+// cell decodes the counters of a fact.
+func (f *cellFact) cell() (*cell, error) {
+	if f.Side >= uint8(sides) || f.Stratum >= strata || f.Failed > f.N {
+		return nil, oops.Errorf("move: evidence cell of version %d, load class %d is out of range", f.Side, f.Stratum)
+	}
 	c := &cell{n: f.N, failed: f.Failed}
-	f.First.into(&c.first)
-	f.PerTok.into(&c.perTok)
-	return c
+	if !f.First.into(&c.first) || !f.PerTok.into(&c.perTok) {
+		return nil, oops.Errorf("move: evidence cell has a latency class out of range")
+	}
+	return c, nil
 }
 
 // routeEvidence is the evidence of a route: own counters, those of other origins, and their sum.
@@ -201,17 +193,18 @@
 	name    string
 	own     counters
 	dirty   bool // own counters changed since they were published
-	origins map[string][]cellFact
+	origins map[string]*[sides][strata]cellFact
 
 	total     counters
 	seen      counters // part of total that is in the tally
-	past      *counters
+	batchAt   time.Time
+	past      *counters // total when all traffic had gone to the new version
 	tally     tally
 	baselines []tally // at the last window boundaries
 }
 
 func newRouteEvidence(name string) *routeEvidence {
-	return &routeEvidence{name: name, origins: map[string][]cellFact{}}
+	return &routeEvidence{name: name, origins: map[string]*[sides][strata]cellFact{}}
 }
 
 func (r *routeEvidence) observe(s side, res Result) {
@@ -220,28 +213,39 @@
 	r.dirty = true
 }
 
-// merge takes over an origin's counters by maximum, so that late and repeated facts change nothing.
+// merge takes over an origin's counters by maximum, so that late and repeated facts change nothing. The counters of a
+// cell grow together, so those with more attempts are the maximum.
 func (r *routeEvidence) merge(origin string, cells []cellFact) error {
+	known := r.origins[origin]
+	if known == nil {
+		known = new([sides][strata]cellFact)
+	}
+	var gains [sides * strata]*cell
 	for i := range cells {
-		if err := cells[i].check(); err != nil {
+		f := &cells[i]
+		if i < len(gains) && f.Side < uint8(sides) && f.Stratum < strata && f.N <= known[f.Side][f.Stratum].N {
+			continue
+		}
+		gain, err := f.cell()
+		if err != nil {
 			return err
 		}
+		if i >= len(gains) {
+			return oops.Errorf("move: evidence has %d cells, at most %d", len(cells), len(gains))
+		}
+		gains[i] = gain
 	}
-	known := r.origins[origin]
-	for i := range cells {
-		f := &cells[i]
-		at := slices.IndexFunc(known, func(k cellFact) bool { return k.Side == f.Side && k.Stratum == f.Stratum })
-		if at < 0 {
-			known = append(known, cellFact{Side: f.Side, Stratum: f.Stratum})
-			at = len(known) - 1
+	for i, gain := range gains {
+		if gain == nil {
+			continue
 		}
-		if f.N <= known[at].N {
-			continue // the counters of a cell grow together, so those with more attempts are the maximum
+		f := &cells[i]
+		k := &known[f.Side][f.Stratum]
+		if before, err := k.cell(); err == nil && k.N > 0 {
+			gain.apply(before, sub)
 		}
-		gain := f.cell()
-		gain.apply(known[at].cell(), sub)
 		r.total[f.Side][f.Stratum].apply(gain, sum)
-		known[at] = *f
+		*k = *f
 	}
 	r.origins[origin] = known
 	return nil
--- a/move/policy_test.go
+++ b/move/policy_test.go
@@ -106,6 +106,7 @@
 	var good, lost, bad, kept, unsettled, late, bytes int
 	for _, sc := range cases {
 		ours := experiment(sc, false)
+		t.Log(ours.row(sc.name, "evidence"))
 		rows = append(rows, ours.row(sc.name, "evidence"), experiment(sc, true).row(sc.name, "fixed steps"))
 		bytes = max(bytes, ours.bytes)
 		unsettled += ours.unsettled
