--- a/move/evidence.go
+++ b/move/evidence.go
@@ -1,10 +1,10 @@
 package move
 
 import (
+	"encoding/binary"
 	"math"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/samber/oops"
 )
 
@@ -127,7 +127,7 @@
 type sketchFact struct {
 	_      struct{} `cbor:",toarray"`
 	Start  uint8
-	Counts []uint32
+	Counts []byte // unsigned varints
 }
 
 func encodeCells(c *counters) []cellFact {
@@ -155,45 +155,56 @@
 	if lo >= hi {
 		return sketchFact{}
 	}
-	return sketchFact{Start: uint8(lo), Counts: append([]uint32(nil), s[lo:hi]...)}
+	f := sketchFact{Start: uint8(lo)}
+	for _, n := range s[lo:hi] {
+		f.Counts = binary.AppendUvarint(f.Counts, uint64(n))
+	}
+	return f
 }
 
-func decodeCells(cells []cellFact) (*counters, error) {
-	c := new(counters)
-	for i := range cells {
-		f := &cells[i]
-		if f.Side >= uint8(sides) || f.Stratum >= strata || f.Failed > f.N {
-			return nil, oops.Errorf("move: evidence cell %d is out of range", i)
-		}
-		x := &c[f.Side][f.Stratum]
-		x.n, x.failed = f.N, f.Failed
-		if !decodeSketch(&x.first, f.First) || !decodeSketch(&x.perTok, f.PerTok) {
-			return nil, oops.Errorf("move: evidence cell %d has a latency class out of range", i)
+// into overwrites the classes of s that the fact holds.
+func (f *sketchFact) into(s *sketch) bool {
+	raw := f.Counts
+	for b := int(f.Start); len(raw) > 0; b++ {
+		n, size := binary.Uvarint(raw)
+		if size <= 0 || b >= bins || n > math.MaxUint32 {
+			return false
 		}
+		s[b] = uint32(n)
+		raw = raw[size:]
 	}
-	return c, nil
+	return true
 }
 
-func decodeSketch(s *sketch, f sketchFact) bool {
-	if int(f.Start)+len(f.Counts) > bins {
-		return false
+// cell decodes the counters of a fact.
+func (f *cellFact) cell() (*cell, error) {
+	if f.Side >= uint8(sides) || f.Stratum >= strata || f.Failed > f.N {
+		return nil, oops.Errorf("move: evidence cell of version %d, load class %d is out of range", f.Side, f.Stratum)
 	}
-	copy(s[f.Start:], f.Counts)
-	return true
+	c := &cell{n: f.N, failed: f.Failed}
+	if !f.First.into(&c.first) || !f.PerTok.into(&c.perTok) {
+		return nil, oops.Errorf("move: evidence cell has a latency class out of range")
+	}
+	return c, nil
 }
 
 // routeEvidence is the evidence of a route: own counters, those of other origins, and their sum.
 type routeEvidence struct {
-	name      string
-	own       counters
-	dirty     bool // own counters changed since they were published
-	origins   map[string][]byte
+	name    string
+	own     counters
+	dirty   bool // own counters changed since they were published
+	origins map[string]*[sides][strata]cellFact
+
 	total     counters
-	baselines []counters // of total at the last window boundaries
+	seen      counters // part of total that is in the tally
+	batchAt   time.Time
+	past      *counters // total when all traffic had gone to the new version
+	tally     tally
+	baselines []tally // at the last window boundaries
 }
 
 func newRouteEvidence(name string) *routeEvidence {
-	return &routeEvidence{name: name, origins: map[string][]byte{}}
+	return &routeEvidence{name: name, origins: map[string]*[sides][strata]cellFact{}}
 }
 
 func (r *routeEvidence) observe(s side, res Result) {
@@ -202,26 +213,40 @@
 	r.dirty = true
 }
 
-// merge takes over an origin's counters by maximum, so that late and repeated facts change nothing.
-func (r *routeEvidence) merge(origin string, cells *counters) error {
-	known := new(counters)
-	if raw, ok := r.origins[origin]; ok {
-		var f []cellFact
-		if err := cbor.Unmarshal(raw, &f); err != nil {
-			return oops.Wrapf(err, "move: stored evidence")
+// merge takes over an origin's counters by maximum, so that late and repeated facts change nothing. The counters of a
+// cell grow together, so those with more attempts are the maximum.
+func (r *routeEvidence) merge(origin string, cells []cellFact) error {
+	known := r.origins[origin]
+	if known == nil {
+		known = new([sides][strata]cellFact)
+	}
+	var gains [sides * strata]*cell
+	for i := range cells {
+		f := &cells[i]
+		if i < len(gains) && f.Side < uint8(sides) && f.Stratum < strata && f.N <= known[f.Side][f.Stratum].N {
+			continue
 		}
-		var err error
-		if known, err = decodeCells(f); err != nil {
+		gain, err := f.cell()
+		if err != nil {
 			return err
 		}
+		if i >= len(gains) {
+			return oops.Errorf("move: evidence has %d cells, at most %d", len(cells), len(gains))
+		}
+		gains[i] = gain
 	}
-	cells.apply(known, func(a, b uint32) uint32 { return max(a, b) })
-	raw, err := cbor.Marshal(encodeCells(cells))
-	if err != nil {
-		return oops.Wrapf(err, "move: store evidence")
+	for i, gain := range gains {
+		if gain == nil {
+			continue
+		}
+		f := &cells[i]
+		k := &known[f.Side][f.Stratum]
+		if before, err := k.cell(); err == nil && k.N > 0 {
+			gain.apply(before, sub)
+		}
+		r.total[f.Side][f.Stratum].apply(gain, sum)
+		*k = *f
 	}
-	r.origins[origin] = raw
-	cells.apply(known, sub)
-	r.total.apply(cells, sum)
+	r.origins[origin] = known
 	return nil
 }
