--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -31,8 +31,9 @@
 	DefaultStreamGap = 2 * time.Second
 	// maxIdle bounds the idle connections kept for an endpoint.
 	maxIdle = 64
-	// idleTimeout is below the keep-alive time of common servers, so that few reused connections are found closed.
-	idleTimeout = 20 * time.Second
+	// idleTimeout is below the shortest keep-alive time of common servers (5 s). A request that meets the server's
+	// close of an idle connection would look like one that crashed the endpoint.
+	idleTimeout = 4 * time.Second
 )
 
 // End tells how an attempt ended.
--- a/relay/acquire.go
+++ b/relay/acquire.go
@@ -75,12 +75,15 @@
 	if !ok {
 		return nil
 	}
-	attempt := r.cfg.NewID()
 	if r.cfg.Quarantine.MustIsolate(s.call.Fingerprint) {
-		return r.isolated(s, svc, attempt)
+		return r.isolated(s, svc)
 	}
 	e := r.choose(s, svc, widened)
-	if e == nil || !r.running.enter(e, attempt, s.call.Fingerprint) {
+	if e == nil {
+		return nil
+	}
+	attempt := r.cfg.NewID()
+	if !r.running.enter(e, attempt, s.call.Fingerprint) {
 		return nil
 	}
 	return &slot{endpoint: e, attempt: attempt, inFlight: int(e.Live.InFlight.Load()), running: r.running}
@@ -142,7 +145,7 @@
 
 // isolated reserves an endpoint for a request that is suspected of crashing endpoints. The slot is granted once the
 // endpoint has ended what it ran.
-func (r *Relay) isolated(s *search, svc *table.Service, attempt string) *slot {
+func (r *Relay) isolated(s *search, svc *table.Service) *slot {
 	version := drawVersion(s.call.RequestID, svc.Shares)
 	reserver := "isolated/" + s.call.RequestID
 	held := find(svc, s.prefer)
@@ -161,6 +164,7 @@
 		return nil
 	}
 	r.running.unreserve(held.ID, reserver)
+	attempt := r.cfg.NewID()
 	if _, ok := r.running.reserve(held.ID, attempt); !ok || !r.running.enter(held, attempt, s.call.Fingerprint) {
 		return nil
 	}
--- a/relay/attach.go
+++ b/relay/attach.go
@@ -19,7 +19,7 @@
 		return
 	}
 	from.requestID = id
-	src, found := r.findHolder(req.Context(), from)
+	src, found := r.findOwn(req, from)
 	if !found {
 		r.refuse(w, refusal{err: problem.New(problem.UnknownRequest, "request %s is not held", id), requestID: id})
 		return
@@ -34,3 +34,13 @@
 		r.cfg.Post(core.Served{Service: service, Workspace: workspace})
 	}
 }
+
+// findOwn returns the answer of a request of the caller's workspace.
+func (r *Relay) findOwn(req *http.Request, from position) (source, bool) {
+	src, found := r.findHolder(req.Context(), from)
+	if !found {
+		return nil, false
+	}
+	_, workspace := src.owner()
+	return src, workspace == workspaceName(req)
+}
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/trefoillug/trefoillug/core"
 	"github.com/trefoillug/trefoillug/dispatch"
 	"github.com/trefoillug/trefoillug/engine"
 	"github.com/trefoillug/trefoillug/problem"
+	"github.com/trefoillug/trefoillug/table"
 )
 
 const (
@@ -78,11 +80,10 @@
 	if err != nil {
 		return dispatch.Result{End: dispatch.Cancelled, Err: err}
 	}
-	s.setEndpoint(got.endpoint)
 	log := attemptLog{started: s.relay.cfg.Now()}
 	result := s.relay.cfg.Dispatch.Stream(ctx, &dispatch.StreamCall{
 		Endpoint: got.endpoint, RequestID: s.call.RequestID, AttemptID: got.attempt, Body: body, First: offset,
-	}, func(e *engine.StreamEvent) error { s.receive(e, &log, offset > 0); return nil })
+	}, func(e *engine.StreamEvent) error { s.receive(got.endpoint, e, &log, offset > 0); return nil })
 	s.relay.noteEnd(s.call, got, &log, result)
 	if result.End == dispatch.Cancelled || result.End == dispatch.Broken || result.End == dispatch.Silent {
 		go s.relay.cfg.Dispatch.Cancel(got.endpoint, engine.AttemptRef{RequestID: s.call.RequestID, AttemptID: got.attempt})
@@ -112,7 +113,7 @@
 	recomputed int
 }
 
-func (s *session) receive(e *engine.StreamEvent, log *attemptLog, resumed bool) {
+func (s *session) receive(from *table.Endpoint, e *engine.StreamEvent, log *attemptLog, resumed bool) {
 	if e.Usage != nil && resumed {
 		log.recomputed = e.Usage.RecomputedTokens
 		s.mu.Lock()
@@ -126,7 +127,7 @@
 		log.first = s.relay.cfg.Now().Sub(log.started)
 	}
 	log.tokens++
-	s.add(e.Content)
+	s.add(from, e.Content)
 }
 
 // judge tells whether the session is over after an attempt.
@@ -136,7 +137,7 @@
 		return true, nil
 	case s.ctx.Err() != nil:
 		return true, s.ended(problem.New(problem.EndpointFailed, "the deadline passed while an endpoint held the request"))
-	case result.End == dispatch.Answered && result.Status >= 400 && result.Status < 500 && result.Status != 429:
+	case result.End == dispatch.Answered && badRequest(result.Status):
 		return true, s.broken(problem.InvalidRequest, "%v", result.Err)
 	case errorAnswers >= maxErrorAnswers:
 		return true, s.broken(problem.EndpointFailed, "%d endpoints failed: %v", errorAnswers, result.Err)
@@ -146,6 +147,11 @@
 	return false, nil
 }
 
+// badRequest tells that an engine's answer blames the request, so that every other engine would give it too.
+func badRequest(status int) bool {
+	return status == http.StatusBadRequest || status == http.StatusRequestEntityTooLarge || status == http.StatusUnprocessableEntity
+}
+
 // beforeRetry waits for the retry budget. Moves are not charged: the endpoint has not failed.
 func (s *session) beforeRetry(result dispatch.Result, got *slot, moved bool) error {
 	s.mu.Lock()
@@ -154,6 +160,10 @@
 	if moved {
 		return nil
 	}
+	if result.FirstEvent > 0 {
+		// The attempt brought the answer forward; what failed before it may be tried again.
+		clear(s.search.tried)
+	}
 	s.search.tried[got.endpoint.ID] = true
 	return s.relay.awaitBudget(s.ctx, s.call, func() error {
 		return s.broken(problem.EndpointFailed, "no retry before the deadline: %v", result.Err)
--- a/relay/handover.go
+++ b/relay/handover.go
@@ -73,11 +73,17 @@
 		ctx = last
 	}
 	if !r.awaitIdle(ctx, r.handOverAll) {
-		return fmt.Errorf("drain: %d streams and %d calls left: %w", len(r.openSessions()), r.calls.Load(), ctx.Err())
+		streams, calls := r.Open()
+		return fmt.Errorf("drain: %d streams and %d calls left: %w", streams, calls, ctx.Err())
 	}
 	return nil
 }
 
+// Open returns the numbers of open streams and plain calls.
+func (r *Relay) Open() (streams, calls int) {
+	return len(r.openSessions()), int(r.calls.Load())
+}
+
 // awaitIdle calls each until nothing is open. It reports false when ctx ends before.
 func (r *Relay) awaitIdle(ctx context.Context, each func(context.Context)) bool {
 	poll := time.NewTicker(drainPoll)
@@ -86,7 +92,7 @@
 		if each != nil {
 			each(ctx)
 		}
-		if len(r.openSessions()) == 0 && r.calls.Load() == 0 {
+		if streams, calls := r.Open(); streams+calls == 0 {
 			return true
 		}
 		select {
@@ -222,6 +228,7 @@
 		s.text = append(s.text, t...)
 		s.ends = append(s.ends, len(s.text))
 	}
+	s.origins = []origin{{endpoint: h.Endpoint, version: h.Version}}
 	s.search.prefer = h.Endpoint
 	s.route = delivery{endpoint: h.Endpoint, version: h.Version, resumes: h.Resumes + 1, recomputed: h.Recomputed}
 	s.mu.Unlock()
--- a/relay/holder.go
+++ b/relay/holder.go
@@ -36,23 +36,26 @@
 
 // attachReply is a part of an answer.
 type attachReply struct {
-	Held       bool         `cbor:"1,keyasint"`
-	Tokens     []string     `cbor:"2,keyasint"`
-	Finished   bool         `cbor:"3,keyasint"`
-	Kind       problem.Kind `cbor:"4,keyasint"` // of the error that ended it, empty without one
-	Detail     string       `cbor:"5,keyasint"`
-	Endpoint   string       `cbor:"6,keyasint"`
-	Version    string       `cbor:"7,keyasint"`
-	Resumes    int          `cbor:"8,keyasint"`
-	Recomputed int          `cbor:"9,keyasint"`
-	Service    string       `cbor:"10,keyasint"`
-	Workspace  string       `cbor:"11,keyasint"`
+	Held        bool         `cbor:"1,keyasint"`
+	Tokens      []string     `cbor:"2,keyasint"`
+	Finished    bool         `cbor:"3,keyasint"`
+	Kind        problem.Kind `cbor:"4,keyasint"` // of the error that ended it, empty without one
+	Detail      string       `cbor:"5,keyasint"`
+	Endpoint    string       `cbor:"6,keyasint"`
+	Version     string       `cbor:"7,keyasint"`
+	Resumes     int          `cbor:"8,keyasint"`
+	Recomputed  int          `cbor:"9,keyasint"`
+	Service     string       `cbor:"10,keyasint"`
+	Workspace   string       `cbor:"11,keyasint"`
+	From        string       `cbor:"12,keyasint"` // endpoint of the first of the tokens
+	FromVersion string       `cbor:"13,keyasint"` // its version
 }
 
 func (a *attachReply) part() part {
-	p := part{tokens: a.Tokens, finished: a.Finished, route: delivery{
-		endpoint: a.Endpoint, version: a.Version, resumes: a.Resumes, recomputed: a.Recomputed,
-	}}
+	p := part{
+		tokens: a.Tokens, finished: a.Finished, first: origin{endpoint: a.From, version: a.FromVersion},
+		route: delivery{endpoint: a.Endpoint, version: a.Version, resumes: a.Resumes, recomputed: a.Recomputed},
+	}
 	if a.Kind != "" {
 		p.err = problem.New(a.Kind, "%s", a.Detail)
 	}
@@ -81,7 +84,7 @@
 	p, _ := s.read(ctx, max(0, call.Position))
 	reply := attachReply{
 		Held: !p.gone, Tokens: p.tokens, Finished: p.finished, Endpoint: p.route.endpoint, Version: p.route.version,
-		Resumes: p.route.resumes, Recomputed: p.route.recomputed,
+		Resumes: p.route.resumes, Recomputed: p.route.recomputed, From: p.first.endpoint, FromVersion: p.first.version,
 	}
 	reply.Service, reply.Workspace = s.owner()
 	if p.err != nil {
--- a/relay/input.go
+++ b/relay/input.go
@@ -154,11 +154,15 @@
 	}, nil
 }
 
-func workspaceOf(req *http.Request, svc *config.Service) (string, error) {
-	name := req.Header.Get(headerWorkspace)
-	if name == "" {
-		name = defaultWorkspace
+func workspaceName(req *http.Request) string {
+	if name := req.Header.Get(headerWorkspace); name != "" {
+		return name
 	}
+	return defaultWorkspace
+}
+
+func workspaceOf(req *http.Request, svc *config.Service) (string, error) {
+	name := workspaceName(req)
 	if _, ok := svc.WorkspaceFor(name); !ok && (len(svc.Workspaces) > 0 || name != defaultWorkspace) {
 		return "", problem.New(problem.UnknownWorkspace, "service %s has no workspace %q", svc.Name, name)
 	}
--- a/relay/model.go
+++ b/relay/model.go
@@ -23,7 +23,7 @@
 		id = r.newRequestID()
 	}
 	if hasPosition {
-		if source, ok := r.findHolder(req.Context(), position); ok {
+		if source, ok := r.findOwn(req, position); ok {
 			r.drainBody(w, req)
 			r.reattach(w, req, source, position, true)
 			return
@@ -180,7 +180,7 @@
 }
 
 func writeCompletion(w http.ResponseWriter, id, text string, d delivery) outcome {
-	setDelivery(w.Header(), id, d)
+	setDelivery(w.Header(), id, d.endpoint, d.version)
 	w.Header().Set("Content-Type", "application/json")
 	c := completion{ID: id, Object: "chat.completion", Choices: []completionChoice{{
 		Message: engine.Message{Role: "assistant", Content: text}, FinishReason: engine.FinishStop,
@@ -203,8 +203,8 @@
 	return handedOver
 }
 
-func setDelivery(h http.Header, id string, d delivery) {
+func setDelivery(h http.Header, id, endpoint, version string) {
 	h.Set(headerRequestID, id)
-	h.Set(headerEndpoint, d.endpoint)
-	h.Set(headerVersion, d.version)
+	h.Set(headerEndpoint, endpoint)
+	h.Set(headerVersion, version)
 }
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -218,7 +218,7 @@
 	for name, values := range forwardedHeader(a.Header) {
 		w.Header()[name] = values
 	}
-	setDelivery(w.Header(), call.RequestID, delivery{endpoint: a.endpoint, version: a.version})
+	setDelivery(w.Header(), call.RequestID, a.endpoint, a.version)
 	rc := http.NewResponseController(w)
 	// Recorders and other writers without a connection have no deadline to set.
 	_ = rc.SetWriteDeadline(time.Now().Add(r.cfg.Limits.WriteTime))
--- a/relay/reclaim.go
+++ b/relay/reclaim.go
@@ -13,6 +13,8 @@
 const (
 	// leavingInterval is the time between looks for streams on leaving endpoints; notices are seconds long.
 	leavingInterval = 50 * time.Millisecond
+	// forgetInterval is the time between looks for connections to endpoints that are gone.
+	forgetInterval = 30 * time.Second
 	// moveLead is how long before an endpoint leaves its streams are moved. Streams that end by themselves until then
 	// cost no move.
 	moveLead = 5 * time.Second
@@ -54,18 +56,32 @@
 
 // watchLeaving moves streams off endpoints that are about to leave.
 func (r *Relay) watchLeaving(ctx context.Context) {
-	tick := time.NewTicker(leavingInterval)
+	tick, forget := time.NewTicker(leavingInterval), time.NewTicker(forgetInterval)
 	defer tick.Stop()
+	defer forget.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
 			r.moveLeaving()
+		case <-forget.C:
+			r.forgetEndpoints()
 		}
 	}
 }
 
+// forgetEndpoints drops the connections to endpoints that are not listed any more.
+func (r *Relay) forgetEndpoints() {
+	listed := map[string]bool{}
+	for _, svc := range r.cfg.Snapshots().Services {
+		for _, e := range svc.Endpoints {
+			listed[e.Address] = true
+		}
+	}
+	r.cfg.Dispatch.Forget(func(address string) bool { return listed[address] })
+}
+
 func (r *Relay) moveLeaving() {
 	snapshot := r.cfg.Snapshots()
 	leaving := map[string]*table.Service{}
--- a/relay/session.go
+++ b/relay/session.go
@@ -33,8 +33,9 @@
 	gone     bool  // handed over
 	readers  map[chan struct{}]struct{}
 	route    delivery
-	retained int // bytes counted for an answer that is kept without a caller; 0: not kept
-	callers  int // callers that follow the answer
+	origins  []origin // who generated which part, in order
+	retained int      // bytes counted for an answer that is kept without a caller; 0: not kept
+	callers  int      // callers that follow the answer
 	engine   *engineRun
 }
 
@@ -45,6 +46,12 @@
 	recomputed        int // tokens computed again because of resumes
 }
 
+// origin is the endpoint that generated the tokens of an answer from a position on.
+type origin struct {
+	from              int
+	endpoint, version string
+}
+
 // newSession registers a session. The caller starts generate.
 func (r *Relay) newSession(call *Call) *session {
 	ctx, stop := context.WithDeadline(context.Background(), time.Now().Add(call.Deadline.Sub(r.cfg.Now())))
@@ -116,10 +123,14 @@
 	return s.finished || s.gone
 }
 
-// add appends a token.
-func (s *session) add(token string) {
+// add appends a token that an endpoint generated.
+func (s *session) add(e *table.Endpoint, token string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if len(s.origins) == 0 || s.route.endpoint != e.ID {
+		s.origins = append(s.origins, origin{from: len(s.ends), endpoint: e.ID, version: e.Version})
+		s.route.endpoint, s.route.version = e.ID, e.Version
+	}
 	s.text = append(s.text, token...)
 	s.ends = append(s.ends, len(s.text))
 	s.wake()
@@ -159,7 +170,8 @@
 	finished bool
 	gone     bool
 	err      error
-	route    delivery
+	route    delivery // with the latest endpoint
+	first    origin   // of the first of the tokens
 }
 
 // after returns the tokens from position on.
@@ -167,6 +179,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := part{finished: s.finished, gone: s.gone, err: s.err, route: s.route}
+	for _, o := range s.origins {
+		if o.from <= position {
+			p.first = o
+		}
+	}
 	for i := position; i < len(s.ends); i++ {
 		start := 0
 		if i > 0 {
@@ -205,12 +222,6 @@
 	}
 }
 
-func (s *session) setEndpoint(e *table.Endpoint) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.route.endpoint, s.route.version = e.ID, e.Version
-}
-
 // broken returns the error for a session that ended before its answer was complete.
 func (s *session) broken(kind problem.Kind, format string, args ...any) error {
 	if n, _ := s.emitted(); n > 0 {
--- a/relay/sse.go
+++ b/relay/sse.go
@@ -49,15 +49,14 @@
 	id      string
 	timeout time.Duration
 	next    int
-	started delivery // as stated in the headers
-	open    bool     // headers are written
+	open    bool // headers are written
 	buf     []byte
 }
 
-func (o *sseWriter) begin(d delivery) {
-	o.open, o.started = true, d
+func (o *sseWriter) begin(first origin) {
+	o.open = true
 	h := o.w.Header()
-	setDelivery(h, o.id, d)
+	setDelivery(h, o.id, first.endpoint, first.version)
 	h.Set("Content-Type", "text/event-stream")
 	h.Set("Cache-Control", "no-store")
 	o.w.WriteHeader(http.StatusOK)
@@ -145,7 +144,7 @@
 // write sends one part and reports whether it was the last.
 func (r *Relay) write(out *sseWriter, src source, p part) (outcome, bool) {
 	if !out.open {
-		out.begin(p.route)
+		out.begin(p.first)
 	}
 	for _, t := range p.tokens {
 		if out.token(t) != nil {
