--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -29,8 +29,8 @@
 	DefaultDialTimeout = 1500 * time.Millisecond
 	// DefaultStreamGap is the longest silence of a healthy stream. Engines send comments while a request waits.
 	DefaultStreamGap = 2 * time.Second
-	// maxIdle bounds the idle connections kept for an endpoint.
-	maxIdle = 64
+	// maxIdle bounds the idle connections kept for an endpoint, above the number of streams that it runs at once.
+	maxIdle = 256
 	// idleTimeout is below the shortest keep-alive time of common servers (5 s). A request that meets the server's
 	// close of an idle connection would look like one that crashed the endpoint.
 	idleTimeout = 4 * time.Second
