Connect the quarantine to the request path and the peers

Cause: a request that was to wait for news of a crash was dispatched again once the wait was over, because the search for an endpoint never asked whether the request had become quarantined meanwhile; five of five engines went down in the process test. Ruled out: different fingerprints at the instances (the trace showed one), and facts that do not spread (the first instance alone took down all five). Change: the search refuses a quarantined request and holds one whose news is under way; crashes carry the start time of each attempt, so that one crash seen by two instances counts once.

--- a/core/events.go
+++ b/core/events.go
@@ -66,7 +66,13 @@
 // EndpointCrashed tells that an endpoint's connections broke while it ran requests.
 type EndpointCrashed struct {
 	Endpoint string
-	Running  []uint64 // fingerprints of this instance's requests on it
+	Running  []RunningRequest // of this instance
+}
+
+// RunningRequest is a request that was on an endpoint when it crashed.
+type RunningRequest struct {
+	Fingerprint uint64
+	Started     time.Time // of the attempt
 }
 
 // Refused counts a refusal for the burn report.
--- a/entry/commands.go
+++ b/entry/commands.go
@@ -40,6 +40,10 @@
 		d.admission.Observe(limit.Result{
 			Endpoint: e.Endpoint, Latency: e.FirstToken, InFlight: e.InFlight, Overloaded: e.Result == core.TimedOut,
 		})
+		d.suspects.attemptDone(e)
+		d.runner.Post(e)
+	case core.EndpointCrashed:
+		d.suspects.crashed(e)
 		d.runner.Post(e)
 	default:
 		d.runner.Post(e)
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +22,7 @@
 	"github.com/trefoillug/trefoillug/objstore"
 	"github.com/trefoillug/trefoillug/peer"
 	"github.com/trefoillug/trefoillug/platform"
+	"github.com/trefoillug/trefoillug/quarantine"
 	"github.com/trefoillug/trefoillug/relay"
 )
 
@@ -48,6 +50,7 @@
 	config    *config.Distributor
 	claims    *claim.Service
 	admission *limit.Admission
+	suspects  suspects
 	relay     *relay.Relay
 	metrics   *metrics
 
@@ -94,18 +97,29 @@
 	d.config = config.NewDistributor(config.Options{
 		Store: d.store, Mesh: node, Log: log, Apply: d.applyConfig, Seed: seedFor(s.ID),
 	})
-	node.Subscribe("", func(f peer.Fact) { d.runner.Post(core.FactReceived{Fact: f}) })
+	d.suspects = suspects{table: quarantine.New(quarantine.Options{}), publish: node.Publish}
+	node.Subscribe("", d.factReceived)
 	d.relay = relay.New(d.relayConfig())
 	return d, nil
 }
 
+func (d *Daemon) factReceived(f peer.Fact) {
+	if !strings.HasPrefix(f.Key, factCrash) {
+		d.runner.Post(core.FactReceived{Fact: f})
+		return
+	}
+	if err := d.suspects.merge(f); err != nil {
+		d.log.WithError(err).Warn("fact of a peer not understood")
+	}
+}
+
 func (d *Daemon) relayConfig() relay.Config {
 	return relay.Config{
 		Instance: d.settings.ID, FailureDomain: d.settings.FailureDomain,
 		Snapshots: d.core.Snapshot, Post: d.post, Mesh: d.node, Log: d.log,
 		Claimer:  &claimer{service: d.claims},
 		Chooser:  newChooser(seedFor(d.settings.ID)),
-		Admitter: admitter{d.admission}, RetryBudget: retryBudget{d.admission},
+		Admitter: admitter{d.admission}, RetryBudget: retryBudget{d.admission}, Quarantine: d.suspects,
 	}
 }
 
--- a/relay/acquire.go
+++ b/relay/acquire.go
@@ -45,8 +45,8 @@
 
 // acquire waits until an endpoint takes the call, at most until the call's deadline.
 func (r *Relay) acquire(ctx context.Context, s *search) (*slot, error) {
-	if got := r.tryAcquire(s, false); got != nil {
-		return got, nil
+	if got, err := r.tryAcquire(s, false); got != nil || err != nil {
+		return got, err
 	}
 	select {
 	case r.waiting <- struct{}{}:
@@ -63,30 +63,36 @@
 			return nil, problem.New(problem.NoEndpoint, "no endpoint of service %s was ready in time", s.call.Service.Name)
 		case <-poll.C:
 		}
-		if got := r.tryAcquire(s, time.Since(began) >= widenAfter); got != nil {
-			return got, nil
+		if got, err := r.tryAcquire(s, time.Since(began) >= widenAfter); got != nil || err != nil {
+			return got, err
 		}
 	}
 }
 
-// tryAcquire looks once through the current snapshot.
-func (r *Relay) tryAcquire(s *search, widened bool) *slot {
+// tryAcquire looks once through the current snapshot. A request can become quarantined while it waits.
+func (r *Relay) tryAcquire(s *search, widened bool) (*slot, error) {
 	svc, ok := r.cfg.Snapshots().Service(s.call.Service.Name)
 	if !ok {
-		return nil
+		return nil, nil
 	}
-	if r.cfg.Quarantine.MustIsolate(s.call.Fingerprint) {
-		return r.isolated(s, svc)
+	q, fp := r.cfg.Quarantine, s.call.Fingerprint
+	switch {
+	case q.IsQuarantined(fp):
+		return nil, problem.New(problem.Quarantined, "the request crashed its endpoints")
+	case q.MustHold(fp):
+		return nil, nil
+	case q.MustIsolate(fp):
+		return r.isolated(s, svc), nil
 	}
 	e := r.choose(s, svc, widened)
 	if e == nil {
-		return nil
+		return nil, nil
 	}
 	attempt := r.cfg.NewID()
-	if !r.running.enter(e, attempt, s.call.Fingerprint) {
-		return nil
+	if !r.running.enter(e, attempt, fp) {
+		return nil, nil
 	}
-	return &slot{endpoint: e, attempt: attempt, inFlight: int(e.Live.InFlight.Load()), running: r.running}
+	return &slot{endpoint: e, attempt: attempt, inFlight: int(e.Live.InFlight.Load()), running: r.running}, nil
 }
 
 func (r *Relay) choose(s *search, svc *table.Service, widened bool) *table.Endpoint {
@@ -163,6 +169,9 @@
 	if !idle {
 		return nil
 	}
+	if !r.cfg.Quarantine.BeginIsolated(s.call.Fingerprint, held.ID) {
+		return nil
+	}
 	r.running.unreserve(held.ID, reserver)
 	attempt := r.cfg.NewID()
 	if _, ok := r.running.reserve(held.ID, attempt); !ok || !r.running.enter(held, attempt, s.call.Fingerprint) {
--- a/relay/defaults.go
+++ b/relay/defaults.go
@@ -57,6 +57,12 @@
 // MustIsolate implements Quarantine.
 func (NoQuarantine) MustIsolate(uint64) bool { return false }
 
+// MustHold implements Quarantine.
+func (NoQuarantine) MustHold(uint64) bool { return false }
+
+// BeginIsolated implements Quarantine.
+func (NoQuarantine) BeginIsolated(uint64, string) bool { return true }
+
 // NoBudget allows every retry.
 type NoBudget struct{}
 
--- a/relay/fakes_test.go
+++ b/relay/fakes_test.go
@@ -128,3 +128,6 @@
 
 func (s suspects) IsQuarantined(uint64) bool { return s.quarantined }
 func (s suspects) MustIsolate(uint64) bool   { return s.isolate }
+
+func (s suspects) MustHold(uint64) bool              { return false }
+func (s suspects) BeginIsolated(uint64, string) bool { return true }
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -195,8 +195,8 @@
 	}
 	r.cfg.Post(done)
 	if result.End == dispatch.Lost && !r.isLeaving(call.Service.Name, got.endpoint.ID) {
-		if fingerprints, first := r.running.crashed(got.endpoint.ID); first {
-			r.cfg.Post(core.EndpointCrashed{Endpoint: got.endpoint.ID, Running: fingerprints})
+		if running, first := r.running.crashed(got.endpoint.ID); first {
+			r.cfg.Post(core.EndpointCrashed{Endpoint: got.endpoint.ID, Running: running})
 		}
 	}
 }
--- a/relay/interfaces.go
+++ b/relay/interfaces.go
@@ -86,6 +86,10 @@
 	IsQuarantined(fingerprint uint64) bool
 	// MustIsolate tells that the request may only run on an endpoint that runs nothing else meanwhile.
 	MustIsolate(fingerprint uint64) bool
+	// MustHold tells that the request may not run now, because news of a crash is still under way.
+	MustHold(fingerprint uint64) bool
+	// BeginIsolated reserves the isolated run of a request and reports false while another one is under way.
+	BeginIsolated(fingerprint uint64, endpoint string) bool
 }
 
 // RetryBudget paces the retries of a service.
--- a/relay/running.go
+++ b/relay/running.go
@@ -1,9 +1,12 @@
 package relay
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/trefoillug/trefoillug/core"
 	"github.com/trefoillug/trefoillug/table"
 )
 
@@ -18,8 +21,8 @@
 }
 
 type endpointRuns struct {
-	attempts  map[string]uint64 // attempt ID to fingerprint
-	reserved  string            // attempt that must run alone
+	attempts  map[string]core.RunningRequest // by attempt ID
+	reserved  string                         // attempt that must run alone
 	crashedAt time.Time
 }
 
@@ -30,7 +33,7 @@
 func (r *running) runs(endpoint string) *endpointRuns {
 	e, ok := r.endpoints[endpoint]
 	if !ok {
-		e = &endpointRuns{attempts: map[string]uint64{}}
+		e = &endpointRuns{attempts: map[string]core.RunningRequest{}}
 		r.endpoints[endpoint] = e
 	}
 	return e
@@ -44,7 +47,7 @@
 	if runs.reserved != "" && runs.reserved != attempt {
 		return false
 	}
-	runs.attempts[attempt] = fingerprint
+	runs.attempts[attempt] = core.RunningRequest{Fingerprint: fingerprint, Started: r.now()}
 	e.Live.InFlight.Add(1)
 	return true
 }
@@ -90,8 +93,8 @@
 	return ok && runs.reserved != ""
 }
 
-// crashed returns the fingerprints that ran on an endpoint, and false when its crash is already known.
-func (r *running) crashed(endpoint string) ([]uint64, bool) {
+// crashed returns the requests that ran on an endpoint, and false when its crash is already known.
+func (r *running) crashed(endpoint string) ([]core.RunningRequest, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	runs := r.runs(endpoint)
@@ -100,9 +103,5 @@
 		return nil, false
 	}
 	runs.crashedAt = now
-	fingerprints := make([]uint64, 0, len(runs.attempts))
-	for _, f := range runs.attempts {
-		fingerprints = append(fingerprints, f)
-	}
-	return fingerprints, true
+	return slices.Collect(maps.Values(runs.attempts)), true
 }
