Notice silent connections of plain calls; pass on streamed answers; repeat early exports

Plain calls: an idempotent call waited for half of its remaining time on a kept connection that had gone silent. A reused connection now has 2 s, or 4 times the endpoint's usual time to the answer if that is longer, and the next attempt uses a fresh connection.

Cause: the export was answered 404 while the request was still on its way to the engine, which then emitted tokens until the attempt was ended. A short notice and failed imports were ruled out (the log showed only the 404s). The export is asked again while the attempt is current.

--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/trefoillug/trefoillug/table"
@@ -20,6 +21,10 @@
 	Body     []byte
 	// Once is set for calls that are not idempotent. They use a fresh connection, and the transport never repeats them.
 	Once bool
+	// Fresh asks for a connection of its own, which proves the path to the endpoint alive just before. Once implies it.
+	Fresh bool
+	// ReusedTimeout replaces AnswerTimeout on a reused connection, which may have gone silent; 0: no difference.
+	ReusedTimeout time.Duration
 	// AnswerTimeout is the time to the buffered part of the answer; 0: until the context ends.
 	AnswerTimeout time.Duration
 	// BufferBytes is the part of the answer that is read before Call returns.
@@ -39,7 +44,7 @@
 func (c *Client) Call(ctx context.Context, call *PlainCall) (*Answer, Result) {
 	p := c.pool(call.Endpoint)
 	g := p.current()
-	if call.Once {
+	if call.Once || call.Fresh {
 		// A transport of its own guarantees a connection that no other request has used or can take over.
 		g = &generation{transport: c.newTransport(), attempts: map[*attempt]struct{}{}}
 		g.transport.DisableKeepAlives = true
@@ -48,6 +53,9 @@
 	if call.AnswerTimeout > 0 {
 		watch := time.AfterFunc(call.AnswerTimeout, func() { a.cancel(errSilent); p.retireIdle(g) })
 		defer watch.Stop()
+		if call.ReusedTimeout > 0 {
+			a.reused = func() { watch.Reset(min(call.ReusedTimeout, call.AnswerTimeout)) }
+		}
 	}
 	answer, result := c.roundTrip(ctx, a, call)
 	if answer == nil || answer.Rest == nil {
@@ -71,7 +79,12 @@
 	}
 	a.received()
 	first := a.now().Sub(a.started)
-	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(call.BufferBytes)+1))
+	buffer := call.BufferBytes
+	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+		// The caller waits for each event.
+		buffer = 0
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(buffer)+1))
 	if err != nil {
 		resp.Body.Close()
 		r := a.failure(ctx, fmt.Errorf("read answer: %w", err))
@@ -80,7 +93,7 @@
 	}
 	answer := &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}
 	result := Result{End: Complete, Sent: All, Status: resp.StatusCode, FirstEvent: first}
-	if len(body) <= call.BufferBytes {
+	if len(body) <= buffer {
 		resp.Body.Close()
 		return answer, result
 	}
--- a/dispatch/control.go
+++ b/dispatch/control.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -20,6 +21,9 @@
 	maxKVBytes = 64 << 20
 )
 
+// ErrNoAttempt means that the engine doesn't run the attempt: it is over, or the request has not arrived yet.
+var ErrNoAttempt = errors.New("engine does not run the attempt")
+
 // Cancel asks an engine to stop an attempt.
 func (c *Client) Cancel(e *table.Endpoint, ref engine.AttemptRef) {
 	ctx, cancel := context.WithTimeout(context.Background(), cancelTime)
@@ -28,7 +32,7 @@
 	_ = c.control(ctx, e, engine.PathCancel, ref, nil)
 }
 
-// ExportKV ends an attempt and returns its KV cache.
+// ExportKV ends an attempt and returns its KV cache, or ErrNoAttempt.
 func (c *Client) ExportKV(ctx context.Context, e *table.Endpoint, ref engine.AttemptRef) (*engine.KV, error) {
 	var kv engine.KV
 	if err := c.control(ctx, e, engine.PathKVExport, ref, &kv); err != nil {
@@ -57,6 +61,9 @@
 		return fmt.Errorf("%s at %s: %w", path, e.ID, err)
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusNotFound {
+		return fmt.Errorf("%s at %s: %w", path, e.ID, ErrNoAttempt)
+	}
 	if resp.StatusCode >= 300 {
 		return fmt.Errorf("%s at %s: status %d", path, e.ID, resp.StatusCode)
 	}
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -88,6 +88,7 @@
 	started   time.Time
 	lastBytes atomic.Int64 // Unix nanoseconds of the latest bytes received
 	conns     []connUse    // guarded by gen.mu
+	reused    func()       // called when the attempt gets a connection that was used before
 }
 
 type connUse struct {
@@ -107,6 +108,9 @@
 }
 
 func (a *attempt) gotConn(info httptrace.GotConnInfo) {
+	if info.Reused && a.reused != nil {
+		a.reused()
+	}
 	conn, ok := info.Conn.(*countingConn)
 	if !ok {
 		return
--- a/relay/model.go
+++ b/relay/model.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/trefoillug/trefoillug/core"
 	"github.com/trefoillug/trefoillug/engine"
@@ -169,6 +170,8 @@
 			r.refuseSource(w, src, p.err)
 			return refused
 		case p.finished:
+			// Recorders and other writers without a connection have no deadline to set.
+			_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(r.cfg.Limits.WriteTime))
 			return writeCompletion(w, src.id(), text.String(), p.route)
 		}
 	}
--- a/relay/once.go
+++ b/relay/once.go
@@ -52,7 +52,7 @@
 			r.cfg.Claimer.Release(call)
 			return nil, err
 		}
-		answer, result := r.callEndpoint(ctx, call, got)
+		answer, result := r.callEndpoint(ctx, call, got, true)
 		switch {
 		case answer != nil:
 			r.cfg.Claimer.Complete(call, answer.recorded())
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -20,6 +20,11 @@
 	bufferBytes = 256 << 10
 	// recordedBytes bounds the body of an answer that is retained for repeats of its key.
 	recordedBytes = 4 << 10
+	// reusedTimeout is the least time to the answer on a reused connection before it counts as silent.
+	reusedTimeout = 2 * time.Second
+	// slowFactor times the endpoint's usual time to the answer is allowed on a reused connection, so that slow calls
+	// are not taken for silent connections and run twice.
+	slowFactor = 4
 	// claimPoll is the time between looks at a claim that another attempt holds.
 	claimPoll = 100 * time.Millisecond
 )
@@ -124,12 +129,14 @@
 	r.cfg.RetryBudget.Request(call.Service.Name)
 	s := &search{call: call, tried: map[string]bool{}}
 	defer r.stopSearch(s)
+	fresh := false
 	for errorAnswers := 0; ; {
 		got, err := r.acquire(ctx, s)
 		if err != nil {
 			return nil, plainEnded(ctx, err, len(s.tried) > 0)
 		}
-		answer, result := r.callEndpoint(ctx, call, got)
+		answer, result := r.callEndpoint(ctx, call, got, fresh)
+		fresh = fresh || result.End == dispatch.Silent
 		if answer != nil {
 			errorAnswers++
 			if !retriable(result.Status) || errorAnswers >= maxErrorAnswers {
@@ -170,18 +177,20 @@
 }
 
 // callEndpoint makes one attempt. The slot is released when the answer has been read.
-func (r *Relay) callEndpoint(ctx context.Context, call *Call, got *slot) (*plainAnswer, dispatch.Result) {
+func (r *Relay) callEndpoint(ctx context.Context, call *Call, got *slot, fresh bool) (*plainAnswer, dispatch.Result) {
 	log := &attemptLog{started: r.cfg.Now()}
 	header := call.Header.Clone()
 	header.Set(headerRequestID, call.RequestID)
 	header.Set(engine.HeaderAttemptID, got.attempt)
 	attempt := &dispatch.PlainCall{
 		Endpoint: got.endpoint, Method: call.Method, Path: call.Path, Header: header, Body: call.Body,
-		Once: call.once(), BufferBytes: bufferBytes,
+		Once: call.once(), Fresh: fresh, BufferBytes: bufferBytes,
 	}
 	if deadline, ok := ctx.Deadline(); ok && !attempt.Once {
 		// Half of the remaining time leaves as much for another endpoint.
 		attempt.AnswerTimeout = time.Until(deadline) / 2
+		usual := time.Duration(got.endpoint.Live.FirstToken.Load()) * time.Microsecond
+		attempt.ReusedTimeout = max(reusedTimeout, slowFactor*usual)
 	}
 	answer, result := r.cfg.Dispatch.Call(ctx, attempt)
 	log.first = result.FirstEvent
@@ -233,7 +242,7 @@
 	r.cfg.Post(core.Served{Service: call.Service.Name, Workspace: call.Workspace})
 }
 
-// deadlineWriter gives each write its own deadline.
+// deadlineWriter gives each write its own deadline and sends it at once.
 type deadlineWriter struct {
 	w       io.Writer
 	rc      *http.ResponseController
@@ -242,5 +251,9 @@
 
 func (d *deadlineWriter) Write(b []byte) (int, error) {
 	_ = d.rc.SetWriteDeadline(time.Now().Add(d.timeout))
-	return d.w.Write(b)
+	n, err := d.w.Write(b)
+	if err == nil {
+		err = d.rc.Flush()
+	}
+	return n, err
 }
--- a/relay/plain_test.go
+++ b/relay/plain_test.go
@@ -1,7 +1,10 @@
 package relay
 
 import (
+	"io"
 	"net"
+	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -123,3 +126,65 @@
 	r := send("GET", url+"/services/orders/list", "")
 	must.StrContains(t, r.body, `"kind":"overloaded","outcome":"not_run"`)
 }
+
+// Guards against retries beyond the deadline, and a not_run answer for a call that was sent.
+func TestPlain_DeadlineBoundsRetries(t *testing.T) {
+	w := newWorld(t)
+	w.service("s", standin.ServiceConfig{}).SetFaults(standin.ServiceFaults{LoseAnswer: true})
+	_, url := w.relay(Config{RetryBudget: denyUntil{time.Now().Add(time.Hour)}})
+	start := time.Now()
+	r := send("GET", url+"/services/orders/short", "")
+	must.StrContains(t, r.body, `"kind":"endpoint_failed","outcome":"unknown"`)
+	must.Between(t, 400*time.Millisecond, time.Since(start), time.Second)
+	must.Eq(t, 1, w.services["s"].Counts().Runs)
+}
+
+// Guards against calls that wait on a kept connection which went silent while new ones work.
+func TestPlain_SilentConnection(t *testing.T) {
+	w := newWorld(t)
+	f, err := standin.NewForwarder(w.serve(standin.NewService(standin.ServiceConfig{ID: "s"})))
+	must.NoError(t, err)
+	t.Cleanup(f.Close)
+	w.list(platform.Instance{ID: "s", Address: f.Address(), Service: "orders"})
+	_, url := w.relay(Config{})
+	must.Eq(t, 200, send("GET", url+"/services/orders/list", "").status)
+	f.Silence(true, false)
+	start := time.Now()
+	must.Eq(t, 200, send("GET", url+"/services/orders/list", "").status)
+	must.Less(t, 3*time.Second, time.Since(start))
+}
+
+// Guards against answers cut at the buffer, and events held back until the answer ends.
+func TestPlain_LargeAndStreamedAnswers(t *testing.T) {
+	large := strings.Repeat("0123456789abcdef", 1<<16)
+	release := make(chan struct{})
+	end := sync.OnceFunc(func() { close(release) })
+	defer end()
+	w := newWorld(t)
+	w.list(platform.Instance{ID: "s", Service: "orders", Address: w.serve(http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/large" {
+			_, _ = io.WriteString(out, large)
+			return
+		}
+		out.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(out, "data: 1\n\n")
+		_ = http.NewResponseController(out).Flush()
+		<-release
+		_, _ = io.WriteString(out, "data: 2\n\n")
+	}))})
+	rl, url := w.relay(Config{})
+	must.Eq(t, large, send("GET", url+"/services/orders/large", "").body)
+	client := &http.Client{Timeout: 3 * time.Second}
+	resp, err := client.Get(url + "/services/orders/events")
+	must.NoError(t, err)
+	defer resp.Body.Close()
+	head := make([]byte, 9)
+	_, err = io.ReadFull(resp.Body, head)
+	must.NoError(t, err)
+	must.Eq(t, "data: 1\n\n", string(head))
+	end()
+	tail, err := io.ReadAll(resp.Body)
+	must.NoError(t, err)
+	must.Eq(t, "data: 2\n\n", string(tail))
+	must.NoError(t, rl.Drain(t.Context(), DrainPlanned))
+}
--- a/relay/reclaim.go
+++ b/relay/reclaim.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/trefoillug/trefoillug/dispatch"
 	"github.com/trefoillug/trefoillug/engine"
 	"github.com/trefoillug/trefoillug/table"
 )
@@ -22,6 +23,8 @@
 	exportMargin = 100 * time.Millisecond
 	// minExportTime is the least time in which an export is tried; with less the prefix is computed again.
 	minExportTime = 200 * time.Millisecond
+	// exportRetry is the time between exports of an attempt that the engine doesn't know yet.
+	exportRetry = 20 * time.Millisecond
 	// maxTransferTime bounds export and import, during which the caller gets no token.
 	maxTransferTime = 2 * time.Second
 )
@@ -142,9 +145,9 @@
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, min(left, maxTransferTime))
 	defer cancel()
-	ref := engine.AttemptRef{RequestID: s.call.RequestID, AttemptID: run.slot.attempt}
-	kv, err := r.cfg.Dispatch.ExportKV(ctx, run.slot.endpoint, ref)
+	kv, err := s.exportKV(ctx, run)
 	if err != nil {
+		r.cfg.Log.WithError(err).WithField("request", s.call.RequestID).Warn("KV export failed; prefix is computed again")
 		run.cancel(errMoving)
 		return
 	}
@@ -155,6 +158,28 @@
 	time.AfterFunc(minExportTime, func() { run.cancel(errMoving) })
 }
 
+// exportKV asks again while the request is still on its way to the engine.
+func (s *session) exportKV(ctx context.Context, run *engineRun) (*engine.KV, error) {
+	ref := engine.AttemptRef{RequestID: s.call.RequestID, AttemptID: run.slot.attempt}
+	for {
+		kv, err := s.relay.cfg.Dispatch.ExportKV(ctx, run.slot.endpoint, ref)
+		if !errors.Is(err, dispatch.ErrNoAttempt) || !s.isCurrent(run) {
+			return kv, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-time.After(exportRetry):
+		}
+	}
+}
+
+func (s *session) isCurrent(run *engineRun) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.engine == run
+}
+
 func (s *session) currentRun() *engineRun {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/relay/resume_test.go
+++ b/relay/resume_test.go
@@ -103,6 +103,7 @@
 		w.engine("b", "fd2", slow)
 	})
 	mustAllWhole(t, replies, 150)
+	must.Eq(t, 5, a.Counts().Runs)
 	must.SliceEmpty(t, w.crashes())
 }
 
@@ -243,3 +244,21 @@
 		})
 	}
 }
+
+// denyUntil is a retry budget that is exhausted until a time.
+type denyUntil struct{ at time.Time }
+
+func (denyUntil) Request(string)      {}
+func (d denyUntil) Retry(string) bool { return !time.Now().Before(d.at) }
+
+// Guards against streams that fail, or that are retried unpaced, while the retry budget is exhausted.
+func TestResume_WaitsForBudget(t *testing.T) {
+	w := newWorld(t)
+	a := w.engine("a", "fd1", slow)
+	w.engine("b", "fd2", slow)
+	a.SetFaults(standin.EngineFaults{Drop: 4})
+	start := time.Now()
+	_, url := w.relay(Config{RetryBudget: denyUntil{start.Add(500 * time.Millisecond)}})
+	mustWhole(t, chat(url, "quote", 30), "quote", 30)
+	must.Greater(t, 500*time.Millisecond, time.Since(start))
+}
--- a/relay/world_test.go
+++ b/relay/world_test.go
@@ -43,7 +43,8 @@
 			{Name: "chat", Path: "/v1/chat/completions", Methods: []string{"POST"}, Idempotent: true, Timeout: 20 * time.Second},
 		}},
 		{Name: "orders", Kind: config.KindPlain, Serve: "v1", Versions: []config.Version{{Name: "v1"}}, Routes: []config.Route{
-			{Name: "read", Path: "/", Idempotent: true, Timeout: 5 * time.Second},
+			{Name: "read", Path: "/", Idempotent: true, Timeout: 20 * time.Second},
+			{Name: "short", Path: "/short", Idempotent: true, Timeout: 500 * time.Millisecond},
 			{Name: "book", Path: "/book", Methods: []string{"POST"}, Timeout: 2 * time.Second},
 		}},
 	}})
