--- a/move/assess.go
+++ b/move/assess.go
@@ -26,12 +26,21 @@
 	windowsPer     = 24 // windows in the time from start to deadline
 	openWindows    = 2  // windows under test besides the whole move
 	assessInterval = time.Second
-	batchSize      = 100 // attempts on both versions
 	minEdge        = 20  // latencies of the old version that place a class edge
 	minPast        = 100 // attempts at a load class that make a reference
 	holdPart       = 0.6 // of the log threshold that stops a share from rising
 )
 
+// scales of batches. Small ones show a strong fault soon. Large ones hold enough events of the old version to show a
+// weak fault on a route with little traffic: one that fails 10 points more often there was found after 774 s without.
+const scales = 2
+
+// batchSize is the number of attempts on both versions that close a batch, batchWindows its greatest age.
+var (
+	batchSize    = [scales]int{100, 1000}
+	batchWindows = [scales]float64{0.5, 3}
+)
+
 // event is a yes-or-no outcome of an attempt whose frequency on both versions is compared.
 type event int
 
@@ -116,7 +125,7 @@
 	a.next = now.Add(assessInterval)
 	closed := false
 	for _, r := range routes {
-		closed = r.batch(now, past, a.windowLen/2) || closed
+		closed = r.batch(now, past, a.windowLen) || closed
 	}
 	if !closed {
 		return verdict{}, false
@@ -136,21 +145,29 @@
 	}
 	a.windowStart = now
 	for _, r := range routes {
-		r.baselines = append(r.baselines, r.tally)
-		if len(r.baselines) > openWindows {
-			r.baselines = r.baselines[1:]
+		for i := range r.scales {
+			r.scales[i].roll()
 		}
 	}
 }
 
+func (x *scale) roll() {
+	x.baselines = append(x.baselines, x.tally)
+	if len(x.baselines) > openWindows {
+		x.baselines = x.baselines[1:]
+	}
+}
+
 // assess tests each route and all routes together over the whole move and over the open windows. A window finds a
 // fault that begins late, which the whole move would dilute.
 func (a *assessment) assess(routes []*routeEvidence) verdict {
 	v := verdict{sound: true}
 	tests := a.tests(routes) * 2
-	v.test(routes, -1, math.Log(tests/faultRate))
-	for w := range openWindows {
-		v.test(routes, w, math.Log(tests*float64(a.windows)/faultRate))
+	for x := range scales {
+		v.test(routes, x, -1, math.Log(tests/faultRate))
+		for w := range openWindows {
+			v.test(routes, x, w, math.Log(tests*float64(a.windows)/faultRate))
+		}
 	}
 	for _, r := range routes {
 		if r.total.observed(oldSide)+r.total.observed(newSide) > 0 {
@@ -163,24 +180,27 @@
 // closing tests the whole move once at the deadline, at its own rate.
 func (a *assessment) closing(routes []*routeEvidence) verdict {
 	var v verdict
-	v.test(routes, -1, math.Log(a.tests(routes)/deadlineRate))
+	for x := range scales {
+		v.test(routes, x, -1, math.Log(a.tests(routes)/deadlineRate))
+	}
 	return v
 }
 
 func (a *assessment) tests(routes []*routeEvidence) float64 {
-	return float64(len(measures) * (max(a.routes, len(routes)) + 1))
+	return float64(scales * len(measures) * (max(a.routes, len(routes)) + 1))
 }
 
 // test takes the given window, or the whole move when it is negative.
-func (v *verdict) test(routes []*routeEvidence, window int, limit float64) {
+func (v *verdict) test(routes []*routeEvidence, size, window int, limit float64) {
 	var all tally
 	for _, r := range routes {
-		t := r.tally
-		if window >= len(r.baselines) {
+		x := &r.scales[size]
+		t := x.tally
+		if window >= len(x.baselines) {
 			continue
 		}
 		if window >= 0 {
-			t.plus(&r.baselines[window], -1)
+			t.plus(&x.baselines[window], -1)
 		}
 		v.take(r.name, &t, limit)
 		all.plus(&t, 1)
@@ -228,45 +248,52 @@
 	return logMean(logs[:])
 }
 
-// batch adds the attempts since the last batch to the tally when the batch is full or maxAge old. Both depend on no
-// outcome. A larger batch holds more attempts of the old version to compare with, a smaller one is tested sooner.
-func (r *routeEvidence) batch(now time.Time, past bool, maxAge time.Duration) bool {
-	size := r.total.observed(oldSide) + r.total.observed(newSide) - r.seen.observed(oldSide) - r.seen.observed(newSide)
-	if size == 0 || size < batchSize && now.Sub(r.batchAt) < maxAge {
-		return false
-	}
-	r.batchAt = now
-	r.addBatch(past)
-	return true
-}
-
-func (r *routeEvidence) addBatch(past bool) {
-	if past && r.past == nil {
-		before := r.seen
-		r.past = &before
-	}
+// batch adds the attempts since the last batch of each scale to its tally when the batch is full or old. Both depend
+// on no outcome.
+func (r *routeEvidence) batch(now time.Time, past bool, window time.Duration) (closed bool) {
 	if !past {
 		r.past = nil
+	} else if r.past == nil {
+		before := r.total
+		r.past = &before
 	}
+	for i := range r.scales {
+		x := &r.scales[i]
+		size := r.total.attempts() - x.seen.attempts()
+		maxAge := time.Duration(batchWindows[i] * float64(window))
+		if size == 0 || size < batchSize[i] && now.Sub(x.batchAt) < maxAge {
+			continue
+		}
+		x.batchAt = now
+		x.add(r)
+		closed = true
+	}
+	return closed
+}
+
+// add takes over the attempts that are not in the tally yet.
+func (x *scale) add(r *routeEvidence) {
 	delta := r.total
-	delta.apply(&r.seen, sub)
+	delta.apply(&x.seen, sub)
 	for i := range strata {
 		old, fresh := &delta[oldSide][i], &delta[newSide][i]
 		if old.n == 0 && fresh.n == 0 {
 			continue
 		}
 		s := failures(old, fresh)
-		r.tally.failed[i].plus(s)
+		x.tally.failed[i].plus(s)
 		if r.past != nil {
-			r.addPast(i, fresh)
+			x.tally.addPast(r.past, i, fresh)
 			continue
 		}
-		addConditional(r.tally.worse[i][failure][:], logWorse, s)
+		addConditional(x.tally.worse[i][failure][:], logWorse, s)
 		for e := firstHalf; e < events; e++ {
-			r.addLatency(i, e, old, fresh)
+			if edge, ok := x.edge(r, i, e); ok {
+				x.tally.addLatency(i, e, edge, old, fresh)
+			}
 		}
 	}
-	r.seen = r.total
+	x.seen = r.total
 }
 
 func failures(old, fresh *cell) sample {
@@ -275,24 +302,20 @@
 
 // addLatency compares how often an edge is exceeded, the new version's latency being reduced by the margin, or by
 // what a bad version is slower. The edge comes from earlier attempts of the old version where there are enough.
-func (r *routeEvidence) addLatency(i int, e event, old, fresh *cell) {
+func (t *tally) addLatency(i int, e event, edge int, old, fresh *cell) {
 	o, f := e.sketch(old), e.sketch(fresh)
-	edge, ok := r.edge(i, e)
-	if !ok {
-		return
-	}
 	n0, k0, n1 := above(o, 0), above(o, edge), above(f, 0)
 	counts := func(shift int) sample {
 		return sample{n: [sides]float64{n0, n1}, k: [sides]float64{k0, above(f, edge+shift)}}
 	}
-	addConditional(r.tally.worse[i][e][:], logWorse, counts(marginBins))
+	addConditional(t.worse[i][e][:], logWorse, counts(marginBins))
 	if e == firstHalf || e == perTokHalf {
-		addConditional(r.tally.better[e][:], logBetter, counts(slowBins))
+		addConditional(t.better[e][:], logBetter, counts(slowBins))
 	}
 }
 
-func (r *routeEvidence) edge(i int, e event) (int, bool) {
-	for _, c := range [...]*counters{&r.seen, &r.total} {
+func (x *scale) edge(r *routeEvidence, i int, e event) (int, bool) {
+	for _, c := range [...]*counters{&x.seen, &r.total} {
 		s := e.sketch(&c[oldSide][i])
 		if n := above(s, 0); n >= minEdge {
 			return quantile(s, n, quantileOf[e]), true
@@ -302,15 +325,15 @@
 }
 
 // addPast compares with the attempts of both versions before all traffic went to the new one.
-func (r *routeEvidence) addPast(i int, fresh *cell) {
-	old, before := &r.past[oldSide][i], &r.past[newSide][i]
+func (t *tally) addPast(past *counters, i int, fresh *cell) {
+	old, before := &past[oldSide][i], &past[newSide][i]
 	if old.n < minPast || before.n < minPast {
-		p := pastRate(r.past) + failGap
-		addReference(r.tally.worse[i][failure][:], logWorse, float64(fresh.n), float64(fresh.failed), min(p, 0.99))
+		p := pastRate(past) + failGap
+		addReference(t.worse[i][failure][:], logWorse, float64(fresh.n), float64(fresh.failed), min(p, 0.99))
 		return
 	}
 	p := max(float64(old.failed)/float64(old.n), float64(before.failed)/float64(before.n)) + pastFailMargin
-	addReference(r.tally.worse[i][failure][:], logWorse, float64(fresh.n), float64(fresh.failed), min(p, 0.99))
+	addReference(t.worse[i][failure][:], logWorse, float64(fresh.n), float64(fresh.failed), min(p, 0.99))
 	for e := firstHalf; e < events; e++ {
 		s, f := e.sketch(before), e.sketch(fresh)
 		n := above(s, 0)
@@ -319,7 +342,7 @@
 		}
 		edge := quantile(s, n, quantileOf[e])
 		p := min(above(s, edge)/n+pastSlowMargin, 0.99)
-		addReference(r.tally.worse[i][e][:], logWorse, above(f, 0), above(f, edge+pastBins), p)
+		addReference(t.worse[i][e][:], logWorse, above(f, 0), above(f, edge+pastBins), p)
 	}
 }
 
@@ -356,47 +379,3 @@
 	}
 	return bins
 }
-
-// sound reports whether the route has shown that the new version is not a bad one: neither failing failGap more
-// often nor 1.5 times slower.
-func (r *routeEvidence) sound() bool {
-	return r.soundFailures() && r.soundLatency(firstHalf) && r.soundLatency(perTokHalf)
-}
-
-// soundFailures has two ways at half the error rate each: the new version's own failures are rare, or its odds of
-// failing are less than those of a bad version.
-func (r *routeEvidence) soundFailures() bool {
-	limit := math.Log(2 / soundRate)
-	var f sample
-	for i := range r.tally.failed {
-		f.plus(r.tally.failed[i])
-	}
-	if logRare(f.n[newSide], f.k[newSide], failGap) >= limit {
-		return true
-	}
-	k := f.k[oldSide]
-	p := min((k+1+2*math.Sqrt(k+1))/max(f.n[oldSide], 1), 0.9) // about the upper 97.5% bound
-	bad := math.Inf(1)
-	if p+failGap < 1 {
-		bad = (p + failGap) / (1 - p - failGap) * (1 - p) / p
-	}
-	for g := len(worse) - 1; g >= 0; g-- {
-		if worse[g] > bad {
-			continue
-		}
-		log := 0.0
-		for i := range r.tally.worse {
-			log -= r.tally.worse[i][failure][g]
-		}
-		return log >= limit
-	}
-	return false
-}
-
-func (r *routeEvidence) soundLatency(e event) bool {
-	measured := false
-	for i := range r.total[oldSide] {
-		measured = measured || above(e.sketch(&r.total[oldSide][i]), 0) > 0
-	}
-	return !measured || logMean(r.tally.better[e][:]) >= -math.Log(soundRate)
-}
--- a/move/evidence.go
+++ b/move/evidence.go
@@ -83,6 +83,8 @@
 	return n
 }
 
+func (c *counters) attempts() int { return c.observed(oldSide) + c.observed(newSide) }
+
 // apply calls f on each pair of corresponding counters.
 func (c *counters) apply(o *counters, f func(a, b uint32) uint32) {
 	for s := range c {
@@ -195,10 +197,15 @@
 	dirty   bool // own counters changed since they were published
 	origins map[string]*[sides][strata]cellFact
 
-	total     counters
-	seen      counters // part of total that is in the tally
+	total  counters
+	past   *counters // total when all traffic had gone to the new version
+	scales [scales]scale
+}
+
+// scale is the evidence of a route in batches of a size.
+type scale struct {
+	seen      counters // part of the total that is in the tally
 	batchAt   time.Time
-	past      *counters // total when all traffic had gone to the new version
 	tally     tally
 	baselines []tally // at the last window boundaries
 }
