--- /dev/null
+++ b/move/failure_test.go
@@ -0,0 +1,140 @@
+package move
+
+import (
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+const minute = time.Minute
+
+var failsAlways = scenario{bad: true, rate: 32, fail: 0.005, extra: 1, route: -1}
+
+// Guards against an instance that stood still during a fault and serves the bad version when it wakes.
+func TestMove_PausedInstanceWakesWithoutShare(t *testing.T) {
+	sc := failsAlways
+	sc.extra, sc.onset, sc.pause = 0.5, 5*minute, [2]time.Duration{4*minute + 30*time.Second, 7 * minute}
+	m := newModel(sc, 1, modelLength)
+	before := 0.0
+	r := m.run(func() {
+		if m.paused(3) {
+			before = max(before, m.shares[3])
+		} else if m.elapsed() >= sc.pause[1] {
+			must.Eq(t, 0, m.shares[3])
+		}
+	})
+	must.Positive(t, before)
+	must.Eq(t, RolledBack, r.outcome)
+}
+
+// Guards against a share that rises without evidence of the others, and a good move that a short partition stops.
+func TestMove_PartitionHoldsTheShare(t *testing.T) {
+	sc := scenario{rate: 32, fail: 0.005, split: [2]time.Duration{3 * minute, 6 * minute}}
+	m := newModel(sc, 2, modelLength)
+	var held []float64
+	r := m.run(func() {
+		if !m.within([2]time.Duration{3*minute + 8*time.Second, 6 * minute}) {
+			return
+		}
+		if held == nil {
+			held = slices.Clone(m.shares)
+		}
+		for i, s := range m.shares {
+			must.LessEq(t, held[i], s)
+		}
+	})
+	must.True(t, r.onTime)
+}
+
+// Guards against a fault that one side of a partition doesn't see because the other side found it.
+func TestMove_PartitionedSidesBothAbort(t *testing.T) {
+	sc := failsAlways
+	sc.onset, sc.split = 4*minute, [2]time.Duration{3 * minute, 15 * minute}
+	m := newModel(sc, 3, modelLength)
+	m.run(func() {
+		if m.elapsed() >= 8*minute {
+			must.Eq(t, 0, m.hot())
+		}
+	})
+	must.Positive(t, m.onNew)
+}
+
+// Guards against a store outage that stalls a good move or hides a bad one, and a settlement that is lost by it.
+func TestMove_StoreDownThroughTheDeadline(t *testing.T) {
+	down := [2]time.Duration{0, 22 * minute}
+	m := newModel(scenario{rate: 32, fail: 0.005, store: down}, 4, modelLength)
+	r := m.run(func() {
+		if m.elapsed() >= modelLength {
+			must.Eq(t, 1, slices.Min(m.shares))
+		}
+	})
+	must.Eq(t, Done, r.outcome)
+	must.Between(t, down[1], r.settled, down[1]+3*time.Second)
+	sc := failsAlways
+	sc.store = down
+	m = newModel(sc, 5, modelLength)
+	r = m.run(func() {
+		if m.elapsed() >= minute {
+			must.Eq(t, 0, m.hot())
+		}
+	})
+	must.Eq(t, RolledBack, r.outcome)
+}
+
+// Guards against counters of a restarted instance that hide its earlier ones, and an instance that stays behind.
+func TestMove_RestartedInstanceCatchesUp(t *testing.T) {
+	m := newModel(scenario{rate: 32, fail: 0.005, restart: 6 * minute}, 6, modelLength)
+	r := m.run(func() {
+		if m.elapsed() == 12*minute {
+			must.Greater(t, 0.5*m.shares[0], m.shares[5]+1e-9)
+		}
+	})
+	must.True(t, r.onTime)
+}
+
+// Guards against stages of the plan that are left early.
+func TestMove_ExplicitStagesAreLowerBounds(t *testing.T) {
+	sc := scenario{rate: 32, fail: 0.005}
+	sc.stages = []stage{{Share: 0.01, MinTime: 3 * minute}, {Share: 0.2, MinTime: 4 * minute}, {Share: 1, MinTime: minute}}
+	m := newModel(sc, 7, modelLength)
+	r := m.run(func() {
+		switch {
+		case m.elapsed() < 3*minute:
+			must.LessEq(t, 0.01, m.hot())
+		case m.elapsed() < 7*minute:
+			must.LessEq(t, 0.2, m.hot())
+		}
+	})
+	must.True(t, r.onTime)
+}
+
+// Guards against a test that loses its error rate by being looked at after each batch.
+func TestAddConditional_KeepsItsErrorRateAtEveryLook(t *testing.T) {
+	const runs, looks = 2000, 100
+	m := newModel(scenario{}, 8, minute)
+	alarms := 0
+	for range runs {
+		var sums [len(worse)]float64
+		for range looks {
+			var s sample
+			s.n = [sides]float64{40, 10}
+			for v := range s.n {
+				for range int(s.n[v]) {
+					if m.rng.Float64() < 0.05 {
+						s.k[v]++
+					}
+				}
+			}
+			addConditional(sums[:], logWorse, s)
+			if logMean(sums[:]) >= math.Log(20) {
+				alarms++
+				break
+			}
+		}
+	}
+	t.Logf("%d of %d runs raise a false alarm at the 5%% level", alarms, runs)
+	must.LessEq(t, runs/20, alarms)
+}
--- a/move/model_test.go
+++ b/move/model_test.go
@@ -42,14 +42,13 @@
 
 // result is what a run measured.
 type result struct {
-	badPart     float64       // part of all requests up to the deadline on the new version
-	toZero      time.Duration // from the first faulty attempt to zero share at the last instance; -1: never
-	outcome     Outcome       // recorded; empty: none
-	settled     time.Duration // after the start
-	onTime      bool          // done and all traffic moved by the deadline
-	movedBack   bool
-	factBytes   int // largest fact
-	shareAtHalf float64
+	badPart   float64       // part of all requests up to the deadline on the new version
+	toZero    time.Duration // from the first faulty attempt to zero share at the last instance; -1: never
+	outcome   Outcome       // recorded; empty: none
+	settled   time.Duration // after the start
+	onTime    bool          // done and all traffic moved by the deadline
+	movedBack bool
+	factBytes int // largest fact
 }
 
 type message struct {
@@ -107,6 +106,8 @@
 
 func (m *model) within(w [2]time.Duration) bool { return m.elapsed() >= w[0] && m.elapsed() < w[1] }
 
+func (m *model) paused(i int) bool { return i == 3 && m.within(m.sc.pause) }
+
 func (m *model) inWave() bool {
 	return m.sc.wave && m.within([2]time.Duration{m.length / 3, m.length/3 + 90*time.Second})
 }
@@ -143,6 +144,9 @@
 	mean := m.sc.rate * modelTick.Seconds() / 8
 	var count [sides]float64
 	for i := range m.systems {
+		if m.paused(i) {
+			continue
+		}
 		for range m.poisson(mean) {
 			s := oldSide
 			if m.rng.Float64() < m.shares[i] {
@@ -188,7 +192,7 @@
 	}
 	if m.fixed != nil {
 		m.fixed.observe(s, r)
-	} else if i != 3 || !m.within(m.sc.pause) {
+	} else {
 		m.systems[i].Observe(m.now, r)
 	}
 }
@@ -218,7 +222,7 @@
 		m.systems[5] = m.start(5, 2)
 	}
 	for i, s := range m.systems {
-		if i == 3 && m.within(m.sc.pause) {
+		if m.paused(i) {
 			continue
 		}
 		m.deliver(i)
@@ -289,13 +293,9 @@
 }
 
 func (m *model) measure() {
-	hot := m.hot()
-	if hot > 0 {
+	if m.hot() > 0 {
 		m.lastHot = m.now
 	}
-	if m.elapsed() == m.length/2 {
-		m.res.shareAtHalf = hot
-	}
 	if m.elapsed() == m.length {
 		m.res.onTime = true
 		for _, s := range m.shares {
--- a/move/policy_test.go
+++ b/move/policy_test.go
@@ -119,6 +119,7 @@
 		lost += ours.runs - ours.onTime
 	}
 	t.Logf("%d seeds from %d, largest fact %d bytes\n%s", *seeds, *base, bytes, strings.Join(rows, "\n"))
+	must.LessEq(t, 512, bytes)
 	must.Eq(t, 0, unsettled)
 	must.Eq(t, 0, late)
 	must.LessEq(t, bad/20, kept)
--- /dev/null
+++ b/move/system_test.go
@@ -0,0 +1,175 @@
+package move
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/trefoillug/trefoillug/config"
+)
+
+type stage = config.Stage
+
+// bench is one System that is its only member, with a clock.
+type bench struct {
+	*System
+	now time.Time
+}
+
+func newBench(self string, svc *config.Service) *bench {
+	b := &bench{New(Settings{Self: self, Epoch: 1}), modelStart}
+	b.SetMembers([]string{self})
+	b.Configure(b.now, svc)
+	return b
+}
+
+func quotes(m *config.Move, routes ...string) *config.Service {
+	svc := &config.Service{Name: "quotes", Serve: "v1", Move: m}
+	for _, r := range routes {
+		svc.Routes = append(svc.Routes, config.Route{Name: r})
+	}
+	return svc
+}
+
+func plainMove() *config.Move {
+	return &config.Move{ID: "m1", From: "v1", To: "v2", Start: modelStart, Deadline: modelStart.Add(10 * time.Minute)}
+}
+
+func (b *bench) feed(version, route string, n int, o Attempt) {
+	for range n {
+		b.Observe(b.now, Result{Service: "quotes", Version: version, Route: route, Outcome: o, FirstToken: 100 * time.Millisecond})
+	}
+}
+
+// until ticks each second up to the given time after the start, with ten good attempts on the old version.
+func (b *bench) until(end time.Duration) (out Output) {
+	for ; b.now.Before(modelStart.Add(end)); b.now = b.now.Add(time.Second) {
+		b.feed("v1", "review", 10, OK)
+		out = b.Tick(b.now)
+	}
+	return out
+}
+
+func (b *bench) share(out Output) float64 { return part(out.Shares["quotes"], "v2") }
+
+func abortOf(t *testing.T, facts []Fact) Fact {
+	for _, f := range facts {
+		if f.Key == "move/abort/quotes/m1" {
+			return f
+		}
+	}
+	t.Fatal("no abort published")
+	return Fact{}
+}
+
+var m1 = Object{"quotes", "m1"}
+
+// Guards against an outcome done that raises the share although this instance knows of a fault, and against a bad
+// version that stays because its fault lost the race for the outcome.
+func TestRecorded_AbortWinsOverRecordedDone(t *testing.T) {
+	a, b := newBench("a", quotes(plainMove(), "review")), newBench("b", quotes(plainMove(), "review"))
+	a.until(20 * time.Second)
+	a.feed("v2", "review", 30, Failed)
+	a.now = a.now.Add(30 * time.Second)
+	out := a.Tick(a.now)
+	abort := abortOf(t, out.Facts)
+	must.Eq(t, RolledBack, out.Proposals[0].Outcome)
+	done := &Record{Service: "quotes", Move: "m1", Outcome: Done, At: a.now}
+	b.until(30 * time.Second)
+	for _, x := range []*bench{a, b} {
+		x.Recorded(x.now, m1, done)
+		x.Recorded(x.now, m1, &Record{Outcome: RolledBack}) // a late opposite answer
+	}
+	must.Eq(t, 1, b.share(b.Tick(b.now)))
+	must.NoError(t, b.Receive(b.now, "a", abort.Key, abort.Value))
+	for _, x := range []*bench{a, b} {
+		x.now = x.now.Add(time.Second)
+		out := x.Tick(x.now)
+		must.Eq(t, 0, x.share(out))
+		must.Eq(t, "m1-back", out.Proposals[0].Move)
+		must.Eq(t, Done, out.Proposals[0].Outcome)
+	}
+}
+
+// Guards against instances that keep their own decision after another one is recorded, and repeated proposals.
+func TestRecorded_RacingProposalsFollowTheStore(t *testing.T) {
+	a := newBench("a", quotes(plainMove(), "review"))
+	out := a.until(9*time.Minute + 55*time.Second)
+	must.Eq(t, RolledBack, out.Proposals[0].Outcome)
+	must.StrContains(t, out.Proposals[0].Reason, "review")
+	must.Eq(t, 0, a.share(out))
+	a.Recorded(a.now, m1, &Record{Outcome: Done})
+	out = a.Tick(a.now)
+	must.Eq(t, 1, a.share(out))
+	must.SliceEmpty(t, out.Proposals)
+}
+
+// Guards against a deadline that passes unsettled, or settles a version as done that no route has shown.
+func TestTick_SettlesBeforeTheDeadline(t *testing.T) {
+	b := newBench("a", quotes(plainMove(), "review"))
+	b.feed("v2", "review", 5, OK)
+	out := b.until(9*time.Minute + 55*time.Second)
+	must.Eq(t, Done, out.Proposals[0].Outcome)
+	must.Eq(t, 1, b.share(out))
+}
+
+// Guards against reclaimed endpoints and quarantined requests that count against the new version.
+func TestObserve_ExcludedAttemptsSayNothing(t *testing.T) {
+	b := newBench("a", quotes(plainMove(), "review"))
+	b.feed("v2", "review", 1000, Excluded)
+	out := b.until(time.Minute)
+	must.Positive(t, b.share(out))
+	must.Eq(t, 0, b.tracker("quotes", "m1").route("review").total.observed(newSide))
+}
+
+// Guards against an unproven version that becomes the old one of the next move, and a first move left unsettled.
+func TestConfigure_SecondMoveSupersedesTheFirst(t *testing.T) {
+	b := newBench("a", quotes(plainMove(), "review"))
+	b.until(time.Minute)
+	second := &config.Move{ID: "m2", From: "v2", To: "v3", Start: b.now, Deadline: b.now.Add(10 * time.Minute)}
+	b.Configure(b.now, quotes(second, "review"))
+	out := b.Tick(b.now)
+	must.Eq(t, Superseded, out.Proposals[0].Outcome)
+	must.Eq(t, "m1", out.Proposals[0].Move)
+	must.Eq(t, 0, b.share(out))
+	must.Eq(t, "v1", out.Shares["quotes"][0].Version)
+	b.Recorded(b.now, m1, &Record{Outcome: Done})
+	out = b.Tick(b.now)
+	must.Eq(t, "v2", out.Shares["quotes"][0].Version)
+	must.SliceEmpty(t, out.Proposals)
+}
+
+// Guards against an abort that is lost because it overtook the configuration.
+func TestReceive_AbortBeforeTheConfigurationSticks(t *testing.T) {
+	b := newBench("a", quotes(nil, "review"))
+	f := abortFact{Service: "quotes", Move: "m1", Reason: "failures"}
+	must.NoError(t, b.Receive(b.now, "b", "move/abort/quotes/m1", marshal(f)))
+	b.Configure(b.now, quotes(plainMove(), "review"))
+	must.Eq(t, 0, b.share(b.until(time.Minute)))
+	must.Error(t, b.Receive(b.now, "b", "move/abort/quotes/m1", []byte{0xff}))
+}
+
+// Guards against evidence counted twice, lost to a late fact, or hidden by a restart of its origin.
+func TestReceive_EvidenceMergesByMaximum(t *testing.T) {
+	b := newBench("a", quotes(plainMove(), "review"))
+	send := func(epoch uint64, n int) {
+		var c counters
+		for range n {
+			c.add(newSide, Result{FirstToken: time.Second})
+		}
+		f := routeFact{Service: "quotes", Move: "m1", Epoch: epoch, Route: "review", Cells: encodeCells(&c)}
+		must.NoError(t, b.Receive(b.now, "b", "move/evidence/quotes/m1/1/review", marshal(f)))
+	}
+	for _, n := range []int{5, 9, 7, 9} {
+		send(1, n)
+	}
+	r := b.tracker("quotes", "m1").route("review")
+	must.Eq(t, 9, r.total.observed(newSide))
+	send(2, 3)
+	must.Eq(t, 12, r.total.observed(newSide))
+	must.Eq(t, 12, int(above(&r.total[newSide][0].first, 0)))
+	bad := routeFact{Service: "quotes", Move: "m1", Epoch: 1, Route: "review", Cells: []cellFact{{Side: 9, N: 99}}}
+	must.Error(t, b.Receive(b.now, "b", "move/evidence/quotes/m1/1/review", marshal(bad)))
+	must.Eq(t, 12, r.total.observed(newSide))
+}
