Make not_run true for the key and for lost attempts

Cause: two refusals said not_run although the request may have run. A call that is not idempotent and was refused before its claim was looked at, and a model request whose endpoint was lost before the first token and for which no other was found. Ruled out: the claim path itself, which releases only claims of which nothing was sent. Change: the first states outcome unknown, the second becomes endpoint_failed.

--- a/problem/problem.go
+++ b/problem/problem.go
@@ -142,7 +142,7 @@
 	a := AnswerFor(k)
 	return Details{
 		Type: "about:blank", Title: a.Title, Status: a.Status, Detail: err.Error(),
-		Kind: k, Outcome: a.Outcome, RequestID: requestID,
+		Kind: k, Outcome: OutcomeOf(err), RequestID: requestID,
 	}
 }
 
--- a/problem/problem_test.go
+++ b/problem/problem_test.go
@@ -5,6 +5,7 @@
 	"net/http/httptest"
 	"os"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 )
@@ -48,3 +49,12 @@
 		must.StrContains(t, string(page), row)
 	}
 }
+
+// Guards against a refusal that says not_run although an earlier request under the same key may have run.
+func TestUnverified_OutcomeUnknown(t *testing.T) {
+	err := Unverified(NewRetry(LimitExceeded, 3*time.Second, "over the limit"))
+	must.Eq(t, LimitExceeded, KindOf(err))
+	must.Eq(t, Unknown, DetailsFor(err, "r1").Outcome)
+	must.Eq(t, 3*time.Second, RetryAfter(err))
+	must.NoError(t, Unverified(nil))
+}
--- a/problem/retry.go
+++ b/problem/retry.go
@@ -6,7 +6,27 @@
 	"github.com/samber/oops"
 )
 
-const retryAfterKey = "retry_after"
+// Keys of an error's context.
+const (
+	retryAfterKey = "retry_after"
+	outcomeKey    = "outcome"
+)
+
+// Unverified gives err the outcome Unknown, whatever its kind: nothing was sent for this request, but an earlier
+// request under the same key may have run. It returns nil when err is nil.
+func Unverified(err error) error {
+	return oops.With(outcomeKey, Unknown).Wrap(err)
+}
+
+// OutcomeOf returns the outcome that err states, else that of its kind.
+func OutcomeOf(err error) Outcome {
+	if o, ok := oops.AsOops(err); ok {
+		if outcome, ok := o.Context()[outcomeKey].(Outcome); ok {
+			return outcome
+		}
+	}
+	return AnswerFor(KindOf(err)).Outcome
+}
 
 // NewRetry returns an error of the given kind for which a retry has a chance after the given time.
 func NewRetry(k Kind, after time.Duration, format string, args ...any) error {
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -43,6 +43,9 @@
 			return
 		}
 		result := s.attempt(got)
+		if result.Sent != dispatch.Nothing {
+			s.sent.Store(true)
+		}
 		if result.End == dispatch.Answered {
 			errorAnswers++
 		}
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -43,6 +43,9 @@
 	f = refusal{requestID: id, service: call.Service.Name, workspace: call.Workspace}
 	release, err := r.admitPlain(req.Context(), call)
 	if err != nil {
+		if call.once() {
+			err = problem.Unverified(err)
+		}
 		f.err = err
 		r.refuse(w, f)
 		return
--- a/relay/session.go
+++ b/relay/session.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/trefoillug/trefoillug/problem"
@@ -24,6 +25,7 @@
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	search search
+	sent   atomic.Bool // an endpoint may have received the request
 
 	mu       sync.Mutex
 	text     []byte
@@ -226,6 +228,9 @@
 func (s *session) broken(kind problem.Kind, format string, args ...any) error {
 	if n, _ := s.emitted(); n > 0 {
 		kind = problem.StreamBroken
+	} else if s.sent.Load() && kind != problem.InvalidRequest && problem.AnswerFor(kind).Outcome == problem.NotRun {
+		// An endpoint that was lost may have run the request before another one was looked for in vain.
+		kind = problem.EndpointFailed
 	}
 	return problem.New(kind, format, args...)
 }
--- a/standin/objects_test.go
+++ b/standin/objects_test.go
@@ -12,7 +12,7 @@
 	"github.com/trefoillug/trefoillug/objstore"
 )
 
-func post(t *testing.T, url, body string) int {
+func postFaults(t *testing.T, url, body string) int {
 	t.Helper()
 	resp, err := http.Post(url+"/faults", "application/json", strings.NewReader(body))
 	must.NoError(t, err)
@@ -30,16 +30,16 @@
 	_, err = c.Put(t.Context(), "k", []byte("two"), v1)
 	must.NoError(t, err)
 
-	must.Eq(t, http.StatusBadRequest, post(t, server.URL, `{"dwon":true}`))
-	must.Eq(t, http.StatusNoContent, post(t, server.URL, `{"old":{"k":1},"slow":"1ms"}`))
+	must.Eq(t, http.StatusBadRequest, postFaults(t, server.URL, `{"dwon":true}`))
+	must.Eq(t, http.StatusNoContent, postFaults(t, server.URL, `{"old":{"k":1},"slow":"1ms"}`))
 	o, err := c.Get(t.Context(), "k")
 	must.NoError(t, err)
 	must.Eq(t, "one", string(o.Value))
 
-	must.Eq(t, http.StatusNoContent, post(t, server.URL, `{"down":true}`))
+	must.Eq(t, http.StatusNoContent, postFaults(t, server.URL, `{"down":true}`))
 	_, err = c.Get(t.Context(), "k")
 	must.ErrorIs(t, err, objstore.ErrUnavailable)
-	must.Eq(t, http.StatusNoContent, post(t, server.URL, `{}`))
+	must.Eq(t, http.StatusNoContent, postFaults(t, server.URL, `{}`))
 	o, err = c.Get(t.Context(), "k")
 	must.NoError(t, err)
 	must.Eq(t, "two", string(o.Value))
