Count a crash only of an endpoint that had come back

Cause: a dead endpoint that still accepts connections breaks off every attempt, and each one counted as a crash caused by the request that ran alone on it. An innocent request that met two dead endpoints was quarantined. Ruled out: facts that spread too late (the innocent was refused by one instance on its own observations alone). Change: after a crash an endpoint must answer an attempt before another crash of it counts, and a crash learned from a peer is known at this instance too.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -98,8 +98,8 @@
 		Store: d.store, Mesh: node, Log: log, Apply: d.applyConfig, Seed: seedFor(s.ID),
 	})
 	d.suspects = suspects{table: quarantine.New(quarantine.Options{}), publish: node.Publish}
-	node.Subscribe("", d.factReceived)
 	d.relay = relay.New(d.relayConfig())
+	node.Subscribe("", d.factReceived)
 	return d, nil
 }
 
@@ -108,8 +108,14 @@
 		d.runner.Post(core.FactReceived{Fact: f})
 		return
 	}
-	if err := d.suspects.merge(f); err != nil {
+	endpoint, err := d.suspects.merge(f)
+	if err != nil {
 		d.log.WithError(err).Warn("fact of a peer not understood")
+		return
+	}
+	if endpoint != "" {
+		d.relay.NoteCrash(endpoint)
+		d.runner.Post(core.EndpointCrashed{Endpoint: endpoint})
 	}
 }
 
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -75,12 +75,16 @@
 	s.publish(fmt.Sprintf("%s%s/%d", factCrash, f.Crash.Endpoint, f.Crash.Number), value, quarantine.DefaultTTL)
 }
 
-// merge takes in a fact of another member.
-func (s suspects) merge(f peer.Fact) error {
+// merge takes in a fact of another member and returns the endpoint that crashed. Facts that clear a request are no
+// news about the endpoint, and the endpoint is then empty.
+func (s suspects) merge(f peer.Fact) (endpoint string, err error) {
 	var fact quarantine.Fact
 	if err := cbor.Unmarshal(f.Value, &fact); err != nil {
-		return fmt.Errorf("crash fact %q of %s: %w", strings.TrimPrefix(f.Key, factCrash), f.Origin, err)
+		return "", fmt.Errorf("crash fact %q of %s: %w", strings.TrimPrefix(f.Key, factCrash), f.Origin, err)
 	}
 	s.table.Merge(fact, time.Now())
-	return nil
+	if len(fact.Cleared) > 0 {
+		return "", nil
+	}
+	return fact.Crash.Endpoint, nil
 }
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -196,6 +196,9 @@
 	if log.tokens > 1 {
 		done.PerToken = (total - log.first) / time.Duration(log.tokens-1)
 	}
+	if result.FirstEvent > 0 || result.End == dispatch.Complete || result.End == dispatch.Answered {
+		r.running.noteAnswer(got.endpoint.ID, log.started)
+	}
 	r.cfg.Post(done)
 	if result.End == dispatch.Lost && !r.isLeaving(call.Service.Name, got.endpoint.ID) {
 		if running, first := r.running.crashed(got.endpoint.ID); first {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -90,6 +90,10 @@
 	}
 }
 
+// NoteCrash takes over the crash of an endpoint that another instance saw, so that attempts which the dead endpoint
+// breaks off here are not taken for its cause.
+func (r *Relay) NoteCrash(endpoint string) { r.running.noteCrash(endpoint) }
+
 // ServeHTTP implements http.Handler.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	if headerBytes(req) > MaxHeaderBytes {
--- a/relay/running.go
+++ b/relay/running.go
@@ -24,6 +24,7 @@
 	attempts  map[string]core.RunningRequest // by attempt ID
 	reserved  string                         // attempt that must run alone
 	crashedAt time.Time
+	answered  bool // since the crash
 }
 
 func newRunning(now func() time.Time) *running {
@@ -61,7 +62,7 @@
 	if runs.reserved == attempt {
 		runs.reserved = ""
 	}
-	if len(runs.attempts) == 0 && runs.reserved == "" && r.now().Sub(runs.crashedAt) > crashWindow {
+	if len(runs.attempts) == 0 && runs.reserved == "" && runs.forgettable(r.now()) {
 		delete(r.endpoints, e.ID)
 	}
 }
@@ -78,6 +79,11 @@
 	return len(runs.attempts) == 0, true
 }
 
+// forgettable reports whether nothing about a crash need be remembered.
+func (e *endpointRuns) forgettable(now time.Time) bool {
+	return e.crashedAt.IsZero() || (e.answered && now.Sub(e.crashedAt) > crashWindow)
+}
+
 func (r *running) unreserve(endpoint, attempt string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -93,15 +99,33 @@
 	return ok && runs.reserved != ""
 }
 
-// crashed returns the requests that ran on an endpoint, and false when its crash is already known.
+// crashed returns the requests that ran on an endpoint, and false when its crash is already known or when it has not
+// answered anything since: attempts that a dead endpoint breaks off did not crash it.
 func (r *running) crashed(endpoint string) ([]core.RunningRequest, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	runs := r.runs(endpoint)
 	now := r.now()
-	if now.Sub(runs.crashedAt) < crashWindow {
+	if !runs.crashedAt.IsZero() && (!runs.answered || now.Sub(runs.crashedAt) < crashWindow) {
 		return nil, false
 	}
-	runs.crashedAt = now
+	runs.crashedAt, runs.answered = now, false
 	return slices.Collect(maps.Values(runs.attempts)), true
 }
+
+// noteCrash takes over a crash that another instance saw.
+func (r *running) noteCrash(endpoint string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	runs := r.runs(endpoint)
+	runs.crashedAt, runs.answered = r.now(), false
+}
+
+// noteAnswer records that an endpoint answered an attempt, which tells that it is up again after a crash.
+func (r *running) noteAnswer(endpoint string, started time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if runs := r.runs(endpoint); started.After(runs.crashedAt) {
+		runs.answered = true
+	}
+}
