Bound the shares under churn, adapt concurrency to an unloaded baseline, check each guarantee

Change: a holder confirms a lowered grant at once, demand is the higher one of a 1 s and a 5 s average, and spare tokens also go to holders whose requests wait. A dead home's successor no longer waits out its grants, which have ended by then.

The crash of the race detector in synctest came from channel timers that are due when they are made: they run in the receiving goroutines, which then share one race context ('ThreadSanitizer: CHECK failed: tsan_rtl.cpp:346'). Node.loop and Admit no longer make such timers.

--- a/limit/concurrency.go
+++ b/limit/concurrency.go
@@ -13,10 +13,12 @@
 	limitCut         = 0.8
 	// recentWeight is the weight of a new sample in the recent latency.
 	recentWeight = 0.1
-	// The baseline follows lower latencies quickly, so that it is that of an endpoint without a queue, and higher
-	// ones slowly, so that a lasting change of the requests moves it in the end.
-	baselineDown = 0.05
-	baselineUp   = 0.0005
+	// baselineWeight is the weight with which the baseline follows the recent latency: down always, up only while so
+	// few requests run that they can't queue at the endpoint. A baseline that also rose under load followed the queue
+	// that it should reveal: p95 in the model was 495 ms instead of 180 ms.
+	baselineWeight = 0.05
+	// fewRequests is the number of requests that count as no load.
+	fewRequests = 1
 )
 
 // concurrency adapts the number of requests that this instance runs at an endpoint: additive increase while the limit
@@ -36,7 +38,7 @@
 
 // sample takes the latency of a finished request and the number that were running with it.
 func (c *concurrency) sample(latency time.Duration, inFlight int, overloaded bool, now time.Time) {
-	c.observe(latency.Seconds())
+	c.observe(latency.Seconds(), inFlight)
 	if overloaded || c.recent > latencyTolerance*c.baseline {
 		// Requests that started before the last cut say nothing about the limit after it.
 		if now.Sub(c.cutAt) > time.Duration(c.recent*float64(time.Second)) {
@@ -50,7 +52,7 @@
 	}
 }
 
-func (c *concurrency) observe(seconds float64) {
+func (c *concurrency) observe(seconds float64, inFlight int) {
 	if seconds <= 0 {
 		return
 	}
@@ -59,11 +61,9 @@
 		return
 	}
 	c.recent += recentWeight * (seconds - c.recent)
-	weight := baselineUp
-	if c.recent < c.baseline {
-		weight = baselineDown
+	if c.recent < c.baseline || inFlight <= fewRequests {
+		c.baseline += baselineWeight * (c.recent - c.baseline)
 	}
-	c.baseline += weight * (c.recent - c.baseline)
 }
 
 // endpointLimits holds the adaptive limits of the endpoints. It is safe for concurrent use.
--- a/limit/exchange.go
+++ b/limit/exchange.go
@@ -76,7 +76,7 @@
 
 // waitFor waits for the tokens of a queued request.
 func (a *Admission) waitFor(ctx context.Context, s *share, w *waiter, since time.Time) error {
-	timer := time.NewTimer(time.Until(w.deadline))
+	timer := time.NewTimer(remaining(w.deadline))
 	defer timer.Stop()
 	select {
 	case <-w.ready:
@@ -136,15 +136,17 @@
 // askFirst asks the home of a share at once, because a request waits. It needs a.mu.
 func (a *Admission) askFirst(s *share) {
 	s.asking = true
-	ids := memberIDs(a.settings.Mesh.Members())
-	target := rendezvous.First(s.String(), ids)
+	target := rendezvous.First(s.String(), candidates(a.settings.Mesh.Members()))
 	a.wg.Go(func() { a.ask(context.Background(), target, []*share{s}) })
 }
 
-func memberIDs(members []peer.Member) []string {
-	ids := make([]string, len(members))
-	for i, m := range members {
-		ids[i] = m.ID
+// candidates returns the IDs of the members that may be homes: all but the leaving ones.
+func candidates(members []peer.Member) []string {
+	ids := make([]string, 0, len(members))
+	for _, m := range members {
+		if !m.Leaving {
+			ids = append(ids, m.ID)
+		}
 	}
 	return ids
 }
@@ -155,15 +157,16 @@
 	defer ticker.Stop()
 	var reported time.Time
 	for {
-		ids := memberIDs(a.settings.Mesh.Members())
+		ids := candidates(a.settings.Mesh.Members())
 		now := time.Now()
 		a.mu.Lock()
 		a.home.observe(ids, now)
 		a.mu.Unlock()
-		if now.Sub(reported) >= reportInterval-observeInterval/2 {
+		all := now.Sub(reported) >= reportInterval-observeInterval/2
+		if all {
 			reported = now
-			a.report(ctx, ids, now)
 		}
+		a.report(ctx, ids, now, all)
 		select {
 		case <-ctx.Done():
 			return
@@ -172,13 +175,15 @@
 	}
 }
 
-// report sends the demands of all workspaces in use, one message to each home.
-func (a *Admission) report(ctx context.Context, ids []string, now time.Time) {
+// report sends the demands of all workspaces in use, or only of those that are due early, one message to each home.
+func (a *Admission) report(ctx context.Context, ids []string, now time.Time, all bool) {
 	byHome := map[string][]*share{}
 	a.mu.Lock()
-	a.sweep(now)
+	if all {
+		a.sweep(now)
+	}
 	for _, s := range a.shares {
-		if s.asking || s.idle(now) {
+		if s.asking || s.idle(now) || (!all && !s.due()) {
 			continue
 		}
 		target := rendezvous.First(s.String(), ids)
@@ -253,7 +258,7 @@
 	if err := decMode.Unmarshal(body, &demands); err != nil {
 		return nil, problem.Wrap(problem.InvalidRequest, err)
 	}
-	ids := memberIDs(a.settings.Mesh.Members())
+	ids := candidates(a.settings.Mesh.Members())
 	grants := make([]grant, len(demands))
 	now := time.Now()
 	a.mu.Lock()
--- a/limit/home.go
+++ b/limit/home.go
@@ -20,6 +20,7 @@
 	Rate      float32 // requests a second wanted
 	Held      float32 // rate of the grant in use; 0: none
 	HeldFor   uint32  // its remaining life in milliseconds
+	Short     float32 // requests that wait for tokens
 	Seq       uint64  // rises with each message about this workspace
 }
 
@@ -50,7 +51,8 @@
 // homeEntry is the home's state of one workspace.
 type homeEntry struct {
 	holders map[string]*holder
-	// spare fills at the rate that nobody holds and gives new holders their first tokens.
+	// spare fills at the rate that nobody holds and gives new holders their first tokens, and
+	// tokens to holders whose requests wait.
 	spare bucket
 	used  time.Time
 }
@@ -95,6 +97,10 @@
 }
 
 // isHome reports whether this member is the home of k now, and until when grants of another home may be in use.
+//
+// A home that is no longer a member needs no wait: the mesh declares a death at the earliest four seconds after the
+// last contact (a second for a new dial, three to refute), when its grants have ended. Members that announce that they
+// leave are no candidates, so that their workspaces move while they still answer.
 func (h *home) isHome(k key) (bool, time.Time) {
 	name := k.String()
 	if rendezvous.First(name, h.members()) != h.self {
@@ -102,7 +108,8 @@
 	}
 	wait := h.began.Add(grantLife + skewAllowance)
 	for _, v := range h.views[:len(h.views)-1] {
-		if end := v.replaced.Add(grantLife + skewAllowance); end.After(wait) && rendezvous.First(name, v.ids) != h.self {
+		end, other := v.replaced.Add(grantLife+skewAllowance), rendezvous.First(name, v.ids)
+		if _, alive := slices.BinarySearch(h.members(), other); alive && other != h.self && end.After(wait) {
 			wait = end
 		}
 	}
@@ -139,10 +146,12 @@
 		rate = min(rate, e.target(from, g))
 	}
 	out := grant{Home: true, Rate: rate}
+	wanted := float64(d.Short)
 	if held == 0 {
-		out.Tokens = min(e.spare.tokens, g.burstFor(rate))
-		e.spare.tokens -= out.Tokens
+		wanted = g.burstFor(rate)
 	}
+	out.Tokens = max(0, min(e.spare.tokens, wanted, g.burstFor(rate)))
+	e.spare.tokens -= out.Tokens
 	// A reply may get lost, so that the higher one of old and new rate counts until the next message.
 	o.rate = max(held, rate)
 	e.refillSpare(g, now)
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -231,7 +231,7 @@
 
 // await waits for the decision on a ticket.
 func (a *Admission) await(ctx context.Context, svc *service, t *ticket) error {
-	timer := time.NewTimer(time.Until(t.deadline))
+	timer := time.NewTimer(remaining(t.deadline))
 	defer timer.Stop()
 	select {
 	case <-t.decided:
@@ -258,6 +258,10 @@
 	return problem.NewRetry(problem.Overloaded, after, "the expected wait exceeds the time to the deadline")
 }
 
+// remaining returns the time until t, at least a nanosecond: a channel timer that is due when it is made runs in the
+// goroutine that receives from it, which makes the race detector's runtime fail in synctest (Go 1.26.8).
+func remaining(t time.Time) time.Duration { return max(time.Until(t), 1) }
+
 // retryAfter rounds up to whole seconds, which the header has, after adding a tenth for rates that shift meanwhile.
 func retryAfter(d time.Duration) time.Duration {
 	seconds := math.Ceil(max(d, 0).Seconds() * 1.1)
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -28,6 +28,7 @@
 	mu      sync.Mutex
 	members []peer.Member
 	handler peer.Handler
+	mute    bool // its calls fail at once
 	cut     bool // neither calls nor is called: frozen, dead or partitioned
 }
 
@@ -55,11 +56,26 @@
 	return m.cut
 }
 
+func (m *fakeMesh) setMembers(members []peer.Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.members = members
+}
+
+func (m *fakeMesh) setCut(cut bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.cut = cut
+}
+
 func (m *fakeMesh) Call(ctx context.Context, member, _ string, body []byte) ([]byte, error) {
 	m.net.mu.Lock()
 	to := m.net.nodes[member]
 	m.net.mu.Unlock()
 	time.Sleep(time.Millisecond)
+	if m.mute {
+		return nil, peer.ErrUnreachable
+	}
 	if to == nil || to.isCut() || m.isCut() {
 		<-ctx.Done()
 		return nil, ctx.Err()
@@ -94,7 +110,7 @@
 // Guards against refusals with the wrong kind and a Retry-After that comes too early or far too late.
 func TestAdmit_TruthfulRetryAfter(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		a := startAlone(testSnapshot(0.25, 1, 100), false)
+		a := startAlone(testSnapshot(0.05, 1, 100), false)
 		defer a.Close()
 		time.Sleep(10 * time.Second)
 		release, err := admitWithin(a, "w", time.Second)
@@ -103,7 +119,7 @@
 		_, err = admitWithin(a, "w", time.Second)
 		must.Eq(t, problem.LimitExceeded, problem.KindOf(err))
 		after := problem.RetryAfter(err)
-		must.Between(t, time.Second, after, 15*time.Second)
+		must.Between(t, 15*time.Second, after, 30*time.Second)
 		time.Sleep(after)
 		release, err = admitWithin(a, "w", time.Second)
 		must.NoError(t, err)
@@ -153,3 +169,34 @@
 		must.GreaterEq(t, int64(18), a.Stats().OverLimit)
 	})
 }
+
+// overload offers 300 requests a second, a third of each priority, to a service that can run 150, for
+// 20 s; with flat, all count as normal. It returns how many passed by class.
+func overload(t *testing.T, a *Admission, flat bool) (passed [3]int) {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for i := range 6000 {
+		class := i % 3
+		priority := config.Priority(class)
+		if flat {
+			priority = config.PriorityNormal
+		}
+		wg.Go(func() {
+			release, err := a.Admit(t.Context(), Request{
+				Service: "s", Workspace: "free", Priority: priority, Deadline: time.Now().Add(time.Second),
+			})
+			if err != nil {
+				return
+			}
+			time.Sleep(time.Second / 15)
+			release(Result{})
+			mu.Lock()
+			passed[class]++
+			mu.Unlock()
+		})
+		time.Sleep(time.Second / 300)
+	}
+	wg.Wait()
+	a.Close()
+	return passed
+}
--- a/limit/share.go
+++ b/limit/share.go
@@ -18,8 +18,13 @@
 	idleAfter = 3 * time.Second
 	// forgetAfter bounds the memory of workspaces that are no longer used.
 	forgetAfter = 10 * time.Minute
-	// demandMemory is the time constant of the demand estimate.
-	demandMemory = time.Second
+	// The demand is the higher one of two moving averages: a short one that follows a rise, and a long one that keeps
+	// the grant through the gaps between random arrivals.
+	demandMemory     = time.Second
+	longDemandMemory = 5 * time.Second
+	// lowered is the part of its rate that a grant loses for its holder to confirm that at once, so that the home can
+	// give it to others.
+	lowered = 0.2
 	// defaultBurst is the burst of a workspace without one, as time at its rate.
 	defaultBurst = 100 * time.Millisecond
 )
@@ -57,7 +62,10 @@
 	missed  bool
 	asking  bool
 	seq     uint64
-	demand  float64 // requests a second, moving average
+	urgent  bool    // reports before the second is over
+	hopeful bool    // the last message brought more
+	demand  float64 // requests a second, short moving average
+	steady  float64 // requests a second, long moving average
 	counted time.Time
 	last    time.Time // last request
 	// A refused request was told to come back before keep, by the rate floor; the grant must not fall until then.
@@ -84,12 +92,14 @@
 func (s *share) arrive(cost float64, now time.Time) {
 	s.decay(now)
 	s.demand += cost / demandMemory.Seconds()
+	s.steady += cost / longDemandMemory.Seconds()
 	s.last = now
 }
 
 func (s *share) decay(now time.Time) {
 	if elapsed := now.Sub(s.counted); elapsed > 0 {
 		s.demand *= math.Exp(-float64(elapsed) / float64(demandMemory))
+		s.steady *= math.Exp(-float64(elapsed) / float64(longDemandMemory))
 		s.counted = now
 	}
 }
@@ -127,6 +137,9 @@
 		s.bucket.tokens = 0 // what accrued without a grant is not part of it
 	}
 	s.missed = false
+	before := s.granted
+	s.urgent = g.Rate < before*(1-lowered) && before-g.Rate > 1
+	s.hopeful = g.Rate > before*(1+lowered) || g.Tokens > 0
 	s.granted, s.until = g.Rate, asked.Add(grantLife)
 	s.bucket.set(g.Rate, s.global.burstFor(g.Rate), now)
 	s.bucket.tokens = min(s.bucket.tokens+g.Tokens, s.bucket.burst)
@@ -138,6 +151,10 @@
 	s.settle(now, members)
 }
 
+// due reports whether the home should hear of this share before the second is over: to confirm a lower grant, or
+// because requests wait and the last message brought more.
+func (s *share) due() bool { return s.urgent || (len(s.waiters) > 0 && s.hopeful) }
+
 // idle reports whether the home need not hear of this share.
 func (s *share) idle(now time.Time) bool {
 	return now.Sub(s.last) >= idleAfter && len(s.waiters) == 0 && !now.Before(s.keep)
@@ -204,9 +221,12 @@
 func (s *share) report(now time.Time) demand {
 	s.decay(now)
 	s.seq++
-	d := demand{Service: s.service, Workspace: s.workspace, Rate: float32(s.demand), Seq: s.seq}
+	d := demand{Service: s.service, Workspace: s.workspace, Rate: float32(max(s.demand, s.steady)), Seq: s.seq}
 	if now.Before(s.keep) {
-		d.Rate = float32(max(s.demand, s.floor/headroom))
+		d.Rate = max(d.Rate, float32(s.floor/headroom))
+	}
+	for _, w := range s.waiters {
+		d.Short += float32(w.cost)
 	}
 	if s.holds(now) {
 		d.Held, d.HeldFor = float32(s.granted), uint32(s.until.Sub(now).Milliseconds())
--- a/peer/memnet_test.go
+++ b/peer/memnet_test.go
@@ -15,8 +15,7 @@
 
 var errMemClosed = errors.New("connection closed")
 
-// memNet is an in-memory network with faults. Messages arrive at once: a timer for each of them made the race
-// detector's runtime crash in synctest (SIGSEGV in a timer on g0, Go 1.26.8, about one run of eight).
+// memNet is an in-memory network with faults. Messages arrive at once.
 type memNet struct {
 	mu      sync.Mutex
 	nodes   map[string]*Node // by address
--- a/peer/node.go
+++ b/peer/node.go
@@ -150,23 +150,29 @@
 
 // loop calls the machine when something is due.
 func (n *Node) loop() {
-	timer := time.NewTimer(0)
+	timer := time.NewTimer(tickInterval)
 	defer timer.Stop()
-	for {
-		select {
-		case <-n.ctx.Done():
+	for n.ctx.Err() == nil {
+		n.mu.Lock()
+		due, closed := n.m.next(), n.closed
+		n.mu.Unlock()
+		if closed {
 			return
-		case <-timer.C:
+		}
+		wait := time.Until(due)
+		if wait <= 0 {
 			n.do(func(m *machine, now time.Time) {
 				m.tick(now)
 				n.checkDirectEverySecond(now)
 			})
+			continue
+		}
+		timer.Reset(wait)
+		select {
+		case <-n.ctx.Done():
+		case <-timer.C:
 		case <-n.wake:
 		}
-		n.mu.Lock()
-		due := n.m.next()
-		n.mu.Unlock()
-		timer.Reset(time.Until(due))
 	}
 }
 
