Stop the refill of a share at the end of its grant

Cause: settle refilled the bucket up to the end of the grant, but the change of rate after it refilled on to the present at the rate of the grant. A member without requests for a minute gained tokens that the home had given to others. Found because disabling the grant kept for a refused caller failed no test: the tokens hid it. Change: the rate is zero from the end of the grant until the next rate is set. TestShare_GrantEnds without the change: 'expected 1 <= 0.3'. With it, disabling the kept grant now fails TestAdmit_TruthfulRetryAfter.

--- a/limit/concurrency_test.go
+++ b/limit/concurrency_test.go
@@ -85,7 +85,7 @@
 	}
 }
 
-// Guards against a member that keeps a grant when its home can't be reached.
+// Guards against a member that keeps a grant, or its rate of refill, when its home can't be reached.
 func TestShare_GrantEnds(t *testing.T) {
 	g := newGlobal(100, 10)
 	s := newShare(key{"s", "w"}, g, epoch)
@@ -95,6 +95,11 @@
 	must.Eq(t, 80, s.bucket.rate)
 	s.settle(epoch.Add(grantLife), 4)
 	must.Eq(t, 25, s.bucket.rate)
+
+	idle := newShare(key{"s", "w"}, g, epoch)
+	idle.apply(grant{Home: true, Rate: 0.1}, epoch, epoch, 4)
+	idle.settle(epoch.Add(grantLife+time.Minute), 4)
+	must.LessEq(t, 0.1*grantLife.Seconds(), idle.bucket.tokens)
 }
 
 // BenchmarkAdmit measures the decision with a grant at hand.
--- a/limit/share.go
+++ b/limit/share.go
@@ -115,6 +115,7 @@
 	// Tokens that accrue after the end of the grant must not accrue at its rate.
 	if !s.until.IsZero() {
 		s.bucket.refill(s.until)
+		s.bucket.rate = 0
 		s.until = time.Time{}
 	}
 	rate := 0.0
