--- a/route/estimate.go
+++ b/route/estimate.go
@@ -8,7 +8,7 @@
 
 // Estimates used until an endpoint's own figures are known.
 const (
-	defaultPrefillRate = 8000.0 // prompt tokens a second
+	defaultPrefillRate = 4000.0 // prompt tokens a second
 	defaultPerToken    = 0.015  // seconds for a token of a stream that runs alone
 	perTokenSlope      = 0.03   // growth of the time per token with each further stream
 	defaultResponse    = 0.050  // seconds, answer of a plain service
@@ -22,13 +22,16 @@
 	knownHit    = 0.9              // probability that a prefix recorded for an endpoint is still cached
 	priceWeight = 0.05             // relative extra time accepted for half the price
 	reclaimRisk = 0.02             // relative extra time for an endpoint that can be reclaimed
-	lateLoss    = 2.0              // weight of work that a reclaim at a known time would cut off
-	jitter      = 0.02             // relative noise that keeps instances from choosing alike on the same report
+	// computeWeight is the weight of computing a prompt beyond its own time: it takes the engine's capacity from the
+	// other streams, which waiting doesn't.
+	computeWeight = 3.0
+	lateLoss      = 2.0  // weight of work that a reclaim at a known time would cut off
+	jitter        = 0.02 // relative noise that keeps instances from choosing alike on the same report
 )
 
 // ringHit is the probability that an endpoint at the first, second or third ring position of a prefix has it cached
 // although nothing is recorded: other instances send the prefix there as well.
-var ringHit = [...]float64{0.5, 0.2, 0.1}
+var ringHit = [...]float64{0.8, 0.3, 0.1}
 
 func freshness(l *table.Load, now time.Time) float64 {
 	if l.At.IsZero() {
@@ -62,7 +65,8 @@
 		return plainFinish(e, load, c.limit(e))
 	}
 	wait := float64(e.Live.Prefill.Load()) + freshness(&e.Load, c.now)*float64(e.Load.Waiting)*waitingPrompt
-	prefill := (wait + float64(c.req.PromptTokens) - hit) / defaultPrefillRate
+	own := (float64(c.req.PromptTokens) - hit) / defaultPrefillRate
+	prefill := wait/defaultPrefillRate + own*(1+computeWeight)
 	perToken := defaultPerToken * (1 + perTokenSlope*load)
 	if measured := e.Live.PerToken.Load(); measured > 0 {
 		perToken = (perToken + float64(measured)/1e6) / 2
--- a/route/route.go
+++ b/route/route.go
@@ -13,8 +13,8 @@
 	scanAll     = 32  // up to this many endpoints of a version, each is a candidate
 	ringPicks   = 6   // candidates from the ring
 	randomPicks = 4   // candidates drawn at random
-	loadBound   = 1.5 // a prefix hit counts only up to this multiple of the mean load
-	loadSlack   = 2.0 // attempts above the bound that always count
+	loadBound   = 2.0 // a prefix hit counts only up to this multiple of the mean load
+	loadSlack   = 6.0 // attempts above the bound that always count
 )
 
 // Prefix is a prompt prefix that an endpoint may have in its cache.
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -171,6 +171,26 @@
 	}
 }
 
+// Guards against a popular prefix that keeps one endpoint overloaded while others are idle.
+func TestChoose_BoundedLoadSpreadsAPopularPrefix(t *testing.T) {
+	svc, req := service(14), Request{Prefixes: []Prefix{{Hash: 1, Tokens: 60_000}}, PromptTokens: 60_000, ExpectedOutput: 10}
+	for _, e := range svc.Endpoints {
+		e.Load.Running = 0
+	}
+	hot := svc.Endpoints[3]
+	hot.Live.Prefixes.Add(1, epoch)
+	hot.Load.Running = 4
+	Build(svc, nil, epoch)
+	e, ok := Choose(svc, req, epoch, seeded(9))
+	must.True(t, ok)
+	must.Eq(t, hot, e)
+	hot.Load.Running = 12
+	Build(svc, nil, epoch)
+	e, ok = Choose(svc, req, epoch, seeded(9))
+	must.True(t, ok)
+	must.NotEq(t, hot, e)
+}
+
 func BenchmarkChoose(b *testing.B) {
 	for _, n := range []int{14, 2800} {
 		for _, name := range []string{"open", "full"} {
