--- a/move/system.go
+++ b/move/system.go
@@ -1,8 +1,7 @@
-// Package move shifts the traffic of services between versions by a committed plan and by the evidence of all
-// instances. It has no clock, I/O or goroutine; time arrives with each call. It isn't safe for concurrent use.
 package move
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -77,7 +76,9 @@
 
 // Output is what a tick asks for.
 type Output struct {
-	Shares    map[string][]table.Share // of each configured service
+	// Shares holds those of each configured service. It must not be changed; it is the same map as that of the last
+	// tick when no share changed.
+	Shares    map[string][]table.Share
 	Facts     []Fact
 	Proposals []Record // to be created conditionally, and the winner passed to Recorded
 	Reads     []Object // to be read, and the result passed to Recorded
@@ -95,6 +96,9 @@
 	beats    uint64
 	queued   []Fact
 	early    map[string]earlyFact // facts on moves that aren't configured here yet
+	moving   []string             // services with a move, sorted, so that the output doesn't depend on map order
+	shares   map[string][]table.Share
+	changed  map[string][]table.Share // since the last tick; nil: removed
 }
 
 type service struct {
@@ -106,7 +110,8 @@
 
 // New returns a System without services.
 func New(set Settings) *System {
-	return &System{set: set, services: map[string]*service{}, heard: map[string]time.Time{}, early: map[string]earlyFact{}}
+	return &System{set: set, services: map[string]*service{}, heard: map[string]time.Time{}, early: map[string]earlyFact{},
+		shares: map[string][]table.Share{}, changed: map[string][]table.Share{}}
 }
 
 // SetMembers names the entry instances that should exist, by the instance list and the peers, whether reachable or
@@ -125,6 +130,7 @@
 		s.services[svc.Name] = x
 	}
 	x.config = svc
+	defer s.index(svc.Name)
 	if x.current != nil && (svc.Move == nil || svc.Move.ID != x.current.id()) {
 		x.replace(now)
 	}
@@ -166,7 +172,44 @@
 }
 
 // Remove drops a service that is no longer configured.
-func (s *System) Remove(name string) { delete(s.services, name) }
+func (s *System) Remove(name string) {
+	delete(s.services, name)
+	s.index(name)
+}
+
+// index brings the list of moving services and the shares up to date for a service.
+func (s *System) index(name string) {
+	x := s.services[name]
+	i, found := slices.BinarySearch(s.moving, name)
+	moving := x != nil && (x.current != nil || len(x.closing) > 0)
+	switch {
+	case moving && !found:
+		s.moving = slices.Insert(s.moving, i, name)
+	case !moving && found:
+		s.moving = slices.Delete(s.moving, i, i+1)
+	}
+	s.changed[name] = nil
+	if x != nil {
+		s.changed[name] = x.shares()
+	}
+}
+
+// publishShares applies the changes to a copy, because the map of the last tick may be in use.
+func (s *System) publishShares() map[string][]table.Share {
+	if len(s.changed) == 0 {
+		return s.shares
+	}
+	s.shares = maps.Clone(s.shares)
+	for name, shares := range s.changed {
+		if shares == nil {
+			delete(s.shares, name)
+		} else {
+			s.shares[name] = shares
+		}
+	}
+	clear(s.changed)
+	return s.shares
+}
 
 // Observe counts an attempt of this instance.
 func (s *System) Observe(now time.Time, r Result) {
@@ -235,10 +278,10 @@
 	if fresh {
 		s.woken = false
 	}
-	out := Output{Shares: make(map[string][]table.Share, len(s.services))}
+	var out Output
 	beat := !now.Before(s.beatAt)
 	active := false
-	for _, name := range s.names() {
+	for _, name := range s.moving {
 		x := s.services[name]
 		for _, t := range x.trackers() {
 			if t.step(now, passed, fresh, s.woken) {
@@ -250,26 +293,19 @@
 				s.publishEvidence(t)
 			}
 		}
-		out.Shares[name] = x.shares()
+		if shares := x.shares(); !slices.Equal(shares, s.shares[name]) {
+			s.changed[name] = shares
+		}
 	}
 	if beat {
 		s.beatAt = now.Add(s.interval())
 		s.beat(active)
 	}
+	out.Shares = s.publishShares()
 	out.Facts, s.queued = s.queued, nil
 	return out
 }
 
-// names returns the services in a fixed order, so that the output doesn't depend on map order.
-func (s *System) names() []string {
-	names := make([]string, 0, len(s.services))
-	for n := range s.services {
-		names = append(names, n)
-	}
-	slices.Sort(names)
-	return names
-}
-
 func (s *System) passed(now time.Time) time.Duration {
 	passed := now.Sub(s.lastTick)
 	if !s.lastTick.IsZero() && passed > pausedAfter {
--- a/move/system_test.go
+++ b/move/system_test.go
@@ -1,6 +1,7 @@
 package move
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -173,3 +174,67 @@
 	must.Error(t, b.Receive(b.now, "b", "move/evidence/quotes/m1/1/review", marshal(bad)))
 	must.Eq(t, 12, r.total.observed(newSide))
 }
+
+// Guards against an instance that stood still and serves its old share before it hears from the others.
+func TestTick_WokenInstanceHasNoShareUntilItHears(t *testing.T) {
+	b := newBench("a", quotes(plainMove(), "review"))
+	b.SetMembers([]string{"a", "b"})
+	hear := func() { must.NoError(t, b.Receive(b.now, "b", "move/beat", marshal(beatFact{Count: 1}))) }
+	must.Eq(t, 0, b.share(b.Tick(b.now)))
+	hear()
+	must.Positive(t, b.share(b.until(time.Second)))
+	b.now = b.now.Add(pausedAfter + time.Second)
+	must.Eq(t, 0, b.share(b.Tick(b.now)))
+	hear()
+	b.now = b.now.Add(time.Second)
+	must.Positive(t, b.share(b.Tick(b.now)))
+}
+
+// Guards against two instances that propose opposite outcomes at once and then keep different shares.
+func TestRecorded_OppositeProposalsEndAlike(t *testing.T) {
+	for _, first := range []int{0, 1} {
+		a, b := newBench("a", quotes(plainMove(), "review")), newBench("b", quotes(plainMove(), "review"))
+		b.feed("v2", "review", 100, OK)
+		end := 9*time.Minute + 55*time.Second
+		pair := []*bench{a, b}
+		out := []Output{a.until(end), b.until(end)}
+		must.NotEq(t, out[0].Proposals[0].Outcome, out[1].Proposals[0].Outcome)
+		winner := &out[first].Proposals[0]
+		want := map[Outcome]float64{Done: 1, RolledBack: 0}[winner.Outcome]
+		for _, x := range pair {
+			x.Recorded(x.now, m1, winner)
+			out := x.Tick(x.now)
+			must.Eq(t, want, x.share(out))
+			must.SliceEmpty(t, out.Proposals)
+		}
+	}
+}
+
+// Guards against an outcome that an instance learns late because it only polls.
+func TestReceive_SettledFactCausesARead(t *testing.T) {
+	b := newBench("a", quotes(plainMove(), "review"))
+	must.Len(t, 1, b.Tick(b.now).Reads)
+	must.SliceEmpty(t, b.Tick(b.now).Reads)
+	f := settledFact{Service: "quotes", Move: "m1", Outcome: Done}
+	must.NoError(t, b.Receive(b.now, "b", "move/settled/quotes/m1", marshal(f)))
+	out := b.Tick(b.now)
+	must.Eq(t, []Object{m1}, out.Reads)
+	must.Less(t, 1, b.share(out))
+}
+
+func BenchmarkCapacityMoveTick(bm *testing.B) {
+	b := newBench("a", quotes(nil))
+	for i := range 5000 {
+		svc := quotes(nil)
+		svc.Name = strconv.Itoa(i)
+		if i%250 == 0 {
+			svc.Move = plainMove()
+		}
+		b.Configure(b.now, svc)
+	}
+	bm.ReportAllocs()
+	for bm.Loop() {
+		b.now = b.now.Add(100 * time.Millisecond)
+		b.Tick(b.now)
+	}
+}
