Wait for a crash to count before the retry; survive reclaims in turn

A request that crashes endpoints was retried before the core had counted its crash, so with events applied 20 ms late it cost 4 endpoints instead of 2.

Streams that an instance reads for its callers from another holder broke off without a notice when it was reclaimed. They count as open now, and their callers are told to re-attach.

A reservation for a request that must run alone stayed behind when the reserved endpoint left while the request waited; the search now gives it up.

--- a/relay/acquire.go
+++ b/relay/acquire.go
@@ -25,6 +25,7 @@
 	call        *Call
 	tried       map[string]bool // endpoints that failed this call
 	prefer      string          // endpoint that holds the KV cache of the request
+	reserved    string          // endpoint kept free for a call that must run alone
 	suspectNext time.Time       // when suspect endpoints may be tried again
 }
 
@@ -146,35 +147,38 @@
 // isolated reserves an endpoint for a request that is suspected of crashing endpoints. The slot is granted once the
 // endpoint has ended what it ran.
 func (r *Relay) isolated(s *search, svc *table.Service) *slot {
-	version := drawVersion(s.call.RequestID, svc.Shares)
-	reserver := "isolated/" + s.call.RequestID
-	held := find(svc, s.prefer)
-	if held == nil || held.Condition != table.Ready {
-		held, _ = r.cfg.Chooser.Choose(s.call, svc, version, r.reserved)
+	reserver := s.reserver()
+	e := find(svc, s.reserved)
+	if e == nil || e.Condition != table.Ready {
+		r.stopSearch(s)
+		e, _ = r.cfg.Chooser.Choose(s.call, svc, drawVersion(s.call.RequestID, svc.Shares), r.reserved)
 	}
-	if held == nil {
+	if e == nil {
 		return nil
 	}
-	idle, ok := r.running.reserve(held.ID, reserver)
+	idle, ok := r.running.reserve(e.ID, reserver)
 	if !ok {
 		return nil
 	}
-	s.prefer = held.ID
+	s.reserved = e.ID
 	if !idle {
 		return nil
 	}
-	r.running.unreserve(held.ID, reserver)
 	attempt := r.cfg.NewID()
-	if _, ok := r.running.reserve(held.ID, attempt); !ok || !r.running.enter(held, attempt, s.call.Fingerprint) {
+	s.reserved = ""
+	if !r.running.passOn(e, reserver, attempt, s.call.Fingerprint) {
 		return nil
 	}
-	return &slot{endpoint: held, attempt: attempt, inFlight: 1, running: r.running}
+	return &slot{endpoint: e, attempt: attempt, inFlight: 1, running: r.running}
 }
 
+func (s *search) reserver() string { return "isolated/" + s.call.RequestID }
+
 // stopSearch gives up what a search has reserved.
 func (r *Relay) stopSearch(s *search) {
-	if s.prefer != "" {
-		r.running.unreserve(s.prefer, "isolated/"+s.call.RequestID)
+	if s.reserved != "" {
+		r.running.unreserve(s.reserved, s.reserver())
+		s.reserved = ""
 	}
 }
 
--- a/relay/fakes_test.go
+++ b/relay/fakes_test.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/trefoillug/trefoillug/core"
 	"github.com/trefoillug/trefoillug/peer"
 	"github.com/trefoillug/trefoillug/problem"
 )
@@ -128,3 +129,26 @@
 
 func (s suspects) IsQuarantined(uint64) bool { return s.quarantined }
 func (s suspects) MustIsolate(uint64) bool   { return s.isolate }
+
+// twoStrikes quarantines a fingerprint that ran on two crashed endpoints.
+type twoStrikes struct {
+	mu      sync.Mutex
+	strikes map[uint64]int
+}
+
+func (q *twoStrikes) crashed(c core.EndpointCrashed) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, f := range c.Running {
+		q.strikes[f]++
+	}
+}
+
+func (q *twoStrikes) IsQuarantined(f uint64) bool { return q.count(f) >= 2 }
+func (q *twoStrikes) MustIsolate(f uint64) bool   { return q.count(f) == 1 }
+
+func (q *twoStrikes) count(f uint64) int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.strikes[f]
+}
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -18,6 +18,9 @@
 	maxErrorAnswers = 4
 	// budgetPoll is the time between looks at an exhausted retry budget.
 	budgetPoll = 50 * time.Millisecond
+	// crashNotedTime bounds the wait for a crash to show in the snapshot: two ticks and a half.
+	crashNotedTime = 250 * time.Millisecond
+	crashNotedPoll = 2 * time.Millisecond
 )
 
 // engineRun is the attempt that a session has in progress.
@@ -47,6 +50,9 @@
 			errorAnswers++
 		}
 		to, moved := s.endRun()
+		if result.End == dispatch.Lost {
+			s.relay.awaitCrashNoted(s.ctx, s.call, got.endpoint.ID)
+		}
 		if done, err := s.judge(result, errorAnswers); done {
 			to.release()
 			s.finish(err)
@@ -193,11 +199,28 @@
 	if log.tokens > 1 {
 		done.PerToken = (total - log.first) / time.Duration(log.tokens-1)
 	}
-	r.cfg.Post(done)
 	if result.End == dispatch.Lost && !r.isLeaving(call.Service.Name, got.endpoint.ID) {
-		if fingerprints, first := r.running.crashed(got.endpoint.ID); first {
+		r.running.crashed(got.endpoint.ID, func(fingerprints []uint64) {
 			r.cfg.Post(core.EndpointCrashed{Endpoint: got.endpoint.ID, Running: fingerprints})
+		})
+	}
+	r.cfg.Post(done)
+}
+
+// awaitCrashNoted waits until the snapshot shows that an endpoint broke. The core counts the crash against the
+// requests that ran on it in the same step; a retry before could cost one endpoint more than the quarantine allows.
+func (r *Relay) awaitCrashNoted(ctx context.Context, call *Call, endpoint string) {
+	ctx, cancel := context.WithTimeout(ctx, crashNotedTime)
+	defer cancel()
+	for ctx.Err() == nil {
+		svc, ok := r.cfg.Snapshots().Service(call.Service.Name)
+		if !ok {
+			return
+		}
+		if e := find(svc, endpoint); e == nil || e.Condition != table.Ready {
+			return
 		}
+		time.Sleep(crashNotedPoll)
 	}
 }
 
--- a/relay/handover.go
+++ b/relay/handover.go
@@ -72,6 +72,7 @@
 		defer cancel()
 		ctx = last
 	}
+	r.reclaim()
 	if !r.awaitIdle(ctx, r.handOverAll) {
 		streams, calls := r.Open()
 		return fmt.Errorf("drain: %d streams and %d calls left: %w", streams, calls, ctx.Err())
@@ -79,9 +80,9 @@
 	return nil
 }
 
-// Open returns the numbers of open streams and plain calls.
+// Open returns the numbers of open streams, those read from other instances included, and of plain calls.
 func (r *Relay) Open() (streams, calls int) {
-	return len(r.openSessions()), int(r.calls.Load())
+	return len(r.openSessions()) + int(r.relayed.Load()), int(r.calls.Load())
 }
 
 // awaitIdle calls each until nothing is open. It reports false when ctx ends before.
@@ -111,7 +112,7 @@
 		all.Go(func() {
 			defer func() { <-turns }()
 			if err := r.handOver(ctx, s); err != nil {
-				r.cfg.Log.WithError(err).WithField("request", s.call.RequestID).Warn("handover failed")
+				r.cfg.Log.WithError(err).WithField("request", s.call.RequestID).Debug("handover failed; it is tried again")
 			}
 		})
 	}
--- a/relay/handover_test.go
+++ b/relay/handover_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"strings"
@@ -79,6 +80,60 @@
 	must.Less(t, 16, a.Counts().Recomputed)
 }
 
+// persist follows a stream like a careful caller: it re-attaches at the next instance when it is told to, by an event
+// or, before the first one, by a redirect.
+func persist(urls []string, prompt string, tokens int) (text string, err error) {
+	r, last := chat(urls[0], prompt, tokens), ""
+	for i := 1 + len(prompt)%2; r.err == nil; i++ {
+		text += r.text()
+		if at := strings.LastIndex(r.body, "id: "); at >= 0 {
+			last, _, _ = strings.Cut(r.body[at+len("id: "):], "\n")
+		}
+		if r.status != http.StatusSeeOther && !strings.Contains(r.body, "event: moved") {
+			break
+		}
+		path := "/v1/requests/" + r.header.Get("X-Request-Id")
+		r = send("GET", urls[i%len(urls)]+path, "", "Last-Event-ID", last)
+	}
+	if r.err == nil && !strings.Contains(r.body, "[DONE]") {
+		return text, fmt.Errorf("status %d: %s", r.status, r.body)
+	}
+	return text, r.err
+}
+
+// Guards against streams lost when entry instances are reclaimed one after the other with many streams, also those
+// that were handed over before and those that are read through another instance.
+func TestDrain_ReclaimedInTurn(t *testing.T) {
+	w := newWorld(t)
+	w.engine("a", "fd1", slow)
+	relays, urls, meshes := w.entries()
+	const streams, tokens = 40, 400
+	errs := make(chan error, streams)
+	for i := range streams {
+		go func() {
+			// The length of the prompt decides whether the caller re-attaches at the second or third instance first.
+			prompt := fmt.Sprint("review ", 100+i, strings.Repeat(" x", i%2), strings.Repeat("y", i%2))
+			text, err := persist(urls, prompt, tokens)
+			if err == nil && text != standin.EngineText(7, prompt, tokens) {
+				err = errors.New("text differs: " + text)
+			}
+			errs <- err
+		}()
+	}
+	for i := range 2 {
+		time.Sleep(400 * time.Millisecond)
+		notice, cancel := context.WithTimeout(t.Context(), time.Second)
+		must.NoError(t, relays[i].Drain(notice, DrainReclaim))
+		cancel()
+		time.Sleep(50 * time.Millisecond)
+		meshes[i].kill()
+		relays[i].Close()
+	}
+	for range streams {
+		must.NoError(t, <-errs)
+	}
+}
+
 // Guards against a caller without streaming that loses its answer with a reclaimed entry instance.
 func TestDrain_ReclaimRedirectsJSON(t *testing.T) {
 	w := newWorld(t)
--- a/relay/holder.go
+++ b/relay/holder.go
@@ -193,13 +193,26 @@
 
 func (m *remote) id() string              { return m.request }
 func (m *remote) owner() (string, string) { return m.service, m.workspace }
-func (m *remote) attach()                 {}
-func (m *remote) detach()                 {}
+func (m *remote) attach()                 { m.relay.relayed.Add(1) }
+func (m *remote) detach()                 { m.relay.relayed.Add(-1) }
 
 var errNotHeld = errors.New("answer is not held any more")
 
-// read asks the holder, and searches it anew when it is gone or has handed the answer over.
+// read asks the holder, and searches it anew when it is gone or has handed the answer over. When this instance is
+// reclaimed, the caller is told to re-attach elsewhere.
 func (m *remote) read(ctx context.Context, at int) (part, error) {
+	caller := ctx
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(m.relay.reclaimed, cancel)()
+	p, err := m.ask(ctx, at)
+	if err != nil && caller.Err() == nil {
+		return part{gone: true}, nil
+	}
+	return p, err
+}
+
+func (m *remote) ask(ctx context.Context, at int) (part, error) {
 	for {
 		reply, err := m.relay.callAttach(ctx, m.holder, attachCall{RequestID: m.request, Position: at, Wait: attachWait})
 		if err == nil && !reply.Held {
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -144,6 +144,9 @@
 			}
 			answer.close()
 		}
+		if result.End == dispatch.Lost {
+			r.awaitCrashNoted(ctx, call, got.endpoint.ID)
+		}
 		if ctx.Err() != nil {
 			return nil, plainEnded(ctx, ctx.Err(), true)
 		}
--- a/relay/reclaim.go
+++ b/relay/reclaim.go
@@ -74,8 +74,9 @@
 	}
 }
 
-// forgetEndpoints drops the connections to endpoints that are not listed any more.
+// forgetEndpoints drops what is kept about endpoints that are not listed any more.
 func (r *Relay) forgetEndpoints() {
+	r.running.tidy()
 	listed := map[string]bool{}
 	for _, svc := range r.cfg.Snapshots().Services {
 		for _, e := range svc.Endpoints {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -57,8 +57,12 @@
 	sessions map[string]*session // by request ID
 	calls    atomic.Int64        // plain calls in progress
 	draining atomic.Bool
-	retained int // bytes held for re-attach
-	stop     context.CancelFunc
+	retained int          // bytes held for re-attach
+	relayed  atomic.Int64 // streams read from other instances
+	// reclaimed ends when the instance has to give up its streams.
+	reclaimed context.Context
+	reclaim   context.CancelFunc
+	stop      context.CancelFunc
 }
 
 // New returns a relay and starts its watch over leaving endpoints. Close ends it.
@@ -74,6 +78,7 @@
 	r.mux.HandleFunc("/", r.serveUnknown)
 	ctx, cancel := context.WithCancel(context.Background())
 	r.stop = cancel
+	r.reclaimed, r.reclaim = context.WithCancel(context.Background())
 	if cfg.Mesh != nil {
 		cfg.Mesh.Handle(kindHandover, r.handleHandover)
 		cfg.Mesh.Handle(kindAttach, r.handleAttach)
@@ -85,6 +90,7 @@
 // Close ends the watch over leaving endpoints and all streams. Drain comes before it.
 func (r *Relay) Close() {
 	r.stop()
+	r.reclaim()
 	for _, s := range r.openSessions() {
 		s.cancel(errClosed)
 	}
--- a/relay/resume_test.go
+++ b/relay/resume_test.go
@@ -208,6 +208,25 @@
 	must.False(t, rl.running.isReserved("a"))
 }
 
+// Guards against a crashing request that takes a third endpoint because it is retried before its crashes count, and
+// against streams beside it that are lost or refused.
+func TestIsolation_CrashingRequestCostsTwo(t *testing.T) {
+	w := newWorld(t)
+	w.applyLate(20 * time.Millisecond)
+	q := &twoStrikes{strikes: map[uint64]int{}}
+	w.onCrash = q.crashed
+	for _, id := range []string{"a", "b", "c", "d"} {
+		w.engine(id, "fd1", slow).SetFaults(standin.EngineFaults{CrashMarker: "bomb", CrashMS: 300})
+	}
+	_, url := w.relay(Config{Quarantine: q})
+	var bomb reply
+	replies := many(url, 12, 200, func() { bomb = chat(url, "bomb", 10) })
+	mustAllWhole(t, replies, 200)
+	must.StrContains(t, bomb.body, `"kind":"stream_broken"`)
+	must.Len(t, 2, w.crashes())
+	must.StrContains(t, chat(url, "bomb", 10).body, `"kind":"quarantined"`)
+}
+
 // forwarded lists an engine behind a forwarder.
 func (w *world) forwarded(id string, e *standin.Engine) *standin.Forwarder {
 	f, err := standin.NewForwarder(w.serve(e))
--- a/relay/running.go
+++ b/relay/running.go
@@ -58,9 +58,6 @@
 	if runs.reserved == attempt {
 		runs.reserved = ""
 	}
-	if len(runs.attempts) == 0 && runs.reserved == "" && r.now().Sub(runs.crashedAt) > crashWindow {
-		delete(r.endpoints, e.ID)
-	}
 }
 
 // reserve keeps other attempts off an endpoint. It reports whether the endpoint is already idle.
@@ -75,6 +72,20 @@
 	return len(runs.attempts) == 0, true
 }
 
+// passOn gives a reservation to an attempt and registers it.
+func (r *running) passOn(e *table.Endpoint, from, attempt string, fingerprint uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	runs := r.runs(e.ID)
+	if runs.reserved != from {
+		return false
+	}
+	runs.reserved = attempt
+	runs.attempts[attempt] = fingerprint
+	e.Live.InFlight.Add(1)
+	return true
+}
+
 func (r *running) unreserve(endpoint, attempt string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -90,19 +101,35 @@
 	return ok && runs.reserved != ""
 }
 
-// crashed returns the fingerprints that ran on an endpoint, and false when its crash is already known.
-func (r *running) crashed(endpoint string) ([]uint64, bool) {
+// crashed passes the fingerprints that ran on an endpoint to post, unless its crash is already known. When it returns,
+// the crash has been posted, by this attempt or by another.
+func (r *running) crashed(endpoint string, post func(fingerprints []uint64)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	runs := r.runs(endpoint)
 	now := r.now()
 	if now.Sub(runs.crashedAt) < crashWindow {
-		return nil, false
+		return
 	}
 	runs.crashedAt = now
 	fingerprints := make([]uint64, 0, len(runs.attempts))
 	for _, f := range runs.attempts {
 		fingerprints = append(fingerprints, f)
 	}
-	return fingerprints, true
+	post(fingerprints)
+}
+
+// tidy drops endpoints on which nothing runs.
+func (r *running) tidy() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, runs := range r.endpoints {
+		if runs.idle(r.now()) {
+			delete(r.endpoints, id)
+		}
+	}
+}
+
+func (e *endpointRuns) idle(now time.Time) bool {
+	return len(e.attempts) == 0 && e.reserved == "" && now.Sub(e.crashedAt) > crashWindow
 }
--- a/relay/world_test.go
+++ b/relay/world_test.go
@@ -31,6 +31,8 @@
 	engines   map[string]*standin.Engine
 	services  map[string]*standin.Service
 	gap       time.Duration
+	queue     chan core.Event // posted events that are applied late; nil: at once
+	onCrash   func(core.EndpointCrashed)
 }
 
 func newWorld(t testing.TB) *world {
@@ -66,12 +68,34 @@
 }
 
 func (w *world) post(e core.Event) {
+	if w.queue != nil {
+		w.queue <- e
+		return
+	}
+	w.apply(e)
+}
+
+func (w *world) apply(e core.Event) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.events = append(w.events, e)
+	if c, ok := e.(core.EndpointCrashed); ok && w.onCrash != nil {
+		w.onCrash(c)
+	}
 	w.core.Step(time.Now(), e)
 }
 
+// applyLate applies posted events in order, each after a delay.
+func (w *world) applyLate(delay time.Duration) {
+	w.queue = make(chan core.Event, 1000)
+	go func() {
+		for e := range w.queue {
+			time.Sleep(delay)
+			w.apply(e)
+		}
+	}()
+}
+
 // crashes returns the numbers of fingerprints of the crashes posted.
 func (w *world) crashes() (counts []int) {
 	w.mu.Lock()
