--- a/relay/fakes_test.go
+++ b/relay/fakes_test.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/trefoillug/trefoillug/core"
 	"github.com/trefoillug/trefoillug/peer"
 	"github.com/trefoillug/trefoillug/problem"
 )
@@ -131,3 +132,29 @@
 
 func (s suspects) MustHold(uint64) bool              { return false }
 func (s suspects) BeginIsolated(uint64, string) bool { return true }
+
+// twoStrikes quarantines a fingerprint that ran on two crashed endpoints.
+type twoStrikes struct {
+	mu      sync.Mutex
+	strikes map[uint64]int
+}
+
+func (q *twoStrikes) crashed(c core.EndpointCrashed) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, f := range c.Running {
+		q.strikes[f.Fingerprint]++
+	}
+}
+
+func (q *twoStrikes) IsQuarantined(f uint64) bool { return q.count(f) >= 2 }
+func (q *twoStrikes) MustIsolate(f uint64) bool   { return q.count(f) == 1 }
+
+func (q *twoStrikes) count(f uint64) int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.strikes[f]
+}
+
+func (q *twoStrikes) MustHold(uint64) bool              { return false }
+func (q *twoStrikes) BeginIsolated(uint64, string) bool { return true }
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -18,6 +18,9 @@
 	maxErrorAnswers = 4
 	// budgetPoll is the time between looks at an exhausted retry budget.
 	budgetPoll = 50 * time.Millisecond
+	// crashNotedTime bounds the wait for a crash to show in the snapshot: two ticks and a half.
+	crashNotedTime = 250 * time.Millisecond
+	crashNotedPoll = 2 * time.Millisecond
 )
 
 // engineRun is the attempt that a session has in progress.
@@ -50,6 +53,9 @@
 			errorAnswers++
 		}
 		to, moved := s.endRun()
+		if result.End == dispatch.Lost {
+			s.relay.awaitCrashNoted(s.ctx, s.call, got.endpoint.ID)
+		}
 		if done, err := s.judge(result, errorAnswers); done {
 			to.release()
 			s.finish(err)
@@ -199,11 +205,28 @@
 	if result.FirstEvent > 0 || result.End == dispatch.Complete || result.End == dispatch.Answered {
 		r.running.noteAnswer(got.endpoint.ID, log.started)
 	}
-	r.cfg.Post(done)
 	if result.End == dispatch.Lost && !r.isLeaving(call.Service.Name, got.endpoint.ID) {
-		if running, first := r.running.crashed(got.endpoint.ID); first {
+		r.running.crashed(got.endpoint.ID, func(running []core.RunningRequest) {
 			r.cfg.Post(core.EndpointCrashed{Endpoint: got.endpoint.ID, Running: running})
+		})
+	}
+	r.cfg.Post(done)
+}
+
+// awaitCrashNoted waits until the snapshot shows that an endpoint broke. The core counts the crash against the
+// requests that ran on it in the same step; a retry before could cost one endpoint more than the quarantine allows.
+func (r *Relay) awaitCrashNoted(ctx context.Context, call *Call, endpoint string) {
+	ctx, cancel := context.WithTimeout(ctx, crashNotedTime)
+	defer cancel()
+	for ctx.Err() == nil {
+		svc, ok := r.cfg.Snapshots().Service(call.Service.Name)
+		if !ok {
+			return
+		}
+		if e := find(svc, endpoint); e == nil || e.Condition != table.Ready {
+			return
 		}
+		time.Sleep(crashNotedPoll)
 	}
 }
 
--- a/relay/running.go
+++ b/relay/running.go
@@ -62,9 +62,6 @@
 	if runs.reserved == attempt {
 		runs.reserved = ""
 	}
-	if len(runs.attempts) == 0 && runs.reserved == "" && runs.forgettable(r.now()) {
-		delete(r.endpoints, e.ID)
-	}
 }
 
 // reserve keeps other attempts off an endpoint. It reports whether the endpoint is already idle.
@@ -79,9 +76,18 @@
 	return len(runs.attempts) == 0, true
 }
 
-// forgettable reports whether nothing about a crash need be remembered.
-func (e *endpointRuns) forgettable(now time.Time) bool {
-	return e.crashedAt.IsZero() || (e.answered && now.Sub(e.crashedAt) > crashWindow)
+// passOn gives a reservation to an attempt and registers it.
+func (r *running) passOn(e *table.Endpoint, from, attempt string, fingerprint uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	runs := r.runs(e.ID)
+	if runs.reserved != from {
+		return false
+	}
+	runs.reserved = attempt
+	runs.attempts[attempt] = core.RunningRequest{Fingerprint: fingerprint, Started: r.now()}
+	e.Live.InFlight.Add(1)
+	return true
 }
 
 func (r *running) unreserve(endpoint, attempt string) {
@@ -99,18 +105,19 @@
 	return ok && runs.reserved != ""
 }
 
-// crashed returns the requests that ran on an endpoint, and false when its crash is already known or when it has not
-// answered anything since: attempts that a dead endpoint breaks off did not crash it.
-func (r *running) crashed(endpoint string) ([]core.RunningRequest, bool) {
+// crashed passes the requests that ran on an endpoint to post, unless its crash is already known or it has not answered
+// anything since: attempts that a dead endpoint breaks off did not crash it. When it returns, the crash has been
+// posted, by this attempt or by another.
+func (r *running) crashed(endpoint string, post func([]core.RunningRequest)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	runs := r.runs(endpoint)
 	now := r.now()
 	if !runs.crashedAt.IsZero() && (!runs.answered || now.Sub(runs.crashedAt) < crashWindow) {
-		return nil, false
+		return
 	}
 	runs.crashedAt, runs.answered = now, false
-	return slices.Collect(maps.Values(runs.attempts)), true
+	post(slices.Collect(maps.Values(runs.attempts)))
 }
 
 // noteCrash takes over a crash that another instance saw.
@@ -129,3 +136,20 @@
 		runs.answered = true
 	}
 }
+
+// tidy drops endpoints on which nothing runs.
+func (r *running) tidy() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, runs := range r.endpoints {
+		if runs.idle(r.now()) {
+			delete(r.endpoints, id)
+		}
+	}
+}
+
+// idle reports whether nothing runs and nothing about a crash need be remembered.
+func (e *endpointRuns) idle(now time.Time) bool {
+	forgotten := e.crashedAt.IsZero() || (e.answered && now.Sub(e.crashedAt) > crashWindow)
+	return len(e.attempts) == 0 && e.reserved == "" && forgotten
+}
