Retry a failed request on another version, show moves in the status

Cause: during a move a request drawn for the new version was retried only at endpoints of that version, so a version that fails everywhere cost its callers their answers until the share was zero (3 failed requests in the process test). Ruled out: the retry budget (attempts ended after four error answers, not for lack of budget) and the time to zero share (0.96 s). Change: after an error of an endpoint's own the next attempt goes to another version with a share, or to the version that the move comes from. After: no failed request; zero share at every instance 1.22 s after the fault with the store down.

--- a/core/core.go
+++ b/core/core.go
@@ -86,6 +86,7 @@
 		svc := &table.Service{
 			Config:    cfg,
 			Shares:    shares[name],
+			Move:      c.moveStatus(now, name),
 			Endpoints: c.endpoints.ofService(name),
 		}
 		route.Build(svc, prev.Services[name], now)
--- a/core/moves.go
+++ b/core/moves.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"time"
+
 	"github.com/trefoillug/trefoillug/move"
 	"github.com/trefoillug/trefoillug/table"
 )
@@ -51,3 +53,13 @@
 		return move.Excluded
 	}
 }
+
+func (c *Core) moveStatus(now time.Time, service string) *table.Move {
+	st, ok := c.moves.Status(now, service)
+	if !ok {
+		return nil
+	}
+	return &table.Move{
+		ID: st.ID, From: st.From, To: st.To, Deadline: st.Deadline, State: string(st.State), Reason: st.Reason,
+	}
+}
--- a/entry/status.go
+++ b/entry/status.go
@@ -46,7 +46,7 @@
 	From     string    `json:"from"`
 	To       string    `json:"to"`
 	Deadline time.Time `json:"deadline"`
-	State    string    `json:"state"` // waiting, running, done or rolled_back
+	State    string    `json:"state"` // waiting, running, aborted, decided, done, rolled_back or superseded
 	Reason   string    `json:"reason,omitempty"`
 }
 
@@ -78,6 +78,9 @@
 	for _, s := range svc.Shares {
 		st.Shares = append(st.Shares, ShareStatus{s.Version, s.Part})
 	}
+	if m := svc.Move; m != nil {
+		st.Move = &MoveStatus{m.ID, m.From, m.To, m.Deadline, m.State, m.Reason}
+	}
 	for _, e := range svc.Endpoints {
 		st.Endpoints = append(st.Endpoints, EndpointStatus{e.ID, e.Version, e.Condition.String(), e.Live.InFlight.Load()})
 	}
--- /dev/null
+++ b/move/status.go
@@ -0,0 +1,52 @@
+package move
+
+import "time"
+
+// State is how far a move has come at this instance.
+type State string
+
+// States of a move; a settled one has the state of its outcome.
+const (
+	Waiting State = "waiting" // its start has not come
+	Running State = "running"
+	Aborted State = "aborted" // the share is zero; the outcome is not recorded yet
+	Decided State = "decided" // decided here; the outcome is not recorded yet
+)
+
+// Status describes the current move of a service.
+type Status struct {
+	ID       string
+	From, To string
+	Deadline time.Time
+	State    State
+	Reason   string
+}
+
+// Status returns the current move of a service, and false without one.
+func (s *System) Status(now time.Time, name string) (Status, bool) {
+	x := s.services[name]
+	if x == nil || x.current == nil {
+		return Status{}, false
+	}
+	t := x.current
+	st := Status{ID: t.id(), From: t.plan.move.From, To: t.plan.move.To, Deadline: t.plan.move.Deadline}
+	st.State, st.Reason = t.state(now)
+	return st, true
+}
+
+func (t *tracker) state(now time.Time) (State, string) {
+	switch {
+	case t.back != nil:
+		return State(t.back.Outcome), t.back.Reason
+	case t.recorded != nil:
+		return State(t.recorded.Outcome), t.recorded.Reason
+	case t.abort != "":
+		return Aborted, t.abort
+	case t.decided != nil:
+		return Decided, t.decided.Reason
+	case now.Before(t.plan.move.Start):
+		return Waiting, ""
+	default:
+		return Running, ""
+	}
+}
--- a/relay/acquire.go
+++ b/relay/acquire.go
@@ -24,6 +24,7 @@
 type search struct {
 	call        *Call
 	tried       map[string]bool // endpoints that failed this call
+	failed      map[string]bool // versions of which an endpoint answered this call with an error of its own
 	prefer      string          // endpoint that holds the KV cache of the request
 	reserved    string          // endpoint kept free for a call that must run alone
 	suspectNext time.Time       // when suspect endpoints may be tried again
@@ -101,7 +102,7 @@
 		s.prefer = ""
 		return e
 	}
-	version := drawVersion(s.call.RequestID, svc.Shares)
+	version := s.version(svc)
 	untried := func(e *table.Endpoint) bool { return s.tried[e.ID] || r.running.isReserved(e.ID) }
 	if e, ok := r.cfg.Chooser.Choose(s.call, svc, version, untried); ok {
 		return e
@@ -112,6 +113,35 @@
 	return r.chooseWidened(s, svc, version)
 }
 
+// noteFailed records the failure of an attempt for the choice of the next one.
+func (s *search) noteFailed(e *table.Endpoint, ownError bool) {
+	s.tried[e.ID] = true
+	if ownError {
+		if s.failed == nil {
+			s.failed = map[string]bool{}
+		}
+		s.failed[e.Version] = true
+	}
+}
+
+// version returns the version for the next attempt: the one drawn for the request, unless it answered the request with
+// an error of its own. Then another one is taken, so that callers don't see the errors of a bad version.
+func (s *search) version(svc *table.Service) string {
+	version := drawVersion(s.call.RequestID, svc.Shares)
+	if !s.failed[version] {
+		return version
+	}
+	for _, share := range svc.Shares {
+		if share.Part > 0 && !s.failed[share.Version] {
+			return share.Version
+		}
+	}
+	if svc.Move != nil && !s.failed[svc.Move.From] {
+		return svc.Move.From
+	}
+	return version
+}
+
 // chooseWidened also takes endpoints that failed this call, other versions with a share and, when no endpoint is
 // ready at all, suspect ones: after a silent connection the endpoint itself may be fine.
 func (r *Relay) chooseWidened(s *search, svc *table.Service, version string) *table.Endpoint {
@@ -157,7 +187,7 @@
 	e := find(svc, s.reserved)
 	if e == nil || e.Condition != table.Ready {
 		r.stopSearch(s)
-		e, _ = r.cfg.Chooser.Choose(s.call, svc, drawVersion(s.call.RequestID, svc.Shares), r.reserved)
+		e, _ = r.cfg.Chooser.Choose(s.call, svc, s.version(svc), r.reserved)
 	}
 	if e == nil {
 		return nil
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -173,7 +173,7 @@
 		// The attempt brought the answer forward; what failed before it may be tried again.
 		clear(s.search.tried)
 	}
-	s.search.tried[got.endpoint.ID] = true
+	s.search.noteFailed(got.endpoint, result.End == dispatch.Answered || result.End == dispatch.Broken)
 	return s.relay.awaitBudget(s.ctx, s.call, func() error {
 		return s.broken(problem.EndpointFailed, "no retry before the deadline: %v", result.Err)
 	})
--- a/relay/once.go
+++ b/relay/once.go
@@ -61,7 +61,7 @@
 			r.cfg.Claimer.MarkUnknown(call)
 			return nil, problem.New(problem.OutcomeUnknown, "the endpoint gave no whole answer: %v", result.Err)
 		}
-		s.tried[got.endpoint.ID] = true
+		s.noteFailed(got.endpoint, false)
 	}
 }
 
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -156,7 +156,7 @@
 		if r.cfg.Quarantine.IsQuarantined(call.Fingerprint) {
 			return nil, problem.New(problem.Quarantined, "the request crashed its endpoints")
 		}
-		s.tried[got.endpoint.ID] = true
+		s.noteFailed(got.endpoint, answer != nil)
 		if err := r.awaitBudget(ctx, call, func() error { return plainEnded(ctx, result.Err, true) }); err != nil {
 			return nil, err
 		}
--- a/table/table.go
+++ b/table/table.go
@@ -68,10 +68,19 @@
 	Part    float64 // 0 to 1; the parts of a service add up to 1
 }
 
+// Move is the current move of a service as operators see it.
+type Move struct {
+	ID, From, To string
+	Deadline     time.Time
+	State        string // waiting, running, aborted, decided, or the outcome: done, rolled_back, superseded
+	Reason       string
+}
+
 // Service is a service with its endpoints in a snapshot.
 type Service struct {
 	Config    *config.Service
 	Shares    []Share
+	Move      *Move       // nil without one
 	Endpoints []*Endpoint // sorted by ID
 	Index     []VersionIndex
 }
