List large claim segments in chunks with their key hashes

A new home of a slot had to read each sealed segment before its first grant: at the target (420 calls/s, 24 hours, 300 bytes a claim, 16 slots) some 2,600 reads and 680 MB by calculation, not measured.

Tests now cover retention over 24 hours by an instance without memory, expiry, the write budget and delay in virtual time, and the bound of the cache. Ruled out: a livelock in the first retention test, which did not end within 200 s; its cache of 20 KB was smaller than the slot's indexes, and each claim read all segments again.

--- a/claim/capacity_test.go
+++ b/claim/capacity_test.go
@@ -45,6 +45,7 @@
 		}
 		_, _ = c.store.put(fmt.Sprint("claim/", slot), encode(h), 0)
 	}
+	c.store.writes, c.store.bytes = 0, 0
 }
 
 type load struct {
@@ -55,6 +56,10 @@
 	services []*Service
 }
 
+func newLoad(c *cluster) *load {
+	return &load{hist: hdrhistogram.New(1, 60_000_000, 3), services: c.services}
+}
+
 func (l *load) call(s *Service) {
 	defer l.calls.Done()
 	start := time.Now()
@@ -92,14 +97,11 @@
 func measureLoad(b *testing.B, instances, rate int) {
 	c := newCluster(instances, 1, Options{})
 	c.prefill(Options{})
-	c.store.writes, c.store.bytes = 0, 0
-	l := &load{hist: hdrhistogram.New(1, 60_000_000, 3), services: c.services}
+	l := newLoad(c)
 	cpu := cpuTime()
 	calls := l.generate(rate, rand.New(rand.NewPCG(1, uint64(rate))))
 	used := cpuTime() - cpu
-	c.store.mu.Lock()
-	writes, bytes := c.store.writes, c.store.bytes+c.store.rbytes
-	c.store.mu.Unlock()
+	writes, bytes := c.store.counted()
 	c.net.mu.Lock()
 	bytes += 2 * c.net.bytes // sent by one instance, received by another
 	c.net.mu.Unlock()
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -25,6 +25,9 @@
 // MaxRecordedBody is the largest response body in bytes that is recorded for repeats of a key.
 const MaxRecordedBody = 4 << 10
 
+// maxContentType is the longest Content-Type in bytes that is recorded.
+const maxContentType = 256
+
 // Digest is a truncated SHA-256 digest. Callers choose keys and bodies, so it must resist collisions.
 type Digest [16]byte
 
@@ -131,9 +134,9 @@
 
 // Complete records the response of an attempt. It returns at once; the record is written in a later batch.
 func (s *Service) Complete(a *Attempt, r Response) {
-	r.Retained = len(r.Body) <= MaxRecordedBody
+	r.Retained = len(r.Body) <= MaxRecordedBody && len(r.ContentType) <= maxContentType
 	if !r.Retained {
-		r.Body = nil
+		r.Body, r.ContentType = nil, ""
 	}
 	s.background(a, a.operation(opComplete, &r))
 }
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -118,3 +120,68 @@
 		})
 	}
 }
+
+// Guards against a key that is forgotten before 24 hours, also by an instance that starts without memory, against
+// and against sealed segments that never expire.
+func TestClaim_Retention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		opts := Options{Slots: 1, CacheBytes: 100_000, sealBytes: 1000, mergeBytes: 4000}
+		c := newCluster(2, 1, opts)
+		claimAll := func(s *Service) (granted int) {
+			for i := range 400 {
+				r, err := s.Claim(within(time.Minute), testCall(fmt.Sprint(i), ""))
+				must.NoError(t, err)
+				if r.Attempt != nil {
+					s.Complete(r.Attempt, Response{Status: 200})
+					granted++
+				}
+			}
+			return granted
+		}
+		must.Eq(t, 400, claimAll(c.services[0]))
+		time.Sleep(24*time.Hour - 10*time.Minute)
+		c.stop()
+		s := New(c.clients[1], c.meshes[1], opts)
+		c.services = []*Service{s}
+		c.meshes[1].set(faults{}, c.ids[1:])
+		must.Zero(t, claimAll(s))
+		must.Greater(t, 1, len(s.slots[0].view.large))
+		time.Sleep(2 * time.Hour)
+		for i := range 100 {
+			_, err := s.Claim(within(time.Minute), testCall(fmt.Sprint("new", i), ""))
+			must.NoError(t, err)
+		}
+		must.Greater(t, 250, claimAll(s))
+		c.stop()
+	})
+}
+
+// Guards against more store writes than the budget at high load and against added delay at low load.
+func TestClaim_WriteBudget(t *testing.T) {
+	for rate, delay := range map[int]time.Duration{5: 20 * time.Millisecond, 420: 400 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(8, 1, Options{})
+			c.prefill(Options{})
+			l := newLoad(c)
+			l.generate(rate, rand.New(rand.NewPCG(1, 1)))
+			writes, _ := c.store.counted()
+			must.LessEq(t, int(defaultWrites*loadTime.Seconds())+writeBurst*defaultSlots, writes, must.Sprint(rate))
+			l.calls.Wait()
+			must.Less(t, delay.Microseconds(), l.hist.ValueAtQuantile(95), must.Sprint(rate))
+			must.Zero(t, l.failed.Load())
+			c.stop()
+		})
+	}
+}
+
+// Guards against a cache of sealed segments that grows without bound or evicts the segments in use.
+func TestSegmentCache_Bounded(t *testing.T) {
+	cache := newSegmentCache(nil, 10*segmentOverhead)
+	for seq := range uint64(100) {
+		cache.add(segmentID{0, seq}, nil)
+		_, used := cache.get(segmentID{0, 0})
+		must.True(t, used)
+	}
+	must.MapLen(t, 10, cache.items)
+	must.LessEq(t, cache.limit, cache.used)
+}
--- a/claim/compact.go
+++ b/claim/compact.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -12,6 +13,10 @@
 	"github.com/trefoillug/trefoillug/objstore"
 )
 
+// chunkBytes is the size at which a chunk is full; it is written again with each merge until then. The hashes of one
+// more segment, at most 70 KB, keep it far below objstore.MaxValueBytes.
+const chunkBytes = 400 << 10
+
 // compact seals a full open segment of the draft, merges small segments when they add up, and drops segments past
 // the retention time. All objects that it writes are immutable and count only once the head that names them is
 // written; a failure leaves objects behind that nothing refers to.
@@ -44,8 +49,8 @@
 	if err != nil {
 		return err
 	}
-	d.large = append(s.live(d.large), ref)
-	if d.List, err = s.putNext(ctx, d, encode(d.large)); err != nil {
+	s.dropChunks(d)
+	if err := s.list(ctx, d, ref); err != nil {
 		return err
 	}
 	s.cache.remove(s.number, d.Small)
@@ -53,6 +58,54 @@
 	return nil
 }
 
+// dropChunks drops chunks past the retention time with all their segments.
+func (s *slot) dropChunks(d *draft) {
+	for len(d.Chunks) > 0 && s.past(d.Chunks[0].Last) {
+		d.large = d.large[d.Chunks[0].Count:]
+		d.Chunks = d.Chunks[1:]
+	}
+}
+
+// list adds a large segment to the last chunk, or to a new one when that is full.
+func (s *slot) list(ctx context.Context, d *draft, ref segmentRef) error {
+	full, open := d.Chunks, []segmentRef(nil)
+	if n := len(full); n > 0 {
+		open, full = d.large[len(d.large)-full[n-1].Count:], full[:n-1]
+	}
+	c, size, err := s.chunk(ctx, open)
+	if err != nil {
+		return err
+	}
+	if size >= chunkBytes {
+		c, full = chunk{}, d.Chunks
+	}
+	added, _, err := s.chunk(ctx, []segmentRef{ref})
+	if err != nil {
+		return err
+	}
+	c.Segments = append(c.Segments, added.Segments...)
+	seq, err := s.putNext(ctx, d, encode(c))
+	if err != nil {
+		return err
+	}
+	d.Chunks = append(slices.Clone(full), chunkRef{Seq: seq, Last: ref.Last, Count: len(c.Segments)})
+	d.large = append(slices.Clone(d.large), ref)
+	return nil
+}
+
+// chunk returns a chunk of the given segments and the size of its hashes in bytes.
+func (s *slot) chunk(ctx context.Context, refs []segmentRef) (c chunk, size int, err error) {
+	for _, r := range refs {
+		index, err := s.cache.index(ctx, segmentID{s.number, r.Seq})
+		if err != nil {
+			return c, 0, err
+		}
+		c.Segments = append(c.Segments, listedSegment{Ref: r, Hashes: index.pack()})
+		size += 8 * len(index.hashes)
+	}
+	return c, size, nil
+}
+
 // newest returns the latest entry of each key in the segments, which are ordered from the oldest.
 func (s *slot) newest(ctx context.Context, refs []segmentRef) ([]entry, error) {
 	segments := make([][]entry, len(refs))
@@ -109,36 +162,48 @@
 	}
 }
 
-// list returns the list of large segments stored under a sequence number.
-func (s *slot) list(ctx context.Context, seq uint64) ([]segmentRef, error) {
-	if seq == s.view.List {
+// listed returns the large segments that the chunks list, and caches their indexes.
+func (s *slot) listed(ctx context.Context, chunks []chunkRef) ([]segmentRef, error) {
+	if slices.Equal(chunks, s.view.Chunks) {
 		return s.view.large, nil
 	}
-	if seq == 0 {
-		return nil, nil
+	parts := make([][]segmentRef, len(chunks))
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(loadParallel)
+	for i, ref := range chunks {
+		g.Go(func() (err error) {
+			parts[i], err = s.readChunk(ctx, ref)
+			return err
+		})
 	}
-	obj, err := s.store.Get(ctx, segmentID{s.number, seq}.key())
+	err := g.Wait()
+	return slices.Concat(parts...), err
+}
+
+func (s *slot) readChunk(ctx context.Context, ref chunkRef) ([]segmentRef, error) {
+	obj, err := s.store.Get(ctx, segmentID{s.number, ref.Seq}.key())
 	if err != nil {
-		return nil, fmt.Errorf("read segment list of slot %d: %w", s.number, err)
+		return nil, fmt.Errorf("read chunk %d of slot %d: %w", ref.Seq, s.number, err)
+	}
+	var c chunk
+	if err := cbor.Unmarshal(obj.Value, &c); err != nil {
+		return nil, fmt.Errorf("decode chunk %d of slot %d: %w", ref.Seq, s.number, err)
 	}
 	var refs []segmentRef
-	if err := cbor.Unmarshal(obj.Value, &refs); err != nil {
-		return nil, fmt.Errorf("decode segment list of slot %d: %w", s.number, err)
+	for _, l := range c.Segments {
+		refs = append(refs, l.Ref)
+		s.cache.insert(unpackIndex(segmentID{s.number, l.Ref.Seq}, l.Hashes))
 	}
 	return refs, nil
 }
 
 // live returns a copy of refs without segments past the retention time.
 func (s *slot) live(refs []segmentRef) []segmentRef {
-	var kept []segmentRef
-	for _, ref := range refs {
-		if time.Since(time.Unix(ref.Last, 0)) < s.opts.Retention {
-			kept = append(kept, ref)
-		}
-	}
-	return kept
+	return slices.DeleteFunc(slices.Clone(refs), func(ref segmentRef) bool { return s.past(ref.Last) })
 }
 
+func (s *slot) past(last int64) bool { return time.Since(time.Unix(last, 0)) >= s.opts.Retention }
+
 func sizeOf(entries []entry) int {
 	size := 0
 	for i := range entries {
--- a/claim/fake_test.go
+++ b/claim/fake_test.go
@@ -18,20 +18,19 @@
 	Cut, AnswerLost        float64 // peers
 }
 
+const storeLatency = 2 * time.Millisecond
+
 // fakeStore is an object API in memory. Each instance has its own client, so faults can differ between them.
 type fakeStore struct {
 	mu      sync.Mutex
 	rng     *rand.Rand
 	objects map[string]objstore.Object
-	latency time.Duration
 	writes  int
-	bytes   int
-	reads   int
-	rbytes  int
+	bytes   int // read and written
 }
 
 func newFakeStore(seed uint64) *fakeStore {
-	return &fakeStore{rng: rand.New(rand.NewPCG(seed, 1)), objects: map[string]objstore.Object{}, latency: 2 * time.Millisecond}
+	return &fakeStore{rng: rand.New(rand.NewPCG(seed, 1)), objects: map[string]objstore.Object{}}
 }
 
 func (s *fakeStore) chance(p float64) bool {
@@ -40,6 +39,12 @@
 	return s.rng.Float64() < p
 }
 
+func (s *fakeStore) counted() (writes, bytes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writes, s.bytes
+}
+
 func (s *fakeStore) get(key string) (objstore.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -47,8 +52,7 @@
 	if !ok {
 		return obj, objstore.ErrNotFound
 	}
-	s.reads++
-	s.rbytes += len(obj.Value)
+	s.bytes += len(obj.Value)
 	return obj, nil
 }
 
@@ -70,8 +74,9 @@
 // fakeClient is one instance's access to a fakeStore.
 type fakeClient struct {
 	*fakeStore
-	mu sync.Mutex
-	f  faults
+	objstore.Store // nil; List and Watch are not used
+	mu             sync.Mutex
+	f              faults
 }
 
 func (c *fakeClient) set(f faults) {
@@ -80,34 +85,31 @@
 	c.f = f
 }
 
-func (c *fakeClient) faults() faults {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.f
-}
-
 func (c *fakeClient) Get(ctx context.Context, key string) (objstore.Object, error) {
-	if err := c.travel(ctx); err != nil {
+	if _, err := c.travel(ctx); err != nil {
 		return objstore.Object{}, err
 	}
 	return c.get(key)
 }
 
-func (c *fakeClient) travel(ctx context.Context) error {
-	f := c.faults()
-	pause(ctx, c.latency)
+// travel waits for the latency of an operation and fails when the store is down.
+func (c *fakeClient) travel(ctx context.Context) (faults, error) {
+	c.mu.Lock()
+	f := c.f
+	c.mu.Unlock()
+	pause(ctx, storeLatency)
 	if c.chance(f.Slow) {
 		pause(ctx, 2*time.Second)
 	}
 	if ctx.Err() != nil || c.chance(f.Down) {
-		return objstore.ErrUnavailable
+		return f, objstore.ErrUnavailable
 	}
-	return nil
+	return f, nil
 }
 
 func (c *fakeClient) Put(ctx context.Context, key string, value []byte, ifVersion uint64) (uint64, error) {
-	f := c.faults()
-	if err := c.travel(ctx); err != nil {
+	f, err := c.travel(ctx)
+	if err != nil {
 		return 0, err
 	}
 	if c.chance(f.Late) {
@@ -125,12 +127,6 @@
 	return version, err
 }
 
-func (c *fakeClient) List(context.Context, string) ([]objstore.Object, error) { panic("not used") }
-
-func (c *fakeClient) Watch(context.Context, string, uint64) (objstore.Object, error) {
-	panic("not used")
-}
-
 // fakeNet connects the meshes of a test.
 type fakeNet struct {
 	mu     sync.Mutex
@@ -141,11 +137,12 @@
 
 // fakeMesh is one instance's mesh. Members returns what the test set, so that views can disagree.
 type fakeMesh struct {
-	net     *fakeNet
-	self    string
-	handler peer.Handler
-	view    []string
-	f       faults
+	peer.Mesh // nil; facts are not used
+	net       *fakeNet
+	self      string
+	handler   peer.Handler
+	view      []string
+	f         faults
 }
 
 func (n *fakeNet) join(id string) *fakeMesh {
@@ -178,9 +175,6 @@
 	return members
 }
 
-func (m *fakeMesh) Publish(string, []byte, time.Duration) {}
-func (m *fakeMesh) Subscribe(string, func(peer.Fact))     {}
-
 func (m *fakeMesh) Handle(_ string, handler peer.Handler) {
 	m.net.mu.Lock()
 	defer m.net.mu.Unlock()
--- a/claim/segment.go
+++ b/claim/segment.go
@@ -118,7 +118,31 @@
 	return el.Value.(*segmentIndex), true
 }
 
-func (c *segmentCache) add(id segmentID, entries []entry) {
+// index returns the index of a segment, from the store when it isn't cached.
+func (c *segmentCache) index(ctx context.Context, id segmentID) (*segmentIndex, error) {
+	if x, cached := c.get(id); cached {
+		return x, nil
+	}
+	entries, err := c.read(ctx, id)
+	return newIndex(id, entries), err
+}
+
+func (c *segmentCache) add(id segmentID, entries []entry) { c.insert(newIndex(id, entries)) }
+
+func (c *segmentCache) insert(x *segmentIndex) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, ok := c.items[x.id]; ok {
+		return
+	}
+	c.items[x.id] = c.order.PushFront(x)
+	c.used += x.bytes()
+	for c.used > c.limit {
+		c.evict(c.order.Back())
+	}
+}
+
+func newIndex(id segmentID, entries []entry) *segmentIndex {
 	x := &segmentIndex{id: id, hashes: make([]uint64, 0, len(entries))}
 	for i := range entries {
 		x.hashes = append(x.hashes, prefix(entries[i].Key))
@@ -127,16 +151,24 @@
 	if size := sizeOf(entries); size <= keepBytes {
 		x.entries, x.size = entries, size
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if _, ok := c.items[id]; ok {
-		return
+	return x
+}
+
+// pack returns the hashes in the form of a listedSegment.
+func (x *segmentIndex) pack() []byte {
+	packed := make([]byte, 0, 8*len(x.hashes))
+	for _, h := range x.hashes {
+		packed = binary.BigEndian.AppendUint64(packed, h)
 	}
-	c.items[id] = c.order.PushFront(x)
-	c.used += x.bytes()
-	for c.used > c.limit {
-		c.evict(c.order.Back())
+	return packed
+}
+
+func unpackIndex(id segmentID, packed []byte) *segmentIndex {
+	x := &segmentIndex{id: id, hashes: make([]uint64, 0, len(packed)/8)}
+	for ; len(packed) >= 8; packed = packed[8:] {
+		x.hashes = append(x.hashes, binary.BigEndian.Uint64(packed))
 	}
+	return x
 }
 
 // remove drops segments that nothing refers to any more.
--- a/claim/slot.go
+++ b/claim/slot.go
@@ -288,7 +288,7 @@
 			return fmt.Errorf("decode slot %d: %w", s.number, err)
 		}
 	}
-	if next.large, err = s.list(ctx, next.List); err != nil {
+	if next.large, err = s.listed(ctx, next.Chunks); err != nil {
 		return err
 	}
 	s.adopt(next, obj.Version, start)
--- a/claim/wire.go
+++ b/claim/wire.go
@@ -80,15 +80,35 @@
 }
 
 // head is the value of a slot object. Each write carries it whole, so the open segment is sealed early, into a small
-// segment. Small segments are merged into large ones, whose list is an object of its own.
+// segment. Small segments are merged into large ones, which chunks list.
 type head struct {
 	Open    []entry      `cbor:"1,keyasint"`
 	Small   []segmentRef `cbor:"2,keyasint"` // oldest first, newer than all large ones
-	NextSeq uint64       `cbor:"3,keyasint"`
-	List    uint64       `cbor:"4,keyasint"` // sequence number of the list of large segments; 0: none
+	NextSeq uint64       `cbor:"3,keyasint"` // latest sequence number in use
+	Chunks  []chunkRef   `cbor:"4,keyasint"` // oldest first
 }
 
-// state is a head with the list of large segments that it refers to.
+// chunkRef names a chunk.
+type chunkRef struct {
+	_     struct{} `cbor:",toarray"`
+	Seq   uint64
+	Last  int64 // Unix seconds of the latest entry
+	Count int   // large segments listed
+}
+
+// chunk is an immutable object that lists large segments with their key hashes. A new home reads the chunks instead
+// of the segments: at the target some 17 MB in 41 objects for each slot instead of 680 MB in 2,600.
+type chunk struct {
+	Segments []listedSegment `cbor:"1,keyasint"`
+}
+
+type listedSegment struct {
+	_      struct{} `cbor:",toarray"`
+	Ref    segmentRef
+	Hashes []byte // 8 bytes for each key, big-endian, ascending
+}
+
+// state is a head with the large segments that its chunks list.
 type state struct {
 	head
 	large []segmentRef // oldest first
