Add duty leases with fencing tokens

A lease object per duty in the object API, taken and renewed by conditional update. A watcher judges expiry by its own monotonic clock over an unchanged version; a grant counts from before its write was sent and ends a margin before the term, so it ends before a successor may start. A lost response is settled by reading back. The first three instances in rendezvous order watch often.

--- /dev/null
+++ b/lease/lease_test.go
@@ -0,0 +1,269 @@
+package lease
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/trefoillug/trefoillug/objstore"
+)
+
+// fakeStore is an object API in memory with one object.
+type fakeStore struct {
+	mu     sync.Mutex
+	object objstore.Object
+	writes int
+}
+
+func (s *fakeStore) put(value []byte, ifVersion uint64) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writes++
+	if s.object.Version != ifVersion {
+		return 0, objstore.ErrConflict
+	}
+	s.object = objstore.Object{Version: ifVersion + 1, Value: value}
+	return ifVersion + 1, nil
+}
+
+// faults of one candidate's access to the store. Pauses stop the candidate before and after a write.
+type faults struct {
+	down, lost, late        bool
+	pauseBefore, pauseAfter time.Duration
+}
+
+// client is one candidate's access to a fakeStore.
+type client struct {
+	objstore.Store // not used methods
+	store          *fakeStore
+	mu             sync.Mutex
+	f              faults
+}
+
+func (c *client) set(f faults) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.f = f
+}
+
+func (c *client) faults() faults {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.f
+}
+
+func (c *client) Get(context.Context, string) (objstore.Object, error) {
+	time.Sleep(2 * time.Millisecond)
+	if c.faults().down {
+		return objstore.Object{}, objstore.ErrUnavailable
+	}
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	if c.store.object.Version == 0 {
+		return objstore.Object{}, objstore.ErrNotFound
+	}
+	return c.store.object, nil
+}
+
+func (c *client) Put(_ context.Context, _ string, value []byte, ifVersion uint64) (uint64, error) {
+	f := c.faults()
+	time.Sleep(f.pauseBefore + 2*time.Millisecond)
+	if f.down {
+		return 0, objstore.ErrUnavailable
+	}
+	if f.late {
+		time.AfterFunc(3*time.Second, func() { _, _ = c.store.put(value, ifVersion) })
+		return 0, objstore.ErrUnknownResult
+	}
+	version, err := c.store.put(value, ifVersion)
+	time.Sleep(f.pauseAfter)
+	if f.lost {
+		return 0, objstore.ErrUnknownResult
+	}
+	return version, err
+}
+
+// fleet runs candidates and checks, every 100 ms of virtual time, that at most one holds the lease, that no token is
+// held by two candidates and that tokens rise.
+type fleet struct {
+	t       *testing.T
+	store   *fakeStore
+	clients []*client
+	leases  []*Lease
+	token   uint64 // highest seen
+	owner   int    // of that token
+	rested  time.Duration
+}
+
+func newFleet(t *testing.T, n int, ids ...string) *fleet {
+	f := &fleet{t: t, store: &fakeStore{}, owner: -1}
+	ctx, cancel := context.WithCancel(t.Context())
+	for i := len(ids); i < n; i++ {
+		ids = append(ids, fmt.Sprint("i", i))
+	}
+	var running sync.WaitGroup
+	for i := range n {
+		f.clients = append(f.clients, &client{store: f.store})
+		lease := New(Settings{
+			Store: f.clients[i], Duty: "pool", Candidate: ids[i], Process: uint64(i), Members: func() []string { return ids },
+		})
+		f.leases = append(f.leases, lease)
+		running.Go(func() { lease.Run(ctx, func(error) {}) })
+	}
+	t.Cleanup(func() { cancel(); running.Wait() })
+	return f
+}
+
+const checkInterval = 100 * time.Millisecond
+
+func (f *fleet) run(d time.Duration) {
+	for range int(d / checkInterval) {
+		time.Sleep(checkInterval)
+		f.check()
+	}
+}
+
+func (f *fleet) check() {
+	held := 0
+	for i, l := range f.leases {
+		g, ok := l.Held()
+		if !ok {
+			continue
+		}
+		held++
+		must.True(f.t, g.Token > f.token || (g.Token == f.token && f.owner == i), must.Sprint("token ", g.Token, " after ", f.token))
+		f.token, f.owner = g.Token, i
+	}
+	must.LessEq(f.t, 1, held, must.Sprint("holders at one moment"))
+	if held == 0 {
+		f.rested += checkInterval
+	}
+}
+
+// holder waits until a candidate holds the lease.
+func (f *fleet) holder(within time.Duration) int {
+	f.t.Helper()
+	for range int(within / checkInterval) {
+		f.run(checkInterval)
+		if _, ok := f.leases[max(0, f.owner)].Held(); ok {
+			return f.owner
+		}
+	}
+	f.t.Fatalf("no holder within %s", within)
+	return 0
+}
+
+// A fleet that starts together must not race for the lease at each write.
+func TestLease_PreferredTries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 8)
+		f.run(4 * time.Minute)
+		must.EqOp(t, uint64(1), f.token)
+		must.LessEq(t, 50, f.store.writes)
+	})
+}
+
+// A holder that is paused before or after its renewal's write must not hold the lease when it wakes after the term.
+func TestLease_PausedHolder(t *testing.T) {
+	for _, pause := range []faults{{pauseBefore: time.Minute}, {pauseAfter: time.Minute}} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, 3)
+			paused := f.holder(5 * time.Second)
+			f.clients[paused].set(pause)
+			f.run(50 * time.Second)
+			must.NotEq(t, paused, f.owner)
+			f.clients[paused].set(faults{})
+			f.run(time.Minute)
+			must.EqOp(t, uint64(2), f.token)
+			_, err := f.leases[paused].Revalidate(t.Context())
+			must.ErrorIs(t, err, ErrNotHeld)
+		})
+	}
+}
+
+// A holder without the store, alone or with everyone, must stop before a successor may start, and someone must hold
+// the lease soon after.
+func TestLease_CutOffAndOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		first := f.holder(5 * time.Second)
+		f.clients[first].set(faults{down: true})
+		f.run(DefaultTerm - DefaultMargin)
+		_, ok := f.leases[first].Held()
+		must.False(t, ok)
+		second := f.holder(DefaultTerm)
+		must.NotEq(t, first, second)
+		for _, c := range f.clients {
+			c.set(faults{down: true})
+		}
+		f.run(time.Minute)
+		_, ok = f.leases[second].Held()
+		must.False(t, ok)
+		for _, c := range f.clients {
+			c.set(faults{})
+		}
+		f.holder(DefaultTerm)
+	})
+}
+
+// A write whose response is lost, or which takes effect late, must neither cost the lease nor make two holders.
+func TestLease_LostResponses(t *testing.T) {
+	for _, fault := range []faults{{lost: true}, {late: true}} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, 3)
+			for _, c := range f.clients {
+				c.set(fault)
+			}
+			f.holder(2 * DefaultTerm)
+			f.rested = 0
+			f.run(5 * time.Minute)
+			must.Less(t, time.Minute, f.rested)
+			if fault.lost {
+				must.EqOp(t, uint64(1), f.token)
+			}
+		})
+	}
+}
+
+// A holder that leaves must not make the others wait for the term, and its successor must know when the term ends.
+func TestLease_GiveUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		first := f.holder(5 * time.Second)
+		must.NoError(t, f.leases[first].GiveUp(t.Context()))
+		given := time.Now()
+		f.clients[first].set(faults{down: true})
+		second := f.holder(DefaultTerm)
+		g, _ := f.leases[second].Held()
+		must.True(t, g.PreviousEnd.Sub(given) >= DefaultTerm)
+	})
+}
+
+// Two starts of one instance, and faults in any mixture, must never make two holders or repeat a token.
+func TestLease_RandomFaults(t *testing.T) {
+	for seed := range uint64(20) {
+		synctest.Test(t, func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(seed, 0))
+			f := newFleet(t, 4, "i0", "i1", "i0", "i0")
+			for range 40 {
+				c := f.clients[rng.IntN(len(f.clients))]
+				seconds := time.Duration(rng.IntN(30)) * time.Second
+				c.set([]faults{{}, {}, {down: true}, {lost: true}, {late: true}, {pauseBefore: seconds}, {pauseAfter: seconds}}[rng.IntN(7)])
+				f.run(time.Duration(rng.IntN(20)) * time.Second)
+			}
+			for _, c := range f.clients {
+				c.set(faults{})
+			}
+			f.run(2 * time.Minute)
+			f.rested = 0
+			f.run(time.Minute)
+			must.EqOp(t, 0, f.rested, must.Sprint("seed ", seed))
+		})
+	}
+}
