--- a/pool/mix.go
+++ b/pool/mix.go
@@ -107,40 +107,16 @@
 // fill takes the cheapest items, on-demand ones first up to their floor, until the need is met.
 func fill(items []item, need, bound float64) mix {
 	m := mix{items: make([]item, 0, len(items)), byDomain: map[string]float64{}}
-	all := make([]int, len(items))
-	for i := range all {
-		all[i] = i
-	}
-	floor := floorOrder(items)
 	used := make([]bool, len(items))
-	pass := func(order []int, wanted func(item) bool, enough func() bool) {
-		for _, i := range order {
-			it := items[i]
+	pass := func(wanted func(item) bool, enough func() bool) {
+		for i, it := range items {
 			for wanted(it) && !used[i] && !enough() && m.byDomain[it.domain]+it.capacity <= bound+tolerance {
 				m.add(it)
 				used[i] = it.instance != nil
 			}
 		}
 	}
-	pass(floor, func(it item) bool { return it.onDemand }, func() bool { return m.onDemand >= onDemandFloor*need-tolerance })
-	pass(all, func(item) bool { return true }, func() bool { return m.afterLoss() >= need-tolerance })
+	pass(func(it item) bool { return it.onDemand }, func() bool { return m.onDemand >= onDemandFloor*need-tolerance })
+	pass(func(item) bool { return true }, func() bool { return m.afterLoss() >= need-tolerance })
 	return m
 }
-
-// floorOrder orders the items by what they cost more than the cheapest item of their failure domain.
-func floorOrder(items []item) []int {
-	cheapest := map[string]float64{}
-	for _, it := range items {
-		if _, ok := cheapest[it.domain]; !ok {
-			cheapest[it.domain] = it.cost / it.capacity
-		}
-	}
-	order := make([]int, len(items))
-	for i := range order {
-		order[i] = i
-	}
-	slices.SortStableFunc(order, func(a, b int) int {
-		return cmp.Compare(items[a].cost/items[a].capacity-cheapest[items[a].domain], items[b].cost/items[b].capacity-cheapest[items[b].domain])
-	})
-	return order
-}
