--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -60,6 +60,7 @@
 	reclaimed chan time.Time // the time by which a reclaim ends this instance
 
 	seenNotices map[platform.Notice]bool // used by readNotices only
+	lastList    []platform.Instance      // used by readInstances only
 	loadTurn    int                      // used by readLoads only
 
 	burnMu       sync.Mutex
--- a/entry/platform.go
+++ b/entry/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/trefoillug/trefoillug/core"
@@ -41,6 +42,10 @@
 		d.log.WithError(err).Warn("instance list not read; the last one stays in use")
 		return
 	}
+	if d.listed.Load() && slices.Equal(list, d.lastList) {
+		return
+	}
+	d.lastList = list
 	d.runner.Post(core.InstancesListed{Instances: list})
 	d.listed.Store(true)
 	d.updateMembers(list)
--- a/standin/cloud.go
+++ b/standin/cloud.go
@@ -20,6 +20,7 @@
 	instances map[string]platform.Instance
 	notices   []platform.Notice
 	history   []listing // oldest first
+	listings  uint64    // made so far
 	faults    CloudFaults
 }
 
@@ -30,6 +31,7 @@
 }
 
 type listing struct {
+	number    uint64
 	at        time.Time
 	instances []platform.Instance
 }
@@ -76,26 +78,33 @@
 		current = append(current, in)
 	}
 	slices.SortFunc(current, func(a, b platform.Instance) int { return strings.Compare(a.ID, b.ID) })
-	c.history = append(c.history, listing{now, current})
+	c.listings++
+	c.history = append(c.history, listing{c.listings, now, current})
 	for len(c.history) > 1 && now.Sub(c.history[1].at) > c.lag {
 		c.history = c.history[1:]
 	}
 }
 
-func (c *Cloud) list(w http.ResponseWriter, _ *http.Request) {
+func (c *Cloud) list(w http.ResponseWriter, r *http.Request) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.faults.ListDown {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	visible := []platform.Instance{}
+	visible := listing{instances: []platform.Instance{}}
 	for _, l := range c.history {
 		if time.Since(l.at) >= c.lag {
-			visible = l.instances
+			visible = l
 		}
 	}
-	writeJSON(w, visible)
+	tag := etag(visible.number)
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	writeJSON(w, visible.instances)
 }
 
 func (c *Cloud) getNotices(w http.ResponseWriter, _ *http.Request) {
