Pace facts that change all the time, and state the bound of the limits

Cause: nothing kept a node within 4 KB a second when a system publishes often; a fact of 16 bytes costs each node about 130 bytes at 64 members. Ruled out: pacing every fact, because a rare fact (an abort, a notice) then waits behind the others. Change: a fact whose earlier version is younger than 10 s counts as frequent, and frequent facts share 2,500 bytes a second over all connections of a node; what is above it stays pending, where the newest version replaces it. Facts about the membership are never paced.

--- a/limit/home.go
+++ b/limit/home.go
@@ -64,6 +64,15 @@
 }
 
 // home grants shares of the workspaces whose home this member is. It isn't safe for concurrent use.
+//
+// For a limit of L requests a second with burst B, at most L*T + B + n requests are admitted in any time T, where n is
+// the number of members with a share (each may hold one whole token), as long as all members that serve the workspace
+// reach its home and members learn of a change of membership within skewAllowance of each other: the grants of a home
+// add up to at most L, counting for each member the higher one of the rate it holds and the rate it is sent; a grant
+// ends at its holder before it ends at the home; and a new home gives out no more than members hold or their even split
+// until the grants of the old one have ended. Each of k members of N that serve without reaching the home adds L/N, and
+// so does, while a new home waits, each member that starts to serve. A partition into s sides admits up to s*L, because
+// each side has a home.
 type home struct {
 	self    string
 	began   time.Time
--- a/peer/facts.go
+++ b/peer/facts.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -14,6 +15,8 @@
 	maxOriginFacts = 512
 	// maxFactBytes bounds the memory of all fact values and keys.
 	maxFactBytes = 24 << 20
+	// frequentAge is the age below which a replaced version makes its fact a frequent one.
+	frequentAge = 10 * time.Second
 	// factOverhead approximates the memory of a stored fact beside key and value.
 	factOverhead = 200
 )
@@ -23,6 +26,10 @@
 	Fact
 	id      uint64
 	expires time.Time // zero: never
+	stored  time.Time
+	// frequent tells that the fact replaced a version that was less than frequentAge old. Only such facts are paced;
+	// those about the membership never are.
+	frequent bool
 }
 
 func (f *storedFact) size() int { return len(f.Key) + len(f.Value) + factOverhead }
@@ -80,7 +87,9 @@
 	if old == nil && (s.bytes+n.size() > maxFactBytes || len(s.byOrigin[f.Origin]) >= maxOriginFacts) {
 		return nil
 	}
+	n.stored = now
 	if old != nil {
+		n.frequent = now.Sub(old.stored) < frequentAge && !strings.HasPrefix(f.Key, reservedPrefix)
 		s.remove(old)
 	}
 	if f.TTL > 0 {
--- a/peer/machine.go
+++ b/peer/machine.go
@@ -17,6 +17,11 @@
 	// meanwhile cancel sends, and facts that belong together share a message.
 	flushWindow    = 80 * time.Millisecond
 	digestInterval = 5 * time.Second
+	// Frequent facts of all members together leave a node with at most paceBytes a second over all its connections.
+	// That keeps a node within 4 KB a second for control; what is above it comes later but loses no fact.
+	paceBytes = 2500
+	paceBurst = 32 << 10
+	paceRetry = 200 * time.Millisecond
 	// epochShift makes room for the sequence number in a fact version; the part above is the start of the process.
 	epochShift = 22
 )
@@ -72,6 +77,8 @@
 	nextTick       time.Time
 	nextDigest     time.Time
 	digestTurn     int
+	pace           float64 // bytes that frequent facts may use now
+	pacedAt        time.Time
 }
 
 func newMachine(self Member, seeds []string, now time.Time, seed uint64) *machine {
@@ -86,6 +93,7 @@
 	}
 	m.self.Incarnation, m.self.Leaving = m.start, false
 	m.lastTick, m.nextTick = now, now
+	m.pace, m.pacedAt = paceBurst, now
 	m.nextDigest = now.Add(m.jitter(digestInterval))
 	m.publishSelf(now)
 	m.finish(now)
--- a/peer/machine_test.go
+++ b/peer/machine_test.go
@@ -69,3 +69,35 @@
 	must.MapEmpty(t, m.links)
 	must.SliceLen(t, 1, m.members.live)
 }
+
+// Guards against facts that change all the time and use more than the budget for control, and against a rare fact that
+// has to wait behind them.
+func TestMachine_PacesFrequentFacts(t *testing.T) {
+	m := newMachine(testMember(0, 2, 1), nil, machineStart, 1)
+	m.linkUp(1, &hello{Member: testMember(1, 2, 1), Facts: 5}, true, machineStart)
+	now, sent, rareAt := machineStart, 0, time.Time{}
+	const seconds = 60
+	for i := range seconds * 50 {
+		now = now.Add(20 * time.Millisecond)
+		m.publish(string(rune('a'+i%20)), make([]byte, 200), 0, now)
+		if i == seconds*40 {
+			m.publish("rare", nil, 0, now)
+		}
+		m.receive(1, &message{Kind: kindPing}, now)
+		m.tick(now)
+		for _, o := range m.take() {
+			s, ok := o.(sendOutput)
+			if !ok {
+				continue
+			}
+			sent += len(encodeMessage(s.msg))
+			for _, f := range s.msg.Facts {
+				if f.Key == "rare" && rareAt.IsZero() {
+					rareAt = now
+				}
+			}
+		}
+	}
+	must.Less(t, 4000*seconds, sent)
+	must.Between(t, 0, rareAt.Sub(machineStart)-seconds*40*20*time.Millisecond, 2*flushWindow)
+}
--- a/peer/spread.go
+++ b/peer/spread.go
@@ -99,29 +99,44 @@
 	}
 }
 
-// flush sends the pending facts of a connection in messages of bounded size.
+// flush sends the pending facts of a connection in messages of bounded size. Frequent facts beyond the pace stay
+// pending, where a later version replaces them.
 func (m *machine) flush(l *link, now time.Time) {
 	l.flushAt = time.Time{}
+	m.refillPace(now)
 	var batch []wireFact
 	size := 0
 	for id := range l.pending {
 		w, ok := m.wire(id, now)
+		bytes := len(w.Origin) + len(w.Key) + len(w.Value) + 24
+		if ok && m.facts.byID[id].frequent {
+			if m.pace <= 0 {
+				l.flushAt = now.Add(paceRetry)
+				continue
+			}
+			m.pace -= float64(bytes)
+		}
+		delete(l.pending, id)
 		if !ok {
 			continue
 		}
-		batch = append(batch, w)
-		size += len(w.Origin) + len(w.Key) + len(w.Value) + 24
+		batch, size = append(batch, w), size+bytes
 		if size >= maxDeltaBytes {
 			m.send(l, &message{Kind: kindDelta, Facts: batch}, now)
 			batch, size = nil, 0
 		}
 	}
-	clear(l.pending)
 	if len(batch) > 0 {
 		m.send(l, &message{Kind: kindDelta, Facts: batch}, now)
 	}
 }
 
+// refillPace adds the bytes that frequent facts may use since the last call.
+func (m *machine) refillPace(now time.Time) {
+	m.pace = min(paceBurst, m.pace+now.Sub(m.pacedAt).Seconds()*paceBytes)
+	m.pacedAt = now
+}
+
 func (m *machine) wire(id uint64, now time.Time) (wireFact, bool) {
 	f := m.facts.byID[id]
 	if f == nil {
