--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -68,7 +68,8 @@
 type world struct {
 	t        *testing.T
 	store    *standin.Objects
-	storeURL string
+	storeURL string // for the instances
+	direct   string // store URL for operators
 	cloud    *httptest.Server
 	engines  map[string]*standin.Engine
 	services map[string]*standin.Service
@@ -86,7 +87,7 @@
 func newWorld(t *testing.T) *world {
 	w := &world{t: t, store: standin.NewObjects(standin.ObjectsOptions{}), engines: map[string]*standin.Engine{}, services: map[string]*standin.Service{}}
 	store := httptest.NewServer(w.store)
-	w.storeURL = store.URL
+	w.storeURL, w.direct = store.URL, store.URL
 	w.cloud = httptest.NewServer(standin.NewCloud(time.Second))
 	t.Cleanup(func() {
 		store.CloseClientConnections()
@@ -203,7 +204,7 @@
 func (w *world) publish(services []config.Service, waitFor ...*process) uint64 {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
-	client := objstore.NewClient(w.storeURL, http.DefaultClient)
+	client := objstore.NewClient(w.direct, nil)
 	res, err := config.NewPublisher(client).Publish(ctx, services, nil)
 	must.NoError(w.t, err)
 	for _, p := range waitFor {
@@ -225,8 +226,9 @@
 }
 
 // cluster starts three instances in three failure domains before two engines and two services.
-func cluster(t *testing.T) *world {
-	w := newWorld(t)
+func cluster(t *testing.T) *world { return newWorld(t).populate() }
+
+func (w *world) populate() *world {
 	w.engine("m1", "a", "v1")
 	w.engine("m2", "b", "v1")
 	w.service("s1", "a")
@@ -234,7 +236,7 @@
 	for i, domain := range []string{"a", "b", "c"} {
 		w.start(fmt.Sprintf("entry-%d", i+1), domain)
 	}
-	w.publish(testServices(t, ""), w.entries...)
+	w.publish(testServices(w.t, ""), w.entries...)
 	w.awaitReady(w.entries...)
 	return w
 }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -76,7 +76,7 @@
 	client := platform.NewListClient(s.PlatformURL, hc)
 	d := &Daemon{
 		settings: s, log: log, lister: client, noticer: client,
-		store:       objstore.NewClient(s.StoreURL, http.DefaultClient),
+		store:       objstore.NewClient(s.StoreURL, nil),
 		core:        core.New(core.Settings{Instance: s.ID, FailureDomain: s.FailureDomain, Epoch: uint64(time.Now().UnixMilli())}),
 		reclaimed:   make(chan time.Time, 1),
 		seenNotices: map[platform.Notice]bool{},
