--- a/entry/status.go
+++ b/entry/status.go
@@ -16,6 +16,18 @@
 	Revision      uint64          `json:"revision"` // configuration in force here
 	Members       []MemberStatus  `json:"members"`
 	Services      []ServiceStatus `json:"services"`
+	Admission     AdmissionStatus `json:"admission"`
+}
+
+// AdmissionStatus counts the decisions of this instance since its start, and shows which limits hold without news
+// from their homes.
+type AdmissionStatus struct {
+	Admitted   int64 `json:"admitted"`
+	OverLimit  int64 `json:"over_limit"` // refused with limit_exceeded
+	Overloaded int64 `json:"overloaded"` // refused with overloaded
+	Waiting    int   `json:"waiting"`    // queued now
+	Limited    int   `json:"limited"`    // workspaces with a share of a limit here
+	EvenSplit  int   `json:"even_split"` // of them, on the even split
 }
 
 // MemberStatus is a live entry instance.
@@ -64,6 +76,8 @@
 		Instance: d.settings.ID, FailureDomain: d.settings.FailureDomain,
 		Ready: d.ready.Load(), Revision: snap.Revision,
 	}
+	a := d.admission.Stats()
+	st.Admission = AdmissionStatus{a.Admitted, a.OverLimit, a.Overloaded, a.Waiting, a.Workspaces, a.FallbackKeys}
 	for _, m := range d.node.Members() {
 		st.Members = append(st.Members, MemberStatus{ID: m.ID, HTTP: m.Address, FailureDomain: m.FailureDomain, Leaving: m.Leaving})
 	}
