Expire claim segments in a chunk that is still growing

TestClaim_Retention passed with the retention halved: no write followed the 24 hours, so nothing was dropped. Ruled out: the small segments, which are merged. Rewriting the last chunk now leaves out its expired segments.

--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -127,6 +127,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		opts := Options{Slots: 1, CacheBytes: 100_000, sealBytes: 1000, mergeBytes: 4000}
 		c := newCluster(2, 1, opts)
+		defer func() { c.stop() }()
 		claimAll := func(s *Service) (granted int) {
 			for i := range 400 {
 				r, err := s.Claim(within(time.Minute), testCall(fmt.Sprint(i), ""))
@@ -138,21 +139,25 @@
 			}
 			return granted
 		}
+		// Writes cause segments to be sealed and old ones to be dropped.
+		claimNew := func(s *Service, name string) {
+			for i := range 100 {
+				_, err := s.Claim(within(time.Minute), testCall(fmt.Sprint(name, i), ""))
+				must.NoError(t, err)
+			}
+		}
 		must.Eq(t, 400, claimAll(c.services[0]))
 		time.Sleep(24*time.Hour - 10*time.Minute)
 		c.stop()
 		s := New(c.clients[1], c.meshes[1], opts)
 		c.services = []*Service{s}
 		c.meshes[1].set(faults{}, c.ids[1:])
+		claimNew(s, "day")
 		must.Zero(t, claimAll(s))
 		must.Greater(t, 1, len(s.slots[0].view.large))
 		time.Sleep(2 * time.Hour)
-		for i := range 100 {
-			_, err := s.Claim(within(time.Minute), testCall(fmt.Sprint("new", i), ""))
-			must.NoError(t, err)
-		}
+		claimNew(s, "later")
 		must.Greater(t, 250, claimAll(s))
-		c.stop()
 	})
 }
 
@@ -161,6 +166,7 @@
 	for rate, delay := range map[int]time.Duration{5: 20 * time.Millisecond, 420: 400 * time.Millisecond} {
 		synctest.Test(t, func(t *testing.T) {
 			c := newCluster(8, 1, Options{})
+			defer c.stop()
 			c.prefill(Options{})
 			l := newLoad(c)
 			l.generate(rate, rand.New(rand.NewPCG(1, 1)))
@@ -169,7 +175,6 @@
 			l.calls.Wait()
 			must.Less(t, delay.Microseconds(), l.hist.ValueAtQuantile(95), must.Sprint(rate))
 			must.Zero(t, l.failed.Load())
-			c.stop()
 		})
 	}
 }
--- a/claim/compact.go
+++ b/claim/compact.go
@@ -66,18 +66,20 @@
 	}
 }
 
-// list adds a large segment to the last chunk, or to a new one when that is full.
+// list adds a large segment to the last chunk, or to a new one when that is full. Segments of the last chunk past the
+// retention time are left out; those of full chunks go with their chunk.
 func (s *slot) list(ctx context.Context, d *draft, ref segmentRef) error {
-	full, open := d.Chunks, []segmentRef(nil)
+	full, older, open := d.Chunks, d.large, []segmentRef(nil)
 	if n := len(full); n > 0 {
-		open, full = d.large[len(d.large)-full[n-1].Count:], full[:n-1]
+		split := len(older) - full[n-1].Count
+		full, older, open = full[:n-1], older[:split], s.live(older[split:])
 	}
 	c, size, err := s.chunk(ctx, open)
 	if err != nil {
 		return err
 	}
 	if size >= chunkBytes {
-		c, full = chunk{}, d.Chunks
+		c, full, older, open = chunk{}, d.Chunks, d.large, nil
 	}
 	added, _, err := s.chunk(ctx, []segmentRef{ref})
 	if err != nil {
@@ -89,7 +91,7 @@
 		return err
 	}
 	d.Chunks = append(slices.Clone(full), chunkRef{Seq: seq, Last: ref.Last, Count: len(c.Segments)})
-	d.large = append(slices.Clone(d.large), ref)
+	d.large = slices.Concat(older, open, []segmentRef{ref})
 	return nil
 }
 
