--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -60,6 +60,7 @@
 	r := s.read(resp.Body)
 	if r.End == Lost {
 		r = a.failure(ctx, r.Err)
+		r.Status = resp.StatusCode
 	}
 	if s.first > 0 {
 		r.FirstEvent = time.Duration(s.first - a.started.UnixNano())
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -200,7 +200,7 @@
 		done.PerToken = (total - log.first) / time.Duration(log.tokens-1)
 	}
 	if result.End == dispatch.Lost && !r.isLeaving(call.Service.Name, got.endpoint.ID) {
-		r.running.crashed(got.endpoint.ID, func(fingerprints []uint64) {
+		r.running.crashed(got.endpoint.ID, got.attempt, result.Status != 0, func(fingerprints []uint64) {
 			r.cfg.Post(core.EndpointCrashed{Endpoint: got.endpoint.ID, Running: fingerprints})
 		})
 	}
--- a/relay/reclaim.go
+++ b/relay/reclaim.go
@@ -141,6 +141,7 @@
 func (r *Relay) move(s *session, run *engineRun, m *streamMove, left time.Duration) {
 	defer close(m.done)
 	if left < minExportTime {
+		r.cfg.Log.WithField("request", s.call.RequestID).WithField("left", left.String()).Info("no time for a KV export; prefix is computed again")
 		run.cancel(errMoving)
 		return
 	}
--- a/relay/running.go
+++ b/relay/running.go
@@ -7,8 +7,12 @@
 	"github.com/trefoillug/trefoillug/table"
 )
 
-// crashWindow joins the broken attempts of one crash: they all end within it.
-const crashWindow = time.Second
+const (
+	// crashWindow joins to a crash the attempts that meet the endpoint while it is still down.
+	crashWindow = time.Second
+	// crashMemory is how long the time of a crash is kept.
+	crashMemory = time.Minute
+)
 
 // running knows the attempts of this instance on each endpoint.
 type running struct {
@@ -18,11 +22,16 @@
 }
 
 type endpointRuns struct {
-	attempts  map[string]uint64 // attempt ID to fingerprint
-	reserved  string            // attempt that must run alone
+	attempts  map[string]attemptRun // by attempt ID
+	reserved  string                // attempt that must run alone
 	crashedAt time.Time
 }
 
+type attemptRun struct {
+	fingerprint uint64
+	started     time.Time
+}
+
 func newRunning(now func() time.Time) *running {
 	return &running{now: now, endpoints: map[string]*endpointRuns{}}
 }
@@ -30,7 +39,7 @@
 func (r *running) runs(endpoint string) *endpointRuns {
 	e, ok := r.endpoints[endpoint]
 	if !ok {
-		e = &endpointRuns{attempts: map[string]uint64{}}
+		e = &endpointRuns{attempts: map[string]attemptRun{}}
 		r.endpoints[endpoint] = e
 	}
 	return e
@@ -44,7 +53,7 @@
 	if runs.reserved != "" && runs.reserved != attempt {
 		return false
 	}
-	runs.attempts[attempt] = fingerprint
+	runs.attempts[attempt] = attemptRun{fingerprint, r.now()}
 	e.Live.InFlight.Add(1)
 	return true
 }
@@ -81,7 +90,7 @@
 		return false
 	}
 	runs.reserved = attempt
-	runs.attempts[attempt] = fingerprint
+	runs.attempts[attempt] = attemptRun{fingerprint, r.now()}
 	e.Live.InFlight.Add(1)
 	return true
 }
@@ -101,20 +110,21 @@
 	return ok && runs.reserved != ""
 }
 
-// crashed passes the fingerprints that ran on an endpoint to post, unless its crash is already known. When it returns,
-// the crash has been posted, by this attempt or by another.
-func (r *running) crashed(endpoint string, post func(fingerprints []uint64)) {
+// crashed passes the fingerprints that ran on an endpoint to post when an attempt shows a new crash. An attempt that
+// started before the last crash was broken by that one; so was, within crashWindow, one that the endpoint had not
+// begun to answer. When it returns, the crash has been posted.
+func (r *running) crashed(endpoint, attempt string, answering bool, post func(fingerprints []uint64)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	runs := r.runs(endpoint)
-	now := r.now()
-	if now.Sub(runs.crashedAt) < crashWindow {
+	later := runs.attempts[attempt].started.After(runs.crashedAt)
+	if !later || (!answering && r.now().Sub(runs.crashedAt) < crashWindow) {
 		return
 	}
-	runs.crashedAt = now
+	runs.crashedAt = r.now()
 	fingerprints := make([]uint64, 0, len(runs.attempts))
-	for _, f := range runs.attempts {
-		fingerprints = append(fingerprints, f)
+	for _, a := range runs.attempts {
+		fingerprints = append(fingerprints, a.fingerprint)
 	}
 	post(fingerprints)
 }
@@ -131,5 +141,5 @@
 }
 
 func (e *endpointRuns) idle(now time.Time) bool {
-	return len(e.attempts) == 0 && e.reserved == "" && now.Sub(e.crashedAt) > crashWindow
+	return len(e.attempts) == 0 && e.reserved == "" && now.Sub(e.crashedAt) > crashMemory
 }
--- a/standin/engine_control.go
+++ b/standin/engine_control.go
@@ -29,10 +29,7 @@
 	run.end(endMoved)
 	_, offset := run.status()
 	tokens := len(run.prompt) + offset
-	time.Sleep(time.Duration(tokens) * e.cfg.TransferToken)
-	if e.down() {
-		panic(http.ErrAbortHandler)
-	}
+	e.transfer(tokens)
 	state, err := json.Marshal(kvState{Tokens: tokens})
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
@@ -42,6 +39,20 @@
 	writeJSON(w, engine.KV{RequestID: ref.RequestID, Offset: offset, State: state})
 }
 
+// transferStep is the time between looks whether the engine went down during a transfer.
+const transferStep = 10 * time.Millisecond
+
+// transfer takes the time to carry the KV cache of some tokens. It breaks the connection when the engine goes down.
+func (e *Engine) transfer(tokens int) {
+	end := time.Now().Add(time.Duration(tokens) * e.cfg.TransferToken)
+	for left := time.Until(end); left > 0; left = time.Until(end) {
+		time.Sleep(min(left, transferStep))
+		if e.down() {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
 func (e *Engine) serveImport(w http.ResponseWriter, r *http.Request) {
 	var kv engine.KV
 	var state kvState
@@ -53,7 +64,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	time.Sleep(time.Duration(state.Tokens) * e.cfg.TransferToken)
+	e.transfer(state.Tokens)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.kv[kv.RequestID] = state.Tokens
