--- a/relay/generate.go
+++ b/relay/generate.go
@@ -206,7 +206,7 @@
 		r.running.noteAnswer(got.endpoint.ID, log.started)
 	}
 	if result.End == dispatch.Lost && !r.isLeaving(call.Service.Name, got.endpoint.ID) {
-		r.running.crashed(got.endpoint.ID, func(running []core.RunningRequest) {
+		r.running.crashed(got.endpoint.ID, got.attempt, result.Status != 0, func(running []core.RunningRequest) {
 			r.cfg.Post(core.EndpointCrashed{Endpoint: got.endpoint.ID, Running: running})
 		})
 	}
--- a/relay/running.go
+++ b/relay/running.go
@@ -10,8 +10,8 @@
 	"github.com/trefoillug/trefoillug/table"
 )
 
-// crashWindow joins the broken attempts of one crash: they all end within it.
-const crashWindow = time.Second
+// crashMemory is how long the crash of an endpoint that has not come back is remembered.
+const crashMemory = time.Minute
 
 // running knows the attempts of this instance on each endpoint.
 type running struct {
@@ -105,18 +105,19 @@
 	return ok && runs.reserved != ""
 }
 
-// crashed passes the requests that ran on an endpoint to post, unless its crash is already known or it has not answered
-// anything since: attempts that a dead endpoint breaks off did not crash it. When it returns, the crash has been
-// posted, by this attempt or by another.
-func (r *running) crashed(endpoint string, post func([]core.RunningRequest)) {
+// crashed passes the requests that ran on an endpoint to post when an attempt shows a new crash. An attempt that started
+// before the last crash was broken by that one. An endpoint that has answered nothing since a crash is still down, and
+// what it breaks off did not crash it. When crashed returns, the crash has been posted.
+func (r *running) crashed(endpoint, attempt string, answering bool, post func([]core.RunningRequest)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	runs := r.runs(endpoint)
-	now := r.now()
-	if !runs.crashedAt.IsZero() && (!runs.answered || now.Sub(runs.crashedAt) < crashWindow) {
+	later := runs.attempts[attempt].Started.After(runs.crashedAt)
+	up := answering || runs.answered || runs.crashedAt.IsZero()
+	if !later || !up {
 		return
 	}
-	runs.crashedAt, runs.answered = now, false
+	runs.crashedAt, runs.answered = r.now(), false
 	post(slices.Collect(maps.Values(runs.attempts)))
 }
 
@@ -150,6 +151,6 @@
 
 // idle reports whether nothing runs and nothing about a crash need be remembered.
 func (e *endpointRuns) idle(now time.Time) bool {
-	forgotten := e.crashedAt.IsZero() || (e.answered && now.Sub(e.crashedAt) > crashWindow)
+	forgotten := e.crashedAt.IsZero() || e.answered || now.Sub(e.crashedAt) > crashMemory
 	return len(e.attempts) == 0 && e.reserved == "" && forgotten
 }
