Announce the loss of a domain as one fact also after a refuted one; start as one group

Cause: after a refuted loss of a failure domain its members were accused one by one for a minute, whatever happened since. Change: single accusations for 10 s, after that a failure that began later than the refutation counts for the domain. Second cause, of the slow start: one dialled seed each leaves several groups, which meet only at the next exploration after 5 to 15 s; now three seeds are dialled within about a second.

--- a/peer/contact.go
+++ b/peer/contact.go
@@ -23,8 +23,11 @@
 	domainJitter = 600 * time.Millisecond
 	// failureMemory is longer than the longest time between two dials of a planned member.
 	failureMemory = 10 * time.Second
-	exploreEvery  = 10 * time.Second // mean time between dials of members believed dead, to heal a partition
-	trimEvery     = 10 * time.Second
+	// firstDials is the number of seeds that are dialled soon after the start. When all start together, one each
+	// leaves several groups that find each other only after exploreEvery.
+	firstDials   = 3
+	exploreEvery = 10 * time.Second // mean time between dials of members believed dead, to heal a partition
+	trimEvery    = 10 * time.Second
 )
 
 // contact is the state of reaching one member.
@@ -46,6 +49,7 @@
 	listed      map[string]Member // the platform's list
 	seedDial    time.Time
 	seedBackoff time.Duration
+	firstDials  int
 	replan      bool
 	plan        []string
 	nextTrim    time.Time
@@ -149,10 +153,14 @@
 	if now.Before(c.seedDial) {
 		return
 	}
-	if len(m.links) == 0 {
+	switch {
+	case len(m.links) == 0:
 		c.seedDial = now.Add(c.seedBackoff/2 + m.jitter(c.seedBackoff))
 		c.seedBackoff = min(2*c.seedBackoff, maxBackoff)
-	} else {
+	case c.firstDials < firstDials:
+		c.firstDials++
+		c.seedDial = now.Add(minBackoff + m.jitter(minBackoff))
+	default:
 		c.seedDial = now.Add(exploreEvery/2 + m.jitter(exploreEvery))
 	}
 	candidates := m.strangers()
--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -132,34 +132,50 @@
 	})
 }
 
-// Guards against a lost failure domain that is announced member by member, or that takes others with it.
+// Guards against a lost failure domain that is announced member by member, or that takes others with it, also soon
+// after a loss that was refuted.
 func TestNode_FailureDomainLost(t *testing.T) {
-	virtual(t, func(t *testing.T, net *memNet) {
-		nodes := net.cluster(t, 40, 4, 1)
-		time.Sleep(20 * time.Second) // the connections of the start settle
-		lost := map[string]bool{}
-		var survivors []*Node
-		for i, n := range nodes {
-			if i%4 == 2 {
-				lost[n.Self().Address] = true
-			} else {
-				survivors = append(survivors, n)
-			}
+	for name, refutedBefore := range map[string]bool{"first": false, "after a refuted loss": true} {
+		t.Run(name, func(t *testing.T) {
+			virtual(t, func(t *testing.T, net *memNet) { loseDomain(t, net, refutedBefore) })
+		})
+	}
+}
+
+func loseDomain(t *testing.T, net *memNet, refutedBefore bool) {
+	nodes := net.cluster(t, 40, 4, 1)
+	time.Sleep(20 * time.Second) // the connections of the start settle
+	lost := map[string]bool{}
+	var survivors []*Node
+	for i, n := range nodes {
+		if i%4 == 2 {
+			lost[n.Self().Address] = true
+		} else {
+			survivors = append(survivors, n)
 		}
-		net.set(func() { net.blocked = func(a, b string) bool { return lost[a] != lost[b] } })
-		took := waitFor(t, 15*time.Second, "domain is gone", func() bool { return allSee(survivors, 30) })
-		t.Logf("domain of 10 gone everywhere in %v", took)
-		accused := 0
-		n := survivors[0]
-		n.mu.Lock()
-		for _, r := range n.m.members.records {
-			if r.status == statusAccused {
-				accused++
-			}
+	}
+	cut := func(a, b string) bool { return lost[a] != lost[b] }
+	if refutedBefore {
+		net.set(func() { net.blocked = cut })
+		time.Sleep(5 * time.Second)
+		net.set(func() { net.blocked = func(string, string) bool { return false } })
+		time.Sleep(25 * time.Second)
+		must.True(t, allSee(nodes, 40))
+	}
+	net.set(func() { net.blocked = cut })
+	took := waitFor(t, 15*time.Second, "domain is gone", func() bool { return allSee(survivors, 30) })
+	t.Logf("domain of 10 gone everywhere in %v", took)
+	accused := 0
+	n := survivors[0]
+	n.mu.Lock()
+	must.Eq(t, refutedBefore, !n.m.contact.refuted[domain{"r0", "d2"}].IsZero())
+	for _, r := range n.m.members.records {
+		if r.status == statusAccused {
+			accused++
 		}
-		n.mu.Unlock()
-		must.Zero(t, accused)
-	})
+	}
+	n.mu.Unlock()
+	must.Zero(t, accused)
 }
 
 // Guards against a member being removed because one other can't reach it.
--- a/peer/suspect.go
+++ b/peer/suspect.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// refutedPause is the time after a refuted loss of a domain in which its members are accused one by one.
+const refutedPause = 10 * time.Second
+
 // ringOf returns the live members of a region in ring order. Regions of fewer than three members share one ring over
 // all regions, so that each member has two watchers.
 func (m *machine) ringOf(region string) []*record {
@@ -70,7 +73,7 @@
 	if r == nil || r.dead || r.status >= statusAccused || !m.unreachable(id, now) {
 		return false
 	}
-	if m.domainSuspected(r.domain(), now) {
+	if m.domainSuspected(r.domain(), now) && m.countsForDomain(id, r.domain()) {
 		return false
 	}
 	return !now.Before(m.contact.get(id).accuseBefore)
@@ -91,7 +94,7 @@
 	if m.members.domains[d].lost() {
 		return true
 	}
-	if refuted, ok := m.contact.refuted[d]; ok && now.Sub(refuted) < time.Minute {
+	if refuted, ok := m.contact.refuted[d]; ok && now.Sub(refuted) < refutedPause {
 		return false
 	}
 	if d == m.self.domain() {
@@ -106,11 +109,17 @@
 	return live >= 2 && m.linkedDomains()[d] == 0
 }
 
+// countsForDomain reports whether a member's failure is evidence of the loss of its domain: it must have begun after
+// the last refutation, which otherwise has answered it.
+func (m *machine) countsForDomain(id string, d domain) bool {
+	return m.contact.get(id).downSince.After(m.contact.refuted[d])
+}
+
 // accuseDomains publishes the loss of a failure domain when two of its members are unreachable and none is connected.
 func (m *machine) accuseDomains(now time.Time) {
 	failing := map[domain]int{}
 	for id := range m.contact.byID {
-		if r := m.members.records[id]; r != nil && !r.dead && m.unreachable(id, now) {
+		if r := m.members.records[id]; r != nil && !r.dead && m.unreachable(id, now) && m.countsForDomain(id, r.domain()) {
 			failing[r.domain()]++
 		}
 	}
