Recompute the live members at most every 100 ms

Cause: each received delta rebuilt and sorted all members, hashing IDs in each comparison. With 650 members that all start together in one process not all knew all within 60 s, at 4.3 GB and three cores.

--- a/limit/limit.go
+++ b/limit/limit.go
@@ -113,7 +113,8 @@
 	a.wg.Wait()
 }
 
-// Update takes over services, limits and endpoints from a snapshot.
+// Update takes over services, limits and endpoints from a snapshot. It must be called each tick, because it also applies
+// the adaptive limits of the endpoints to the capacity of the queues.
 func (a *Admission) Update(s *table.Snapshot) {
 	members, keep := len(a.settings.Mesh.Members()), map[string]bool{}
 	for name, t := range s.Services {
--- a/peer/machine.go
+++ b/peer/machine.go
@@ -15,8 +15,10 @@
 	pauseLimit = 1500 * time.Millisecond
 	// A new fact waits for up to flushWindow on each connection, a different time on each. Copies that arrive
 	// meanwhile cancel sends, and facts that belong together share a message.
-	flushWindow    = 80 * time.Millisecond
-	digestInterval = 5 * time.Second
+	flushWindow = 80 * time.Millisecond
+	// refreshInterval bounds the work for a burst of changes of the membership, as when all members start together.
+	refreshInterval = 100 * time.Millisecond
+	digestInterval  = 5 * time.Second
 	// Frequent facts of all members together leave a node with at most paceBytes a second over all its connections.
 	// That keeps a node within 4 KB a second for control; what is above it comes later but loses no fact.
 	paceBytes = 2500
@@ -73,6 +75,7 @@
 	out     []any
 
 	membersChanged bool
+	refreshed      time.Time // when the live members were last recomputed
 	lastTick       time.Time
 	nextTick       time.Time
 	nextDigest     time.Time
@@ -112,12 +115,19 @@
 	return out
 }
 
-// finish brings derived state up to date after an event.
+// finish brings derived state up to date after an event, at most once in refreshInterval; the next tick does the rest.
 func (m *machine) finish(now time.Time) {
+	if m.membersChanged && now.Sub(m.refreshed) >= refreshInterval {
+		m.refresh(now)
+	}
+}
+
+// refresh recomputes who is alive.
+func (m *machine) refresh(now time.Time) {
 	if !m.members.refresh(now, m.membersChanged) {
 		return
 	}
-	m.membersChanged = false
+	m.membersChanged, m.refreshed = false, now
 	m.contact.replan = true
 	m.emit(membersOutput{m.members.snapshot()})
 }
@@ -152,7 +162,7 @@
 	m.accuse(now)
 	m.maintain(now)
 	m.antiEntropy(now)
-	m.finish(now)
+	m.refresh(now)
 }
 
 // resume restarts the timers after this process was paused.
--- a/peer/members.go
+++ b/peer/members.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -46,6 +47,7 @@
 // record is what this member knows of another one.
 type record struct {
 	Member
+	place     uint64 // in the ring
 	start     uint64
 	status    status
 	accusedAt time.Time // when this member learned of the accusation
@@ -99,7 +101,7 @@
 func (t *memberTable) apply(w *wireMember, version uint64, now time.Time) {
 	r := t.records[w.ID]
 	if r == nil {
-		r = &record{}
+		r = &record{place: xxhash.Sum64String(w.ID)}
 		t.records[w.ID] = r
 	}
 	wasAccused, oldIncarnation := r.status == statusAccused, r.Incarnation
@@ -163,15 +165,8 @@
 	slices.SortFunc(live, func(a, b *record) int { return strings.Compare(a.ID, b.ID) })
 	t.live = live
 	t.ring = slices.Clone(live)
-	slices.SortStableFunc(t.ring, func(a, b *record) int {
-		ha, hb := xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID)
-		if ha < hb {
-			return -1
-		}
-		if ha > hb {
-			return 1
-		}
-		return 0
+	slices.SortFunc(t.ring, func(a, b *record) int {
+		return cmp.Or(cmp.Compare(a.place, b.place), strings.Compare(a.ID, b.ID))
 	})
 }
 
