--- a/engine/engine.go
+++ b/engine/engine.go
@@ -104,3 +104,10 @@
 	Adapter string `json:"adapter,omitempty"`
 	Version string `json:"version,omitempty"`
 }
+
+// Serving is the answer of GET PathOrders: the state that the accepted orders led to.
+type Serving struct {
+	Fence   uint64 `json:"fence"`             // highest token seen
+	Version string `json:"version,omitempty"` // loaded
+	Loading string `json:"loading,omitempty"` // version being loaded
+}
--- a/standin/cloud.go
+++ b/standin/cloud.go
@@ -11,7 +11,7 @@
 	"github.com/trefoillug/trefoillug/platform"
 )
 
-// Cloud stands in for the platform's instance list, which lags, and its reclaim notices, which don't.
+// Cloud stands in for the platform's instance list, which lags, its reclaim notices, which don't, and its offers.
 type Cloud struct {
 	mux *http.ServeMux
 	lag time.Duration
@@ -21,12 +21,16 @@
 	notices   []platform.Notice
 	history   []listing // oldest first
 	faults    CloudFaults
+	pool      cloudPool
 }
 
 // CloudFaults are set by POST /faults.
 type CloudFaults struct {
 	ListDown    bool `json:"list_down"`    // GET /instances answers 503
 	NoticesDown bool `json:"notices_down"` // GET /notices answers 503
+	// RefuseStarts names the offers, or the failure domains, in which starts are refused.
+	RefuseStarts []string `json:"refuse_starts"`
+	LoseStarts   bool     `json:"lose_starts"` // starts take effect and the connection breaks
 }
 
 type listing struct {
@@ -43,6 +47,7 @@
 	c.mux.HandleFunc("GET /notices", c.getNotices)
 	c.mux.HandleFunc("POST /notices", c.postNotice)
 	c.mux.HandleFunc("POST /faults", c.setFaults)
+	c.addPool()
 	return c
 }
 
@@ -65,6 +70,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.instances, r.PathValue("id"))
+	delete(c.pool.starting, r.PathValue("id"))
 	c.record()
 }
 
--- /dev/null
+++ b/standin/cloud_pool.go
@@ -0,0 +1,84 @@
+package standin
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/trefoillug/trefoillug/platform"
+)
+
+// cloudPool is the part of a Cloud that starts instances.
+type cloudPool struct {
+	offers   []platform.Offer
+	takes    time.Duration // from a start until the instance is on the list
+	started  func(platform.Instance) platform.Instance
+	starting map[string]bool // by instance ID
+}
+
+// SetOffers sets what can be requested and how long starts take. The hook started, which may be nil, runs an endpoint
+// for a new instance and returns the instance with its address.
+func (c *Cloud) SetOffers(offers []platform.Offer, takes time.Duration, started func(platform.Instance) platform.Instance) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pool.offers, c.pool.takes, c.pool.started = offers, takes, started
+}
+
+func (c *Cloud) addPool() {
+	c.pool.starting = map[string]bool{}
+	c.mux.HandleFunc("GET /offers", c.getOffers)
+	c.mux.HandleFunc("POST /starts", c.postStart)
+}
+
+func (c *Cloud) getOffers(w http.ResponseWriter, _ *http.Request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	writeJSON(w, c.pool.offers)
+}
+
+func (c *Cloud) postStart(w http.ResponseWriter, r *http.Request) {
+	var req platform.StartRequest
+	if !decode(w, r, &req) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	i := slices.IndexFunc(c.pool.offers, func(o platform.Offer) bool { return o.ID == req.Offer })
+	if i < 0 {
+		http.Error(w, "no such offer", http.StatusNotFound)
+		return
+	}
+	offer := c.pool.offers[i]
+	if slices.Contains(c.faults.RefuseStarts, offer.ID) || slices.Contains(c.faults.RefuseStarts, offer.FailureDomain) {
+		http.Error(w, "no capacity", http.StatusConflict)
+		return
+	}
+	if _, exists := c.instances[req.ID]; !exists && !c.pool.starting[req.ID] {
+		c.pool.starting[req.ID] = true
+		time.AfterFunc(c.pool.takes, func() { c.finishStart(req, offer) })
+	}
+	if c.faults.LoseStarts {
+		panic(http.ErrAbortHandler)
+	}
+	w.WriteHeader(http.StatusAccepted)
+}
+
+// finishStart puts a started instance on the list unless it was stopped meanwhile.
+func (c *Cloud) finishStart(req platform.StartRequest, offer platform.Offer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.pool.starting[req.ID] {
+		return
+	}
+	delete(c.pool.starting, req.ID)
+	in := platform.Instance{
+		ID: req.ID, FailureDomain: offer.FailureDomain, Region: offer.Region, Role: platform.RoleEndpoint,
+		Class: offer.Class, Price: offer.Price, Reclaimable: offer.Reclaimable, Service: req.Service,
+		Assigned: req.Version, State: platform.StateLive,
+	}
+	if c.pool.started != nil {
+		in = c.pool.started(in)
+	}
+	c.instances[req.ID] = in
+	c.record()
+}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -21,6 +21,8 @@
 	LoadLag       time.Duration // age of the load report; default 500 ms
 	EventLag      time.Duration // delay of cache events; default 200 ms
 	Fencing       bool          // reject orders with an old fencing token
+	// Load fetches the weights of an order's version; nil: at once.
+	Load func(engine.Order)
 }
 
 func (c EngineConfig) withDefaults() EngineConfig {
@@ -47,18 +49,19 @@
 // Engine is a model engine whose text is a function of seed, prompt and offset, so that a resumed answer equals an
 // undisturbed one.
 type Engine struct {
-	cfg    EngineConfig
-	mux    *http.ServeMux
-	slots  *slots
-	mu     sync.Mutex
-	runs   map[string]*run // by attempt ID
-	kv     map[string]int  // by request ID: tokens of prompt and answer imported
-	cache  prefixCache
-	counts EngineCounts
-	faults EngineFaults
-	state  faultState
-	orders []engine.Order
-	loads  []engine.LoadReport
+	cfg     EngineConfig
+	mux     *http.ServeMux
+	slots   *slots
+	mu      sync.Mutex
+	runs    map[string]*run // by attempt ID
+	kv      map[string]int  // by request ID: tokens of prompt and answer imported
+	cache   prefixCache
+	counts  EngineCounts
+	faults  EngineFaults
+	state   faultState
+	orders  []engine.Order
+	serving engine.Serving
+	loads   []engine.LoadReport
 }
 
 // EngineCounts are the figures of GET /counts.
@@ -90,6 +93,7 @@
 	e.mux.HandleFunc("GET "+engine.PathLoad, e.serveLoad)
 	e.mux.HandleFunc("GET "+engine.PathEvents, e.serveEvents)
 	e.mux.HandleFunc("POST "+engine.PathOrders, e.serveOrder)
+	e.mux.HandleFunc("GET "+engine.PathOrders, e.serveServing)
 	e.mux.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Counts()) })
 	e.mux.HandleFunc("POST /faults", e.serveFaults)
 	return e
--- a/standin/engine_control.go
+++ b/standin/engine_control.go
@@ -102,9 +102,35 @@
 		return
 	}
 	e.orders = append(e.orders, order)
+	e.obey(order)
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// obey starts to load the version of an order unless it is loaded or being loaded. The engine's lock is held.
+func (e *Engine) obey(order engine.Order) {
+	e.serving.Fence = max(e.serving.Fence, order.Fence)
+	if order.Version == "" || order.Version == e.serving.Version || order.Version == e.serving.Loading {
+		return
+	}
+	e.serving.Loading = order.Version
+	go func() {
+		if e.cfg.Load != nil {
+			e.cfg.Load(order)
+		}
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if e.serving.Loading == order.Version {
+			e.serving.Version, e.serving.Loading = order.Version, ""
+		}
+	}()
+}
+
+func (e *Engine) serveServing(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	writeJSON(w, e.serving)
+}
+
 // Orders returns the accepted orders.
 func (e *Engine) Orders() []engine.Order {
 	e.mu.Lock()
