--- a/cmd/trefoillug/entry.go
+++ b/cmd/trefoillug/entry.go
@@ -9,6 +9,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/trefoillug/trefoillug/entry"
+	"github.com/trefoillug/trefoillug/pool"
 )
 
 func entryCommand() *cli.Command {
@@ -30,6 +31,11 @@
 			stringFlag("log-level", "debug, info, warning or error", "info", &s.LogLevel),
 			durationFlag("balancer-delay", "time the balancer takes to notice that /readyz is false", 3*time.Second, &s.BalancerDelay),
 			durationFlag("shutdown-limit", "longest planned stop; streams still open then are handed over", 10*time.Minute, &s.ShutdownLimit),
+			&cli.BoolFlag{Name: "pool", Usage: "size the pool of endpoints while holding its lease; off where the platform does",
+				Sources: envVar("pool"), Destination: &s.Pool},
+			durationFlag("pool-start-time", "time from the request of an instance until it is listed", pool.DefaultStartTime, &s.PoolStartTime),
+			floatFlag("weight-rate", "limit of the weight store in bytes a second; 0: none", &s.WeightRate),
+			floatFlag("weight-bytes", "size of a version's weights, for pacing their loads", &s.WeightBytes),
 		},
 		Action: func(ctx context.Context, _ *cli.Command) error {
 			if err := s.Validate(); err != nil {
--- a/cmd/trefoillug/flags.go
+++ b/cmd/trefoillug/flags.go
@@ -19,3 +19,7 @@
 func durationFlag(name, usage string, value time.Duration, dest *time.Duration) cli.Flag {
 	return &cli.DurationFlag{Name: name, Usage: usage, Value: value, Sources: envVar(name), Destination: dest}
 }
+
+func floatFlag(name, usage string, dest *float64) cli.Flag {
+	return &cli.FloatFlag{Name: name, Usage: usage, Sources: envVar(name), Destination: dest}
+}
--- a/entry/commands.go
+++ b/entry/commands.go
@@ -27,6 +27,9 @@
 // post passes an event of the request path to the core, the metrics and the refusal minutes.
 func (d *Daemon) post(e core.Event) {
 	d.metrics.observe(e)
+	if d.pool != nil {
+		d.pool.observe(e)
+	}
 	switch e := e.(type) {
 	case core.Served:
 		d.burnMu.Lock()
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -50,6 +50,7 @@
 	admission *limit.Admission
 	relay     *relay.Relay
 	metrics   *metrics
+	pool      *poolDuty // nil: the platform sizes the pool
 
 	ready     atomic.Bool
 	leaving   atomic.Bool
@@ -95,6 +96,9 @@
 		Store: d.store, Mesh: node, Log: log, Apply: d.applyConfig, Seed: seedFor(s.ID),
 	})
 	node.Subscribe("", func(f peer.Fact) { d.runner.Post(core.FactReceived{Fact: f}) })
+	if s.Pool {
+		d.pool = newPoolDuty(d, hc)
+	}
 	d.relay = relay.New(d.relayConfig())
 	return d, nil
 }
@@ -157,6 +161,9 @@
 	group.Go(func() error { return every(ctx, loadInterval, d.readLoads) })
 	group.Go(func() error { return every(ctx, flushInterval, d.flushBurn) })
 	group.Go(func() error { return every(ctx, readyInterval, d.updateReady) })
+	if d.pool != nil {
+		group.Go(func() error { return d.pool.run(ctx) })
+	}
 }
 
 // updateReady makes the instance ready once it has a configuration and an instance list.
--- /dev/null
+++ b/entry/pool.go
@@ -0,0 +1,161 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/trefoillug/trefoillug/config"
+	"github.com/trefoillug/trefoillug/core"
+	"github.com/trefoillug/trefoillug/lease"
+	"github.com/trefoillug/trefoillug/platform"
+	"github.com/trefoillug/trefoillug/pool"
+	"github.com/trefoillug/trefoillug/table"
+)
+
+// versionWatch is the longest time for which the old version may still be needed after the deadline of a move.
+const versionWatch = 30 * time.Minute
+
+// poolDuty sizes the pool of endpoints while this instance holds the lease.
+type poolDuty struct {
+	daemon *Daemon
+	rates  *pool.Rates
+	lease  *lease.Lease
+	duty   *pool.Duty
+}
+
+func newPoolDuty(d *Daemon, hc *http.Client) *poolDuty {
+	p := &poolDuty{daemon: d, rates: pool.NewRates()}
+	p.lease = lease.New(lease.Settings{
+		Store: d.store, Duty: "pool", Candidate: d.settings.ID, Process: seedFor(d.settings.ID), Members: d.candidates,
+	})
+	p.duty = pool.New(pool.Settings{
+		Lease: p.lease, Cloud: platform.NewListClient(d.settings.PlatformURL, hc), Lister: d.lister,
+		Engines: pool.EngineClient{HTTP: hc}, Store: d.store, Services: p.services, Leaving: p.isLeaving, Drain: p.drain,
+		StartTime: d.settings.PoolStartTime, WeightRate: d.settings.WeightRate, WeightBytes: d.settings.WeightBytes,
+		Log: d.log,
+	})
+	return p
+}
+
+// run returns once the lease is given up after the end of ctx.
+func (p *poolDuty) run(ctx context.Context) error {
+	var rounds sync.WaitGroup
+	rounds.Go(func() { _ = every(ctx, pool.RoundInterval, p.round) })
+	p.lease.Run(ctx, func(err error) { p.daemon.log.WithError(err).Warn("pool lease not renewed or read") })
+	rounds.Wait()
+	return nil
+}
+
+func (p *poolDuty) round(ctx context.Context) {
+	if err := p.duty.Round(ctx); err != nil && ctx.Err() == nil {
+		p.daemon.log.WithError(err).Warn("pool not planned; the next round tries again")
+	}
+}
+
+// count adds a request to the demand of a configured service.
+func (p *poolDuty) count(service string) {
+	if _, ok := p.daemon.core.Snapshot().Service(service); ok {
+		p.rates.Count(time.Now(), service)
+	}
+}
+
+func (p *poolDuty) observe(e core.Event) {
+	switch e := e.(type) {
+	case core.Served:
+		p.count(e.Service)
+	case core.Refused:
+		p.count(e.Service)
+	}
+}
+
+// services describes the configured services. The balancer spreads requests evenly, so the demand is this instance's
+// own times the number of entry instances.
+func (p *poolDuty) services() []pool.Service {
+	snap, now := p.daemon.core.Snapshot(), time.Now()
+	members := float64(len(p.daemon.candidates()))
+	var out []pool.Service
+	for _, name := range sortedKeys(snap.Services) {
+		svc := snap.Services[name]
+		s := pool.Service{
+			Name: name, Kind: svc.Config.Kind, Checks: svc.Config.Checks, Recent: members * p.rates.Recent(now, name),
+			Latency: unloadedLatency(svc), Versions: versionNeeds(svc, now),
+		}
+		for _, w := range svc.Config.Workspaces {
+			if t := w.Targets.FirstToken; t > 0 && (s.Target == 0 || t < s.Target) {
+				s.Target = t
+			}
+		}
+		for _, r := range svc.Config.Routes {
+			s.DrainLimit = max(s.DrainLimit, r.Timeout)
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+// unloadedLatency is the shortest average time to the first token at an endpoint; 0 when unknown.
+func unloadedLatency(svc *table.Service) time.Duration {
+	least := int64(0)
+	for _, e := range svc.Endpoints {
+		if us := e.Live.FirstToken.Load(); us > 0 && (least == 0 || us < least) {
+			least = us
+		}
+	}
+	return time.Duration(least) * time.Microsecond
+}
+
+// versionNeeds gives each version its share. While a move may advance or be rolled back, both of its versions are
+// sized for all of the traffic, since a ramp takes less time than a start.
+func versionNeeds(svc *table.Service, now time.Time) []pool.VersionNeed {
+	var needs []pool.VersionNeed
+	for _, v := range svc.Config.Versions {
+		need := pool.VersionNeed{Version: v.Name}
+		for _, s := range svc.Shares {
+			if s.Version == v.Name {
+				need.Part = s.Part
+			}
+		}
+		if inMove(svc.Config.Move, v.Name, now) {
+			need.Part = 1
+		}
+		need.Needed = need.Part > 0 || v.Name == svc.Config.Serve
+		needs = append(needs, need)
+	}
+	return needs
+}
+
+func inMove(m *config.Move, version string, now time.Time) bool {
+	if m == nil || (version != m.From && version != m.To) {
+		return false
+	}
+	return now.After(m.Start.Add(-versionWatch)) && now.Before(m.Deadline.Add(versionWatch))
+}
+
+// isLeaving reports whether this instance gives an endpoint no new work; the others have the same notices.
+func (p *poolDuty) isLeaving(instance string) bool {
+	for _, svc := range p.daemon.core.Snapshot().Services {
+		for _, e := range svc.Endpoints {
+			if e.ID == instance {
+				return e.Condition == table.Leaving
+			}
+		}
+	}
+	return false
+}
+
+func (p *poolDuty) drain(instance string, limit time.Duration) {
+	p.daemon.runner.Post(core.EndpointLeaving{Endpoint: instance, By: time.Now().Add(limit)})
+}
+
+// candidates names the live entry instances, this one included.
+func (d *Daemon) candidates() []string {
+	ids := map[string]bool{d.settings.ID: true}
+	for _, m := range d.node.Members() {
+		if !m.Leaving {
+			ids[m.ID] = true
+		}
+	}
+	return sortedKeys(ids)
+}
--- /dev/null
+++ b/entry/pool_test.go
@@ -0,0 +1,30 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/trefoillug/trefoillug/config"
+	"github.com/trefoillug/trefoillug/pool"
+	"github.com/trefoillug/trefoillug/table"
+)
+
+// A rollback sends all traffic back at once, so the old version must keep its capacity until the move can't return to
+// it any more, and the served version must always be needed.
+func TestVersionNeeds_Move(t *testing.T) {
+	start := time.Date(2026, 3, 2, 8, 0, 0, 0, time.UTC)
+	svc := &table.Service{
+		Config: &config.Service{
+			Serve: "v1", Versions: []config.Version{{Name: "v1"}, {Name: "v2"}, {Name: "v0"}},
+			Move: &config.Move{From: "v1", To: "v2", Start: start, Deadline: start.Add(time.Hour)},
+		},
+		Shares: []table.Share{{Version: "v2", Part: 1}},
+	}
+	both := []pool.VersionNeed{{Version: "v1", Part: 1, Needed: true}, {Version: "v2", Part: 1, Needed: true}, {Version: "v0"}}
+	must.Eq(t, both, versionNeeds(svc, start.Add(-20*time.Minute)))
+	must.Eq(t, both, versionNeeds(svc, start.Add(80*time.Minute)))
+	both[0].Part = 0
+	must.Eq(t, both, versionNeeds(svc, start.Add(2*time.Hour)))
+}
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -27,6 +27,11 @@
 	BalancerDelay time.Duration
 	// ShutdownLimit bounds a planned stop; streams still open then are handed over.
 	ShutdownLimit time.Duration
+	// Pool makes this instance a candidate for sizing the pool of endpoints.
+	Pool          bool
+	PoolStartTime time.Duration // from the request of an instance until it is listed
+	WeightRate    float64       // limit of the weight store in bytes a second; 0: none
+	WeightBytes   float64       // size of a version's weights
 }
 
 // Validate returns every problem of the settings, each naming its flag, or nil.
@@ -43,6 +48,9 @@
 		logLevel("--log-level", s.LogLevel),
 		notNegative("--balancer-delay", s.BalancerDelay),
 		notNegative("--shutdown-limit", s.ShutdownLimit),
+		notNegative("--pool-start-time", s.PoolStartTime),
+		notNegative("--weight-rate", s.WeightRate),
+		notNegative("--weight-bytes", s.WeightBytes),
 	)
 }
 
@@ -98,9 +106,9 @@
 	return nil
 }
 
-func notNegative(flag string, d time.Duration) error {
-	if d < 0 {
-		return fmt.Errorf("%s: %s is negative; use 0 or more", flag, d)
+func notNegative[T time.Duration | float64](flag string, v T) error {
+	if v < 0 {
+		return fmt.Errorf("%s: %v is negative; use 0 or more", flag, v)
 	}
 	return nil
 }
--- a/pool/duty.go
+++ b/pool/duty.go
@@ -34,6 +34,7 @@
 // Service is what the duty knows of a configured service.
 type Service struct {
 	Name            string
+	Kind            config.ServiceKind
 	Checks          config.EndpointChecks
 	Recent          float64 // highest rate in recent minutes over all entry instances, in requests a second
 	Latency, Target time.Duration
--- a/pool/view.go
+++ b/pool/view.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
+	"github.com/trefoillug/trefoillug/config"
 	"github.com/trefoillug/trefoillug/platform"
 )
 
@@ -25,10 +27,14 @@
 		if row != nil {
 			yesterday = row.yesterday()
 		}
+		weight := d.settings.WeightBytes
+		if s.Kind == config.KindPlain {
+			weight = 0
+		}
 		for _, v := range s.Versions {
 			demands = append(demands, Demand{
 				Service: s.Name, Version: v.Version, Recent: s.Recent, Profile: yesterday, Part: v.Part, Needed: v.Needed,
-				Latency: s.Latency, Target: s.Target, WeightBytes: d.settings.WeightBytes,
+				Latency: s.Latency, Target: s.Target, WeightBytes: weight,
 			})
 		}
 	}
@@ -84,7 +90,8 @@
 	}
 	if p.Version == "" {
 		i.Version, i.State = p.Assigned, Bare
-		if at, ok := d.memory.ordered[p.ID]; ok && now.Sub(at) < loadLimit {
+		// Plain services take no orders; their instances come up with the version that they were started for.
+		if at, ok := d.memory.ordered[p.ID]; d.plain(p.Service) || (ok && now.Sub(at) < loadLimit) {
 			i.State = Loading
 		}
 	}
@@ -98,6 +105,12 @@
 	return i
 }
 
+func (d *Duty) plain(service string) bool {
+	return slices.ContainsFunc(d.settings.Services(), func(s Service) bool {
+		return s.Name == service && s.Kind == config.KindPlain
+	})
+}
+
 // idle reports whether an endpoint that leaves has ended its last request. The time counts from when this holder saw
 // it leave, so clocks are not compared.
 func (d *Duty) idle(now time.Time, id string) bool {
