pool: read services and leaving endpoints once a round

Cause: the duty asked for the services and searched the endpoints for each instance on the list, work in the square of the fleet at 2,800 instances. Change: both are read once a round.

--- a/entry/pool.go
+++ b/entry/pool.go
@@ -32,7 +32,7 @@
 	})
 	p.duty = pool.New(pool.Settings{
 		Lease: p.lease, Cloud: platform.NewListClient(d.settings.PlatformURL, hc), Lister: d.lister,
-		Engines: pool.EngineClient{HTTP: hc}, Store: d.store, Services: p.services, Leaving: p.isLeaving, Drain: p.drain,
+		Engines: pool.EngineClient{HTTP: hc}, Store: d.store, Services: p.services, Leaving: p.leaving, Drain: p.drain,
 		StartTime: d.settings.PoolStartTime, WeightRate: d.settings.WeightRate, WeightBytes: d.settings.WeightBytes,
 		Log: d.log,
 	})
@@ -133,16 +133,17 @@
 	return now.After(m.Start.Add(-versionWatch)) && now.Before(m.Deadline.Add(versionWatch))
 }
 
-// isLeaving reports whether this instance gives an endpoint no new work; the others have the same notices.
-func (p *poolDuty) isLeaving(instance string) bool {
+// leaving names the endpoints that get no new work from this instance; the others have the same notices.
+func (p *poolDuty) leaving() map[string]bool {
+	ids := map[string]bool{}
 	for _, svc := range p.daemon.core.Snapshot().Services {
 		for _, e := range svc.Endpoints {
-			if e.ID == instance {
-				return e.Condition == table.Leaving
+			if e.Condition == table.Leaving {
+				ids[e.ID] = true
 			}
 		}
 	}
-	return false
+	return ids
 }
 
 func (p *poolDuty) drain(instance string, limit time.Duration) {
--- a/pool/duty.go
+++ b/pool/duty.go
@@ -64,7 +64,7 @@
 	Engines     Engines
 	Store       objstore.Store
 	Services    func() []Service
-	Leaving     func(instance string) bool                 // whether an endpoint gets no new work
+	Leaving     func() map[string]bool                     // endpoints that get no new work
 	Drain       func(instance string, limit time.Duration) // stops new work at all entry instances
 	StartTime   time.Duration                              // 0: DefaultStartTime
 	WeightRate  float64                                    // of the weight store, in bytes a second; 0: no limit
@@ -76,6 +76,7 @@
 type Duty struct {
 	settings Settings
 	memory   memory
+	services []Service // as of this round
 }
 
 // memory is what the holder remembers of its own actions under one grant. A new holder starts without, which costs a
@@ -134,6 +135,7 @@
 	if err := d.confirm(ctx); err != nil {
 		return err
 	}
+	d.services = d.settings.Services()
 	demands := d.demands(ctx)
 	for range startAttempts {
 		in := d.input(time.Now(), demands, list, offers)
@@ -282,7 +284,7 @@
 
 func (d *Duty) loads(ctx context.Context, g lease.Grant, loads []Load, present []platform.Instance) error {
 	checks := map[string]config.EndpointChecks{}
-	for _, s := range d.settings.Services() {
+	for _, s := range d.services {
 		checks[s.Name] = s.Checks
 	}
 	addresses := map[string]string{}
--- a/pool/duty_test.go
+++ b/pool/duty_test.go
@@ -135,10 +135,14 @@
 	return New(Settings{
 		Lease: l, Cloud: client, Lister: lister, Engines: EngineClient{hc}, Store: store, Services: w.services, Log: w.log,
 		StartTime: worldStart, WeightRate: 1, WeightBytes: worldWeight,
-		Leaving: func(id string) bool {
+		Leaving: func() map[string]bool {
 			w.mu.Lock()
 			defer w.mu.Unlock()
-			return !w.leaving[id].IsZero()
+			leaving := map[string]bool{}
+			for id := range w.leaving {
+				leaving[id] = true
+			}
+			return leaving
 		},
 		Drain: func(id string, _ time.Duration) {
 			w.mu.Lock()
--- a/pool/view.go
+++ b/pool/view.go
@@ -16,7 +16,7 @@
 // demands returns the demand of each version. Without its profile, a service is planned by its recent rate.
 func (d *Duty) demands(ctx context.Context) []Demand {
 	var demands []Demand
-	for _, s := range d.settings.Services() {
+	for _, s := range d.services {
 		var yesterday [ProfileSteps]float64
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		row, err := d.memory.profiles.observe(call, time.Now(), s.Name, s.Recent)
@@ -52,9 +52,10 @@
 		})
 	}
 	d.forgetUnlisted(list)
+	leaving := d.settings.Leaving()
 	for i := range list {
 		if list[i].Role == platform.RoleEndpoint {
-			in.Instances = append(in.Instances, d.instance(now, &list[i], offers))
+			in.Instances = append(in.Instances, d.instance(now, &list[i], leaving[list[i].ID], offers))
 		}
 	}
 	for id, s := range d.memory.starting {
@@ -82,7 +83,7 @@
 	maps.DeleteFunc(d.memory.draining, func(id string, _ time.Time) bool { return !listed[id] })
 }
 
-func (d *Duty) instance(now time.Time, p *platform.Instance, offers []platform.Offer) Instance {
+func (d *Duty) instance(now time.Time, p *platform.Instance, leaving bool, offers []platform.Offer) Instance {
 	delete(d.memory.starting, p.ID)
 	i := Instance{
 		ID: p.ID, Service: p.Service, Version: p.Version, Class: p.Class, FailureDomain: p.FailureDomain,
@@ -95,7 +96,7 @@
 			i.State = Loading
 		}
 	}
-	if p.State == platform.StateLeaving || d.settings.Leaving(p.ID) {
+	if p.State == platform.StateLeaving || leaving {
 		i.State = Draining
 		i.Idle = d.idle(now, p.ID)
 	} else if _, drained := d.memory.draining[p.ID]; drained {
@@ -106,7 +107,7 @@
 }
 
 func (d *Duty) plain(service string) bool {
-	return slices.ContainsFunc(d.settings.Services(), func(s Service) bool {
+	return slices.ContainsFunc(d.services, func(s Service) bool {
 		return s.Name == service && s.Kind == config.KindPlain
 	})
 }
@@ -125,7 +126,7 @@
 // drainLimit returns the longest time that a request may run on an endpoint after its drain.
 func (d *Duty) drainLimit() time.Duration {
 	limit := time.Duration(0)
-	for _, s := range d.settings.Services() {
+	for _, s := range d.services {
 		limit = max(limit, s.DrainLimit)
 	}
 	return limit + workStops
