pool: test that a plan is not carried out once the lease was taken

Guards the check at commit against a holder whose clock runs slow. With the renewal at commit replaced by a look at the own clock, TestDuty_LeaseTaken fails (no error, starts requested).

--- a/pool/duty_test.go
+++ b/pool/duty_test.go
@@ -241,6 +241,28 @@
 	})
 }
 
+// A holder whose lease was taken while its own clock, being slow, still shows a valid grant must not carry out a plan.
+func TestDuty_LeaseTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		w.rate = 30
+		d, l := w.duty("a", nil)
+		must.NoError(t, l.Step(t.Context()))
+		time.Sleep(3 * time.Second)
+		must.NoError(t, l.Step(t.Context()))
+		store := objstore.NewClient("http://store", &http.Client{Transport: w})
+		held, err := store.Get(t.Context(), "lease/pool")
+		must.NoError(t, err)
+		taken := bytes.Replace(held.Value, []byte("\x61a"), []byte("\x61b"), 1)
+		_, err = store.Put(t.Context(), "lease/pool", taken, held.Version)
+		must.NoError(t, err)
+		_, ok := l.Held()
+		must.True(t, ok)
+		must.ErrorIs(t, d.Round(t.Context()), lease.ErrNotHeld)
+		must.EqOp(t, 0, w.starts)
+	})
+}
+
 // A drain planned while an endpoint was alive must not be carried out once that endpoint is gone.
 func TestStillValid_InstanceGone(t *testing.T) {
 	live := func(id, version string) platform.Instance {
