Feed the endpoint choice with what this instance observes

Cause: nothing updated the live figures that the choice reads: averages of the time to the first token and per token, prompt tokens still to be processed, and the prefixes sent to each endpoint. It worked from its defaults and the ring alone. Change: the core keeps the averages, the relay the prompt tokens in progress, and the chooser records the prefixes of each prompt it places. A load report's age counts from its arrival, since clocks of instances are never compared. A model route that is declared not idempotent is refused, since the relay would repeat it.

--- a/config/decode_test.go
+++ b/config/decode_test.go
@@ -66,6 +66,7 @@
 		"no version":        {"service: a\nkind: model\n", "f:1: versions: names no version"},
 		"version twice":     {"service: a\nkind: model\nserve: v1\nversions: [v1, v1]\n", "f:4: versions[1]: v1 is given twice"},
 		"serve unknown":     {"service: a\nkind: model\nversions: [v1]\nserve: v3\n", `f:4: serve: version "v3" is not listed`},
+		"model runs once":   {"service: a\nkind: model\nversions: [v1]\nroutes: [{path: /v1/chat/completions, idempotent: false}]\n", "idempotent: a model answer"},
 		"no route":          {"service: a\nkind: plain\nversions: [v1]\n", "f:1: routes: the service has no route"},
 		"no path":           {plainFile + "  \n", ""},
 		"route to nothing":  {strings.Replace(plainFile, "path: /orders", "name: x", 1), "f:4: routes[0].path: is missing"},
--- a/config/routes.go
+++ b/config/routes.go
@@ -41,6 +41,9 @@
 	r.Methods = names(o, "methods", parseMethod, "use GET, HEAD, OPTIONS, POST, PUT, PATCH or DELETE")
 	r.Name = optional(o, "name", routeName(r.Path), parseName, fixName)
 	r.Idempotent = optional(o, "idempotent", kind == KindModel || isSafe(r.Methods), parseBool, "write true or false")
+	if kind == KindModel && !r.Idempotent {
+		o.report("idempotent", "a model answer is generated from a seed and may always be repeated", "leave it out, or use kind: plain")
+	}
 	r.Priority = optional(o, "priority", PriorityNormal, parsePriority, "write low, normal or high")
 	r.Timeout = optional(o, "timeout", timeout, parseDuration, fixDuration)
 	return r
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -89,3 +89,16 @@
 	must.Eq(t, uint64(5), c.Snapshot().Revision)
 	must.MapContainsKey(t, c.Snapshot().Services, "labels")
 }
+
+// Guards against an endpoint choice that goes by the defaults for ever, or follows a single slow answer.
+func TestCore_MovingAverages(t *testing.T) {
+	c := newCore(instance("e1", "a"))
+	done := AttemptDone{Endpoint: "e1", Service: "labels", Version: "v1", FirstToken: 80 * time.Millisecond, PerToken: 16 * time.Millisecond}
+	c.Step(start, done)
+	live := c.Snapshot().Services["labels"].Endpoints[0].Live
+	must.Eq(t, int64(80_000), live.FirstToken.Load())
+	done.FirstToken = 160 * time.Millisecond
+	c.Step(start, done)
+	must.Eq(t, int64(90_000), live.FirstToken.Load())
+	must.Eq(t, int64(16_000), live.PerToken.Load())
+}
--- a/core/endpoints.go
+++ b/core/endpoints.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -20,6 +21,8 @@
 	leavingTTL = 10 * time.Minute
 	// suspectTime is how long an endpoint gets no new work after its connections broke.
 	suspectTime = 2 * time.Second
+	// averageWeight is the reciprocal of the weight of a new sample in a moving average.
+	averageWeight = 8
 	// suspectTimeMax bounds the doubling of suspectTime while an endpoint keeps failing.
 	suspectTimeMax = 30 * time.Second
 )
@@ -128,6 +131,7 @@
 func (t *endpoints) attemptDone(now time.Time, e AttemptDone) {
 	switch e.Result {
 	case Succeeded:
+		t.measure(e)
 		delete(t.suspects, e.Endpoint)
 		if row, ok := t.rows[e.Endpoint]; ok && row.Condition == table.Suspect {
 			t.update(e.Endpoint, func(r *table.Endpoint) { r.Condition = table.Ready })
@@ -137,6 +141,26 @@
 	}
 }
 
+// measure updates the moving averages of an endpoint.
+func (t *endpoints) measure(e AttemptDone) {
+	if row, ok := t.rows[e.Endpoint]; ok {
+		average(&row.Live.FirstToken, e.FirstToken)
+		average(&row.Live.PerToken, e.PerToken)
+	}
+}
+
+// average moves an average in microseconds by a part of its distance to the sample, and to the first sample at once.
+func average(a *atomic.Int64, sample time.Duration) {
+	us, old := sample.Microseconds(), a.Load()
+	switch {
+	case us <= 0:
+	case old == 0:
+		a.Store(us)
+	default:
+		a.Store(max(1, old+(us-old)/averageWeight))
+	}
+}
+
 // crashed takes an endpoint out of service for a time that doubles while it keeps failing.
 func (t *endpoints) crashed(now time.Time, id string) {
 	row, ok := t.rows[id]
--- a/entry/adapters.go
+++ b/entry/adapters.go
@@ -90,7 +90,15 @@
 			req.Exclude = append(req.Exclude, e.ID)
 		}
 	}
-	return route.Choose(svc, req, time.Now(), rng)
+	now := time.Now()
+	e, ok := route.Choose(svc, req, now, rng)
+	if ok {
+		// The prompt is in the endpoint's cache from now on; requests with a common prefix follow it there.
+		for _, p := range req.Prefixes {
+			e.Live.Prefixes.Add(p.Hash, now)
+		}
+	}
+	return e, ok
 }
 
 // bytesPerToken is the usual length of a token of text.
--- a/entry/loads.go
+++ b/entry/loads.go
@@ -70,6 +70,7 @@
 	d.runner.Post(core.LoadReported{Endpoint: e.ID, Load: load})
 }
 
+// fetchLoad reads a load report. Its age counts from its arrival, since clocks of instances are never compared.
 func fetchLoad(ctx context.Context, address string) (table.Load, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+engine.PathLoad, nil)
 	if err != nil {
@@ -87,5 +88,5 @@
 	if err := json.NewDecoder(resp.Body).Decode(&r); err != nil {
 		return table.Load{}, fmt.Errorf("decode load report: %w", err)
 	}
-	return table.Load{Running: r.Running, Waiting: r.Waiting, KVUsed: r.KVUsed, At: time.UnixMilli(r.AtMS)}, nil
+	return table.Load{Running: r.Running, Waiting: r.Waiting, KVUsed: r.KVUsed, At: time.Now()}, nil
 }
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -16,6 +16,8 @@
 const (
 	// maxErrorAnswers bounds the attempts of a request that endpoints answer with errors of their own.
 	maxErrorAnswers = 4
+	// bytesPerToken is the usual length of a token of a JSON prompt.
+	bytesPerToken = 4
 	// budgetPoll is the time between looks at an exhausted retry budget.
 	budgetPoll = 50 * time.Millisecond
 	// crashNotedTime bounds the wait for a crash to show in the snapshot: two ticks and a half.
@@ -89,7 +91,9 @@
 	if err != nil {
 		return dispatch.Result{End: dispatch.Cancelled, Err: err}
 	}
-	log := attemptLog{started: s.relay.cfg.Now()}
+	log := attemptLog{started: s.relay.cfg.Now(), prompt: int64(len(s.call.Body) / bytesPerToken)}
+	got.endpoint.Live.Prefill.Add(log.prompt)
+	defer log.prefilled(got.endpoint)
 	result := s.relay.cfg.Dispatch.Stream(ctx, &dispatch.StreamCall{
 		Endpoint: got.endpoint, RequestID: s.call.RequestID, AttemptID: got.attempt, Body: body, First: offset,
 	}, func(e *engine.StreamEvent) error { s.receive(got.endpoint, e, &log, offset > 0); return nil })
@@ -120,6 +124,13 @@
 	first      time.Duration
 	tokens     int
 	recomputed int
+	prompt     int64 // estimated tokens that the endpoint has yet to process before the first token
+}
+
+// prefilled records that the prompt is processed or no longer wanted.
+func (l *attemptLog) prefilled(e *table.Endpoint) {
+	e.Live.Prefill.Add(-l.prompt)
+	l.prompt = 0
 }
 
 func (s *session) receive(from *table.Endpoint, e *engine.StreamEvent, log *attemptLog, resumed bool) {
@@ -133,6 +144,7 @@
 		return
 	}
 	if log.tokens == 0 {
+		log.prefilled(from)
 		log.first = s.relay.cfg.Now().Sub(log.started)
 	}
 	log.tokens++
