Bound the time that a suspected request waits to run alone

Cause: an endpoint that crashes under many requests makes all of them suspects, and each waited without bound for an endpoint that runs nothing else. With 24 streams on two engines and one crash, a caller had no answer after 40 s. Ruled out: the retry budget (3 retries a second, 12 needed) and lost facts between the instances (one instance alone showed it). Change: a suspect of one crash waits 1 s, of several 10 s, then runs beside others. A request that crashes endpoints amid many others may now cost a third endpoint; alone it costs two as before. The process tests wait until the lagging instance list shows the endpoints: before, the reclaim of a failure domain found no stream on them.

--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -200,6 +200,17 @@
 	return st
 }
 
+// knows reports whether the instance knows at least n endpoints of every service.
+func (p *process) knows(n int) bool {
+	services := p.status().Services
+	for _, s := range services {
+		if len(s.Endpoints) < n {
+			return false
+		}
+	}
+	return len(services) > 0
+}
+
 // publish puts services in effect at the store and waits for the named instances.
 func (w *world) publish(services []config.Service, waitFor ...*process) uint64 {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
@@ -238,6 +249,9 @@
 	}
 	w.publish(testServices(w.t, ""), w.entries...)
 	w.awaitReady(w.entries...)
+	for _, p := range w.entries {
+		w.eventually(10*time.Second, "all endpoints known at "+p.id, func() bool { return p.knows(2) })
+	}
 	return w
 }
 
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -305,3 +305,26 @@
 		must.Eq(t, want(fmt.Sprint("innocent ", i), 10), w.entries[i%3].chat(fmt.Sprint("innocent ", i), 10).text())
 	}
 }
+
+// Guards against requests lost or delayed beyond their deadline when an endpoint crashes under many of them: each is a
+// suspect then and runs alone.
+func TestCrash_ManySuspects(t *testing.T) {
+	w := cluster(t)
+	const tokens = 100
+	answers := make([]answer, 24)
+	var group sync.WaitGroup
+	begin := time.Now()
+	for i := range answers {
+		group.Go(func() { answers[i] = w.entries[i%3].chat(fmt.Sprint("draft ", i), tokens) })
+	}
+	time.Sleep(400 * time.Millisecond)
+	running := w.engines["m1"].Counts().Running
+	must.Positive(t, running)
+	w.engines["m1"].SetFaults(standin.EngineFaults{DownNow: true})
+	group.Wait()
+	for i, a := range answers {
+		must.NoError(t, a.err)
+		must.Eq(t, want(fmt.Sprint("draft ", i), tokens), a.text())
+	}
+	t.Logf("%d streams on the crashed endpoint, all 24 whole after %s", running, time.Since(begin).Round(100*time.Millisecond))
+}
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -15,6 +15,11 @@
 const (
 	// factCrash is the key prefix of facts about crashes of endpoints.
 	factCrash = "crash/"
+	// isolationWait is how long a suspect of one crash waits for an endpoint of its own. The first token is due within
+	// 1.9 s, and nearly every suspect of a crash under load is innocent.
+	isolationWait = time.Second
+	// isolationWaitRepeated is the same for a suspect of several crashes, of which there are few.
+	isolationWaitRepeated = 10 * time.Second
 	// isolatedLimit bounds an isolated run whose end is never reported.
 	isolatedLimit = 2 * time.Minute
 )
@@ -30,9 +35,18 @@
 	return s.table.IsQuarantined(quarantine.Fingerprint(fp), time.Now())
 }
 
-// MustIsolate implements relay.Quarantine.
-func (s suspects) MustIsolate(fp uint64) bool {
-	return s.table.MustIsolate(quarantine.Fingerprint(fp), time.Now())
+// MustIsolate implements relay.Quarantine. A crash under many requests makes all of them suspects, and most are
+// innocent; a suspect that has waited long enough runs beside others, which may cost a third endpoint and keeps the
+// innocent ones within their deadlines.
+func (s suspects) MustIsolate(fp uint64, waited time.Duration) bool {
+	d := s.table.Decide(quarantine.Fingerprint(fp), time.Now())
+	if d.Action != quarantine.Isolate {
+		return false
+	}
+	if d.Crashes == 1 {
+		return waited < isolationWait
+	}
+	return waited < isolationWaitRepeated
 }
 
 // MustHold implements relay.Quarantine.
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -68,7 +68,7 @@
 	table, now := New(Options{}), t0.Add(time.Minute)
 	_, _ = table.Crashed("e1", attempts(1), t0)
 	f, _ := table.Crashed("e2", []Running{{1, now}}, now)
-	must.Eq(t, Decision{Hold, now.Add(DefaultSettle)}, table.Decide(1, now))
+	must.Eq(t, Decision{Hold, now.Add(DefaultSettle), 2}, table.Decide(1, now))
 	table.Merge(Fact{Crash: f.Crash, Running: []Fingerprint{2}}, now)
 	table.Merge(Fact{Crash: CrashID{Endpoint: "e1", Number: 1}, Running: []Fingerprint{2}}, now)
 	must.True(t, table.MustIsolate(1, now.Add(DefaultSettle)))
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -65,6 +65,8 @@
 type Decision struct {
 	Action Action
 	Until  time.Time // set for Hold
+	// Crashes is the number of crashes that the request may have caused.
+	Crashes int
 }
 
 // crash is what is known of one crash of an endpoint.
@@ -158,11 +160,11 @@
 	case total == 0:
 		return Decision{Action: Run}
 	case total == 1 || attributed == 0:
-		return Decision{Action: Isolate}
+		return Decision{Action: Isolate, Crashes: total}
 	case !unsettled.IsZero():
-		return Decision{Action: Hold, Until: unsettled}
+		return Decision{Action: Hold, Until: unsettled, Crashes: total}
 	default:
-		return Decision{Action: Refuse}
+		return Decision{Action: Refuse, Crashes: total}
 	}
 }
 
--- a/relay/acquire.go
+++ b/relay/acquire.go
@@ -47,7 +47,7 @@
 
 // acquire waits until an endpoint takes the call, at most until the call's deadline.
 func (r *Relay) acquire(ctx context.Context, s *search) (*slot, error) {
-	if got, err := r.tryAcquire(s, false); got != nil || err != nil {
+	if got, err := r.tryAcquire(s, 0); got != nil || err != nil {
 		return got, err
 	}
 	select {
@@ -65,14 +65,15 @@
 			return nil, problem.New(problem.NoEndpoint, "no endpoint of service %s was ready in time", s.call.Service.Name)
 		case <-poll.C:
 		}
-		if got, err := r.tryAcquire(s, time.Since(began) >= widenAfter); got != nil || err != nil {
+		if got, err := r.tryAcquire(s, time.Since(began)); got != nil || err != nil {
 			return got, err
 		}
 	}
 }
 
-// tryAcquire looks once through the current snapshot. A request can become quarantined while it waits.
-func (r *Relay) tryAcquire(s *search, widened bool) (*slot, error) {
+// tryAcquire looks once through the current snapshot, after the call has waited for some time. A request can become
+// quarantined while it waits.
+func (r *Relay) tryAcquire(s *search, waited time.Duration) (*slot, error) {
 	svc, ok := r.cfg.Snapshots().Service(s.call.Service.Name)
 	if !ok {
 		return nil, nil
@@ -83,10 +84,11 @@
 		return nil, problem.New(problem.Quarantined, "the request crashed its endpoints")
 	case q.MustHold(fp):
 		return nil, nil
-	case q.MustIsolate(fp):
+	case q.MustIsolate(fp, waited):
 		return r.isolated(s, svc), nil
 	}
-	e := r.choose(s, svc, widened)
+	r.stopSearch(s)
+	e := r.choose(s, svc, waited >= widenAfter)
 	if e == nil {
 		return nil, nil
 	}
--- a/relay/defaults.go
+++ b/relay/defaults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/trefoillug/trefoillug/problem"
 	"github.com/trefoillug/trefoillug/table"
@@ -55,7 +56,7 @@
 func (NoQuarantine) IsQuarantined(uint64) bool { return false }
 
 // MustIsolate implements Quarantine.
-func (NoQuarantine) MustIsolate(uint64) bool { return false }
+func (NoQuarantine) MustIsolate(uint64, time.Duration) bool { return false }
 
 // MustHold implements Quarantine.
 func (NoQuarantine) MustHold(uint64) bool { return false }
--- a/relay/fakes_test.go
+++ b/relay/fakes_test.go
@@ -128,7 +128,8 @@
 type suspects struct{ isolate, quarantined bool }
 
 func (s suspects) IsQuarantined(uint64) bool { return s.quarantined }
-func (s suspects) MustIsolate(uint64) bool   { return s.isolate }
+
+func (s suspects) MustIsolate(uint64, time.Duration) bool { return s.isolate }
 
 func (s suspects) MustHold(uint64) bool              { return false }
 func (s suspects) BeginIsolated(uint64, string) bool { return true }
@@ -148,7 +149,8 @@
 }
 
 func (q *twoStrikes) IsQuarantined(f uint64) bool { return q.count(f) >= 2 }
-func (q *twoStrikes) MustIsolate(f uint64) bool   { return q.count(f) == 1 }
+
+func (q *twoStrikes) MustIsolate(f uint64, _ time.Duration) bool { return q.count(f) == 1 }
 
 func (q *twoStrikes) count(f uint64) int {
 	q.mu.Lock()
--- a/relay/interfaces.go
+++ b/relay/interfaces.go
@@ -84,8 +84,9 @@
 // Quarantine knows the requests that crash endpoints.
 type Quarantine interface {
 	IsQuarantined(fingerprint uint64) bool
-	// MustIsolate tells that the request may only run on an endpoint that runs nothing else meanwhile.
-	MustIsolate(fingerprint uint64) bool
+	// MustIsolate tells that the request may only run on an endpoint that runs nothing else meanwhile. waited is how
+	// long the request has waited for one.
+	MustIsolate(fingerprint uint64, waited time.Duration) bool
 	// MustHold tells that the request may not run now, because news of a crash is still under way.
 	MustHold(fingerprint uint64) bool
 	// BeginIsolated reserves the isolated run of a request and reports false while another one is under way.
--- a/relay/reclaim.go
+++ b/relay/reclaim.go
@@ -121,7 +121,7 @@
 	if left > moveLead && !from.LeaveBy.IsZero() {
 		return
 	}
-	to, _ := r.tryAcquire(&search{call: s.call, tried: map[string]bool{from.ID: true}}, true)
+	to, _ := r.tryAcquire(&search{call: s.call, tried: map[string]bool{from.ID: true}}, widenAfter)
 	if to == nil {
 		// The stream goes on where it is as long as that lasts.
 		return
