--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -66,7 +66,7 @@
 
 // world is a platform of stand-ins with entry instances as processes.
 type world struct {
-	t        *testing.T
+	t        testing.TB
 	store    *standin.Objects
 	storeURL string // for the instances
 	direct   string // store URL for operators
@@ -84,7 +84,7 @@
 	exited                   chan struct{}
 }
 
-func newWorld(t *testing.T) *world {
+func newWorld(t testing.TB) *world {
 	w := &world{t: t, store: standin.NewObjects(standin.ObjectsOptions{}), engines: map[string]*standin.Engine{}, services: map[string]*standin.Service{}}
 	store := httptest.NewServer(w.store)
 	w.storeURL, w.direct = store.URL, store.URL
@@ -174,7 +174,7 @@
 	}
 }
 
-func (p *process) signal(t *testing.T, s os.Signal) { must.NoError(t, p.cmd.Process.Signal(s)) }
+func (p *process) signal(t testing.TB, s os.Signal) { must.NoError(t, p.cmd.Process.Signal(s)) }
 
 func (p *process) get(path string) bool {
 	client := http.Client{Timeout: time.Second}
@@ -225,7 +225,7 @@
 }
 
 // services returns the two services of the tests, decoded as an operator would write them.
-func testServices(t *testing.T, extra string) []config.Service {
+func testServices(t testing.TB, extra string) []config.Service {
 	files := []config.File{
 		{Name: "labels.yaml", Data: []byte("service: labels\nkind: model\nversions: [v1, v2]\nserve: v1\nworkspaces: [{name: bakeries}]\n" + extra)},
 		{Name: "orders.yaml", Data: []byte("service: orders\nkind: plain\nversions: [v1]\nworkspaces: [{name: bakeries}]\n" +
@@ -237,7 +237,7 @@
 }
 
 // cluster starts three instances in three failure domains before two engines and two services.
-func cluster(t *testing.T) *world { return newWorld(t).populate() }
+func cluster(t testing.TB) *world { return newWorld(t).populate() }
 
 func (w *world) populate() *world {
 	w.engine("m1", "a", "v1")
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -77,4 +77,11 @@
 
 echo "== status"
 bin/trefoillug status --entry "127.0.0.1:$((base + 41))" || fail status
+
+echo "== planned stop of the instances, then the burn report from what they recorded"
+for pid in "${pids[@]: -3}"; do kill "$pid"; done
+for pid in "${pids[@]: -3}"; do wait "$pid" || fail "an instance did not stop cleanly"; done
+pids=("${pids[@]:0:${#pids[@]}-3}")
+bin/trefoillug report burn --store "$store" | tee "$dir/burn" || fail "report burn"
+grep -q '^quotes *pickup-notes *1 *0 ' "$dir/burn" || fail "the report does not show the served request"
 echo "== done"
