--- a/cmd/trefoillug/status.go
+++ b/cmd/trefoillug/status.go
@@ -85,9 +85,11 @@
 
 func printStatuses(w io.Writer, all []entry.Status) error {
 	tw := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(tw, "INSTANCE\tFAILURE DOMAIN\tREADY\tREVISION")
+	fmt.Fprintln(tw, "INSTANCE\tFAILURE DOMAIN\tREADY\tREVISION\tADMITTED\tOVER LIMIT\tOVERLOADED\tWAITING")
 	for _, st := range all {
-		fmt.Fprintf(tw, "%s\t%s\t%t\t%d\n", st.Instance, st.FailureDomain, st.Ready, st.Revision)
+		a := st.Admission
+		fmt.Fprintf(tw, "%s\t%s\t%t\t%d\t%d\t%d\t%d\t%d\n", st.Instance, st.FailureDomain, st.Ready, st.Revision,
+			a.Admitted, a.OverLimit, a.Overloaded, a.Waiting)
 	}
 	if len(all) > 0 {
 		printServices(tw, all[0].Services)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -51,6 +51,11 @@
 	Cancelled            // the context ended
 )
 
+// String returns the end as shown in logs.
+func (e End) String() string {
+	return [...]string{"complete", "no_connection", "lost", "silent", "answered", "broken", "moved", "cancelled"}[e]
+}
+
 // Sent tells what the endpoint may have received.
 type Sent int
 
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/trefoillug/trefoillug/core"
 	"github.com/trefoillug/trefoillug/dispatch"
 	"github.com/trefoillug/trefoillug/engine"
@@ -223,6 +225,17 @@
 		})
 	}
 	r.cfg.Post(done)
+	if done.Result != core.Succeeded {
+		r.logAttempt(call, got, result)
+	}
+}
+
+// logAttempt writes a line for an attempt that brought no whole answer.
+func (r *Relay) logAttempt(call *Call, got *slot, result dispatch.Result) {
+	r.cfg.Log.WithError(result.Err).WithFields(logrus.Fields{
+		"request": call.RequestID, "attempt": got.attempt, "workspace": call.Workspace, "service": call.Service.Name,
+		"version": got.endpoint.Version, "endpoint": got.endpoint.ID, "end": result.End,
+	}).Info("attempt ended without a whole answer")
 }
 
 // awaitCrashNoted waits until the snapshot shows that an endpoint broke. The core counts the crash against the
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -125,9 +125,23 @@
 		w.Header().Set(headerRequestID, f.requestID)
 	}
 	problem.Write(w, f.err, f.requestID)
+	r.logRefusal(f)
 	r.cfg.Post(core.Refused{Service: f.service, Workspace: f.workspace, Kind: problem.KindOf(f.err)})
 }
 
+// logRefusal writes a line for each refusal; those that are the caller's own error only matter when one looks for them.
+func (r *Relay) logRefusal(f refusal) {
+	kind := problem.KindOf(f.err)
+	log := r.cfg.Log.WithError(f.err).WithFields(logrus.Fields{
+		"request": f.requestID, "service": f.service, "workspace": f.workspace, "kind": kind, "outcome": problem.OutcomeOf(f.err),
+	})
+	if problem.AnswerFor(kind).CallerError {
+		log.Debug("request refused")
+		return
+	}
+	log.Warn("request refused")
+}
+
 // NewServer returns a server for callers with the bounds on headers and idle connections.
 func NewServer(h http.Handler) *http.Server {
 	return &http.Server{
