Start fault tests from observed state instead of a fixed wait

Ruled out: the silence timer (the other seven ended as silent). Change: the tests wait until each stream has brought an event, and the process tests until the endpoint runs streams.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -82,13 +83,7 @@
 			f := forward(t, serve(t, e))
 			ep := endpoint(f.Address())
 			client := dispatch.New(dispatch.Settings{})
-			results := make(chan dispatch.Result, 8)
-			for i := range cap(results) {
-				go func() {
-					results <- client.Stream(context.Background(), streamCall(ep, string(rune('a'+i)), 2000), func(*engine.StreamEvent) error { return nil })
-				}()
-			}
-			time.Sleep(200 * time.Millisecond)
+			results := startStreams(t, client, ep, 8)
 			f.Silence(ways[0], ways[1])
 			start := time.Now()
 			for range cap(results) {
@@ -104,6 +99,28 @@
 	}
 }
 
+// startStreams starts n long streams and returns once each has brought an event, so that all connections stand.
+func startStreams(t *testing.T, client *dispatch.Client, ep *table.Endpoint, n int) <-chan dispatch.Result {
+	results, begun := make(chan dispatch.Result, n), make(chan struct{}, n)
+	for i := range n {
+		go func() {
+			var once sync.Once
+			results <- client.Stream(context.Background(), streamCall(ep, string(rune('a'+i)), 2000), func(*engine.StreamEvent) error {
+				once.Do(func() { begun <- struct{}{} })
+				return nil
+			})
+		}()
+	}
+	for range n {
+		select {
+		case <-begun:
+		case <-time.After(10 * time.Second):
+			t.Fatal("not every stream began")
+		}
+	}
+	return results
+}
+
 // Guards against a stalled stream that takes down the streams on working connections beside it.
 func TestStream_StalledStreamLeavesOthers(t *testing.T) {
 	e := standin.NewEngine(standin.EngineConfig{DecodeStep: 10 * time.Millisecond})
@@ -125,13 +142,7 @@
 	e := standin.NewEngine(standin.EngineConfig{DecodeStep: 10 * time.Millisecond})
 	f := forward(t, serve(t, e))
 	client := dispatch.New(dispatch.Settings{})
-	results := make(chan dispatch.Result, 20)
-	for i := range cap(results) {
-		go func() {
-			results <- client.Stream(context.Background(), streamCall(endpoint(f.Address()), string(rune('a'+i)), 2000), func(*engine.StreamEvent) error { return nil })
-		}()
-	}
-	time.Sleep(200 * time.Millisecond)
+	results := startStreams(t, client, endpoint(f.Address()), 20)
 	f.Cut()
 	for range cap(results) {
 		r := <-results
--- a/e2e/pairs_test.go
+++ b/e2e/pairs_test.go
@@ -62,8 +62,7 @@
 	for i := range answers {
 		group.Go(func() { answers[i] = w.entries[1+i%2].chat(fmt.Sprint("label ", i), tokens) })
 	}
-	time.Sleep(300 * time.Millisecond)
-	must.Positive(t, w.engines["m1"].Counts().Running)
+	w.eventually(3*time.Second, "streams on the engine", func() bool { return w.engines["m1"].Counts().Running > 0 })
 	w.notice(platform.Notice{FailureDomain: "a", By: time.Now().Add(2 * time.Second)})
 	w.engines["m1"].SetFaults(standin.EngineFaults{LeaveInMS: 2000})
 	group.Wait()
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -310,16 +310,18 @@
 // suspect then and runs alone.
 func TestCrash_ManySuspects(t *testing.T) {
 	w := cluster(t)
-	const tokens = 100
+	const tokens = 200
 	answers := make([]answer, 24)
 	var group sync.WaitGroup
 	begin := time.Now()
 	for i := range answers {
 		group.Go(func() { answers[i] = w.entries[i%3].chat(fmt.Sprint("draft ", i), tokens) })
 	}
-	time.Sleep(400 * time.Millisecond)
-	running := w.engines["m1"].Counts().Running
-	must.Positive(t, running)
+	running := 0
+	w.eventually(5*time.Second, "streams on the engine", func() bool {
+		running = w.engines["m1"].Counts().Running
+		return running >= 4
+	})
 	w.engines["m1"].SetFaults(standin.EngineFaults{DownNow: true})
 	group.Wait()
 	for i, a := range answers {
