--- a/entry/loads.go
+++ b/entry/loads.go
@@ -32,7 +32,9 @@
 // loadTargets returns the next endpoints to read, those with requests of this instance in flight first.
 func (d *Daemon) loadTargets() []*table.Endpoint {
 	var busy, idle []*table.Endpoint
-	for _, svc := range d.core.Snapshot().Services {
+	services := d.core.Snapshot().Services
+	for _, name := range sortedKeys(services) {
+		svc := services[name]
 		if svc.Config.Kind != config.KindModel {
 			continue
 		}
@@ -49,7 +51,8 @@
 	return append(targets, take(idle, loadReads-len(targets), d.loadTurn)...)
 }
 
-// take returns n elements of all, starting at another place each turn.
+// take returns n elements of all, starting at another place each turn, so that all get their turn while the order of
+// all stays the same.
 func take(all []*table.Endpoint, n, turn int) []*table.Endpoint {
 	var taken []*table.Endpoint
 	for i := range min(n, len(all)) {
