--- a/core/moves.go
+++ b/core/moves.go
@@ -35,7 +35,7 @@
 }
 
 // evidence tells whether an attempt speaks for or against its version. The loss of an endpoint that was announced to
-// leave, or that a quarantined request crashed, says nothing about the version.
+// leave says nothing about the version.
 func (c *Core) evidence(e AttemptDone) move.Attempt {
 	switch e.Result {
 	case Succeeded:
@@ -44,8 +44,7 @@
 		return move.Failed
 	case EndpointLost:
 		row, listed := c.endpoints.rows[e.Endpoint]
-		_, quarantined := c.Snapshot().Quarantined[e.Fingerprint]
-		if !listed || row.Condition == table.Leaving || quarantined {
+		if !listed || row.Condition == table.Leaving {
 			return move.Excluded
 		}
 		return move.Failed
--- a/table/table.go
+++ b/table/table.go
@@ -100,7 +100,6 @@
 type Snapshot struct {
 	Revision    uint64
 	Services    map[string]*Service
-	Quarantined map[uint64]struct{} // fingerprints of requests that crash endpoints
 }
 
 // Service returns the named service of the snapshot.
