--- a/table/table.go
+++ b/table/table.go
@@ -98,8 +98,8 @@
 
 // Snapshot is an immutable view of the tables.
 type Snapshot struct {
-	Revision    uint64
-	Services    map[string]*Service
+	Revision uint64
+	Services map[string]*Service
 }
 
 // Service returns the named service of the snapshot.
