--- a/platform/cloud.go
+++ b/cloud/cloud.go
@@ -1,4 +1,4 @@
-package platform
+package cloud
 
 import (
 	"bytes"
--- a/platform/platform.go
+++ b/cloud/instances.go
@@ -1,5 +1,5 @@
-// Package platform holds the interfaces to the platform's instance list and cloud API, and their HTTP clients.
-package platform
+// Package cloud holds the interfaces to the platform's instance list and cloud API, and their HTTP clients.
+package cloud
 
 import (
 	"context"
--- a/platform/platform_test.go
+++ b/cloud/instances_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package cloud_test
 
 import (
 	"context"
@@ -9,17 +9,17 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/trefoillug/trefoillug/platform"
+	"github.com/trefoillug/trefoillug/cloud"
 	"github.com/trefoillug/trefoillug/standin"
 )
 
 // Guards against transferring the whole instance list each second, and against missing a change of it.
 func TestListClient_TransfersChangesOnly(t *testing.T) {
-	cloud := standin.NewCloud(0)
+	machines := standin.NewCloud(0)
 	transfers := 0
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		rec := httptest.NewRecorder()
-		cloud.ServeHTTP(rec, r)
+		machines.ServeHTTP(rec, r)
 		if r.Method == http.MethodGet && rec.Code == http.StatusOK {
 			transfers++
 		}
@@ -28,7 +28,7 @@
 		_, _ = w.Write(rec.Body.Bytes())
 	}))
 	defer server.Close()
-	client := platform.NewListClient(server.URL, http.DefaultClient)
+	client := cloud.NewListClient(server.URL, http.DefaultClient)
 	put := func(id string) {
 		req, err := http.NewRequest(http.MethodPut, server.URL+"/instances/"+id, strings.NewReader(`{"role":"endpoint"}`))
 		must.NoError(t, err)
--- a/cmd/trefoillug-standin/main.go
+++ b/cmd/trefoillug-standin/main.go
@@ -16,7 +16,7 @@
 
 	"github.com/urfave/cli/v3"
 
-	"github.com/trefoillug/trefoillug/platform"
+	"github.com/trefoillug/trefoillug/cloud"
 	"github.com/trefoillug/trefoillug/standin"
 )
 
@@ -85,13 +85,13 @@
 
 // registration puts an endpoint on the instance list while it runs.
 type registration struct {
-	instance platform.Instance
+	instance cloud.Instance
 	platform string
 }
 
 func (r *registration) flags() []cli.Flag {
 	in := &r.instance
-	in.Role, in.State, in.Reclaimable = platform.RoleEndpoint, platform.StateLive, true
+	in.Role, in.State, in.Reclaimable = cloud.RoleEndpoint, cloud.StateLive, true
 	required := func(name, usage string, dest *string) cli.Flag {
 		return &cli.StringFlag{Name: name, Usage: usage, Required: true, Destination: dest}
 	}
--- a/core/bench_test.go
+++ b/core/bench_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/trefoillug/trefoillug/cloud"
 	"github.com/trefoillug/trefoillug/config"
-	"github.com/trefoillug/trefoillug/platform"
 )
 
 // BenchmarkCapacityCore measures a tick with 4 finished attempts (40 a second, above the 32 of a node at the target)
@@ -37,17 +37,17 @@
 	}
 }
 
-func sizedCore(endpoints int) (*Core, []platform.Instance) {
+func sizedCore(endpoints int) (*Core, []cloud.Instance) {
 	services := min(max(endpoints/5, 2), 100)
 	var cfg []config.Service
 	for i := range services {
 		cfg = append(cfg, config.Service{Name: fmt.Sprint("service-", i), Kind: config.KindModel, Serve: "v1"})
 	}
-	var instances []platform.Instance
+	var instances []cloud.Instance
 	for i := range endpoints {
-		instances = append(instances, platform.Instance{
+		instances = append(instances, cloud.Instance{
 			ID: fmt.Sprint("endpoint-", i), Address: fmt.Sprintf("10.0.%d.%d:8000", i/250, i%250), FailureDomain: fmt.Sprint("fd", i%5),
-			Role: platform.RoleEndpoint, Service: cfg[i%services].Name, Version: "v1", State: platform.StateLive,
+			Role: cloud.RoleEndpoint, Service: cfg[i%services].Name, Version: "v1", State: cloud.StateLive,
 		})
 	}
 	c := New(Settings{Instance: "entry-1"})
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -6,21 +6,21 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/trefoillug/trefoillug/cloud"
 	"github.com/trefoillug/trefoillug/config"
 	"github.com/trefoillug/trefoillug/peer"
-	"github.com/trefoillug/trefoillug/platform"
 	"github.com/trefoillug/trefoillug/table"
 )
 
 var start = time.Date(2026, 12, 4, 4, 0, 0, 0, time.UTC)
 
-func instance(id, domain string) platform.Instance {
-	return platform.Instance{
-		ID: id, FailureDomain: domain, Role: platform.RoleEndpoint, Service: "labels", Version: "v1", State: platform.StateLive,
+func instance(id, domain string) cloud.Instance {
+	return cloud.Instance{
+		ID: id, FailureDomain: domain, Role: cloud.RoleEndpoint, Service: "labels", Version: "v1", State: cloud.StateLive,
 	}
 }
 
-func newCore(instances ...platform.Instance) *Core {
+func newCore(instances ...cloud.Instance) *Core {
 	c := New(Settings{Instance: "entry-1"})
 	c.Step(start, ConfigAccepted{Revision: 5, Services: []config.Service{{Name: "labels", Serve: "v1"}}},
 		InstancesListed{Instances: instances})
@@ -40,7 +40,7 @@
 func TestCore_NoticeWinsOverLaggingList(t *testing.T) {
 	c := newCore(instance("e1", "a"), instance("e2", "b"))
 	c.Step(start.Add(time.Second), EndpointLeaving{Endpoint: "e1", By: start.Add(20 * time.Second)})
-	c.Step(start.Add(2*time.Second), InstancesListed{Instances: []platform.Instance{instance("e1", "a"), instance("e2", "b")}})
+	c.Step(start.Add(2*time.Second), InstancesListed{Instances: []cloud.Instance{instance("e1", "a"), instance("e2", "b")}})
 	must.Eq(t, table.Leaving, condition(c, "e1"))
 	must.Eq(t, table.Ready, condition(c, "e2"))
 }
@@ -59,7 +59,7 @@
 func TestCore_LateEndpointOfLeavingDomain(t *testing.T) {
 	c := newCore(instance("e1", "a"))
 	c.Step(start, EndpointLeaving{FailureDomain: "a", By: start.Add(20 * time.Second)})
-	c.Step(start.Add(time.Second), InstancesListed{Instances: []platform.Instance{instance("e1", "a"), instance("e3", "a")}})
+	c.Step(start.Add(time.Second), InstancesListed{Instances: []cloud.Instance{instance("e1", "a"), instance("e3", "a")}})
 	must.Eq(t, table.Leaving, condition(c, "e3"))
 }
 
--- a/core/endpoints.go
+++ b/core/endpoints.go
@@ -8,7 +8,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/trefoillug/trefoillug/platform"
+	"github.com/trefoillug/trefoillug/cloud"
 	"github.com/trefoillug/trefoillug/table"
 )
 
@@ -37,11 +37,11 @@
 }
 
 // list replaces the rows by the platform's list. Notices and own observations win over the list, which lags.
-func (t *endpoints) list(now time.Time, instances []platform.Instance) {
+func (t *endpoints) list(now time.Time, instances []cloud.Instance) {
 	rows := make(map[string]*table.Endpoint, len(instances))
 	for i := range instances {
 		in := &instances[i]
-		if in.Role != platform.RoleEndpoint {
+		if in.Role != cloud.RoleEndpoint {
 			continue
 		}
 		rows[in.ID] = t.fromInstance(in)
@@ -55,7 +55,7 @@
 	t.sorted = nil
 }
 
-func (t *endpoints) fromInstance(in *platform.Instance) *table.Endpoint {
+func (t *endpoints) fromInstance(in *cloud.Instance) *table.Endpoint {
 	e := &table.Endpoint{
 		ID: in.ID, Address: in.Address, FailureDomain: in.FailureDomain, Class: in.Class, Price: in.Price,
 		Reclaimable: in.Reclaimable, Service: in.Service, Version: in.Version,
@@ -66,7 +66,7 @@
 	} else {
 		e.Live = &table.Counters{}
 	}
-	if in.State == platform.StateLeaving {
+	if in.State == cloud.StateLeaving {
 		e.Condition, e.LeaveBy = table.Leaving, in.LeaveBy
 	}
 	if by, ok := t.notice(e); ok {
--- a/core/events.go
+++ b/core/events.go
@@ -3,10 +3,10 @@
 import (
 	"time"
 
+	"github.com/trefoillug/trefoillug/cloud"
 	"github.com/trefoillug/trefoillug/config"
 	"github.com/trefoillug/trefoillug/move"
 	"github.com/trefoillug/trefoillug/peer"
-	"github.com/trefoillug/trefoillug/platform"
 	"github.com/trefoillug/trefoillug/problem"
 	"github.com/trefoillug/trefoillug/table"
 )
@@ -21,7 +21,7 @@
 }
 
 // InstancesListed carries the platform's instance list.
-type InstancesListed struct{ Instances []platform.Instance }
+type InstancesListed struct{ Instances []cloud.Instance }
 
 // EndpointLeaving tells that an endpoint, or each endpoint of a failure domain, will be gone by a time.
 type EndpointLeaving struct {
--- a/core/example_test.go
+++ b/core/example_test.go
@@ -4,9 +4,9 @@
 	"fmt"
 	"time"
 
+	"github.com/trefoillug/trefoillug/cloud"
 	"github.com/trefoillug/trefoillug/config"
 	"github.com/trefoillug/trefoillug/core"
-	"github.com/trefoillug/trefoillug/platform"
 )
 
 // An outside bench drives the core with timed events and reads commands and snapshots; no clock or I/O is involved.
@@ -15,9 +15,9 @@
 	now := time.Date(2026, 12, 4, 4, 0, 0, 0, time.UTC)
 	c.Step(now,
 		core.ConfigAccepted{Revision: 1, Services: []config.Service{{Name: "labels", Kind: config.KindModel, Serve: "v1"}}},
-		core.InstancesListed{Instances: []platform.Instance{
-			{ID: "e1", FailureDomain: "a", Role: platform.RoleEndpoint, Service: "labels", Version: "v1"},
-			{ID: "e2", FailureDomain: "b", Role: platform.RoleEndpoint, Service: "labels", Version: "v1"},
+		core.InstancesListed{Instances: []cloud.Instance{
+			{ID: "e1", FailureDomain: "a", Role: cloud.RoleEndpoint, Service: "labels", Version: "v1"},
+			{ID: "e2", FailureDomain: "b", Role: cloud.RoleEndpoint, Service: "labels", Version: "v1"},
 		}},
 	)
 	commands := c.Step(now.Add(time.Second), core.EndpointLeaving{FailureDomain: "a", By: now.Add(10 * time.Second)})
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"github.com/trefoillug/trefoillug/platform"
+	"github.com/trefoillug/trefoillug/cloud"
 	"github.com/trefoillug/trefoillug/standin"
 )
 
@@ -30,11 +30,11 @@
 	}{
 		{"none", func(*world) {}},
 		{"endpoint reclaimed, 3 s notice", func(w *world) {
-			w.notice(platform.Notice{Instance: "m1", By: in(3 * time.Second)})
+			w.notice(cloud.Notice{Instance: "m1", By: in(3 * time.Second)})
 			w.engines["m1"].SetFaults(standin.EngineFaults{LeaveInMS: 3000})
 		}},
 		{"failure domain reclaimed, 3 s notice", func(w *world) {
-			w.notice(platform.Notice{FailureDomain: "a", By: in(3 * time.Second)})
+			w.notice(cloud.Notice{FailureDomain: "a", By: in(3 * time.Second)})
 			w.engines["m1"].SetFaults(standin.EngineFaults{LeaveInMS: 3000})
 		}},
 		{"endpoint crashes", func(w *world) { w.engines["m1"].SetFaults(standin.EngineFaults{DownNow: true}) }},
--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -21,10 +21,10 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/trefoillug/trefoillug/cloud"
 	"github.com/trefoillug/trefoillug/config"
 	"github.com/trefoillug/trefoillug/entry"
 	"github.com/trefoillug/trefoillug/objstore"
-	"github.com/trefoillug/trefoillug/platform"
 	"github.com/trefoillug/trefoillug/standin"
 )
 
@@ -98,8 +98,8 @@
 	return w
 }
 
-func (w *world) register(in platform.Instance) {
-	in.State, in.Reclaimable, in.Price = platform.StateLive, true, 1
+func (w *world) register(in cloud.Instance) {
+	in.State, in.Reclaimable, in.Price = cloud.StateLive, true, 1
 	body, err := json.Marshal(in)
 	must.NoError(w.t, err)
 	w.send(http.MethodPut, w.cloud.URL+"/instances/"+in.ID, body)
@@ -117,8 +117,8 @@
 func (w *world) serve(id, domain, service, version string, h http.Handler) {
 	s := httptest.NewServer(h)
 	w.t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
-	w.register(platform.Instance{
-		ID: id, Address: strings.TrimPrefix(s.URL, "http://"), FailureDomain: domain, Role: platform.RoleEndpoint,
+	w.register(cloud.Instance{
+		ID: id, Address: strings.TrimPrefix(s.URL, "http://"), FailureDomain: domain, Role: cloud.RoleEndpoint,
 		Service: service, Version: version,
 	})
 }
@@ -158,7 +158,7 @@
 		close(p.exited)
 	}()
 	w.t.Cleanup(func() { w.stopForGood(p) })
-	w.register(platform.Instance{ID: id, Address: p.peer, FailureDomain: domain, Role: platform.RoleEntry})
+	w.register(cloud.Instance{ID: id, Address: p.peer, FailureDomain: domain, Role: cloud.RoleEntry})
 	w.entries = append(w.entries, p)
 	w.eventually(10*time.Second, "instance "+id+" answers", func() bool { return p.get("/healthz") })
 	return p
--- a/e2e/pairs_test.go
+++ b/e2e/pairs_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/trefoillug/trefoillug/platform"
+	"github.com/trefoillug/trefoillug/cloud"
 	"github.com/trefoillug/trefoillug/standin"
 )
 
@@ -63,7 +63,7 @@
 		group.Go(func() { answers[i] = w.entries[1+i%2].chat(fmt.Sprint("label ", i), tokens) })
 	}
 	w.eventually(3*time.Second, "streams on the engine", func() bool { return w.engines["m1"].Counts().Running > 0 })
-	w.notice(platform.Notice{FailureDomain: "a", By: time.Now().Add(2 * time.Second)})
+	w.notice(cloud.Notice{FailureDomain: "a", By: time.Now().Add(2 * time.Second)})
 	w.engines["m1"].SetFaults(standin.EngineFaults{LeaveInMS: 2000})
 	group.Wait()
 	for i, a := range answers {
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/trefoillug/trefoillug/platform"
+	"github.com/trefoillug/trefoillug/cloud"
 	"github.com/trefoillug/trefoillug/standin"
 )
 
@@ -130,7 +130,7 @@
 	w := cluster(t)
 	const prompt, tokens = "allergens of a walnut roll", 600
 	first := w.entries[0].chatAndAct(prompt, tokens, 20, func() {
-		w.notice(platform.Notice{Instance: "entry-1", By: time.Now().Add(4 * time.Second)})
+		w.notice(cloud.Notice{Instance: "entry-1", By: time.Now().Add(4 * time.Second)})
 	})
 	id := first.header.Get("X-Request-Id")
 	must.NotEq(t, "", id)
@@ -142,7 +142,7 @@
 	must.Eq(t, want(prompt, tokens), wholeText(first)+rest.text())
 }
 
-func (w *world) notice(n platform.Notice) {
+func (w *world) notice(n cloud.Notice) {
 	body := fmt.Sprintf(`{"instance":%q,"failure_domain":%q,"by":%q}`, n.Instance, n.FailureDomain, n.By.Format(time.RFC3339Nano))
 	w.send(http.MethodPost, w.cloud.URL+"/notices", []byte(body))
 }
@@ -157,7 +157,7 @@
 		group.Go(func() { answers[i] = w.entries[1+i%2].chat(fmt.Sprint("label ", i), tokens) })
 	}
 	time.Sleep(300 * time.Millisecond)
-	w.notice(platform.Notice{FailureDomain: "a", By: time.Now().Add(2 * time.Second)})
+	w.notice(cloud.Notice{FailureDomain: "a", By: time.Now().Add(2 * time.Second)})
 	time.Sleep(2 * time.Second)
 	w.engines["m1"].SetFaults(standin.EngineFaults{DownNow: true})
 	group.Wait()
@@ -265,7 +265,7 @@
 // Guards against a leaving endpoint that gets new work more than 3 s after its notice, at any instance.
 func TestLeaving_NoNewWorkAfterNotice(t *testing.T) {
 	w := cluster(t)
-	w.notice(platform.Notice{Instance: "m1", By: time.Now().Add(time.Minute)})
+	w.notice(cloud.Notice{Instance: "m1", By: time.Now().Add(time.Minute)})
 	time.Sleep(3 * time.Second)
 	before := w.engines["m1"].Counts().Runs
 	for i := range 30 {
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -16,12 +16,12 @@
 
 	"github.com/trefoillug/trefoillug/burn"
 	"github.com/trefoillug/trefoillug/claim"
+	"github.com/trefoillug/trefoillug/cloud"
 	"github.com/trefoillug/trefoillug/config"
 	"github.com/trefoillug/trefoillug/core"
 	"github.com/trefoillug/trefoillug/limit"
 	"github.com/trefoillug/trefoillug/objstore"
 	"github.com/trefoillug/trefoillug/peer"
-	"github.com/trefoillug/trefoillug/platform"
 	"github.com/trefoillug/trefoillug/quarantine"
 	"github.com/trefoillug/trefoillug/relay"
 )
@@ -44,8 +44,8 @@
 	core      *core.Core
 	runner    *runner
 	store     objstore.Store
-	lister    platform.InstanceLister
-	noticer   platform.Noticer
+	lister    cloud.InstanceLister
+	noticer   cloud.Noticer
 	node      *peer.Node
 	config    *config.Distributor
 	claims    *claim.Service
@@ -60,9 +60,9 @@
 	listed    atomic.Bool    // the instance list was read once
 	reclaimed chan time.Time // the time by which a reclaim ends this instance
 
-	seenNotices map[platform.Notice]bool // used by readNotices only
-	lastList    []platform.Instance      // used by readInstances only
-	loadTurn    int                      // used by readLoads only
+	seenNotices map[cloud.Notice]bool // used by readNotices only
+	lastList    []cloud.Instance      // used by readInstances only
+	loadTurn    int                   // used by readLoads only
 
 	burnMu       sync.Mutex
 	burn         *burn.Recorder
@@ -74,13 +74,13 @@
 func New(s Settings, log logrus.FieldLogger) (*Daemon, error) {
 	log = log.WithField("instance", s.ID)
 	hc := &http.Client{Timeout: storeTimeout}
-	client := platform.NewListClient(s.PlatformURL, hc)
+	client := cloud.NewListClient(s.PlatformURL, hc)
 	d := &Daemon{
 		settings: s, log: log, lister: client, noticer: client,
 		store:       objstore.NewClient(s.StoreURL, nil),
 		core:        core.New(core.Settings{Instance: s.ID, FailureDomain: s.FailureDomain, Epoch: uint64(time.Now().UnixMilli())}),
 		reclaimed:   make(chan time.Time, 1),
-		seenNotices: map[platform.Notice]bool{},
+		seenNotices: map[cloud.Notice]bool{},
 		burn:        burn.NewRecorder(),
 		started:     time.Now().UTC().Format("20060102T150405.000"),
 		metrics:     newMetrics(),
--- a/entry/platform.go
+++ b/entry/platform.go
@@ -5,9 +5,9 @@
 	"slices"
 	"time"
 
+	"github.com/trefoillug/trefoillug/cloud"
 	"github.com/trefoillug/trefoillug/core"
 	"github.com/trefoillug/trefoillug/peer"
-	"github.com/trefoillug/trefoillug/platform"
 )
 
 const (
@@ -72,20 +72,20 @@
 	}
 }
 
-func (d *Daemon) concernsSelf(n platform.Notice) bool {
+func (d *Daemon) concernsSelf(n cloud.Notice) bool {
 	if n.Instance != "" {
 		return n.Instance == d.settings.ID
 	}
 	return n.FailureDomain == d.settings.FailureDomain
 }
 
-func (d *Daemon) updateMembers(list []platform.Instance) {
+func (d *Daemon) updateMembers(list []cloud.Instance) {
 	var members []peer.Member
 	for _, in := range list {
-		if in.Role == platform.RoleEntry {
+		if in.Role == cloud.RoleEntry {
 			members = append(members, peer.Member{
 				ID: in.ID, Address: in.Address, FailureDomain: in.FailureDomain, Region: in.Region,
-				Leaving: in.State == platform.StateLeaving,
+				Leaving: in.State == cloud.StateLeaving,
 			})
 		}
 	}
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -6,10 +6,10 @@
 	"sync"
 	"time"
 
+	"github.com/trefoillug/trefoillug/cloud"
 	"github.com/trefoillug/trefoillug/config"
 	"github.com/trefoillug/trefoillug/core"
 	"github.com/trefoillug/trefoillug/lease"
-	"github.com/trefoillug/trefoillug/platform"
 	"github.com/trefoillug/trefoillug/pool"
 	"github.com/trefoillug/trefoillug/table"
 )
@@ -31,7 +31,7 @@
 		Store: d.store, Duty: "pool", Candidate: d.settings.ID, Process: seedFor(d.settings.ID), Members: d.candidates,
 	})
 	p.duty = pool.New(pool.Settings{
-		Lease: p.lease, Cloud: platform.NewListClient(d.settings.PlatformURL, hc), Lister: d.lister,
+		Lease: p.lease, Cloud: cloud.NewListClient(d.settings.PlatformURL, hc), Lister: d.lister,
 		Engines: pool.EngineClient{HTTP: hc}, Store: d.store, Services: p.services, Leaving: p.leaving, Drain: p.drain,
 		StartTime: d.settings.PoolStartTime, WeightRate: d.settings.WeightRate, WeightBytes: d.settings.WeightBytes,
 		Log: d.log,
--- a/pool/duty.go
+++ b/pool/duty.go
@@ -9,10 +9,10 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/trefoillug/trefoillug/cloud"
 	"github.com/trefoillug/trefoillug/config"
 	"github.com/trefoillug/trefoillug/lease"
 	"github.com/trefoillug/trefoillug/objstore"
-	"github.com/trefoillug/trefoillug/platform"
 )
 
 const (
@@ -59,8 +59,8 @@
 // Settings of a Duty.
 type Settings struct {
 	Lease       Lease
-	Cloud       platform.Cloud
-	Lister      platform.InstanceLister
+	Cloud       cloud.Cloud
+	Lister      cloud.InstanceLister
 	Engines     Engines
 	Store       objstore.Store
 	Services    func() []Service
@@ -97,7 +97,7 @@
 }
 
 type starting struct {
-	request   platform.StartRequest
+	request   cloud.StartRequest
 	instance  Instance
 	since     time.Time
 	confirmed bool // false: the response was lost
@@ -147,13 +147,13 @@
 	return nil
 }
 
-func (d *Duty) list(ctx context.Context) ([]platform.Instance, error) {
+func (d *Duty) list(ctx context.Context) ([]cloud.Instance, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	return d.settings.Lister.Instances(ctx)
 }
 
-func (d *Duty) offers(ctx context.Context) ([]platform.Offer, error) {
+func (d *Duty) offers(ctx context.Context) ([]cloud.Offer, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	return d.settings.Cloud.Offers(ctx)
@@ -161,7 +161,7 @@
 
 // commit carries out a plan after proving that the lease is still held and that the instances it was made for still
 // exist. It reports whether a start was refused.
-func (d *Duty) commit(ctx context.Context, p Plan, planned []platform.Instance) (refused bool, err error) {
+func (d *Duty) commit(ctx context.Context, p Plan, planned []cloud.Instance) (refused bool, err error) {
 	if len(p.Starts)+len(p.Drains)+len(p.Stops)+len(p.Loads) == 0 {
 		return false, nil
 	}
@@ -192,13 +192,13 @@
 
 // stillValid drops what the present list contradicts: orders and stops of instances that are gone, and every drain
 // when an instance that served at the time of the plan no longer does.
-func stillValid(p Plan, planned, present []platform.Instance) Plan {
-	now := map[string]*platform.Instance{}
+func stillValid(p Plan, planned, present []cloud.Instance) Plan {
+	now := map[string]*cloud.Instance{}
 	for i := range present {
 		now[present[i].ID] = &present[i]
 	}
-	serves := func(in *platform.Instance) bool {
-		return in != nil && in.State == platform.StateLive && in.Version != ""
+	serves := func(in *cloud.Instance) bool {
+		return in != nil && in.State == cloud.StateLive && in.Version != ""
 	}
 	for i := range planned {
 		if serves(&planned[i]) && !serves(now[planned[i].ID]) {
@@ -208,7 +208,7 @@
 	p.Stops = slices.DeleteFunc(p.Stops, func(id string) bool { return now[id] == nil })
 	p.Loads = slices.DeleteFunc(p.Loads, func(l Load) bool {
 		in := now[l.Instance]
-		return in == nil || in.State != platform.StateLive || in.Version != "" || in.Assigned != l.Version
+		return in == nil || in.State != cloud.StateLive || in.Version != "" || in.Assigned != l.Version
 	})
 	return p
 }
@@ -230,7 +230,7 @@
 	id := fmt.Sprintf("%s-%d-%d", s.Service, d.memory.token, d.memory.seq)
 	return d.request(ctx, starting{
 		since:   time.Now(),
-		request: platform.StartRequest{ID: id, Offer: s.Offer.ID, Service: s.Service, Version: s.Version},
+		request: cloud.StartRequest{ID: id, Offer: s.Offer.ID, Service: s.Service, Version: s.Version},
 		instance: Instance{
 			ID: id, Service: s.Service, Version: s.Version, Class: s.Offer.Class, FailureDomain: s.Offer.FailureDomain,
 			Price: s.Offer.Price, Reclaimable: s.Offer.Reclaimable, Capacity: s.Offer.Capacity, State: Starting,
@@ -259,7 +259,7 @@
 	defer cancel()
 	err = d.settings.Cloud.Start(ctx, s.request)
 	log := d.settings.Log.WithField("endpoint", s.request.ID).WithField("offer", s.request.Offer)
-	if errors.Is(err, platform.ErrStartRefused) {
+	if errors.Is(err, cloud.ErrStartRefused) {
 		r := d.memory.refusals[s.request.Offer]
 		d.memory.refusals[s.request.Offer] = refusal{r.count + 1, time.Now()}
 		delete(d.memory.starting, s.request.ID)
@@ -282,7 +282,7 @@
 	return (&Offer{Refusals: r.count, LastRefusal: r.last}).passedOver(time.Now())
 }
 
-func (d *Duty) loads(ctx context.Context, g lease.Grant, loads []Load, present []platform.Instance) error {
+func (d *Duty) loads(ctx context.Context, g lease.Grant, loads []Load, present []cloud.Instance) error {
 	checks := map[string]config.EndpointChecks{}
 	for _, s := range d.services {
 		checks[s.Name] = s.Checks
--- a/pool/duty_test.go
+++ b/pool/duty_test.go
@@ -18,11 +18,11 @@
 	"github.com/shoenig/test/must"
 	"github.com/sirupsen/logrus"
 
+	"github.com/trefoillug/trefoillug/cloud"
 	"github.com/trefoillug/trefoillug/config"
 	"github.com/trefoillug/trefoillug/engine"
 	"github.com/trefoillug/trefoillug/lease"
 	"github.com/trefoillug/trefoillug/objstore"
-	"github.com/trefoillug/trefoillug/platform"
 	"github.com/trefoillug/trefoillug/standin"
 )
 
@@ -53,9 +53,9 @@
 	}
 	w.log.SetOutput(io.Discard)
 	w.hosts = map[string]http.Handler{"cloud": w.cloud, "store": standin.NewObjects(standin.ObjectsOptions{})}
-	var offers []platform.Offer
+	var offers []cloud.Offer
 	for _, o := range dayOffers() {
-		offers = append(offers, platform.Offer{
+		offers = append(offers, cloud.Offer{
 			ID: o.ID, Class: "c", FailureDomain: o.FailureDomain, Price: o.Price, Reclaimable: o.Reclaimable, Capacity: o.Capacity,
 		})
 	}
@@ -64,7 +64,7 @@
 }
 
 // run starts an engine for an instance; the engine puts itself on the list with the version that it loaded.
-func (w *world) run(in platform.Instance) platform.Instance {
+func (w *world) run(in cloud.Instance) cloud.Instance {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	in.Address = in.ID
@@ -116,17 +116,17 @@
 }
 
 // list is the present list, after its lag.
-func (w *world) list(t *testing.T) []platform.Instance {
+func (w *world) list(t *testing.T) []cloud.Instance {
 	time.Sleep(2 * time.Second)
-	list, err := platform.NewListClient("http://cloud", &http.Client{Transport: w}).Instances(t.Context())
+	list, err := cloud.NewListClient("http://cloud", &http.Client{Transport: w}).Instances(t.Context())
 	must.NoError(t, err)
 	return list
 }
 
 // duty returns a candidate with its lease.
-func (w *world) duty(id string, lister platform.InstanceLister) (*Duty, *lease.Lease) {
+func (w *world) duty(id string, lister cloud.InstanceLister) (*Duty, *lease.Lease) {
 	hc := &http.Client{Transport: w}
-	client := platform.NewListClient("http://cloud", hc)
+	client := cloud.NewListClient("http://cloud", hc)
 	if lister == nil {
 		lister = client
 	}
@@ -173,10 +173,10 @@
 	running.Wait()
 }
 
-func serving(list []platform.Instance) (total float64, byDomain map[string]float64) {
+func serving(list []cloud.Instance) (total float64, byDomain map[string]float64) {
 	byDomain = map[string]float64{}
 	for _, in := range list {
-		if in.Version == "v1" && in.State == platform.StateLive {
+		if in.Version == "v1" && in.State == cloud.StateLive {
 			total += dayCapacity
 			byDomain[in.FailureDomain] += dayCapacity
 		}
@@ -214,11 +214,11 @@
 
 // pausedLister pauses at the second reading, which comes after the lease was validated.
 type pausedLister struct {
-	platform.InstanceLister
+	cloud.InstanceLister
 	reads int
 }
 
-func (p *pausedLister) Instances(ctx context.Context) ([]platform.Instance, error) {
+func (p *pausedLister) Instances(ctx context.Context) ([]cloud.Instance, error) {
 	if p.reads++; p.reads == 2 {
 		time.Sleep(time.Minute)
 	}
@@ -230,7 +230,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld()
 		w.rate = 30
-		d, l := w.duty("a", &pausedLister{InstanceLister: platform.NewListClient("http://cloud", &http.Client{Transport: w})})
+		d, l := w.duty("a", &pausedLister{InstanceLister: cloud.NewListClient("http://cloud", &http.Client{Transport: w})})
 		time.Sleep(time.Second)
 		for range 10 {
 			must.NoError(t, l.Step(t.Context()))
@@ -265,12 +265,12 @@
 
 // A drain planned while an endpoint was alive must not be carried out once that endpoint is gone.
 func TestStillValid_InstanceGone(t *testing.T) {
-	live := func(id, version string) platform.Instance {
-		return platform.Instance{ID: id, Version: version, Assigned: "v1", State: platform.StateLive}
+	live := func(id, version string) cloud.Instance {
+		return cloud.Instance{ID: id, Version: version, Assigned: "v1", State: cloud.StateLive}
 	}
-	planned := []platform.Instance{live("a", "v1"), live("b", "v1"), live("c", ""), live("d", "")}
+	planned := []cloud.Instance{live("a", "v1"), live("b", "v1"), live("c", ""), live("d", "")}
 	p := Plan{Drains: []string{"a"}, Stops: []string{"b"}, Loads: []Load{{"c", "s", "v1"}, {"d", "s", "v1"}}}
-	got := stillValid(p, planned, []platform.Instance{live("a", "v1"), live("c", ""), live("d", "v1")})
+	got := stillValid(p, planned, []cloud.Instance{live("a", "v1"), live("c", ""), live("d", "v1")})
 	must.Eq(t, Plan{Stops: []string{}, Loads: []Load{{"c", "s", "v1"}}}, got)
 }
 
--- a/pool/view.go
+++ b/pool/view.go
@@ -6,8 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/trefoillug/trefoillug/cloud"
 	"github.com/trefoillug/trefoillug/config"
-	"github.com/trefoillug/trefoillug/platform"
 )
 
 // workStops is the time within which every entry instance stops giving new work to an endpoint that leaves.
@@ -42,7 +42,7 @@
 }
 
 // input joins the platform's view with what this holder did and the list doesn't show yet.
-func (d *Duty) input(now time.Time, demands []Demand, list []platform.Instance, offers []platform.Offer) Input {
+func (d *Duty) input(now time.Time, demands []Demand, list []cloud.Instance, offers []cloud.Offer) Input {
 	in := Input{Demands: demands, StartTime: d.settings.StartTime, WeightRate: d.settings.WeightRate}
 	for _, o := range offers {
 		r := d.memory.refusals[o.ID]
@@ -54,7 +54,7 @@
 	d.forgetUnlisted(list)
 	leaving := d.settings.Leaving()
 	for i := range list {
-		if list[i].Role == platform.RoleEndpoint {
+		if list[i].Role == cloud.RoleEndpoint {
 			in.Instances = append(in.Instances, d.instance(now, &list[i], leaving[list[i].ID], offers))
 		}
 	}
@@ -74,7 +74,7 @@
 }
 
 // forgetUnlisted drops what was remembered of instances that are gone.
-func (d *Duty) forgetUnlisted(list []platform.Instance) {
+func (d *Duty) forgetUnlisted(list []cloud.Instance) {
 	listed := map[string]bool{}
 	for _, in := range list {
 		listed[in.ID] = true
@@ -83,7 +83,7 @@
 	maps.DeleteFunc(d.memory.draining, func(id string, _ time.Time) bool { return !listed[id] })
 }
 
-func (d *Duty) instance(now time.Time, p *platform.Instance, leaving bool, offers []platform.Offer) Instance {
+func (d *Duty) instance(now time.Time, p *cloud.Instance, leaving bool, offers []cloud.Offer) Instance {
 	delete(d.memory.starting, p.ID)
 	i := Instance{
 		ID: p.ID, Service: p.Service, Version: p.Version, Class: p.Class, FailureDomain: p.FailureDomain,
@@ -96,7 +96,7 @@
 			i.State = Loading
 		}
 	}
-	if p.State == platform.StateLeaving || leaving {
+	if p.State == cloud.StateLeaving || leaving {
 		i.State = Draining
 		i.Idle = d.idle(now, p.ID)
 	} else if _, drained := d.memory.draining[p.ID]; drained {
@@ -134,7 +134,7 @@
 
 // capacityOf returns the capacity of the offers of an instance's class; 0 for a class that isn't offered, whose
 // instances are left alone.
-func capacityOf(p *platform.Instance, offers []platform.Offer) float64 {
+func capacityOf(p *cloud.Instance, offers []cloud.Offer) float64 {
 	for _, o := range offers {
 		if o.Class == p.Class && (o.Service == "" || o.Service == p.Service) {
 			return o.Capacity
--- a/relay/bench_test.go
+++ b/relay/bench_test.go
@@ -18,8 +18,8 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/trefoillug/trefoillug/cloud"
 	"github.com/trefoillug/trefoillug/engine"
-	"github.com/trefoillug/trefoillug/platform"
 	"github.com/trefoillug/trefoillug/standin"
 )
 
@@ -126,7 +126,7 @@
 	w := newWorld(b)
 	srv := httptest.NewServer(http.HandlerFunc(cannedEngine))
 	b.Cleanup(srv.Close)
-	w.list(platform.Instance{ID: "a", Address: strings.TrimPrefix(srv.URL, "http://"), Service: "wording"})
+	w.list(cloud.Instance{ID: "a", Address: strings.TrimPrefix(srv.URL, "http://"), Service: "wording"})
 	_, url := w.relay(Config{})
 	body := chatBody("tag", benchTokens, true)
 	cpu := cpuTime()
--- a/relay/golden_test.go
+++ b/relay/golden_test.go
@@ -18,8 +18,8 @@
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
 
+	"github.com/trefoillug/trefoillug/cloud"
 	"github.com/trefoillug/trefoillug/engine"
-	"github.com/trefoillug/trefoillug/platform"
 	"github.com/trefoillug/trefoillug/standin"
 )
 
@@ -131,7 +131,7 @@
 func (w *world) recordedEngine(s *transcript, id string) *standin.Engine {
 	// When an engine notices the end of an abandoned run is not fixed, so a resumed run must not share its cache.
 	e := standin.NewEngine(standin.EngineConfig{ID: id, DecodeStep: 5 * time.Millisecond, Unshared: true})
-	w.list(platform.Instance{ID: id, Address: w.serve(s.endpoint(id, e)), FailureDomain: "fd1", Service: "wording"})
+	w.list(cloud.Instance{ID: id, Address: w.serve(s.endpoint(id, e)), FailureDomain: "fd1", Service: "wording"})
 	return e
 }
 
@@ -169,7 +169,7 @@
 func TestGolden_Booking(t *testing.T) {
 	w, s := newWorld(t), &transcript{}
 	svc := standin.NewService(standin.ServiceConfig{ID: "s"})
-	w.list(platform.Instance{ID: "s", Address: w.serve(s.endpoint("s", svc)), FailureDomain: "fd1", Service: "orders"})
+	w.list(cloud.Instance{ID: "s", Address: w.serve(s.endpoint("s", svc)), FailureDomain: "fd1", Service: "orders"})
 	_, url := w.relay(fixed("e1"))
 	s.caller("POST", url, "/services/orders/book?day=1", `{"customer":17}`, "Idempotency-Key", "pickup-17")
 	s.caller("POST", url, "/services/orders/book?day=1", `{"customer":17}`, "Idempotency-Key", "pickup-17")
--- a/relay/plain_test.go
+++ b/relay/plain_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/trefoillug/trefoillug/platform"
+	"github.com/trefoillug/trefoillug/cloud"
 	"github.com/trefoillug/trefoillug/standin"
 )
 
@@ -21,7 +21,7 @@
 	must.NoError(w.t, err)
 	address := l.Addr().String()
 	l.Close()
-	w.list(platform.Instance{ID: id, Address: address, FailureDomain: "fd1", Service: "orders"})
+	w.list(cloud.Instance{ID: id, Address: address, FailureDomain: "fd1", Service: "orders"})
 }
 
 func book(url, key, body string) reply {
@@ -145,7 +145,7 @@
 	f, err := standin.NewForwarder(w.serve(standin.NewService(standin.ServiceConfig{ID: "s"})))
 	must.NoError(t, err)
 	t.Cleanup(f.Close)
-	w.list(platform.Instance{ID: "s", Address: f.Address(), Service: "orders"})
+	w.list(cloud.Instance{ID: "s", Address: f.Address(), Service: "orders"})
 	_, url := w.relay(Config{})
 	must.Eq(t, 200, send("GET", url+"/services/orders/list", "").status)
 	f.Silence(true, false)
@@ -161,7 +161,7 @@
 	end := sync.OnceFunc(func() { close(release) })
 	defer end()
 	w := newWorld(t)
-	w.list(platform.Instance{ID: "s", Service: "orders", Address: w.serve(http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) {
+	w.list(cloud.Instance{ID: "s", Service: "orders", Address: w.serve(http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/large" {
 			_, _ = io.WriteString(out, large)
 			return
--- a/relay/resume_test.go
+++ b/relay/resume_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/trefoillug/trefoillug/cloud"
 	"github.com/trefoillug/trefoillug/core"
-	"github.com/trefoillug/trefoillug/platform"
 	"github.com/trefoillug/trefoillug/standin"
 )
 
@@ -250,7 +250,7 @@
 	f, err := standin.NewForwarder(w.serve(e))
 	must.NoError(w.t, err)
 	w.t.Cleanup(f.Close)
-	w.list(platform.Instance{ID: id, Address: f.Address(), FailureDomain: "fd1", Service: "wording"})
+	w.list(cloud.Instance{ID: id, Address: f.Address(), FailureDomain: "fd1", Service: "wording"})
 	return f
 }
 
--- a/relay/world_test.go
+++ b/relay/world_test.go
@@ -14,10 +14,10 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/trefoillug/trefoillug/cloud"
 	"github.com/trefoillug/trefoillug/config"
 	"github.com/trefoillug/trefoillug/core"
 	"github.com/trefoillug/trefoillug/dispatch"
-	"github.com/trefoillug/trefoillug/platform"
 	"github.com/trefoillug/trefoillug/standin"
 )
 
@@ -27,7 +27,7 @@
 	mu        sync.Mutex
 	core      *core.Core
 	events    []core.Event // posted so far
-	instances []platform.Instance
+	instances []cloud.Instance
 	engines   map[string]*standin.Engine
 	services  map[string]*standin.Service
 	gap       time.Duration
@@ -108,8 +108,8 @@
 	return counts
 }
 
-func (w *world) list(in platform.Instance) {
-	in.Role, in.Version, in.State = platform.RoleEndpoint, "v1", platform.StateLive
+func (w *world) list(in cloud.Instance) {
+	in.Role, in.Version, in.State = cloud.RoleEndpoint, "v1", cloud.StateLive
 	w.instances = append(w.instances, in)
 	w.step(core.InstancesListed{Instances: w.instances})
 }
@@ -125,7 +125,7 @@
 	cfg.ID = id
 	e := standin.NewEngine(cfg)
 	w.engines[id] = e
-	w.list(platform.Instance{ID: id, Address: w.serve(e), FailureDomain: domain, Service: "wording"})
+	w.list(cloud.Instance{ID: id, Address: w.serve(e), FailureDomain: domain, Service: "wording"})
 	return e
 }
 
@@ -134,7 +134,7 @@
 	cfg.ID = id
 	s := standin.NewService(cfg)
 	w.services[id] = s
-	w.list(platform.Instance{ID: id, Address: w.serve(s), FailureDomain: "fd1", Service: "orders"})
+	w.list(cloud.Instance{ID: id, Address: w.serve(s), FailureDomain: "fd1", Service: "orders"})
 	return s
 }
 
--- a/standin/cloud.go
+++ b/standin/cloud.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"github.com/trefoillug/trefoillug/platform"
+	"github.com/trefoillug/trefoillug/cloud"
 )
 
 // Cloud stands in for the platform's instance list, which lags, its reclaim notices, which don't, and its offers.
@@ -17,8 +17,8 @@
 	lag time.Duration
 
 	mu        sync.Mutex
-	instances map[string]platform.Instance
-	notices   []platform.Notice
+	instances map[string]cloud.Instance
+	notices   []cloud.Notice
 	history   []listing // oldest first
 	listings  uint64    // made so far
 	faults    CloudFaults
@@ -37,12 +37,12 @@
 type listing struct {
 	number    uint64
 	at        time.Time
-	instances []platform.Instance
+	instances []cloud.Instance
 }
 
 // NewCloud returns a stand-in whose instance list shows what was true lag ago.
 func NewCloud(lag time.Duration) *Cloud {
-	c := &Cloud{mux: http.NewServeMux(), lag: lag, instances: map[string]platform.Instance{}}
+	c := &Cloud{mux: http.NewServeMux(), lag: lag, instances: map[string]cloud.Instance{}}
 	c.mux.HandleFunc("GET /instances", c.list)
 	c.mux.HandleFunc("PUT /instances/{id}", c.put)
 	c.mux.HandleFunc("DELETE /instances/{id}", c.remove)
@@ -57,7 +57,7 @@
 func (c *Cloud) ServeHTTP(w http.ResponseWriter, r *http.Request) { c.mux.ServeHTTP(w, r) }
 
 func (c *Cloud) put(w http.ResponseWriter, r *http.Request) {
-	var in platform.Instance
+	var in cloud.Instance
 	if !decode(w, r, &in) {
 		return
 	}
@@ -79,11 +79,11 @@
 // record appends the present listing to the history and drops listings that no reader can see any more.
 func (c *Cloud) record() {
 	now := time.Now()
-	current := make([]platform.Instance, 0, len(c.instances))
+	current := make([]cloud.Instance, 0, len(c.instances))
 	for _, in := range c.instances {
 		current = append(current, in)
 	}
-	slices.SortFunc(current, func(a, b platform.Instance) int { return strings.Compare(a.ID, b.ID) })
+	slices.SortFunc(current, func(a, b cloud.Instance) int { return strings.Compare(a.ID, b.ID) })
 	c.listings++
 	c.history = append(c.history, listing{c.listings, now, current})
 	for len(c.history) > 1 && now.Sub(c.history[1].at) > c.lag {
@@ -98,7 +98,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	visible := listing{instances: []platform.Instance{}}
+	visible := listing{instances: []cloud.Instance{}}
 	for _, l := range c.history {
 		if time.Since(l.at) >= c.lag {
 			visible = l
@@ -125,7 +125,7 @@
 
 // postNotice announces a reclaim and marks the instances as leaving in the list.
 func (c *Cloud) postNotice(w http.ResponseWriter, r *http.Request) {
-	var n platform.Notice
+	var n cloud.Notice
 	if !decode(w, r, &n) {
 		return
 	}
@@ -134,7 +134,7 @@
 	c.notices = append(c.notices, n)
 	for id, in := range c.instances {
 		if id == n.Instance || (n.Instance == "" && in.FailureDomain == n.FailureDomain) {
-			in.State, in.LeaveBy = platform.StateLeaving, n.By
+			in.State, in.LeaveBy = cloud.StateLeaving, n.By
 			c.instances[id] = in
 		}
 	}
--- a/standin/cloud_pool.go
+++ b/standin/cloud_pool.go
@@ -5,20 +5,20 @@
 	"slices"
 	"time"
 
-	"github.com/trefoillug/trefoillug/platform"
+	"github.com/trefoillug/trefoillug/cloud"
 )
 
 // cloudPool is the part of a Cloud that starts instances.
 type cloudPool struct {
-	offers   []platform.Offer
+	offers   []cloud.Offer
 	takes    time.Duration // from a start until the instance is on the list
-	started  func(platform.Instance) platform.Instance
+	started  func(cloud.Instance) cloud.Instance
 	starting map[string]bool // by instance ID
 }
 
 // SetOffers sets what can be requested and how long starts take. The hook started, which may be nil, runs an endpoint
 // for a new instance and returns the instance with its address.
-func (c *Cloud) SetOffers(offers []platform.Offer, takes time.Duration, started func(platform.Instance) platform.Instance) {
+func (c *Cloud) SetOffers(offers []cloud.Offer, takes time.Duration, started func(cloud.Instance) cloud.Instance) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pool.offers, c.pool.takes, c.pool.started = offers, takes, started
@@ -37,13 +37,13 @@
 }
 
 func (c *Cloud) postStart(w http.ResponseWriter, r *http.Request) {
-	var req platform.StartRequest
+	var req cloud.StartRequest
 	if !decode(w, r, &req) {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	i := slices.IndexFunc(c.pool.offers, func(o platform.Offer) bool { return o.ID == req.Offer })
+	i := slices.IndexFunc(c.pool.offers, func(o cloud.Offer) bool { return o.ID == req.Offer })
 	if i < 0 {
 		http.Error(w, "no such offer", http.StatusNotFound)
 		return
@@ -64,17 +64,17 @@
 }
 
 // finishStart puts a started instance on the list unless it was stopped meanwhile.
-func (c *Cloud) finishStart(req platform.StartRequest, offer platform.Offer) {
+func (c *Cloud) finishStart(req cloud.StartRequest, offer cloud.Offer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.pool.starting[req.ID] {
 		return
 	}
 	delete(c.pool.starting, req.ID)
-	in := platform.Instance{
-		ID: req.ID, FailureDomain: offer.FailureDomain, Region: offer.Region, Role: platform.RoleEndpoint,
+	in := cloud.Instance{
+		ID: req.ID, FailureDomain: offer.FailureDomain, Region: offer.Region, Role: cloud.RoleEndpoint,
 		Class: offer.Class, Price: offer.Price, Reclaimable: offer.Reclaimable, Service: req.Service,
-		Assigned: req.Version, State: platform.StateLive,
+		Assigned: req.Version, State: cloud.StateLive,
 	}
 	if c.pool.started != nil {
 		in = c.pool.started(in)
