lease: change the record with each renewal

Cause: a renewal wrote the same record again. The users' store keeps the revision of a value that does not change, so the other candidates saw no sign of life, and the holder's own grant was not extended. Ruled out: lost writes (each answer was 200 with the old revision) and clocks that differ (one process, steady clock). Change: the record counts its writes. The clock of a lease can be set, for machines that are suspended. Test: TestLease_RenewalChangesRecord fails without the counter.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -52,6 +52,8 @@
 	Term      time.Duration
 	Margin    time.Duration // part of the term in which neither the holder nor a successor works
 	Stagger   time.Duration
+	// Now is the clock; nil means time.Now. Where instances can be suspended it must count that time too.
+	Now func() time.Time
 }
 
 // Grant is the right to carry out the duty until a time of this process's clock.
@@ -98,6 +100,9 @@
 	if s.Stagger == 0 {
 		s.Stagger = DefaultStagger
 	}
+	if s.Now == nil {
+		s.Now = time.Now
+	}
 	return &Lease{settings: s}
 }
 
@@ -105,7 +110,7 @@
 func (l *Lease) Held() (Grant, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.grant, l.grant.Token != 0 && time.Now().Before(l.grant.ValidUntil)
+	return l.grant, l.grant.Token != 0 && l.settings.Now().Before(l.grant.ValidUntil)
 }
 
 // Revalidate renews a held lease by a conditional update, which proves that nobody has taken it over. A plan is
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -19,6 +19,8 @@
 	mu     sync.Mutex
 	object objstore.Object
 	writes int
+	// skipsUnchanged makes a write of the same value keep its version, as some stores do.
+	skipsUnchanged bool
 }
 
 func (s *fakeStore) put(value []byte, ifVersion uint64) (uint64, error) {
@@ -28,6 +30,9 @@
 	if s.object.Version != ifVersion {
 		return 0, objstore.ErrConflict
 	}
+	if s.skipsUnchanged && string(value) == string(s.object.Value) {
+		return ifVersion, nil
+	}
 	s.object = objstore.Object{Version: ifVersion + 1, Value: value}
 	return ifVersion + 1, nil
 }
@@ -267,3 +272,25 @@
 		})
 	}
 }
+
+// Guards against a renewal that the store takes for no change, so that the lease runs out under its holder.
+func TestLease_RenewalChangesRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{skipsUnchanged: true}
+		l := New(Settings{Store: &client{store: store}, Duty: "d", Candidate: "a", Process: 1, Members: func() []string { return []string{"a"} }})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); l.Run(ctx, func(err error) { t.Log(err) }) }()
+		time.Sleep(DefaultTerm)
+		first, held := l.Held()
+		must.True(t, held)
+		for range 40 {
+			time.Sleep(time.Second)
+			grant, held := l.Held()
+			must.True(t, held)
+			must.Eq(t, first.Token, grant.Token)
+		}
+		cancel()
+		<-done
+	})
+}
--- a/lease/steps.go
+++ b/lease/steps.go
@@ -20,10 +20,18 @@
 	Token   uint64        `cbor:"3,keyasint"`
 	Term    time.Duration `cbor:"4,keyasint"`
 	Free    bool          `cbor:"5,keyasint"` // given up
+	// Writes counts the writes of the object. Without it a renewal would equal the record before, and a store that
+	// keeps the version of an unchanged value would show the others no sign of life.
+	Writes uint64 `cbor:"6,keyasint"`
 }
 
 func (l *Lease) record(token uint64, free bool) record {
-	return record{Holder: l.settings.Candidate, Process: l.settings.Process, Token: token, Term: l.settings.Term, Free: free}
+	l.mu.Lock()
+	writes := l.seen.record.Writes + 1
+	l.mu.Unlock()
+	return record{
+		Holder: l.settings.Candidate, Process: l.settings.Process, Token: token, Term: l.settings.Term, Free: free, Writes: writes,
+	}
 }
 
 // rank returns this candidate's place in the rendezvous order of the duty, 0 for the preferred one.
@@ -44,12 +52,12 @@
 	if l.seen.version > 0 && !l.seen.record.Free {
 		wait += max(l.seen.record.Term, l.settings.Term)
 	}
-	return time.Since(l.seen.since) >= wait
+	return l.settings.Now().Sub(l.seen.since) >= wait
 }
 
 func (l *Lease) acquire(ctx context.Context) error {
 	l.mu.Lock()
-	next := sent{token: l.seen.record.Token + 1, at: time.Now()}
+	next := sent{token: l.seen.record.Token + 1, at: l.settings.Now()}
 	if l.seen.version > 0 {
 		next.previous = l.seen.since.Add(l.seen.record.Term)
 	}
@@ -59,7 +67,7 @@
 
 func (l *Lease) renew(ctx context.Context) error {
 	l.mu.Lock()
-	next := sent{token: l.grant.Token, at: time.Now(), previous: l.grant.PreviousEnd}
+	next := sent{token: l.grant.Token, at: l.settings.Now(), previous: l.grant.PreviousEnd}
 	l.mu.Unlock()
 	return l.write(ctx, next)
 }
@@ -131,7 +139,7 @@
 	if version == l.seen.version && !l.seen.since.IsZero() {
 		return nil
 	}
-	l.seen = seen{version: version, record: rec, since: time.Now()}
+	l.seen = seen{version: version, record: rec, since: l.settings.Now()}
 	mine := rec.Holder == l.settings.Candidate && rec.Process == l.settings.Process && !rec.Free
 	if !mine || rec.Token != l.sent.token || rec.Token == 0 {
 		l.grant, l.sent = Grant{}, sent{}
