--- a/peer/machine.go
+++ b/peer/machine.go
@@ -20,7 +20,8 @@
 	refreshInterval = 100 * time.Millisecond
 	digestInterval  = 5 * time.Second
 	// Frequent facts of all members together leave a node with at most paceBytes a second over all its connections.
-	// That keeps a node within 4 KB a second for control; what is above it comes later but loses no fact.
+	// That keeps a node within 4 KB a second for control; what is above it comes later but loses no fact. It is the
+	// default of Settings.PaceBytes.
 	paceBytes = 2500
 	paceBurst = 32 << 10
 	paceRetry = 200 * time.Millisecond
@@ -81,6 +82,7 @@
 	nextDigest     time.Time
 	digestTurn     int
 	pace           float64 // bytes that frequent facts may use now
+	paceRate       float64 // bytes a second
 	pacedAt        time.Time
 }
 
@@ -96,7 +98,7 @@
 	}
 	m.self.Incarnation, m.self.Leaving = m.start, false
 	m.lastTick, m.nextTick = now, now
-	m.pace, m.pacedAt = paceBurst, now
+	m.pace, m.paceRate, m.pacedAt = paceBurst, paceBytes, now
 	m.nextDigest = now.Add(m.jitter(digestInterval))
 	m.publishSelf(now)
 	m.finish(now)
--- a/peer/node.go
+++ b/peer/node.go
@@ -18,6 +18,8 @@
 	Transport Transport
 	Log       logrus.FieldLogger // optional
 	Seed      uint64             // of the random numbers
+	// PaceBytes bounds the bytes a second that frequent facts may use; 0: 2,500, for fleets of hundreds of members.
+	PaceBytes float64
 }
 
 // Stats are counters since the start. Bytes are those of the messages, without frames.
@@ -93,6 +95,9 @@
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.m = newMachine(s.Self, s.Seeds, time.Now(), s.Seed)
+	if s.PaceBytes > 0 {
+		n.m.paceRate = s.PaceBytes
+	}
 	n.carryOut(n.m.take())
 	return n, nil
 }
--- a/peer/spread.go
+++ b/peer/spread.go
@@ -133,7 +133,7 @@
 
 // refillPace adds the bytes that frequent facts may use since the last call.
 func (m *machine) refillPace(now time.Time) {
-	m.pace = min(paceBurst, m.pace+now.Sub(m.pacedAt).Seconds()*paceBytes)
+	m.pace = min(paceBurst, m.pace+now.Sub(m.pacedAt).Seconds()*m.paceRate)
 	m.pacedAt = now
 }
 
