--- a/problem/problem.go
+++ b/problem/problem.go
@@ -24,6 +24,7 @@
 	UnknownVersion    Kind = "unknown_version"
 	UnknownWorkspace  Kind = "unknown_workspace"
 	UnknownRequest    Kind = "unknown_request"
+	Unauthenticated   Kind = "unauthenticated"
 	KeyMissing        Kind = "key_missing"
 	KeyReused         Kind = "key_reused"
 	LimitExceeded     Kind = "limit_exceeded"
@@ -36,6 +37,7 @@
 	OutcomeUnknown    Kind = "outcome_unknown"
 	AnswerNotRetained Kind = "answer_not_retained"
 	StreamBroken      Kind = "stream_broken"
+	TimedOut          Kind = "timed_out"
 	Internal          Kind = "internal"
 )
 
@@ -67,6 +69,7 @@
 	UnknownVersion:   {http.StatusNotFound, NotRun, 0, "The service has no such version.", true},
 	UnknownWorkspace: {http.StatusForbidden, NotRun, 0, "The service has no such workspace.", true},
 	UnknownRequest:   {http.StatusNotFound, Unknown, time.Second, "No instance holds this request; repeat the POST with Last-Event-ID.", false},
+	Unauthenticated:  {http.StatusUnauthorized, NotRun, 0, "The API key is missing or unknown.", true},
 	KeyMissing:       {http.StatusBadRequest, NotRun, 0, "This call is not idempotent and needs an Idempotency-Key.", true},
 	KeyReused:        {http.StatusUnprocessableEntity, NotRun, 0, "The Idempotency-Key was used with another body.", true},
 	LimitExceeded:    {http.StatusTooManyRequests, NotRun, time.Second, "The workspace is over its rate limit.", false},
@@ -81,6 +84,7 @@
 	OutcomeUnknown:    {http.StatusBadGateway, Unknown, 0, "The call may have run; it is not run again under this key.", false},
 	AnswerNotRetained: {http.StatusConflict, Unknown, 0, "The call ran; its answer is not retained.", false},
 	StreamBroken:      {http.StatusBadGateway, Partial, time.Second, "The answer broke off and could not be resumed.", false},
+	TimedOut:          {http.StatusGatewayTimeout, Unknown, 0, "The endpoint did not answer in time.", false},
 	Internal:          {http.StatusInternalServerError, Unknown, 0, "Internal error.", false},
 }
 
