--- /dev/null
+++ b/feed/feed.go
@@ -0,0 +1,317 @@
+// Package feed keeps a copy of the objects of one kind of the platform's store: it lists them once and then watches
+// for changes. When the store fails, a newer copy of a peer is taken instead.
+package feed
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// ErrHistoryGone means that a watch reaches back further than the history that the store keeps.
+var ErrHistoryGone = errors.New("history of the store is gone")
+
+// Object is an object of the store.
+type Object struct {
+	Name     string `cbor:"1,keyasint"`
+	Revision uint64 `cbor:"2,keyasint"` // of its last change
+	Spec     []byte `cbor:"3,keyasint"`
+	Status   []byte `cbor:"4,keyasint"`
+	Deleting bool   `cbor:"5,keyasint"` // will go once its finalizers are gone
+}
+
+// Event is a change of an object.
+type Event struct {
+	Object  Object
+	Deleted bool
+}
+
+// Store reads the objects of a kind.
+type Store interface {
+	// List returns all objects of a kind and a revision from which a watch misses no change.
+	List(ctx context.Context, kind string) ([]Object, uint64, error)
+	// Watch waits for changes after a revision, at most for wait, and returns the revision to continue from.
+	Watch(ctx context.Context, kind string, after uint64, wait time.Duration) ([]Event, uint64, error)
+}
+
+// Handler takes over the objects. Its methods are called one at a time.
+type Handler interface {
+	// Replace takes over all objects. With settled, the store was sound for a while, so that what is missing is gone.
+	Replace(objects []Object, settled bool)
+	// Apply takes over a change.
+	Apply(e Event, settled bool)
+}
+
+// Copy is a state of all objects, for peers.
+type Copy struct {
+	Revision uint64   `cbor:"1,keyasint"` // from which a watch misses no change
+	Objects  []Object `cbor:"2,keyasint"`
+	Changed  uint64   `cbor:"3,keyasint"` // revision of the newest change of an object
+}
+
+// Settings of a Feed.
+type Settings struct {
+	Kind    string
+	Store   Store
+	Handler Handler
+	Log     logrus.FieldLogger
+	// Peer asks a peer for a copy with changes after a revision; nil: no peers.
+	Peer func(ctx context.Context, kind string, after uint64) (*Copy, error)
+}
+
+const (
+	// watchWait is the longest wait of one watch; the store allows 30 s.
+	watchWait = 25 * time.Second
+	// listTime bounds a list; the store answers in milliseconds, and 60 times as slowly on bad days.
+	listTime = 2 * time.Second
+	// settleTime is how long the store must have been sound for a missing object to count as gone: the time after
+	// which the rules call the store stable again.
+	settleTime = 3 * time.Second
+	// minPause and maxPause bound the pause after a failed call.
+	minPause = 100 * time.Millisecond
+	maxPause = 800 * time.Millisecond
+	// nudgeDelay is the time that an own watch gets to bring what a peer has seen.
+	nudgeDelay = 150 * time.Millisecond
+	// cutWatch is the time after which a watch that breaks may just have been cut off while it waited.
+	cutWatch = 200 * time.Millisecond
+)
+
+// Feed keeps the copy. Its methods are safe for concurrent use.
+type Feed struct {
+	s Settings
+
+	mu       sync.Mutex
+	objects  map[string]Object
+	revision uint64 // from which a watch misses no change; other kinds raise it too
+	changed  uint64 // of the newest change of an object of this kind
+	wanted   uint64 // newest change that a peer has taken over
+	listed   bool
+	sound    time.Time // since when calls succeed; zero: they fail
+	pause    time.Duration
+	cancel   context.CancelFunc // of the waiting watch
+	behind   bool               // list again
+	ready    chan struct{}
+}
+
+// New returns a feed without objects.
+func New(s Settings) *Feed {
+	return &Feed{s: s, objects: map[string]Object{}, ready: make(chan struct{})}
+}
+
+// Ready is closed once a first copy was taken over.
+func (f *Feed) Ready() <-chan struct{} { return f.ready }
+
+// Changed returns the revision of the newest change taken over.
+func (f *Feed) Changed() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+// Copy returns the state for a peer that knows the changes up to after; nil when there is nothing newer.
+func (f *Feed) Copy(after uint64) *Copy {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.listed || f.changed <= after {
+		return nil
+	}
+	c := &Copy{Revision: f.revision, Changed: f.changed}
+	for _, o := range f.objects {
+		c.Objects = append(c.Objects, o)
+	}
+	return c
+}
+
+// Run follows the store until ctx is done.
+func (f *Feed) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		f.mu.Lock()
+		list := !f.listed || f.behind
+		f.mu.Unlock()
+		var err error
+		if list {
+			err = f.list(ctx)
+		} else {
+			err = f.watch(ctx)
+		}
+		if err == nil || ctx.Err() != nil {
+			continue
+		}
+		f.failed(err)
+		f.askPeer(ctx)
+		f.rest(ctx)
+	}
+}
+
+func (f *Feed) list(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, listTime)
+	defer cancel()
+	f.mu.Lock()
+	c := &Copy{Changed: f.wanted} // a list that begins now holds what peers have seen before
+	f.mu.Unlock()
+	var err error
+	if c.Objects, c.Revision, err = f.s.Store.List(ctx, f.s.Kind); err != nil {
+		return err
+	}
+	for _, o := range c.Objects {
+		c.Changed = max(c.Changed, o.Revision)
+	}
+	f.succeeded()
+	f.replace(c, false)
+	return nil
+}
+
+// replace takes over a copy, unless the own one is newer. A peer's copy never settles that something is gone.
+func (f *Feed) replace(c *Copy, fromPeer bool) {
+	f.mu.Lock()
+	first := !f.listed
+	if !first && (c.Changed < f.changed || fromPeer && c.Changed == f.changed) {
+		f.behind = false
+		f.mu.Unlock()
+		return
+	}
+	settled := first || !fromPeer && f.settled()
+	f.objects = make(map[string]Object, len(c.Objects))
+	for _, o := range c.Objects {
+		f.objects[o.Name] = o
+	}
+	f.revision, f.changed, f.listed, f.behind = c.Revision, c.Changed, true, false
+	f.mu.Unlock()
+	f.s.Handler.Replace(c.Objects, settled)
+	if first {
+		close(f.ready)
+	}
+}
+
+func (f *Feed) watch(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, watchWait+listTime)
+	defer cancel()
+	f.mu.Lock()
+	after := f.revision
+	f.cancel = cancel
+	f.mu.Unlock()
+	began := time.Now()
+	events, revision, err := f.s.Store.Watch(ctx, f.s.Kind, after, watchWait)
+	f.mu.Lock()
+	f.cancel = nil
+	nudged, sound := f.behind, !f.sound.IsZero()
+	f.mu.Unlock()
+	switch {
+	case errors.Is(err, ErrHistoryGone):
+		f.s.Log.WithField("kind", f.s.Kind).Info("history of the store is gone; listing again")
+		f.mu.Lock()
+		f.behind = true
+		f.mu.Unlock()
+		return nil
+	case err != nil && (nudged || sound && time.Since(began) > cutWatch):
+		return nil // given up for a list, or cut off while waiting; the next call shows whether the store is sound
+	case err != nil:
+		return err
+	}
+	f.succeeded()
+	for _, e := range events {
+		f.apply(e)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision = max(f.revision, revision)
+	if len(events) > 0 && events[len(events)-1].Deleted {
+		f.changed = max(f.changed, revision) // an object that is gone shows its last change only
+	}
+	return nil
+}
+
+func (f *Feed) apply(e Event) {
+	f.mu.Lock()
+	settled := f.settled()
+	if e.Deleted {
+		delete(f.objects, e.Object.Name)
+	} else {
+		f.objects[e.Object.Name] = e.Object
+	}
+	f.changed = max(f.changed, e.Object.Revision)
+	f.mu.Unlock()
+	f.s.Handler.Apply(e, settled)
+}
+
+// settled needs f.mu.
+func (f *Feed) settled() bool { return !f.sound.IsZero() && time.Since(f.sound) > settleTime }
+
+func (f *Feed) succeeded() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.pause = 0
+	if f.sound.IsZero() {
+		f.sound = time.Now()
+		f.s.Log.WithFields(logrus.Fields{"kind": f.s.Kind, "revision": f.revision}).Info("store answers")
+	}
+}
+
+func (f *Feed) failed(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.sound.IsZero() || f.pause == 0 {
+		f.s.Log.WithError(err).WithFields(logrus.Fields{"kind": f.s.Kind, "revision": f.revision}).Warn("store fails")
+	}
+	f.sound = time.Time{}
+	f.pause = min(max(minPause, 2*f.pause), maxPause)
+}
+
+func (f *Feed) rest(ctx context.Context) {
+	f.mu.Lock()
+	pause := f.pause
+	f.mu.Unlock()
+	select {
+	case <-ctx.Done():
+	case <-time.After(pause/2 + rand.N(pause)):
+	}
+}
+
+// askPeer takes over a newer copy of a peer while the store fails.
+func (f *Feed) askPeer(ctx context.Context) {
+	if f.s.Peer == nil {
+		return
+	}
+	f.mu.Lock()
+	ask := !f.listed || f.behind
+	after := f.changed
+	f.mu.Unlock()
+	if !ask {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	c, err := f.s.Peer(ctx, f.s.Kind, after)
+	switch {
+	case err != nil:
+		f.s.Log.WithError(err).WithField("kind", f.s.Kind).Debug("no copy from a peer")
+	case c != nil:
+		f.s.Log.WithFields(logrus.Fields{"kind": f.s.Kind, "revision": c.Revision}).Info("state taken from a peer")
+		f.replace(c, true)
+	}
+}
+
+// Nudge tells that a peer has taken over a change. When the own watch does not bring them soon, it
+// may be silent, and the objects are listed again.
+func (f *Feed) Nudge(changed uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.changed >= changed || f.wanted >= changed {
+		return
+	}
+	f.wanted = changed
+	time.AfterFunc(nudgeDelay, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if f.listed && f.changed < changed {
+			f.behind = true
+			if f.cancel != nil {
+				f.cancel()
+			}
+		}
+	})
+}
--- /dev/null
+++ b/feed/feed_test.go
@@ -0,0 +1,256 @@
+package feed_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
+
+	"github.com/trefoillug/trefoillug/feed"
+)
+
+var errDown = errors.New("down")
+
+// store is a store of one kind whose faults are set by the test.
+type store struct {
+	mu       sync.Mutex
+	revision uint64
+	events   []feed.Event
+	objects  map[string]feed.Object
+	down     bool
+	silent   bool // watches hear nothing
+	floor    uint64
+	lists    int
+	changed  chan struct{}
+}
+
+func newStore() *store {
+	return &store{objects: map[string]feed.Object{}, changed: make(chan struct{})}
+}
+
+func (s *store) update(fn func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fn()
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) put(name, spec string) {
+	s.update(func() {
+		s.revision++
+		o := feed.Object{Name: name, Revision: s.revision, Spec: []byte(spec)}
+		s.objects[name] = o
+		s.events = append(s.events, feed.Event{Object: o})
+	})
+}
+
+func (s *store) remove(name string) {
+	s.update(func() {
+		s.revision++
+		o := s.objects[name]
+		o.Revision = s.revision
+		delete(s.objects, name)
+		s.events = append(s.events, feed.Event{Object: o, Deleted: true})
+	})
+}
+
+func (s *store) List(context.Context, string) ([]feed.Object, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil, 0, errDown
+	}
+	s.lists++
+	var all []feed.Object
+	for _, o := range s.objects {
+		all = append(all, o)
+	}
+	return all, s.revision, nil
+}
+
+func (s *store) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]feed.Event, uint64, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		down, silent, floor, changed, revision := s.down, s.silent, s.floor, s.changed, s.revision
+		var events []feed.Event
+		for _, e := range s.events {
+			if e.Object.Revision > after {
+				events = append(events, e)
+			}
+		}
+		s.mu.Unlock()
+		switch {
+		case down:
+			return nil, 0, errDown
+		case after < floor:
+			return nil, 0, feed.ErrHistoryGone
+		case len(events) > 0 && !silent:
+			return events, revision, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, revision, nil
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+// recorder holds what the feed passed on.
+type recorder struct {
+	mu        sync.Mutex
+	names     []string
+	unsettled int // removals while the store had not been sound for long
+}
+
+func (r *recorder) Replace(objects []feed.Object, settled bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.names = nil
+	for _, o := range objects {
+		r.names = append(r.names, o.Name)
+	}
+	if !settled {
+		r.unsettled++
+	}
+}
+
+func (r *recorder) Apply(e feed.Event, settled bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.names = slices.DeleteFunc(r.names, func(n string) bool { return n == e.Object.Name })
+	if !e.Deleted {
+		r.names = append(r.names, e.Object.Name)
+	} else if !settled {
+		r.unsettled++
+	}
+}
+
+func (r *recorder) now() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := slices.Clone(r.names)
+	slices.Sort(out)
+	return out
+}
+
+func start(t *testing.T, s *store, peer func(context.Context, string, uint64) (*feed.Copy, error)) (*feed.Feed, *recorder) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	r := &recorder{}
+	f := feed.New(feed.Settings{Kind: "k", Store: s, Handler: r, Log: log, Peer: peer})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); f.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return f, r
+}
+
+// Guards against changes that are missed or seen late while the store is sound, and against needless lists.
+func TestFeed_FollowsChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.put("a", "1")
+		_, r := start(t, s, nil)
+		time.Sleep(5 * time.Second)
+		s.put("b", "1")
+		s.remove("a")
+		time.Sleep(10 * time.Millisecond)
+		must.Eq(t, []string{"b"}, r.now())
+		must.Eq(t, 0, r.unsettled)
+		must.Eq(t, 1, s.lists)
+	})
+}
+
+// Guards against a removal around an outage that is taken for final.
+func TestFeed_RemovalAfterOutageIsUnsettled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.put("a", "1")
+		_, r := start(t, s, nil)
+		time.Sleep(5 * time.Second)
+		s.update(func() { s.down = true })
+		time.Sleep(4 * time.Second)
+		s.remove("a")
+		s.update(func() { s.down = false })
+		time.Sleep(2 * time.Second)
+		must.Eq(t, 0, len(r.now()))
+		must.Eq(t, 1, r.unsettled)
+	})
+}
+
+// Guards against changes that are lost with the history of the store.
+func TestFeed_ListsAgainWhenHistoryIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.put("a", "1")
+		_, r := start(t, s, nil)
+		time.Sleep(5 * time.Second)
+		s.mu.Lock()
+		s.silent = true
+		s.mu.Unlock()
+		s.remove("a")
+		s.put("b", "1")
+		s.update(func() { s.silent, s.floor = false, s.revision })
+		time.Sleep(10 * time.Millisecond)
+		must.Eq(t, []string{"b"}, r.now())
+		must.Eq(t, 0, r.unsettled)
+	})
+}
+
+// Guards against a silent watch that hides a change which a peer has seen, and against listing again and again.
+func TestFeed_NudgeReplacesSilentWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.put("a", "1")
+		f, r := start(t, s, nil)
+		time.Sleep(5 * time.Second)
+		s.mu.Lock()
+		s.silent = true
+		s.mu.Unlock()
+		s.put("b", "1")
+		s.mu.Lock()
+		seen := s.revision
+		s.mu.Unlock()
+		for range 20 {
+			f.Nudge(seen + 1) // the peer's revision of a deletion may lie above that of any object
+			time.Sleep(100 * time.Millisecond)
+		}
+		must.Eq(t, []string{"a", "b"}, r.now())
+		must.Eq(t, 2, s.lists)
+	})
+}
+
+// Guards against an instance that knows nothing while the store turns it away and serves its peers.
+func TestFeed_TakesCopyOfPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.down = true
+		other := &feed.Copy{Revision: 9, Changed: 7, Objects: []feed.Object{{Name: "x", Revision: 7}}}
+		f, r := start(t, s, func(_ context.Context, _ string, after uint64) (*feed.Copy, error) {
+			if other.Changed <= after {
+				return nil, nil
+			}
+			return other, nil
+		})
+		time.Sleep(3 * time.Second)
+		must.Eq(t, []string{"x"}, r.now())
+		<-f.Ready()
+		must.Eq(t, 7, f.Changed())
+		other = &feed.Copy{Revision: 12, Changed: 11, Objects: []feed.Object{{Name: "y", Revision: 11}}}
+		f.Nudge(11)
+		time.Sleep(3 * time.Second)
+		must.Eq(t, []string{"y"}, r.now())
+	})
+}
--- /dev/null
+++ b/quota/quota_test.go
@@ -0,0 +1,151 @@
+package quota_test
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/trefoillug/trefoillug/quota"
+)
+
+const reportInterval = 400 * time.Millisecond
+
+// fleet drives several ledgers with reports that arrive one interval late.
+type fleet struct {
+	now     time.Time
+	ledgers []*quota.Ledger
+	cut     map[int]bool // exchanges no reports
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{now: time.Unix(1000, 0), cut: map[int]bool{}}
+	for range n {
+		f.ledgers = append(f.ledgers, quota.NewLedger(tolerance, n, f.now))
+	}
+	return f
+}
+
+// run lets each instance ask for cost every 20 ms at perSecond units, and returns the units granted in the time.
+func (f *fleet) run(d time.Duration, limit quota.Limit, cost float64, perSecond func(i int) float64) float64 {
+	granted := 0.0
+	credit := make([]float64, len(f.ledgers))
+	const step = 20 * time.Millisecond
+	for at := time.Duration(0); at < d; at += step {
+		f.now = f.now.Add(step)
+		if at%reportInterval == 0 {
+			f.exchange()
+		}
+		for i, l := range f.ledgers {
+			for credit[i] += perSecond(i) * step.Seconds(); credit[i] >= cost; credit[i] -= cost {
+				if ok, _ := l.Take("w", limit, cost, f.now); ok {
+					granted += cost
+				}
+			}
+		}
+	}
+	return granted
+}
+
+func (f *fleet) exchange() {
+	for i, from := range f.ledgers {
+		for j, to := range f.ledgers {
+			if i != j && !f.cut[i] && !f.cut[j] {
+				to.Receive(string(rune('a'+i)), from.Report(), f.now)
+			}
+		}
+	}
+}
+
+var (
+	limit     = quota.Limit{PerSecond: 240_000, Burst: 240_000}
+	tolerance = quota.Tolerance{Share: 0.1, Units: 140_000}
+)
+
+// bound is what the rule allows in a window of 8 s.
+func bound() float64 { return (limit.PerSecond*8+limit.Burst)*(1+tolerance.Share) + tolerance.Units }
+
+// Guards against a workspace that gets more than its quota in sum because each instance sees only its own use.
+func TestLedger_HotWorkspaceStaysWithinBound(t *testing.T) {
+	f := newFleet(7)
+	even := func(int) float64 { return 4.2 * limit.PerSecond / 7 }
+	f.run(8*time.Second, limit, 12_000, func(int) float64 { return limit.PerSecond / 1.8 / 7 })
+	got := f.run(8*time.Second, limit, 12_000, even)
+	must.Less(t, bound(), got)
+	must.Greater(t, limit.PerSecond*8*0.9, got)
+}
+
+// Guards against refusals below the quota, which cost callers for nothing.
+func TestLedger_UsualLoadIsNotRefused(t *testing.T) {
+	f := newFleet(7)
+	usual := func(i int) float64 { return 0.8 * limit.PerSecond * float64(i) / 21 }
+	f.run(2*time.Second, limit, 1_000, usual)
+	got := f.run(8*time.Second, limit, 1_000, usual)
+	must.Greater(t, 0.79*8*limit.PerSecond, got)
+}
+
+// Guards against an instance cut off from the others that uses the whole quota beside them.
+func TestLedger_InstancesOutOfTouchKeepToShares(t *testing.T) {
+	f := newFleet(7)
+	hot := func(int) float64 { return 4.2 * limit.PerSecond / 7 }
+	f.run(4*time.Second, limit, 12_000, func(int) float64 { return limit.PerSecond / 1.8 / 7 })
+	f.cut[0], f.cut[1] = true, true
+	got := f.run(8*time.Second, limit, 12_000, hot)
+	must.Less(t, bound(), got)
+}
+
+// Guards against a full burst for each process after all were restarted in the middle of a busy window.
+func TestLedger_CommonRestartGivesNoSecondBurst(t *testing.T) {
+	f := newFleet(7)
+	hot := func(int) float64 { return 4.2 * limit.PerSecond / 7 }
+	f.run(8*time.Second, limit, 12_000, hot)
+	before := f.run(4*time.Second, limit, 12_000, hot)
+	for i := range f.ledgers {
+		f.ledgers[i] = quota.NewLedger(tolerance, 7, f.now)
+	}
+	after := f.run(4*time.Second, limit, 12_000, hot)
+	must.Less(t, bound(), before+after)
+}
+
+// Guards against a cost that stays counted although the request never ran.
+func TestLedger_ReturnGivesBack(t *testing.T) {
+	l := quota.NewLedger(quota.Tolerance{}, 1, time.Unix(0, 0))
+	now := time.Unix(1, 0)
+	small := quota.Limit{PerSecond: 1, Burst: 10}
+	ok, _ := l.Take("w", small, 4, now)
+	must.True(t, ok)
+	ok, retry := l.Take("w", small, 4, now)
+	must.False(t, ok)
+	must.Positive(t, retry)
+	l.Return("w", 4)
+	ok, _ = l.Take("w", small, 4, now)
+	must.True(t, ok)
+}
+
+// Guards against refusals of a small workspace whose single requests are larger than its burst, while its use is
+// below its rate: 4 requests in 3 s at 7 instances, of 12,000 tokens in the mean and up to 60,000.
+func TestLedger_LargeRequestsOfSmallWorkspace(t *testing.T) {
+	small := quota.Limit{PerSecond: 36_000, Burst: 36_000}
+	refused, asked := 0.0, 0.0
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		f := newFleet(7)
+		for step := range 3000 { // 60 s in steps of 20 ms
+			f.now = f.now.Add(20 * time.Millisecond)
+			if step%20 == 0 {
+				f.exchange()
+			}
+			if rng.Float64() > 0.02*1.33 {
+				continue
+			}
+			cost := min(60_000, 6_000*math.Exp(1.17*rng.NormFloat64()))
+			asked += cost
+			if ok, _ := f.ledgers[rng.IntN(7)].Take("w", small, cost, f.now); !ok {
+				refused += cost
+			}
+		}
+	}
+	must.Less(t, 0.01*asked, refused)
+}
--- /dev/null
+++ b/usage/usage_test.go
@@ -0,0 +1,35 @@
+package usage_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/trefoillug/trefoillug/usage"
+)
+
+// Guards against counts that are lost or doubled when reports of an instance come again or leave a window out.
+func TestCounter_SumsProcesses(t *testing.T) {
+	c := usage.NewCounter(5 * time.Second)
+	now := time.Unix(1000, 0)
+	k := c.Window(now)
+	c.Began("a", now)
+	c.Began("a", now.Add(time.Second))
+	c.Receive("p", usage.Windows{k: {"a": 3, "b": 1}})
+	c.Receive("p", usage.Windows{k: {"a": 4, "b": 1}})
+	c.Receive("p", usage.Windows{k + 1: {"a": 9}})
+	c.Receive("q", usage.Windows{k: {"b": 2}})
+	must.Eq(t, usage.Counts{"a": 6, "b": 3}, c.Sum(k))
+	must.Eq(t, usage.Windows{k: {"a": 2}}, c.Recent(now, 2))
+}
+
+// Guards against a window that is reported before it has settled, or when it is too late to count.
+func TestCounter_Due(t *testing.T) {
+	c := usage.NewCounter(5 * time.Second)
+	now := time.Unix(1000, 0).Add(1500 * time.Millisecond) // windows begin at multiples of 5 s
+	k := c.Window(now)
+	must.Eq(t, []uint64{k - 2, k - 1}, c.Due(now, time.Second, 10*time.Second, 0))
+	must.Eq(t, []uint64{k - 2}, c.Due(now, 2*time.Second, 10*time.Second, 0))
+	must.Eq(t, []uint64{k - 1}, c.Due(now, time.Second, 10*time.Second, k-1))
+}
