--- /dev/null
+++ b/forward/attempt.go
@@ -0,0 +1,226 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/trefoillug/trefoillug/fleet"
+	"github.com/trefoillug/trefoillug/upstream"
+)
+
+// end tells how an attempt ended.
+type end int
+
+const (
+	answered    end = iota // a whole answer arrived
+	unreachable            // nothing was sent
+	rejected               // the endpoint states that it did not run the request
+	lost                   // the connection broke, or went silent, after a byte was sent
+	ended                  // the caller left or the time is up
+)
+
+func (e end) String() string {
+	return [...]string{"answered", "unreachable", "rejected", "lost", "ended"}[e]
+}
+
+// outcome of an attempt.
+type outcome struct {
+	end       end
+	arrived   bool // a byte may have reached the endpoint
+	delivered bool
+	answer    *answer // whole answer that reports a failure
+	err       error
+}
+
+// mayHaveRun reports whether the endpoint may have run the request.
+func (o *outcome) mayHaveRun() bool { return o.arrived && o.end != rejected }
+
+// answer is a whole answer in memory.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+func (a *answer) drop() {}
+
+// maxBuffered bounds the bytes of an answer that is read before it is passed on. Answers of plain services have a few
+// KB; a longer one is passed on as it arrives.
+const maxBuffered = 256 << 10
+
+// errSilent ends an attempt that has brought no answer for so long that another endpoint does better.
+var errSilent = errors.New("no answer from the endpoint in the expected time")
+
+// repeatAfter is the wait for an idempotent request's answer before it is given to another endpoint. It lies above
+// nearly all answers of plain services (60 ms, seldom 300) and below their objective of 300 ms.
+const repeatAfter = 220 * time.Millisecond
+
+func (r *run) attempt(ctx context.Context, w ResponseWriter, e *fleet.Endpoint) outcome {
+	r.tried[e] = true
+	prefill := r.begin(e)
+	defer e.Live.End()
+	first := func() { e.Live.Prefilled(prefill); prefill = 0 }
+	defer first()
+
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if wait := r.silence(); wait > 0 {
+		timer := time.AfterFunc(wait, func() { cancel(errSilent) })
+		defer timer.Stop()
+	}
+	reply, err := e.Pool.Do(ctx, r.call(ctx, e))
+	if err != nil {
+		return r.failedExchange(ctx, err)
+	}
+	defer reply.Finish()
+	if load, ok := r.f.cfg.Wire.Load(reply.Header); ok {
+		e.Live.NoteLoad(load, time.Now())
+	}
+	if r.f.cfg.Wire.IsNotRun(reply.Status, reply.Header) {
+		_, _ = io.Copy(io.Discard, io.LimitReader(reply.Body, maxBuffered)) // only whether the connection can be kept depends on it
+		return outcome{end: rejected, arrived: true, err: errors.New("the endpoint had no room: " + http.StatusText(reply.Status))}
+	}
+	r.mayRun = true
+	if isStream(reply) {
+		return r.relayStream(ctx, w, e, reply, first)
+	}
+	return r.relayWhole(ctx, w, reply)
+}
+
+func (r *run) begin(e *fleet.Endpoint) float64 {
+	prefill := 0.0
+	if p := r.prompt(); p.Input > 0 {
+		now := time.Now()
+		prefill = max(0, float64(p.Input)-r.f.caches.known(e, p, now))
+		r.f.caches.sent(e, p, now)
+	}
+	e.Live.Begin(prefill)
+	return prefill
+}
+
+// silence is the time after which a request that may be repeated goes to another endpoint; 0: never.
+func (r *run) silence() time.Duration {
+	if !r.route.MayRepeat() || r.runs+1 >= r.route.MaxAttempts || r.req.Prompt != nil {
+		return 0
+	}
+	return repeatAfter
+}
+
+func (r *run) call(ctx context.Context, e *fleet.Endpoint) *upstream.Call {
+	deadline, _ := ctx.Deadline()
+	a := &Attempt{
+		Request: r.req, Endpoint: e, Priority: r.priority(), TimeLeft: time.Until(deadline), LastEventID: r.req.LastEventID,
+	}
+	if r.workspace != nil {
+		a.Workspace = r.workspace.Name
+	}
+	if r.stream.lastID != "" {
+		a.LastEventID = r.stream.lastID
+	}
+	if r.moved != nil {
+		a.MovedFrom = r.moved.ref
+		r.moved = nil
+	}
+	return &upstream.Call{
+		Method: r.req.Method, URI: r.req.URI, Host: r.req.Host, Header: r.f.cfg.Wire.Outbound(a), Body: r.req.Body,
+		Once:  !r.route.MayRepeat(),
+		IsOwn: func(h http.Header) bool { return r.f.cfg.Wire.IsAnswerTo(h, r.req.ID) },
+	}
+}
+
+func (r *run) failedExchange(ctx context.Context, err error) outcome {
+	out := outcome{end: lost, arrived: true, err: err}
+	var failed *upstream.Error
+	if errors.As(err, &failed) && !failed.Sent {
+		out.end, out.arrived = unreachable, false
+	}
+	if out.arrived {
+		r.mayRun = true
+	}
+	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errSilent) {
+		out.end = ended
+	}
+	return out
+}
+
+// note records an attempt for the choice of endpoints, the limits and the log.
+func (r *run) note(e *fleet.Endpoint, out *outcome) {
+	now := time.Now()
+	if out.arrived {
+		r.arrivals++
+	}
+	if out.mayHaveRun() {
+		r.runs++
+		r.noteBegun()
+	}
+	switch {
+	case out.end == unreachable:
+		e.Live.NoteUnreachable(now)
+	case out.end == lost:
+		e.Live.NoteAnswer(true, now)
+	case out.end == answered:
+		e.Live.NoteAnswer(out.answer != nil && out.answer.status >= http.StatusInternalServerError, now)
+	case out.end == rejected:
+		e.Live.NoteLoad(fleet.Load{Running: e.Slots, Waiting: e.Slots, Slots: e.Slots}, now)
+	}
+	r.f.cfg.Metrics.attempt(out.end)
+	if out.end != answered || out.answer != nil {
+		r.log.WithError(out.err).WithFields(logrus.Fields{
+			"route": r.route.Name, "endpoint": e.ID, "end": out.end.String(), "arrivals": r.arrivals, "ms": time.Since(r.req.Arrived).Milliseconds(),
+		}).Info("attempt delivered no answer")
+	}
+}
+
+// noteBegun counts the request once for the usage report.
+func (r *run) noteBegun() {
+	if r.began || r.workspace == nil {
+		return
+	}
+	r.began = true
+	r.f.cfg.Began(r.workspace.Name, time.Now())
+}
+
+// relayWhole reads an answer completely before a byte of it is passed on, so that a broken one can be repeated.
+func (r *run) relayWhole(ctx context.Context, w ResponseWriter, reply *upstream.Reply) outcome {
+	body, err := io.ReadAll(io.LimitReader(reply.Body, maxBuffered+1))
+	if err != nil {
+		out := r.failedExchange(ctx, &upstream.Error{Sent: true, Err: err})
+		return out
+	}
+	a := &answer{status: reply.Status, header: reply.Header, body: body}
+	if len(body) > maxBuffered {
+		return r.relayLong(w, a, reply)
+	}
+	if reply.Status >= http.StatusInternalServerError {
+		return outcome{end: answered, arrived: true, answer: a, err: errors.New("the endpoint answered " + http.StatusText(reply.Status))}
+	}
+	if err := a.deliver(w); err != nil {
+		return outcome{end: ended, arrived: true, err: err}
+	}
+	return outcome{end: answered, arrived: true, delivered: true}
+}
+
+// relayLong passes on an answer that is too long to be held.
+func (r *run) relayLong(w ResponseWriter, a *answer, reply *upstream.Reply) outcome {
+	r.stream.started = true
+	w.WriteHead(a.status, a.header, reply.Length)
+	_, err := w.Write(a.body)
+	if err == nil {
+		_, err = io.Copy(w, reply.Body)
+	}
+	if err != nil {
+		return outcome{end: ended, arrived: true, err: err}
+	}
+	return outcome{end: answered, arrived: true, delivered: true}
+}
+
+func (a *answer) deliver(w ResponseWriter) error {
+	w.WriteHead(a.status, a.header, int64(len(a.body)))
+	_, err := w.Write(a.body)
+	return err
+}
--- /dev/null
+++ b/forward/forward.go
@@ -0,0 +1,303 @@
+// Package forward is the request path of routed traffic: it finds the route and the workspace of a request, admits
+// it, sends it to an endpoint, repeats it where that is allowed, and relays the answer.
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/trefoillug/trefoillug/fleet"
+	"github.com/trefoillug/trefoillug/placement"
+	"github.com/trefoillug/trefoillug/problem"
+	"github.com/trefoillug/trefoillug/routing"
+)
+
+// Request is a caller's request, read completely.
+type Request struct {
+	ID          string // of this attempt of the caller
+	Method      string
+	Host        string
+	Path        string
+	URI         string // path and query as sent
+	Key         string // API key; empty without one
+	Header      http.Header
+	Body        []byte
+	Arrived     time.Time
+	Deadline    time.Time // when the caller gives up; zero: unknown
+	Prompt      *Prompt   // of requests to model engines, else nil
+	LastEventID string    // the caller resumes a stream after this event
+}
+
+// Prompt describes a request to a model engine.
+type Prompt struct {
+	Input  int // prompt tokens
+	Output int // largest number of output tokens
+	Parts  []placement.Part
+}
+
+// Attempt is what an endpoint is told of a request beside its headers.
+type Attempt struct {
+	Request     *Request
+	Endpoint    *fleet.Endpoint
+	Workspace   string
+	Priority    int           // 0 is the most urgent
+	TimeLeft    time.Duration // until the caller gives up or the route's timeout
+	LastEventID string
+	MovedFrom   string // reference to the KV cache of the run that this attempt goes on with
+}
+
+// Wire translates between this package and the headers that callers and endpoints understand.
+type Wire interface {
+	// Outbound returns the headers of an attempt.
+	Outbound(a *Attempt) http.Header
+	// IsAnswerTo reports whether an endpoint's answer belongs to a request.
+	IsAnswerTo(h http.Header, requestID string) bool
+	// IsNotRun reports whether an endpoint states that it did not run a request.
+	IsNotRun(status int, h http.Header) bool
+	// Load returns the load that an endpoint reports with an answer.
+	Load(h http.Header) (fleet.Load, bool)
+}
+
+// Quotas limits what workspaces use over all instances.
+type Quotas interface {
+	// Take counts cost against a workspace's quota. A refusal comes with the time after which a retry may succeed.
+	Take(ws *routing.Workspace, cost float64) (ok bool, retry time.Duration)
+	// Return gives back the cost of a request that did not run.
+	Return(ws *routing.Workspace, cost float64)
+}
+
+// Repeats is the retry budget that all instances share.
+type Repeats interface {
+	// First counts a request to a service.
+	First(service string)
+	// Repeat takes one more arrival of a request from the budget.
+	Repeat(service string) bool
+}
+
+// Mover moves running generations between engines.
+type Mover interface {
+	// Move copies the KV cache of a run to another engine and stops the run. It returns a reference for
+	// Attempt.MovedFrom.
+	Move(ctx context.Context, requestID string, from, to *fleet.Endpoint) (ref string, err error)
+}
+
+// Config of a Forwarder. All fields are required but Mover and Began.
+type Config struct {
+	Zone    string
+	Table   func() *routing.Table // nil before the first configuration
+	Fleet   *fleet.Table
+	Wire    Wire
+	Quotas  Quotas
+	Repeats Repeats
+	Mover   Mover
+	Began   func(workspace string, at time.Time) // a request began to run
+	Log     logrus.FieldLogger
+	Metrics *Metrics
+}
+
+// Forwarder serves routed requests. It is safe for concurrent use.
+type Forwarder struct {
+	cfg    Config
+	caches caches
+}
+
+// New returns a forwarder.
+func New(cfg Config) *Forwarder {
+	if cfg.Began == nil {
+		cfg.Began = func(string, time.Time) {}
+	}
+	return &Forwarder{cfg: cfg, caches: caches{byEndpoint: map[*fleet.Endpoint]*placement.Cache{}}}
+}
+
+const (
+	// refusedRetry is the mean Retry-After of a request for which no endpoint had room: about the time in which
+	// a batch of generations ends.
+	refusedRetry = 250 * time.Millisecond
+	// unreadyRetry is the Retry-After while no configuration is known: a little more than a read of the store.
+	unreadyRetry = 300 * time.Millisecond
+	// holdShare is the part of the objective for which a request may wait for an endpoint before it is refused.
+	holdShare = 8
+	// defaultHold is the wait on a route without an objective.
+	defaultHold = 100 * time.Millisecond
+)
+
+// run is a request on its way.
+type run struct {
+	f         *Forwarder
+	req       *Request
+	route     *routing.Route
+	service   *routing.Service
+	workspace *routing.Workspace // nil on public routes
+	log       logrus.FieldLogger
+
+	tried     map[*fleet.Endpoint]bool
+	arrivals  int  // sends that reached an endpoint
+	runs      int  // endpoints that may have run the request
+	mayRun    bool // an endpoint may have run it, or may still
+	began     bool // counted as begun
+	notBefore time.Time
+	stream    streamState
+	moved     *moved // where the stream goes on
+}
+
+// Serve answers a request on w. An error means that an answer that had begun was broken off; the caller's connection
+// must then be closed.
+func (f *Forwarder) Serve(ctx context.Context, w ResponseWriter, req *Request) error {
+	r := &run{f: f, req: req, log: f.cfg.Log.WithField("request", req.ID), tried: map[*fleet.Endpoint]bool{}}
+	if refusal := r.identify(); refusal != nil {
+		return r.refuse(w, refusal)
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.deadline())
+	defer cancel()
+	cost := r.cost()
+	if r.workspace != nil {
+		if ok, retry := f.cfg.Quotas.Take(r.workspace, cost); !ok {
+			return r.refuse(w, &Refusal{Err: problem.New(problem.LimitExceeded, "workspace %s is over its quota", r.workspace.Name), RetryAfter: retry})
+		}
+	}
+	f.cfg.Repeats.First(r.service.Name)
+	err := r.serve(ctx, w)
+	if !r.mayRun && r.workspace != nil {
+		f.cfg.Quotas.Return(r.workspace, cost)
+	}
+	return err
+}
+
+// identify finds route, service and workspace.
+func (r *run) identify() *Refusal {
+	table := r.f.cfg.Table()
+	if table == nil {
+		return &Refusal{Err: problem.New(problem.NotReady, "no configuration is known yet"), RetryAfter: unreadyRetry}
+	}
+	r.route = table.Match(r.req.Host, r.req.Path)
+	if r.route == nil {
+		return &Refusal{Err: problem.New(problem.UnknownRoute, "no route for %s%s", r.req.Host, r.req.Path)}
+	}
+	if len(table.Workspaces) > 0 && !r.route.Public {
+		if r.workspace = table.Workspace(r.req.Key); r.workspace == nil {
+			return &Refusal{Err: problem.New(problem.Unauthenticated, "the API key is missing or unknown")}
+		}
+	}
+	name := r.route.Service(r.req.ID)
+	if r.service = table.Services[name]; r.service == nil {
+		return &Refusal{Err: problem.New(problem.NotReady, "service %q of route %s is not described", name, r.route.Name), RetryAfter: unreadyRetry}
+	}
+	return nil
+}
+
+// noDeadline bounds requests of callers that state none, on routes without a timeout.
+const noDeadline = time.Minute
+
+func (r *run) deadline() time.Time {
+	end := r.req.Deadline
+	if end.IsZero() {
+		end = r.req.Arrived.Add(noDeadline)
+	}
+	if t := r.route.Timeout; t > 0 && r.req.Arrived.Add(t).Before(end) {
+		end = r.req.Arrived.Add(t)
+	}
+	return end
+}
+
+// cost is what the request counts against the quota of its workspace.
+func (r *run) cost() float64 {
+	if r.workspace == nil || !r.workspace.Quota.Tokens {
+		return 1
+	}
+	if r.req.Prompt == nil {
+		return r.workspace.Quota.PlainTokens
+	}
+	return float64(r.req.Prompt.Input + r.req.Prompt.Output)
+}
+
+func (r *run) priority() int {
+	if r.workspace != nil && r.workspace.Priority != nil {
+		return *r.workspace.Priority
+	}
+	return r.route.Priority
+}
+
+// serve sends the request until an answer was delivered or none can be had.
+func (r *run) serve(ctx context.Context, w ResponseWriter) error {
+	for {
+		endpoint, refusal := r.choose(ctx)
+		if refusal != nil {
+			return r.giveUp(ctx, w, refusal)
+		}
+		out := r.attempt(ctx, w, endpoint)
+		r.note(endpoint, &out)
+		if out.delivered {
+			return nil
+		}
+		if ctx.Err() != nil || !r.mayTryAgain(&out) {
+			return r.finish(ctx, w, &out)
+		}
+		if out.answer != nil {
+			out.answer.drop()
+		}
+	}
+}
+
+// mayTryAgain reports whether another endpoint may get the request after an attempt that delivered no whole answer.
+func (r *run) mayTryAgain(out *outcome) bool {
+	if r.moved != nil {
+		return true // the run goes on elsewhere; it is no repeat of the work
+	}
+	if out.end == ended || out.end == unreachable && len(r.tried) > maxUnreachable {
+		return false
+	}
+	if out.mayHaveRun() && (!r.route.MayRepeat() || r.runs >= max(1, r.route.MaxAttempts)) {
+		return false
+	}
+	if out.end == rejected && r.arrivals > maxRejections {
+		return false
+	}
+	if out.arrived && !r.f.cfg.Repeats.Repeat(r.service.Name) {
+		r.log.WithField("service", r.service.Name).Info("no repeat: the retry budget is used up")
+		return false
+	}
+	return true
+}
+
+const (
+	// maxUnreachable bounds the endpoints to which a connection is tried for one request.
+	maxUnreachable = 4
+	// maxRejections bounds the endpoints that may reject one request; each rejection counts against the retry budget.
+	maxRejections = 2
+)
+
+// finish answers a request that gets no further attempt.
+func (r *run) finish(ctx context.Context, w ResponseWriter, out *outcome) error {
+	switch {
+	case r.stream.started:
+		r.log.WithError(out.err).WithFields(logrus.Fields{"route": r.route.Name, "last_event": r.stream.lastID, "end": out.end.String()}).
+			Info("stream broken off")
+		r.f.cfg.Metrics.broken()
+		return problem.Wrap(problem.StreamBroken, out.err)
+	case out.answer != nil && ctx.Err() == nil:
+		return out.answer.deliver(w)
+	case context.Cause(ctx) == context.DeadlineExceeded && r.mayRun:
+		return r.refuse(w, &Refusal{Err: problem.New(problem.TimedOut, "no answer in time: %v", out.err)})
+	case r.mayRun:
+		return r.refuse(w, &Refusal{Err: problem.New(problem.EndpointFailed, "%v", out.err)})
+	default:
+		return r.refuse(w, &Refusal{Err: problem.New(problem.Overloaded, "no endpoint had room: %v", out.err), RetryAfter: spread(refusedRetry)})
+	}
+}
+
+// giveUp answers a request for which no endpoint could be chosen.
+func (r *run) giveUp(ctx context.Context, w ResponseWriter, refusal *Refusal) error {
+	if r.mayRun || r.stream.started {
+		return r.finish(ctx, w, &outcome{err: refusal.Err})
+	}
+	return r.refuse(w, refusal)
+}
+
+// spread varies a delay evenly by half, so that refused callers don't come back together.
+func spread(d time.Duration) time.Duration {
+	return d/2 + rand.N(d)
+}
