--- a/cmd/trefoillug/entry.go
+++ b/cmd/trefoillug/entry.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
 
 	"github.com/trefoillug/trefoillug/entry"
@@ -47,13 +47,10 @@
 }
 
 func runEntry(ctx context.Context, s entry.Settings) error {
-	log := logrus.New()
-	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
-	level, err := logrus.ParseLevel(s.LogLevel)
+	log, err := newLog(os.Stderr, s.LogLevel)
 	if err != nil {
 		return err
 	}
-	log.SetLevel(level)
 	d, err := entry.New(s, log)
 	if err != nil {
 		return err
--- a/cmd/trefoillug/main.go
+++ b/cmd/trefoillug/main.go
@@ -18,7 +18,7 @@
 		Name:  "trefoillug",
 		Usage: "serves model and application traffic on reclaimable instances",
 		Commands: []*cli.Command{
-			entryCommand(), checkCommand(), publishCommand(), statusCommand(), reportCommand(),
+			entryCommand(), nodeCommand(), checkCommand(), publishCommand(), statusCommand(), reportCommand(),
 		},
 	}
 	if err := app.Run(ctx, os.Args); err != nil {
--- /dev/null
+++ b/cmd/trefoillug/node.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+
+	"github.com/sirupsen/logrus"
+	"github.com/urfave/cli/v3"
+
+	"github.com/trefoillug/trefoillug/forward"
+	"github.com/trefoillug/trefoillug/node"
+	"github.com/trefoillug/trefoillug/platform"
+)
+
+func nodeCommand() *cli.Command {
+	var path, level string
+	return &cli.Command{
+		Name:  "node",
+		Usage: "run an instance on the users' platform",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "path of the platform's settings file (TOML)",
+				Sources: cli.EnvVars(platform.SettingsVariable), Destination: &path},
+			stringFlag("log-level", "debug, info, warning or error", "info", &level),
+		},
+		Action: func(ctx context.Context, _ *cli.Command) error {
+			s, err := platform.LoadSettings(path)
+			if err != nil {
+				return fmt.Errorf("invalid settings:\n%w", err)
+			}
+			return runNode(ctx, s, level)
+		},
+	}
+}
+
+func runNode(ctx context.Context, s *platform.Settings, level string) error {
+	log, err := newLog(os.Stdout, level)
+	if err != nil {
+		return err
+	}
+	n, err := node.New(s.Node, onPlatform(s, log), log)
+	if err != nil {
+		return err
+	}
+	return n.Run(ctx)
+}
+
+// onPlatform puts the parts of the adapter together.
+func onPlatform(s *platform.Settings, log logrus.FieldLogger) node.Platform {
+	store := platform.NewStore(s.StoreAddress)
+	p := node.Platform{
+		Kinds:   node.Kinds{Configuration: platform.KindManifest, Endpoints: platform.KindEndpoints, Rollouts: platform.KindRollouts},
+		Objects: store, Records: platform.Records{Store: store}, Wire: platform.Wire{},
+		DecodeTable: platform.DecodeManifest, DecodeEndpoint: platform.DecodeEndpoint, Ready: platform.ReadyHandler,
+		Ingress: func(f *forward.Forwarder, maxBody func() int64, closing func() bool) http.Handler {
+			return &platform.Ingress{Forwarder: f, MaxBody: maxBody, Closing: closing, Log: log}
+		},
+	}
+	if s.CloudAddress != "" {
+		p.API = platform.NewAPI(s.CloudAddress, s.Node.Name)
+	}
+	return p
+}
--- /dev/null
+++ b/node/duties.go
@@ -0,0 +1,158 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/trefoillug/trefoillug/clock"
+	"github.com/trefoillug/trefoillug/lease"
+	"github.com/trefoillug/trefoillug/objstore"
+	"github.com/trefoillug/trefoillug/usage"
+)
+
+const (
+	// dutyTerm bounds how long duties rest after their holder died; usage is due 10 s after its window.
+	dutyTerm = 4 * time.Second
+	// dutyMargin covers a call of the holder that is still on its way when its term ends.
+	dutyMargin = 1500 * time.Millisecond
+	// dutyStagger is the advantage of each candidate over the next.
+	dutyStagger = 500 * time.Millisecond
+	// dutyInterval is the pace of the work of a holder.
+	dutyInterval = 250 * time.Millisecond
+	// usageSettle is the time after a window in which the counts of all instances arrive: three reports and a retry.
+	usageSettle = 2500 * time.Millisecond
+	// usageMargin is kept to the end of the time in which a report is due.
+	usageMargin = 500 * time.Millisecond
+
+	usagePrefix = "usage-windows/"
+)
+
+// duties is the work of the holder of the lease.
+type duties struct {
+	n        *Node
+	lease    *lease.Lease
+	token    uint64
+	from     time.Time // the holder acts from then on
+	reported map[uint64]bool
+}
+
+// runDuties competes for the lease and works while it is held.
+func (n *Node) runDuties(ctx context.Context) {
+	d := &duties{n: n, reported: map[uint64]bool{}}
+	d.lease = lease.New(lease.Settings{
+		Store: n.platform.Records, Duty: "duties", Candidate: n.settings.Name, Process: seedFor(n.process),
+		Members: n.memberIDs, Term: dutyTerm, Margin: dutyMargin, Stagger: dutyStagger, Now: clock.Now,
+	})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		d.lease.Run(ctx, func(err error) { n.log.WithError(err).Info("lease of the duties not renewed") })
+	}()
+	_ = every(ctx, dutyInterval, d.work) // returns nil only
+	<-done
+}
+
+func (n *Node) memberIDs() []string {
+	var ids []string
+	for _, m := range n.mesh.Members() {
+		if !m.Leaving {
+			ids = append(ids, m.ID)
+		}
+	}
+	return ids
+}
+
+func (d *duties) work(ctx context.Context) {
+	grant, held := d.lease.Held()
+	if !held {
+		d.token = 0
+		return
+	}
+	if grant.Token != d.token {
+		d.token, d.from = grant.Token, clock.Now()
+		if !grant.PreviousEnd.IsZero() {
+			// A duty that went to another holder in between must not come back to this one too soon.
+			d.from = d.from.Add(d.n.settings.Lease)
+		}
+		d.n.log.WithFields(logrus.Fields{"token": grant.Token, "from": d.from.Sub(clock.Now()).String()}).Info("duties taken over")
+	}
+	if clock.Now().Before(d.from) {
+		return
+	}
+	if d.n.settings.ReportUsage {
+		d.reportUsage(ctx)
+	}
+}
+
+// mayAct reports whether the lease is still held, right before a call.
+func (d *duties) mayAct() bool {
+	grant, held := d.lease.Held()
+	return held && grant.Token == d.token
+}
+
+func (d *duties) reportUsage(ctx context.Context) {
+	n := d.n
+	now := n.wall.Now()
+	first := n.usage.Window(n.wall.Now().Add(-time.Since(n.started)))
+	for _, window := range n.usage.Due(now, usageSettle, n.settings.UsageLate-usageMargin, first) {
+		if d.reported[window] {
+			continue
+		}
+		if err := d.reportWindow(ctx, window); err != nil {
+			n.log.WithError(err).WithField("window", window).Info("usage not reported")
+			continue
+		}
+		d.reported[window] = true
+		delete(d.reported, window-keptReports)
+	}
+}
+
+// keptReports is the number of windows whose report is remembered; older ones are not due any more.
+const keptReports = 16
+
+// reportWindow fixes the counts of a window in the store before they are reported, so that each holder reports the same.
+func (d *duties) reportWindow(ctx context.Context, window uint64) error {
+	counts, err := d.fixedCounts(ctx, window)
+	if err != nil {
+		return err
+	}
+	if !d.mayAct() {
+		return lease.ErrNotHeld
+	}
+	if err := d.n.platform.API.ReportUsage(ctx, d.token, window, counts); err != nil {
+		return err
+	}
+	d.n.log.WithFields(logrus.Fields{"window": window, "counts": counts, "token": d.token}).Info("usage reported")
+	return nil
+}
+
+func (d *duties) fixedCounts(ctx context.Context, window uint64) (usage.Counts, error) {
+	key := usagePrefix + strconv.FormatUint(window, 10)
+	counts := d.n.usage.Sum(window)
+	value, err := json.Marshal(counts)
+	if err != nil {
+		return nil, err
+	}
+	_, err = d.n.platform.Records.Put(ctx, key, value, 0)
+	if err == nil {
+		return counts, nil
+	}
+	if !errors.Is(err, objstore.ErrConflict) && !errors.Is(err, objstore.ErrUnknownResult) {
+		return nil, err
+	}
+	fixed, err := d.n.platform.Records.Get(ctx, key)
+	if err != nil {
+		return nil, fmt.Errorf("read the fixed counts: %w", err)
+	}
+	counts = nil
+	if err := json.Unmarshal(fixed.Value, &counts); err != nil {
+		return nil, fmt.Errorf("decode the fixed counts: %w", err)
+	}
+	return counts, nil
+}
--- /dev/null
+++ b/node/peers.go
@@ -0,0 +1,297 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/trefoillug/trefoillug/feed"
+	"github.com/trefoillug/trefoillug/objstore"
+	"github.com/trefoillug/trefoillug/peer"
+	"github.com/trefoillug/trefoillug/quota"
+	"github.com/trefoillug/trefoillug/usage"
+)
+
+const (
+	// reportInterval is the pace of reports to the peers. The overshoot of a quota grows with it.
+	reportInterval = 400 * time.Millisecond
+	// usageEvery is the number of reports for each one with usage, which is needed seconds later only.
+	usageEvery = 3
+	// reportLife is how long a report is kept: as long as its usage may still have to be reported.
+	reportLife = 30 * time.Second
+
+	factReport = "report"
+	factUsage  = "usage/"
+	callCopy   = "copy"
+)
+
+// report is what an instance tells its peers in each interval.
+type report struct {
+	Process string            `cbor:"1,keyasint"`
+	Used    quota.Report      `cbor:"2,keyasint,omitempty"`
+	Changed map[string]uint64 `cbor:"3,keyasint,omitempty"` // newest change of each kind of object
+	Leaving bool              `cbor:"4,keyasint,omitempty"`
+}
+
+// usageReport carries the counts of the newest windows of a process.
+type usageReport struct {
+	Windows usage.Windows `cbor:"1,keyasint"`
+}
+
+// copyCall asks for a copy of the objects of a kind.
+type copyCall struct {
+	Kind  string `cbor:"1,keyasint"`
+	After uint64 `cbor:"2,keyasint"`
+}
+
+func (n *Node) subscribe() {
+	n.mesh.Subscribe(factReport, n.receiveReport)
+	n.mesh.Subscribe(factUsage, n.receiveUsage)
+	n.mesh.Handle(callCopy, n.handleCopy)
+}
+
+// publish tells the peers what this instance has used and seen.
+func (n *Node) publish(context.Context) {
+	now := time.Now()
+	n.members.update(n.mesh.Members(), now)
+	expected := n.members.expected(now)
+	n.quotas.Expect(expected)
+	n.repeats.setInstances(expected)
+	r := report{Process: n.process, Used: n.quotas.Report(), Changed: map[string]uint64{}, Leaving: n.closing.Load()}
+	for kind, f := range n.feeds {
+		r.Changed[kind] = f.Changed()
+	}
+	n.publishFact(factReport, r)
+	if n.members.tick()%usageEvery == 0 {
+		n.publishFact(factUsage+n.process, usageReport{Windows: n.usage.Recent(n.wall.Now(), 3)})
+	}
+}
+
+func (n *Node) publishFact(key string, value any) {
+	text, err := cbor.Marshal(value)
+	if err != nil {
+		n.log.WithError(err).WithField("fact", key).Error("fact not encoded")
+		return
+	}
+	n.mesh.Publish(key, text, reportLife)
+}
+
+func (n *Node) receiveReport(f peer.Fact) {
+	var r report
+	if err := cbor.Unmarshal(f.Value, &r); err != nil {
+		n.log.WithError(err).WithField("peer", f.Origin).Warn("report of a peer not understood")
+		return
+	}
+	n.quotas.Receive(r.Process, r.Used, time.Now())
+	if r.Leaving {
+		n.quotas.Left(r.Process)
+	}
+	for kind, changed := range r.Changed {
+		if own := n.feeds[kind]; own != nil {
+			own.Nudge(changed)
+		}
+	}
+}
+
+func (n *Node) receiveUsage(f peer.Fact) {
+	var r usageReport
+	if err := cbor.Unmarshal(f.Value, &r); err != nil {
+		n.log.WithError(err).WithField("peer", f.Origin).Warn("usage of a peer not understood")
+		return
+	}
+	n.usage.Receive(strings.TrimPrefix(f.Key, factUsage), r.Windows)
+}
+
+func (n *Node) handleCopy(_ context.Context, _ string, body []byte) ([]byte, error) {
+	var c copyCall
+	if err := cbor.Unmarshal(body, &c); err != nil {
+		return nil, fmt.Errorf("decode call: %w", err)
+	}
+	f := n.feeds[c.Kind]
+	if f == nil {
+		return nil, fmt.Errorf("no objects of kind %q", c.Kind)
+	}
+	return cbor.Marshal(f.Copy(c.After))
+}
+
+// askPeers asks a random peer for a copy with changes after a revision.
+func (n *Node) askPeers(ctx context.Context, kind string, after uint64) (*feed.Copy, error) {
+	var others []string
+	for _, m := range n.mesh.Members() {
+		if m.ID != n.settings.Name {
+			others = append(others, m.ID)
+		}
+	}
+	if len(others) == 0 {
+		return nil, errors.New("no peers")
+	}
+	body, err := cbor.Marshal(copyCall{Kind: kind, After: after})
+	if err != nil {
+		return nil, err
+	}
+	answer, err := n.mesh.Call(ctx, others[rand.IntN(len(others))], callCopy, body)
+	if err != nil {
+		return nil, err
+	}
+	var c *feed.Copy
+	if err := cbor.Unmarshal(answer, &c); err != nil {
+		return nil, fmt.Errorf("decode copy: %w", err)
+	}
+	return c, nil
+}
+
+// membership remembers which instances were live lately.
+type membership struct {
+	mu       sync.Mutex
+	self     string
+	since    time.Time
+	seen     map[string]time.Time
+	listed   int // instances in the register at the start
+	reported int
+}
+
+const (
+	// memberMemory keeps an instance that fell silent among the expected ones: longer than the window of the quotas.
+	memberMemory = 10 * time.Second
+	// joinTime is how long after the start the register counts, until the peers have found each other.
+	joinTime = 5 * time.Second
+)
+
+func newMembership(self string, now time.Time) membership {
+	return membership{self: self, since: now, seen: map[string]time.Time{}}
+}
+
+func (m *membership) update(live []peer.Member, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, member := range live {
+		if !member.Leaving {
+			m.seen[member.ID] = now
+		} else {
+			delete(m.seen, member.ID)
+		}
+	}
+	for id, at := range m.seen {
+		if now.Sub(at) > memberMemory {
+			delete(m.seen, id)
+		}
+	}
+}
+
+// expected is the number of instances that should exist, this one included.
+func (m *membership) expected(now time.Time) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if now.Sub(m.since) < joinTime {
+		return max(len(m.seen), m.listed, defaultInstances)
+	}
+	return max(1, len(m.seen))
+}
+
+func (m *membership) setListed(count int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.listed = count
+}
+
+func (m *membership) tick() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reported++
+	return m.reported
+}
+
+// registerPrefix begins the keys of the register of instances, by which they find each other.
+const registerPrefix = "instances/"
+
+// registered is an instance's entry in the register.
+type registered struct {
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	Region  string `json:"region"`
+}
+
+// registerIntervals are the pauses between looks at the register: soon after the start, when others start too, and
+// rarely later, for partitions in which the peers lost each other.
+var registerIntervals = []time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second, 5 * time.Second, 20 * time.Second}
+
+// register enters this instance in the register and reads it from time to time.
+func (n *Node) register(ctx context.Context) {
+	entered := false
+	for i := 0; ctx.Err() == nil; i++ {
+		if !entered {
+			if err := n.enterRegister(ctx); err != nil {
+				n.log.WithError(err).Info("instance not entered in the register")
+			} else {
+				entered = true
+			}
+		}
+		if err := n.readRegister(ctx); err != nil {
+			n.log.WithError(err).Info("register of instances not read")
+		}
+		pause := registerIntervals[min(i, len(registerIntervals)-1)]
+		if !entered {
+			pause = min(pause, time.Second)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+}
+
+func (n *Node) enterRegister(ctx context.Context) error {
+	value, err := json.Marshal(registered{Address: n.settings.PeerListen, Zone: n.settings.Zone, Region: n.settings.Region})
+	if err != nil {
+		return err
+	}
+	key := registerPrefix + n.settings.Name
+	_, err = n.platform.Records.Put(ctx, key, value, 0)
+	if !errors.Is(err, objstore.ErrConflict) && !errors.Is(err, objstore.ErrUnknownResult) {
+		return err
+	}
+	old, err := n.platform.Records.Get(ctx, key)
+	if err != nil || string(old.Value) == string(value) {
+		return err
+	}
+	_, err = n.platform.Records.Put(ctx, key, value, old.Version)
+	return err
+}
+
+func (n *Node) readRegister(ctx context.Context) error {
+	records, err := n.platform.Records.List(ctx, registerPrefix)
+	if err != nil {
+		return err
+	}
+	var list []peer.Member
+	for _, r := range records {
+		var e registered
+		if err := json.Unmarshal(r.Value, &e); err != nil {
+			n.log.WithError(err).WithField("object", r.Key).Warn("entry of the register skipped")
+			continue
+		}
+		list = append(list, peer.Member{ID: strings.TrimPrefix(r.Key, registerPrefix), Address: e.Address, FailureDomain: e.Zone, Region: e.Region})
+	}
+	n.members.setListed(len(list))
+	n.mesh.UpdateMembers(list)
+	return nil
+}
+
+func (n *Node) peerMux() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(peer.Path, n.mesh.Handler())
+	mux.Handle("GET /metrics", n.metrics.handler)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	return mux
+}
+
+func seedFor(name string) uint64 { return xxhash.Sum64String(name) }
--- /dev/null
+++ b/node/settings.go
@@ -0,0 +1,82 @@
+// Package node is the daemon of an instance on its users' platform: it follows the platform's state, serves callers
+// through package forward, exchanges what limits and reports need with its peers, and carries out the duties of one.
+package node
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/trefoillug/trefoillug/feed"
+	"github.com/trefoillug/trefoillug/fleet"
+	"github.com/trefoillug/trefoillug/forward"
+	"github.com/trefoillug/trefoillug/limit"
+	"github.com/trefoillug/trefoillug/objstore"
+	"github.com/trefoillug/trefoillug/quota"
+	"github.com/trefoillug/trefoillug/routing"
+	"github.com/trefoillug/trefoillug/usage"
+)
+
+// Settings of a process.
+type Settings struct {
+	Name        string // unique among the instances
+	Zone        string // failure domain
+	Region      string
+	Zones       []string // all failure domains
+	Listen      string   // host:port for callers
+	ReadyListen string   // host:port for the balancer's question
+	PeerListen  string   // host:port for peers, metrics and status
+	Seeds       []string // host:port of peers, perhaps stale
+	MemoryBytes int64
+
+	Grace          time.Duration      // from the signal to stop to the end of the process
+	Drain          time.Duration      // longest time in which a leaving endpoint may get work
+	Lease          time.Duration      // a duty doesn't go back to an earlier holder within this time
+	Repeats        limit.ArrivalLimit // of all instances together, for each service
+	QuotaTolerance quota.Tolerance
+	UsageWindow    time.Duration
+	UsageLate      time.Duration // a report is due this long after the end of its window
+	ExposedShare   float64       // largest part of a service's requests that an unproven version may get
+
+	ReportUsage bool
+	SizePool    bool
+}
+
+// ErrNoneAvailable means that no endpoints of the ordered kind are to be had at the moment.
+var ErrNoneAvailable = errors.New("none available")
+
+// Order sets the number of endpoints of a service in a zone.
+type Order struct {
+	Service     string
+	Zone        string
+	Desired     int
+	Reclaimable bool
+}
+
+// API takes the calls of the holder of a duty. token is the holder's fencing token.
+type API interface {
+	// ReportUsage reports the counts of a window; a repeat must have the same counts.
+	ReportUsage(ctx context.Context, token, window uint64, counts usage.Counts) error
+	// Order sets a number of endpoints. It fails with ErrNoneAvailable when none are to be had.
+	Order(ctx context.Context, token uint64, o Order) error
+}
+
+// Kinds names the kinds of objects that the platform keeps its state in.
+type Kinds struct{ Configuration, Endpoints, Rollouts string }
+
+// Platform is what the adapter to a platform provides.
+type Platform struct {
+	Kinds          Kinds
+	Objects        feed.Store
+	Records        objstore.Store
+	API            API // nil without duties
+	Wire           forward.Wire
+	Mover          forward.Mover // nil: running requests can't be moved
+	DecodeTable    func(spec []byte) (*routing.Table, error)
+	DecodeEndpoint func(id string, spec []byte, now time.Time) (fleet.Entry, error)
+	// Ingress returns the handler of callers' requests.
+	Ingress func(f *forward.Forwarder, maxBody func() int64, closing func() bool) http.Handler
+	// Ready returns the handler of the balancer's question.
+	Ready func(isReady func() bool) http.Handler
+}
--- /dev/null
+++ b/node/state.go
@@ -0,0 +1,107 @@
+package node
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/trefoillug/trefoillug/feed"
+	"github.com/trefoillug/trefoillug/fleet"
+)
+
+// configHandler takes over configurations. A version never goes back within the life of the process.
+type configHandler struct{ n *Node }
+
+func (h configHandler) Replace(objects []feed.Object, _ bool) {
+	for _, o := range objects {
+		h.take(o)
+	}
+}
+
+func (h configHandler) Apply(e feed.Event, _ bool) {
+	if !e.Deleted {
+		h.take(e.Object)
+	}
+}
+
+func (h configHandler) take(o feed.Object) {
+	log := h.n.log.WithFields(logrus.Fields{"object": o.Name, "revision": o.Revision})
+	table, err := h.n.platform.DecodeTable(o.Spec)
+	if err != nil {
+		log.WithError(err).Warn("configuration not understood; the earlier one stays in effect")
+		return
+	}
+	if old := h.n.table.Load(); old != nil && table.Version <= old.Version {
+		if table.Version < old.Version {
+			log.WithFields(logrus.Fields{"version": table.Version, "in_effect": old.Version}).Warn("older configuration ignored")
+		}
+		return
+	}
+	h.n.table.Store(table)
+	h.n.applyTable(table.Version)
+	log.WithField("version", table.Version).Info("configuration in effect")
+}
+
+// applyTable hands the figures of a new configuration to those who need them.
+func (n *Node) applyTable(uint64) { n.limitConnections() }
+
+// connectionShare is the part of an endpoint's connections that the instances use in sum, so that one more instance
+// does not meet the limit.
+const connectionShare = 0.8
+
+// limitConnections divides the connections that endpoints accept among the instances.
+func (n *Node) limitConnections() {
+	table := n.table.Load()
+	if table == nil {
+		return
+	}
+	instances := n.members.expected(time.Now())
+	for _, e := range n.fleet.All() {
+		if s := table.Services[e.Service]; s != nil && s.MaxConns > 0 {
+			e.Pool.SetLimit(max(2, int(float64(s.MaxConns)*connectionShare)/instances))
+		}
+	}
+}
+
+// endpointHandler takes over the list of endpoints.
+type endpointHandler struct{ n *Node }
+
+func (h endpointHandler) Replace(objects []feed.Object, settled bool) {
+	now := time.Now()
+	var entries []fleet.Entry
+	for _, o := range objects {
+		if e, ok := h.decode(o, now); ok {
+			entries = append(entries, e)
+		}
+	}
+	h.n.fleet.ReplaceAll(entries, settled, now)
+	h.n.limitConnections()
+}
+
+func (h endpointHandler) Apply(e feed.Event, settled bool) {
+	now := time.Now()
+	log := h.n.log.WithFields(logrus.Fields{"endpoint": e.Object.Name, "revision": e.Object.Revision})
+	if e.Deleted {
+		log.WithField("settled", settled).Info("endpoint gone from the list")
+		h.n.fleet.Remove(e.Object.Name, settled, now)
+		return
+	}
+	entry, ok := h.decode(e.Object, now)
+	if !ok {
+		return
+	}
+	if entry.Draining {
+		log.WithField("leaves_at", entry.LeavesAt).Info("endpoint is leaving")
+	}
+	h.n.fleet.Put(entry)
+	h.n.limitConnections()
+}
+
+func (h endpointHandler) decode(o feed.Object, now time.Time) (fleet.Entry, bool) {
+	e, err := h.n.platform.DecodeEndpoint(o.Name, o.Spec, now)
+	if err != nil {
+		h.n.log.WithError(err).Warn("entry of the endpoint list skipped")
+		return fleet.Entry{}, false
+	}
+	return e, true
+}
