feed: find changes that waiting watches do not hear of, and list once after the history is gone

Ruled out: stale reads (none are made) and a lost nudge (no instance knew the change). Change: two instances, by rendezvous, wait for 0.9 s only and nudge the others.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -61,11 +61,15 @@
 	Log     logrus.FieldLogger
 	// Peer asks a peer for a copy with changes after a revision; nil: no peers.
 	Peer func(ctx context.Context, kind string, after uint64) (*Copy, error)
+	// Wait returns the longest wait of the next watch; nil: MaxWait. A watch may hear nothing of changes while it
+	// waits, so some of the peers must wait for short times only, and nudge the others.
+	Wait func() time.Duration
 }
 
+// MaxWait is the longest wait of one watch; the store allows 30 s.
+const MaxWait = 25 * time.Second
+
 const (
-	// watchWait is the longest wait of one watch; the store allows 30 s.
-	watchWait = 25 * time.Second
 	// listTime bounds a list; the store answers in milliseconds, and 60 times as slowly on bad days.
 	listTime = 2 * time.Second
 	// settleTime is how long the store must have been sound for a missing object to count as gone: the time after
@@ -94,11 +98,15 @@
 	pause    time.Duration
 	cancel   context.CancelFunc // of the waiting watch
 	behind   bool               // list again
+	listedAt time.Time          // of the newest list; used by Run only
 	ready    chan struct{}
 }
 
 // New returns a feed without objects.
 func New(s Settings) *Feed {
+	if s.Wait == nil {
+		s.Wait = func() time.Duration { return MaxWait }
+	}
 	return &Feed{s: s, objects: map[string]Object{}, ready: make(chan struct{})}
 }
 
@@ -161,6 +169,7 @@
 		c.Changed = max(c.Changed, o.Revision)
 	}
 	f.succeeded()
+	f.listedAt = time.Now()
 	f.replace(c, false)
 	return nil
 }
@@ -169,9 +178,10 @@
 func (f *Feed) replace(c *Copy, fromPeer bool) {
 	f.mu.Lock()
 	first := !f.listed
-	if !first && (c.Changed < f.changed || fromPeer && c.Changed == f.changed) {
+	if !first && (fromPeer && c.Changed <= f.changed || !fromPeer && c.Revision < f.revision) {
 		f.behind = false
 		f.mu.Unlock()
+		f.s.Log.WithFields(logrus.Fields{"kind": f.s.Kind, "revision": c.Revision, "peer": fromPeer}).Info("older copy ignored")
 		return
 	}
 	settled := first || !fromPeer && f.settled()
@@ -179,7 +189,7 @@
 	for _, o := range c.Objects {
 		f.objects[o.Name] = o
 	}
-	f.revision, f.changed, f.listed, f.behind = c.Revision, c.Changed, true, false
+	f.revision, f.changed, f.listed, f.behind = c.Revision, max(f.changed, c.Changed), true, false
 	f.mu.Unlock()
 	f.s.Handler.Replace(c.Objects, settled)
 	if first {
@@ -188,28 +198,34 @@
 }
 
 func (f *Feed) watch(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+listTime)
+	wait := f.s.Wait()
+	ctx, cancel := context.WithTimeout(ctx, wait+listTime)
 	defer cancel()
 	f.mu.Lock()
 	after := f.revision
 	f.cancel = cancel
 	f.mu.Unlock()
 	began := time.Now()
-	events, revision, err := f.s.Store.Watch(ctx, f.s.Kind, after, watchWait)
+	events, revision, err := f.s.Store.Watch(ctx, f.s.Kind, after, wait)
 	f.mu.Lock()
 	f.cancel = nil
 	nudged, sound := f.behind, !f.sound.IsZero()
 	f.mu.Unlock()
 	switch {
-	case errors.Is(err, ErrHistoryGone):
+	case errors.Is(err, ErrHistoryGone) && time.Since(f.listedAt) > maxPause:
 		f.s.Log.WithField("kind", f.s.Kind).Info("history of the store is gone; listing again")
 		f.mu.Lock()
 		f.behind = true
 		f.mu.Unlock()
-		return nil
+		return nil // the list comes at once; when its own revision is gone too, the next one waits
 	case err != nil && (nudged || sound && time.Since(began) > cutWatch):
 		return nil // given up for a list, or cut off while waiting; the next call shows whether the store is sound
 	case err != nil:
+		if errors.Is(err, ErrHistoryGone) {
+			f.mu.Lock()
+			f.behind = true
+			f.mu.Unlock()
+		}
 		return err
 	}
 	f.succeeded()
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -254,3 +254,44 @@
 		must.Eq(t, []string{"y"}, r.now())
 	})
 }
+
+// Guards against a watch that hears nothing of a change until the next one, with the history dropped meanwhile.
+func TestFeed_ShortWaitFindsDroppedHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.put("a", "1")
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		r := &recorder{}
+		f := feed.New(feed.Settings{Kind: "k", Store: s, Handler: r, Log: log, Wait: func() time.Duration { return time.Second }})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); f.Run(ctx) }()
+		defer func() { cancel(); <-done }()
+		time.Sleep(5*time.Second + 500*time.Millisecond)
+		s.mu.Lock() // no watch is woken
+		s.revision++
+		s.objects["b"] = feed.Object{Name: "b", Revision: s.revision}
+		s.floor = s.revision
+		s.mu.Unlock()
+		time.Sleep(1500 * time.Millisecond)
+		must.Eq(t, []string{"a", "b"}, r.now())
+	})
+}
+
+// Guards against listing in a tight loop after a deletion raised the known revision above that of all objects.
+func TestFeed_DroppedHistoryAfterDeletionListsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.put("a", "1")
+		s.put("b", "1")
+		_, r := start(t, s, nil)
+		time.Sleep(5 * time.Second)
+		s.remove("b")
+		time.Sleep(time.Second)
+		s.update(func() { s.revision++; s.floor = s.revision })
+		time.Sleep(time.Minute)
+		must.Eq(t, []string{"a"}, r.now())
+		must.Less(t, 4, s.lists)
+	})
+}
--- a/node/node.go
+++ b/node/node.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +22,7 @@
 	"github.com/trefoillug/trefoillug/limit"
 	"github.com/trefoillug/trefoillug/peer"
 	"github.com/trefoillug/trefoillug/quota"
+	"github.com/trefoillug/trefoillug/rendezvous"
 	"github.com/trefoillug/trefoillug/routing"
 	"github.com/trefoillug/trefoillug/upstream"
 	"github.com/trefoillug/trefoillug/usage"
@@ -112,7 +114,25 @@
 }
 
 func (n *Node) addFeed(kind string, h feed.Handler) {
-	n.feeds[kind] = feed.New(feed.Settings{Kind: kind, Store: n.platform.Objects, Handler: h, Log: n.log, Peer: n.askPeers})
+	n.feeds[kind] = feed.New(feed.Settings{Kind: kind, Store: n.platform.Objects, Handler: h, Log: n.log, Peer: n.askPeers,
+		Wait: func() time.Duration { return n.watchWait(kind) },
+	})
+}
+
+const (
+	// shortWatchers is the number of instances whose watches wait for a short time only, so that a change which
+	// waiting watches do not hear of is found soon. Two, since one may be out of touch.
+	shortWatchers = 2
+	// shortWait leaves time to list again and to nudge the others within the 2 s in which a change must be in force.
+	shortWait = 900 * time.Millisecond
+)
+
+// watchWait returns the longest wait of this instance's next watch.
+func (n *Node) watchWait(kind string) time.Duration {
+	if slices.Contains(rendezvous.Top(kind, n.memberIDs(), shortWatchers), n.settings.Name) {
+		return shortWait
+	}
+	return feed.MaxWait
 }
 
 // Run serves until ctx is done and then stops gracefully. It returns an error when a listener can't be opened.
