quota: keep the reports of processes that join late

Ruled out: the mesh; TestNode_FrequentFactsOfJoiningMembers shows reports of joining members in time.

--- a/node/peers.go
+++ b/node/peers.go
@@ -13,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
+	"github.com/sirupsen/logrus"
 
 	"github.com/trefoillug/trefoillug/feed"
 	"github.com/trefoillug/trefoillug/objstore"
@@ -66,6 +67,9 @@
 	expected := n.members.expected(now)
 	n.quotas.Expect(expected)
 	n.repeats.setInstances(expected)
+	if silent := n.quotas.OutOfTouch(now); n.members.setSilent(silent) {
+		n.log.WithFields(logrus.Fields{"silent": silent, "expected": expected}).Info("instances out of touch; quotas follow")
+	}
 	r := report{Process: n.process, Used: n.quotas.Report(), Changed: map[string]uint64{}, Leaving: n.closing.Load()}
 	for kind, f := range n.feeds {
 		r.Changed[kind] = f.Changed()
@@ -156,6 +160,7 @@
 	since    time.Time
 	seen     map[string]time.Time
 	listed   int // instances in the register at the start
+	silent   int // out of touch at the last look
 	reported int
 }
 
@@ -203,6 +208,15 @@
 	m.listed = count
 }
 
+// setSilent takes over the number of instances out of touch and reports whether it has changed.
+func (m *membership) setSilent(count int) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	changed := m.silent != count
+	m.silent = count
+	return changed
+}
+
 func (m *membership) tick() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -283,3 +283,43 @@
 		must.ErrorIs(t, err, ErrUnreachable)
 	})
 }
+
+// Guards against members that join later and whose frequent facts do not reach the earlier ones in time: each member
+// publishes a report of 150 bytes 2.5 times a second.
+func TestNode_FrequentFactsOfJoiningMembers(t *testing.T) {
+	virtual(t, func(t *testing.T, net *memNet) {
+		const interval = 400 * time.Millisecond
+		nodes := net.cluster(t, 7, 4, 1)
+		publish := func(rounds int) {
+			for range rounds {
+				for _, n := range nodes {
+					n.Publish("report", make([]byte, 150), 30*time.Second)
+				}
+				time.Sleep(interval)
+			}
+		}
+		publish(50)
+		for i := 7; i < 11; i++ {
+			nodes = append(nodes, net.start(t, testMember(i, 4, 1), nodes[0].Self().Address, nodes[1].Self().Address))
+		}
+		for _, n := range nodes {
+			n.do(func(m *machine, _ time.Time) { m.paceRate = 20_000 })
+		}
+		publish(10)
+		late := 0
+		for range 25 {
+			publish(1)
+			for _, at := range nodes {
+				at.mu.Lock()
+				for _, of := range nodes {
+					f := at.m.facts.byID[factID(of.id, "report")]
+					if f == nil || time.Since(f.stored) > 3*interval {
+						late++
+					}
+				}
+				at.mu.Unlock()
+			}
+		}
+		must.Zero(t, late)
+	})
+}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -59,7 +59,6 @@
 	buckets  map[string]*bucket
 	origins  map[string]*origin
 	expected int // instances that should exist, this one included
-	since    time.Time
 }
 
 type bucket struct {
@@ -78,8 +77,8 @@
 }
 
 // NewLedger returns a ledger without use. expected is the number of instances that should exist.
-func NewLedger(tolerance Tolerance, expected int, now time.Time) *Ledger {
-	return &Ledger{tolerance: tolerance, own: Report{}, buckets: map[string]*bucket{}, origins: map[string]*origin{}, expected: max(1, expected), since: now}
+func NewLedger(tolerance Tolerance, expected int) *Ledger {
+	return &Ledger{tolerance: tolerance, own: Report{}, buckets: map[string]*bucket{}, origins: map[string]*origin{}, expected: max(1, expected)}
 }
 
 // Expect sets the number of instances that should exist, this one included.
@@ -166,6 +165,14 @@
 	return max(0, l.expected-heard)
 }
 
+// OutOfTouch returns the number of instances that should exist and have not been heard of lately. While it is not
+// zero, this instance keeps to its even share.
+func (l *Ledger) OutOfTouch(now time.Time) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.outOfTouch(now)
+}
+
 // Report returns this instance's use. The result is a copy.
 func (l *Ledger) Report() Report {
 	l.mu.Lock()
@@ -183,9 +190,9 @@
 	defer l.mu.Unlock()
 	o := l.origins[process]
 	if o == nil {
-		o = &origin{used: Report{}, rates: map[string]float64{}, at: l.since}
-		l.origins[process] = o
 		l.forgetOld(now)
+		o = &origin{used: Report{}, rates: map[string]float64{}, at: now.Add(-rateMemory)}
+		l.origins[process] = o
 	}
 	passed := max(now.Sub(o.at).Seconds(), 0.05)
 	weight := min(1, passed/rateMemory.Seconds())
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -23,7 +23,7 @@
 func newFleet(n int) *fleet {
 	f := &fleet{now: time.Unix(1000, 0), cut: map[int]bool{}}
 	for range n {
-		f.ledgers = append(f.ledgers, quota.NewLedger(tolerance, n, f.now))
+		f.ledgers = append(f.ledgers, quota.NewLedger(tolerance, n))
 	}
 	return f
 }
@@ -103,7 +103,7 @@
 	f.run(8*time.Second, limit, 12_000, hot)
 	before := f.run(4*time.Second, limit, 12_000, hot)
 	for i := range f.ledgers {
-		f.ledgers[i] = quota.NewLedger(tolerance, 7, f.now)
+		f.ledgers[i] = quota.NewLedger(tolerance, 7)
 	}
 	after := f.run(4*time.Second, limit, 12_000, hot)
 	must.Less(t, bound(), before+after)
@@ -111,7 +111,7 @@
 
 // Guards against a cost that stays counted although the request never ran.
 func TestLedger_ReturnGivesBack(t *testing.T) {
-	l := quota.NewLedger(quota.Tolerance{}, 1, time.Unix(0, 0))
+	l := quota.NewLedger(quota.Tolerance{}, 1)
 	now := time.Unix(1, 0)
 	small := quota.Limit{PerSecond: 1, Burst: 10}
 	ok, _ := l.Take("w", small, 4, now)
@@ -149,3 +149,22 @@
 	}
 	must.Less(t, 0.01*asked, refused)
 }
+
+// Guards against the whole use of a process that joins late being taken from the buckets with each of its reports.
+func TestLedger_InstanceJoinsLate(t *testing.T) {
+	f := newFleet(7)
+	usual := func(int) float64 { return 0.5 * limit.PerSecond / 9 }
+	f.run(30*time.Second, limit, 1_000, usual)
+	for range 2 {
+		f.ledgers = append(f.ledgers, quota.NewLedger(tolerance, 9))
+	}
+	for _, l := range f.ledgers {
+		l.Expect(9)
+	}
+	f.run(5*time.Second, limit, 1_000, usual)
+	got := f.run(10*time.Second, limit, 1_000, usual)
+	must.Greater(t, 0.49*10*limit.PerSecond, got)
+	for _, l := range f.ledgers {
+		must.Zero(t, l.OutOfTouch(f.now))
+	}
+}
