--- a/cmd/trefoillug/node.go
+++ b/cmd/trefoillug/node.go
@@ -29,29 +29,34 @@
 			if err != nil {
 				return fmt.Errorf("invalid settings:\n%w", err)
 			}
-			return runNode(ctx, s, level)
+			return runNode(ctx, path, s, level)
 		},
 	}
 }
 
-func runNode(ctx context.Context, s *platform.Settings, level string) error {
+func runNode(ctx context.Context, path string, s *platform.Settings, level string) error {
 	log, err := newLog(os.Stdout, level)
 	if err != nil {
 		return err
 	}
-	n, err := node.New(s.Node, onPlatform(s, log), log)
+	n, err := newNode(s, log)
 	if err != nil {
 		return err
 	}
+	go followSettings(ctx, path, s, n, log)
 	return n.Run(ctx)
 }
 
+func newNode(s *platform.Settings, log logrus.FieldLogger) (*node.Node, error) {
+	return node.New(s.Node, onPlatform(s, log), log)
+}
+
 // onPlatform puts the parts of the adapter together.
 func onPlatform(s *platform.Settings, log logrus.FieldLogger) node.Platform {
 	store := platform.NewStore(s.StoreAddress)
 	p := node.Platform{
 		Kinds:   node.Kinds{Configuration: platform.KindManifest, Endpoints: platform.KindEndpoints, Rollouts: platform.KindRollouts},
-		Objects: store, Records: platform.Records{Store: store}, Wire: platform.Wire{},
+		Objects: store, Records: platform.Records{Store: store}, Wire: platform.Wire{}, Mover: platform.Mover{},
 		DecodeTable: platform.DecodeManifest, DecodeEndpoint: platform.DecodeEndpoint, Ready: platform.ReadyHandler,
 		Ingress: func(f *forward.Forwarder, maxBody func() int64, closing func() bool) http.Handler {
 			return &platform.Ingress{Forwarder: f, MaxBody: maxBody, Closing: closing, Log: log}
--- a/node/limits.go
+++ b/node/limits.go
@@ -46,6 +46,15 @@
 
 func (r *repeats) Repeat(service string) bool { return r.of(service).Repeat(time.Now()) }
 
+// setLimit replaces the limit; budgets begin anew.
+func (r *repeats) setLimit(l limit.ArrivalLimit) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if l != r.limit {
+		r.limit, r.byService = l, map[string]*limit.Arrivals{}
+	}
+}
+
 func (r *repeats) setInstances(n int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/node/node.go
+++ b/node/node.go
@@ -72,6 +72,7 @@
 	repeats   repeats
 	forwarder *forward.Forwarder
 	metrics   *metrics
+	work      work
 
 	members  membership
 	closing  atomic.Bool
@@ -100,11 +101,13 @@
 		return nil, err
 	}
 	n.mesh = mesh
+	n.work = newWork()
 	n.members = newMembership(s.Name, time.Now())
 	n.forwarder = forward.New(forward.Config{
 		Zone: s.Zone, Table: n.table.Load, Fleet: n.fleet, Wire: p.Wire, Quotas: quotas{n}, Repeats: &n.repeats,
 		Mover: p.Mover, Log: n.log, Metrics: forward.NewMetrics(n.metrics.scope),
-		Began: func(workspace string, _ time.Time) { n.usage.Began(workspace, wall.Now()) },
+		Worked: n.work.add,
+		Began:  func(workspace string, _ time.Time) { n.usage.Began(workspace, wall.Now()) },
 	})
 	n.feeds = map[string]*feed.Feed{}
 	n.addFeed(p.Kinds.Configuration, configHandler{n})
@@ -181,6 +184,14 @@
 	return err
 }
 
+// Reconfigure takes over changed settings as far as a running process can: limits and bounds. Addresses, names and
+// duties stay as they are until the next start.
+func (n *Node) Reconfigure(s Settings) {
+	n.quotas.SetTolerance(s.QuotaTolerance)
+	n.repeats.setLimit(s.Repeats)
+	debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryShare))
+}
+
 // IsReady reports whether the instance may get new connections.
 func (n *Node) IsReady() bool {
 	return !n.closing.Load() && n.table.Load() != nil && isClosed(n.feeds[n.platform.Kinds.Endpoints].Ready())
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -52,13 +52,12 @@
 
 // Ledger is the view of one instance. It is safe for concurrent use.
 type Ledger struct {
+	mu        sync.Mutex
 	tolerance Tolerance
-
-	mu       sync.Mutex
-	own      Report
-	buckets  map[string]*bucket
-	origins  map[string]*origin
-	expected int // instances that should exist, this one included
+	own       Report
+	buckets   map[string]*bucket
+	origins   map[string]*origin
+	expected  int // instances that should exist, this one included
 }
 
 type bucket struct {
@@ -81,6 +80,13 @@
 	return &Ledger{tolerance: tolerance, own: Report{}, buckets: map[string]*bucket{}, origins: map[string]*origin{}, expected: max(1, expected)}
 }
 
+// SetTolerance replaces the tolerance.
+func (l *Ledger) SetTolerance(t Tolerance) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.tolerance = t
+}
+
 // Expect sets the number of instances that should exist, this one included.
 func (l *Ledger) Expect(n int) {
 	l.mu.Lock()
