Size pools with reclaimable endpoints and move runs away from leaving ones

Change: package autoscale keeps reclaimable endpoints so that the loss of a zone leaves the need, and fills up on demand while none are to be had; the holder of the duties orders. Runs on a leaving engine are moved with their KV cache.

--- /dev/null
+++ b/autoscale/autoscale_test.go
@@ -0,0 +1,86 @@
+package autoscale_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/trefoillug/trefoillug/autoscale"
+)
+
+func service(need float64, onDemand, reclaimable int) autoscale.Service {
+	s := autoscale.Service{Min: 1, Max: 6, ReclaimablePrice: 0.18, Need: need}
+	for i, price := range []float64{1, 0.8, 1.25, 0.9} {
+		s.Zones = append(s.Zones, autoscale.Zone{Name: string(rune('a' + i)), Price: price, OnDemand: onDemand, Reclaimable: reclaimable})
+	}
+	return s
+}
+
+// running counts what is left after the loss of the zone with the most reclaimable endpoints.
+func leftAfterLoss(s autoscale.Service, wants []autoscale.Want) int {
+	total, largest := 0, 0
+	for i, w := range wants {
+		have := min(s.Zones[i].Reclaimable, w.Reclaimable)
+		total += w.OnDemand + have
+		largest = max(largest, have)
+	}
+	return total - largest
+}
+
+// Guards against on-demand endpoints that are given up before their cheap replacements serve.
+func TestPlan_StartKeepsOnDemandUntilReplaced(t *testing.T) {
+	s := service(8, 3, 0)
+	wants := autoscale.Plan(s)
+	must.GreaterEq(t, 8, leftAfterLoss(s, wants))
+	for _, w := range wants {
+		must.Eq(t, 4, w.Reclaimable)
+	}
+	for i := range s.Zones {
+		s.Zones[i].Reclaimable = 4
+	}
+	for _, w := range autoscale.Plan(s) {
+		must.Zero(t, w.OnDemand)
+	}
+}
+
+// Guards against a zone's reclaim that leaves too few endpoints for a second one: on-demand endpoints fill up, in the
+// cheap zones first.
+func TestPlan_FillsUpWhileZonesAreDry(t *testing.T) {
+	for _, lost := range [][]int{{0}, {0, 2}, {0, 1, 2}, {0, 1, 2, 3}} {
+		s := service(8, 0, 4)
+		for _, z := range lost {
+			s.Zones[z].Reclaimable, s.Zones[z].Dry = 0, true
+		}
+		wants := autoscale.Plan(s)
+		must.GreaterEq(t, 8, leftAfterLoss(s, wants))
+		must.LessEq(t, wants[1].OnDemand, wants[2].OnDemand)
+		for i, w := range wants {
+			must.GreaterEq(t, 1, w.OnDemand+min(s.Zones[i].Reclaimable, w.Reclaimable))
+			must.LessEq(t, 6, w.OnDemand+w.Reclaimable)
+		}
+	}
+}
+
+// Guards against reclaimable endpoints where the platform offers none.
+func TestPlan_OnDemandOnly(t *testing.T) {
+	s := service(6, 3, 0)
+	s.ReclaimablePrice = 0
+	total := 0
+	for _, w := range autoscale.Plan(s) {
+		must.Zero(t, w.Reclaimable)
+		total += w.OnDemand
+	}
+	must.Between(t, 6, total, 7)
+}
+
+// Guards against a pool that shrinks in each trough of a wave and is too small at the next crest.
+func TestLoad_RemembersCrest(t *testing.T) {
+	var l autoscale.Load
+	now := time.Unix(0, 0)
+	l.Observe(4, now)
+	l.Observe(1, now.Add(15*time.Second))
+	must.Between(t, 5.7, l.Need(), 5.8)
+	l.Observe(1, now.Add(40*time.Second))
+	must.Between(t, 1.4, l.Need(), 1.5)
+}
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/trefoillug/trefoillug/fleet"
+	"github.com/trefoillug/trefoillug/placement"
 	"github.com/trefoillug/trefoillug/upstream"
 )
 
@@ -60,11 +61,15 @@
 // nearly all answers of plain services (60 ms, seldom 300) and below their objective of 300 ms.
 const repeatAfter = 220 * time.Millisecond
 
-func (r *run) attempt(ctx context.Context, w ResponseWriter, e *fleet.Endpoint) outcome {
+func (r *run) attempt(ctx context.Context, w ResponseWriter, e *fleet.Endpoint) (out outcome) {
 	r.tried[e] = true
 	prefill := r.begin(e)
 	defer e.Live.End()
-	first := func() { e.Live.Prefilled(prefill); prefill = 0 }
+	first := func() {
+		e.Live.Prefilled(prefill)
+		r.worked(time.Duration(prefill / placement.PrefillRate * float64(time.Millisecond)))
+		prefill = 0
+	}
 	defer first()
 
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -73,6 +78,14 @@
 		timer := time.AfterFunc(wait, func() { cancel(errSilent) })
 		defer timer.Stop()
 	}
+	relocation, stop := r.relocate(ctx, e)
+	defer stop()
+	defer func() {
+		if !out.delivered {
+			r.moved = relocation.result()
+		}
+	}()
+	began := time.Now()
 	reply, err := e.Pool.Do(ctx, r.call(ctx, e))
 	if err != nil {
 		return r.failedExchange(ctx, err)
@@ -87,16 +100,19 @@
 	}
 	r.mayRun = true
 	if isStream(reply) {
-		return r.relayStream(ctx, w, e, reply, first)
+		return r.relayStream(ctx, w, reply, relocation, first)
 	}
+	r.worked(time.Since(began) / time.Duration(max(1, e.Slots)))
 	return r.relayWhole(ctx, w, reply)
 }
 
+func (r *run) worked(work time.Duration) { r.f.cfg.Worked(r.service.Name, work) }
+
 func (r *run) begin(e *fleet.Endpoint) float64 {
 	prefill := 0.0
-	if p := r.prompt(); p.Input > 0 {
+	if p := r.prompt(); p.Input > 0 && r.moved == nil {
 		now := time.Now()
-		prefill = max(0, float64(p.Input)-r.f.caches.known(e, p, now))
+		prefill = max(0, float64(p.Input)-r.f.expectedCached(e, p, now))
 		r.f.caches.sent(e, p, now)
 	}
 	e.Live.Begin(prefill)
@@ -155,13 +171,15 @@
 		r.arrivals++
 	}
 	if out.mayHaveRun() {
-		r.runs++
 		r.noteBegun()
+		if r.moved == nil {
+			r.runs++ // a run that goes on elsewhere is the same run
+		}
 	}
 	switch {
 	case out.end == unreachable:
 		e.Live.NoteUnreachable(now)
-	case out.end == lost:
+	case out.end == lost && r.moved == nil:
 		e.Live.NoteAnswer(true, now)
 	case out.end == answered:
 		e.Live.NoteAnswer(out.answer != nil && out.answer.status >= http.StatusInternalServerError, now)
@@ -169,7 +187,7 @@
 		e.Live.NoteLoad(fleet.Load{Running: e.Slots, Waiting: e.Slots, Slots: e.Slots}, now)
 	}
 	r.f.cfg.Metrics.attempt(out.end)
-	if out.end != answered || out.answer != nil {
+	if r.moved == nil && (out.end != answered || out.answer != nil) {
 		r.log.WithError(out.err).WithFields(logrus.Fields{
 			"route": r.route.Name, "endpoint": e.ID, "end": out.end.String(), "arrivals": r.arrivals, "ms": time.Since(r.req.Arrived).Milliseconds(),
 		}).Info("attempt delivered no answer")
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -50,8 +50,7 @@
 // choose picks an endpoint, and waits a little for one when there is none.
 func (r *run) choose(ctx context.Context) (*fleet.Endpoint, *Refusal) {
 	if r.moved != nil {
-		to := r.moved.to
-		return to, nil
+		return r.moved.to, nil
 	}
 	hold := time.NewTimer(r.hold())
 	defer hold.Stop()
@@ -115,6 +114,16 @@
 	return endpoints[placement.Best(p, candidates)]
 }
 
+// expectedCached returns the prompt tokens that an endpoint is expected to have in its cache.
+func (f *Forwarder) expectedCached(e *fleet.Endpoint, p placement.Request, now time.Time) float64 {
+	all := f.cfg.Fleet.Service(e.Service)
+	ids := make([]string, len(all))
+	for i, other := range all {
+		ids[i] = other.ID
+	}
+	return placement.Expected(p, slices.Index(placement.Homes(p, ids), e.ID), f.caches.known(e, p, now))
+}
+
 func (f *Forwarder) candidate(e *fleet.Endpoint, p placement.Request, home int, now time.Time) placement.Candidate {
 	v := e.Live.View(now)
 	running := float64(v.Running)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -81,11 +81,12 @@
 // Mover moves running generations between engines.
 type Mover interface {
 	// Move copies the KV cache of a run to another engine and stops the run. It returns a reference for
-	// Attempt.MovedFrom.
+	// Attempt.MovedFrom. It fails with ErrNoRun when the engine does not run the request, or not yet. A reference that
+	// comes with an error means that the run has stopped without reaching the other engine.
 	Move(ctx context.Context, requestID string, from, to *fleet.Endpoint) (ref string, err error)
 }
 
-// Config of a Forwarder. All fields are required but Mover and Began.
+// Config of a Forwarder. All fields are required but Mover, Began and Worked.
 type Config struct {
 	Zone    string
 	Table   func() *routing.Table // nil before the first configuration
@@ -95,6 +96,8 @@
 	Repeats Repeats
 	Mover   Mover
 	Began   func(workspace string, at time.Time) // a request began to run
+	// Worked takes the time of an endpoint that a request took; an endpoint gives one second a second.
+	Worked  func(service string, work time.Duration)
 	Log     logrus.FieldLogger
 	Metrics *Metrics
 }
@@ -110,6 +113,9 @@
 	if cfg.Began == nil {
 		cfg.Began = func(string, time.Time) {}
 	}
+	if cfg.Worked == nil {
+		cfg.Worked = func(string, time.Duration) {}
+	}
 	return &Forwarder{cfg: cfg, caches: caches{byEndpoint: map[*fleet.Endpoint]*placement.Cache{}}}
 }
 
@@ -141,7 +147,7 @@
 	began     bool // counted as begun
 	notBefore time.Time
 	stream    streamState
-	moved     *moved // where the stream goes on
+	moved     *moved // where the run goes on; nil unless it was moved
 }
 
 // Serve answers a request on w. An error means that an answer that had begun was broken off; the caller's connection
@@ -233,7 +239,7 @@
 		if out.delivered {
 			return nil
 		}
-		if ctx.Err() != nil || !r.mayTryAgain(&out) {
+		if ctx.Err() != nil || !r.mayTryAgain(ctx, &out) {
 			return r.finish(ctx, w, &out)
 		}
 		if out.answer != nil {
@@ -243,14 +249,14 @@
 }
 
 // mayTryAgain reports whether another endpoint may get the request after an attempt that delivered no whole answer.
-func (r *run) mayTryAgain(out *outcome) bool {
+func (r *run) mayTryAgain(ctx context.Context, out *outcome) bool {
 	if r.moved != nil {
-		return true // the run goes on elsewhere; it is no repeat of the work
+		return ctx.Err() == nil // the run goes on elsewhere; it is no repeat of the work
 	}
 	if out.end == ended || out.end == unreachable && len(r.tried) > maxUnreachable {
 		return false
 	}
-	if out.mayHaveRun() && (!r.route.MayRepeat() || r.runs >= max(1, r.route.MaxAttempts)) {
+	if r.mayRun && (!r.route.MayRepeat() || r.runs >= r.route.MaxAttempts) {
 		return false
 	}
 	if out.end == rejected && r.arrivals > maxRejections {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -9,9 +9,6 @@
 	"strings"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
-	"github.com/trefoillug/trefoillug/fleet"
 	"github.com/trefoillug/trefoillug/upstream"
 )
 
@@ -40,14 +37,12 @@
 }
 
 // relayStream passes on the events of a stream, whole ones only.
-func (r *run) relayStream(ctx context.Context, w ResponseWriter, e *fleet.Endpoint, reply *upstream.Reply, first func()) outcome {
+func (r *run) relayStream(ctx context.Context, w ResponseWriter, reply *upstream.Reply, relocation *relocation, first func()) outcome {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	defer context.AfterFunc(ctx, func() { reply.Abort() })()
 	silent := r.watchSilence(cancel)
 	defer silent.Stop()
-	stopMove := r.moveWhenLeaving(ctx, e)
-	defer stopMove()
 	var buf []byte
 	chunk := make([]byte, readChunk)
 	for {
@@ -58,6 +53,7 @@
 			r.noteBegun()
 			buf = append(buf, chunk[:n]...)
 			whole := eventsEnd(buf)
+			r.workedOn(buf[:whole])
 			if werr := r.passOn(w, reply, buf[:whole]); werr != nil {
 				return outcome{end: ended, arrived: true, err: werr}
 			}
@@ -65,7 +61,7 @@
 		}
 		switch {
 		case err == nil && len(buf) <= maxEvent:
-		case err == io.EOF && len(buf) == 0 && !stopMove():
+		case err == io.EOF && len(buf) == 0 && relocation.result() == nil:
 			if !r.stream.started {
 				r.start(w, reply)
 			}
@@ -78,6 +74,17 @@
 	}
 }
 
+// tokenWork is the part of an engine's time that a generated token takes in a batch of usual size: a step of 6 ms for
+// about 40 requests.
+const tokenWork = 150 * time.Microsecond
+
+// workedOn counts the work behind generated events.
+func (r *run) workedOn(events []byte) {
+	if e := r.service.Engine; e != nil {
+		r.worked(time.Duration(bytes.Count(events, []byte("\n\n"))*e.EventTokens) * tokenWork)
+	}
+}
+
 func (r *run) start(w ResponseWriter, reply *upstream.Reply) {
 	r.stream.started = true
 	w.WriteHead(reply.Status, reply.Header, -1)
@@ -173,62 +180,3 @@
 	}
 	return ""
 }
-
-// moved tells where a stream goes on.
-type moved struct {
-	to  *fleet.Endpoint
-	ref string
-}
-
-// moveWhenLeaving moves the run to another endpoint when its own one announces that it leaves. The function returned
-// ends the watch and reports whether the run was moved; it may be called more than once.
-func (r *run) moveWhenLeaving(ctx context.Context, e *fleet.Endpoint) func() bool {
-	if r.f.cfg.Mover == nil || r.service.Engine == nil || !r.service.Engine.Moves {
-		return func() bool { return false }
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	done := make(chan *moved, 1)
-	go func() {
-		select {
-		case <-e.Leaving():
-			done <- r.move(ctx, e)
-		case <-ctx.Done():
-			done <- nil
-		}
-	}()
-	stopped := false
-	return func() bool {
-		if !stopped {
-			stopped = true
-			if e.IsLeaving() {
-				// The stream may have ended because it is being moved.
-				select {
-				case r.moved = <-done:
-				case <-time.After(moveTime):
-				}
-			}
-			cancel()
-		}
-		return r.moved != nil
-	}
-}
-
-// moveTime bounds a move; engines copy a long prompt in a few milliseconds, behind other moves.
-const moveTime = 1500 * time.Millisecond
-
-func (r *run) move(ctx context.Context, from *fleet.Endpoint) *moved {
-	ctx, cancel := context.WithTimeout(ctx, moveTime)
-	defer cancel()
-	to := r.f.bestOf(r.prompt(), r.f.cfg.Fleet.Service(r.service.Name), r.f.cfg.Fleet.Service(r.service.Name))
-	if to == nil {
-		return nil
-	}
-	ref, err := r.f.cfg.Mover.Move(ctx, r.req.ID, from, to)
-	log := r.log.WithFields(logrus.Fields{"endpoint": from.ID, "to": to.ID})
-	if err != nil {
-		log.WithError(err).Info("stream not moved from a leaving endpoint")
-		return nil
-	}
-	log.Debug("stream moved from a leaving endpoint")
-	return &moved{to: to, ref: ref}
-}
--- a/node/duties.go
+++ b/node/duties.go
@@ -40,6 +40,7 @@
 	token    uint64
 	from     time.Time // the holder acts from then on
 	reported map[uint64]bool
+	sizer    *sizer
 }
 
 // runDuties competes for the lease and works while it is held.
@@ -80,6 +81,7 @@
 			// A duty that went to another holder in between must not come back to this one too soon.
 			d.from = d.from.Add(d.n.settings.Lease)
 		}
+		d.sizer = newSizer(d.n, time.Now())
 		d.n.log.WithFields(logrus.Fields{"token": grant.Token, "from": d.from.Sub(clock.Now()).String()}).Info("duties taken over")
 	}
 	if clock.Now().Before(d.from) {
@@ -88,6 +90,9 @@
 	if d.n.settings.ReportUsage {
 		d.reportUsage(ctx)
 	}
+	if d.n.settings.SizePool {
+		d.sizer.work(ctx, d.token, d.mayAct)
+	}
 }
 
 // mayAct reports whether the lease is still held, right before a call.
--- a/node/peers.go
+++ b/node/peers.go
@@ -41,6 +41,7 @@
 	Used    quota.Report      `cbor:"2,keyasint,omitempty"`
 	Changed map[string]uint64 `cbor:"3,keyasint,omitempty"` // newest change of each kind of object
 	Leaving bool              `cbor:"4,keyasint,omitempty"`
+	Work    map[string]uint32 `cbor:"5,keyasint,omitempty"` // by service, in thousandths of an endpoint
 }
 
 // usageReport carries the counts of the newest windows of a process.
@@ -70,7 +71,7 @@
 	if silent := n.quotas.OutOfTouch(now); n.members.setSilent(silent) {
 		n.log.WithFields(logrus.Fields{"silent": silent, "expected": expected}).Info("instances out of touch; quotas follow")
 	}
-	r := report{Process: n.process, Used: n.quotas.Report(), Changed: map[string]uint64{}, Leaving: n.closing.Load()}
+	r := report{Process: n.process, Used: n.quotas.Report(), Changed: map[string]uint64{}, Leaving: n.closing.Load(), Work: n.work.measure(now)}
 	for kind, f := range n.feeds {
 		r.Changed[kind] = f.Changed()
 	}
@@ -96,6 +97,7 @@
 		return
 	}
 	n.quotas.Receive(r.Process, r.Used, time.Now())
+	n.work.receive(f.Origin, r.Work, time.Now())
 	if r.Leaving {
 		n.quotas.Left(r.Process)
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -33,8 +33,8 @@
 }
 
 const (
-	// prefillRate is the speed of an engine in prompt tokens per millisecond, from the sheets of both deployments.
-	prefillRate = 115.0
+	// PrefillRate is the speed of an engine in prompt tokens per millisecond, from the sheets of both deployments.
+	PrefillRate = 115.0
 	// runningDelay is the delay in ms of a first event by each running generation: a share of a decode step of 6 ms.
 	runningDelay = 0.6
 	// plainWork is the usual work of a plain request in ms, from the sheets of both deployments.
@@ -63,7 +63,7 @@
 func Cost(r Request, c *Candidate) float64 {
 	cost := c.Failures * failureDelay
 	if r.Input > 0 {
-		cost += (c.Prefill+max(0, float64(r.Input)-c.Cached))/prefillRate + c.Running*runningDelay
+		cost += (c.Prefill+max(0, float64(r.Input)-c.Cached))/PrefillRate + c.Running*runningDelay
 		cost += waiting(c) * queueDelay
 	} else {
 		cost += waiting(c) * plainWork / max(1, c.Slots)
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -87,6 +87,7 @@
 	KVTokens     int64 // tokens that the KV cache holds
 	KVTokenBytes int64
 	LinkMbps     float64
+	EventTokens  int           // tokens of an event of a stream
 	Moves        bool          // running requests can be moved with their KV cache
 	Backups      bool          // the KV cache of a run can be copied to another engine as it grows
 	CacheWaits   int           // waiting calls for cache events that an engine keeps
