Test connections and the whole path against stand-ins of the platform

The stand-ins of the store, the workers and the API speak the platform's protocol; the tests run whole instances on them.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -177,10 +177,13 @@
 		}
 	}
 	switch {
-	case out.end == unreachable:
+	case out.end == unreachable && !errors.Is(out.err, upstream.ErrLimit):
 		e.Live.NoteUnreachable(now)
 	case out.end == lost && r.moved == nil:
 		e.Live.NoteAnswer(true, now)
+		if errors.Is(out.err, errSilent) {
+			e.Pool.DropIdle() // they may have gone silent together
+		}
 	case out.end == answered:
 		e.Live.NoteAnswer(out.answer != nil && out.answer.status >= http.StatusInternalServerError, now)
 	case out.end == rejected:
--- a/node/limits.go
+++ b/node/limits.go
@@ -1,13 +1,9 @@
 package node
 
 import (
-	"net/http"
 	"sync"
 	"time"
 
-	"github.com/uber-go/tally/v4"
-	"github.com/uber-go/tally/v4/prometheus"
-
 	"github.com/trefoillug/trefoillug/limit"
 	"github.com/trefoillug/trefoillug/quota"
 	"github.com/trefoillug/trefoillug/routing"
@@ -63,20 +59,3 @@
 		a.SetInstances(n)
 	}
 }
-
-// metricsInterval is how often counters reach the exposition under /metrics.
-const metricsInterval = time.Second
-
-type metrics struct {
-	scope   tally.Scope
-	handler http.Handler
-}
-
-func newMetrics() *metrics {
-	reporter := prometheus.NewReporter(prometheus.Options{})
-	scope, _ := tally.NewRootScope(tally.ScopeOptions{
-		Prefix: "trefoillug", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
-		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
-	}, metricsInterval)
-	return &metrics{scope: scope, handler: reporter.HTTPHandler()}
-}
--- /dev/null
+++ b/node/metrics.go
@@ -0,0 +1,28 @@
+package node
+
+import (
+	"net/http"
+	"time"
+
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+)
+
+// metricsInterval is how often counters reach the exposition under /metrics.
+const metricsInterval = time.Second
+
+type metrics struct {
+	scope   tally.Scope
+	handler http.Handler
+}
+
+func newMetrics() *metrics {
+	registry := prom.NewRegistry() // one for each instance, since tests run several in a process
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
+	scope, _ := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "trefoillug", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
+		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
+	}, metricsInterval)
+	return &metrics{scope: scope, handler: reporter.HTTPHandler()}
+}
--- /dev/null
+++ b/standin/usersworker.go
@@ -0,0 +1,250 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// UsersWorker is an endpoint of the users' platform: a model engine for requests with a token count, else a plain
+// service. Its handler counts what it ran.
+type UsersWorker struct {
+	ID string
+	// EventTime is the time between two events of a stream.
+	EventTime time.Duration
+	// Events is the number of events of a stream.
+	Events int
+	// Work is the time of a plain request.
+	Work time.Duration
+
+	draining atomic.Bool
+	full     atomic.Bool // rejects each request without running it
+	failing  atomic.Bool // answers with status 500
+
+	mu     sync.Mutex
+	ran    []UsersRun
+	active map[string]*usersStream
+}
+
+// UsersRun is a request that a worker ran.
+type UsersRun struct {
+	ID     string
+	Header http.Header
+	URI    string
+	Body   string
+}
+
+type usersStream struct {
+	made int
+	stop chan struct{}
+}
+
+// SetDraining lets the worker announce that it leaves.
+func (u *UsersWorker) SetDraining(on bool) { u.draining.Store(on) }
+
+// SetFull lets the worker reject requests without running them.
+func (u *UsersWorker) SetFull(on bool) { u.full.Store(on) }
+
+// SetFailing lets the worker answer with status 500.
+func (u *UsersWorker) SetFailing(on bool) { u.failing.Store(on) }
+
+// Runs returns what the worker ran so far.
+func (u *UsersWorker) Runs() []UsersRun {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return append([]UsersRun(nil), u.ran...)
+}
+
+// ServeHTTP implements http.Handler.
+func (u *UsersWorker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	h := w.Header()
+	h.Set("X-Trefoillug-Instance-Id", u.ID)
+	h.Set("X-Trefoillug-Worker-Load", "1,0,8")
+	if u.draining.Load() {
+		h.Set("Connection", "close")
+	}
+	if r.URL.Path == "/trefoillug/kv-move" {
+		u.serveMove(w, body)
+		return
+	}
+	h.Set("X-Trefoillug-Attempt-Id", r.Header.Get("X-Trefoillug-Attempt-Id"))
+	switch {
+	case r.Header.Get("X-Trefoillug-Expect-Instance") != u.ID:
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	case u.full.Load():
+		h.Set("X-Trefoillug-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	h.Set("X-Trefoillug-Response-Seal", "seal."+u.ID)
+	u.note(UsersRun{ID: r.Header.Get("X-Trefoillug-Attempt-Id"), Header: r.Header.Clone(), URI: r.RequestURI, Body: string(body)})
+	switch {
+	case u.failing.Load():
+		w.WriteHeader(http.StatusInternalServerError)
+	case r.Header.Get("X-Trefoillug-Token-Count") != "":
+		u.serveStream(w, r)
+	default:
+		time.Sleep(u.Work)
+		fmt.Fprintf(w, "%s %s %d", u.ID, r.RequestURI, len(body))
+	}
+}
+
+func (u *UsersWorker) note(run UsersRun) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.ran = append(u.ran, run)
+}
+
+func (u *UsersWorker) serveStream(w http.ResponseWriter, r *http.Request) {
+	made, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0 without one
+	id := r.Header.Get("X-Trefoillug-Attempt-Id")
+	s := &usersStream{made: made, stop: make(chan struct{})}
+	u.mu.Lock()
+	if u.active == nil {
+		u.active = map[string]*usersStream{}
+	}
+	u.active[id] = s
+	u.mu.Unlock()
+	defer func() {
+		u.mu.Lock()
+		delete(u.active, id)
+		u.mu.Unlock()
+	}()
+	w.Header().Set("Content-Type", "text/event-stream")
+	for made < u.Events {
+		select {
+		case <-s.stop:
+			panic(http.ErrAbortHandler) // the stream is closed without its end
+		case <-r.Context().Done():
+			return
+		case <-time.After(u.EventTime):
+		}
+		made++
+		u.mu.Lock()
+		s.made = made
+		u.mu.Unlock()
+		fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", made, made)
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
+func (u *UsersWorker) serveMove(w http.ResponseWriter, body []byte) {
+	var call struct {
+		ID   string `json:"id"`
+		Last bool   `json:"last"`
+	}
+	if err := json.Unmarshal(body, &call); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	u.mu.Lock()
+	s := u.active[call.ID]
+	if s == nil {
+		u.mu.Unlock()
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	delete(u.active, call.ID)
+	made := s.made
+	u.mu.Unlock()
+	if call.Last {
+		close(s.stop)
+	}
+	time.Sleep(5 * time.Millisecond) // the stream ends before the copy is complete
+	writeJSONStatus(w, http.StatusOK, map[string]any{"handle": "h-" + call.ID, "createRevision": made})
+}
+
+// UsersAPI is the platform's API for duties.
+type UsersAPI struct {
+	mu     sync.Mutex
+	Usage  map[uint64]map[string]uint64 // first report of each window
+	Orders []string
+	Broken []string // promises that a call broke
+	tokens map[string]uint64
+}
+
+// NewUsersAPI returns an API without calls.
+func NewUsersAPI() *UsersAPI {
+	return &UsersAPI{Usage: map[uint64]map[string]uint64{}, tokens: map[string]uint64{}}
+}
+
+// Reports returns the number of windows that were reported and the promises that were broken.
+func (a *UsersAPI) Reports() (windows int, broken []string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.Usage), append([]string(nil), a.Broken...)
+}
+
+// ServeHTTP implements http.Handler.
+func (a *UsersAPI) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	token, err := strconv.ParseUint(r.Header.Get("X-Trefoillug-Fence-Token"), 10, 64)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if token < a.tokens[r.URL.Path] {
+		a.Broken = append(a.Broken, "token "+strconv.FormatUint(token, 10)+" after a higher one")
+	}
+	a.tokens[r.URL.Path] = token
+	switch r.URL.Path {
+	case "/usage":
+		a.takeUsage(body)
+	case "/scale":
+		a.Orders = append(a.Orders, string(body))
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+// takeUsage needs a.mu.
+func (a *UsersAPI) takeUsage(body []byte) {
+	var report struct {
+		Window uint64            `json:"window"`
+		Counts map[string]uint64 `json:"counts"`
+	}
+	if err := json.Unmarshal(body, &report); err != nil {
+		a.Broken = append(a.Broken, "usage report that can't be read")
+		return
+	}
+	if old, ok := a.Usage[report.Window]; ok && fmt.Sprint(old) != fmt.Sprint(report.Counts) {
+		a.Broken = append(a.Broken, "two reports of window "+strconv.FormatUint(report.Window, 10)+" differ")
+		return
+	}
+	a.Usage[report.Window] = report.Counts
+}
+
+// Total returns the reported requests of a workspace over all windows.
+func (a *UsersAPI) Total(workspace string) uint64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	sum := uint64(0)
+	for _, counts := range a.Usage {
+		sum += counts[workspace]
+	}
+	return sum
+}
+
+// UsersEntry returns the entry of a worker in the platform's list.
+func UsersEntry(service, address, zone, state string, born int64) map[string]any {
+	return map[string]any{
+		"service": service, "address": address, "zone": zone, "version": "v1", "slots": 8, "state": state, "coldLeftMs": 0,
+		"seq": 1, "born": born, "spot": strings.HasSuffix(zone, "-spot"),
+	}
+}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -30,6 +31,9 @@
 	readBuffer = 4 << 10 // bytes; the head of an answer and a few events
 )
 
+// ErrLimit means that the pool has no room for another connection. It says nothing of the endpoint.
+var ErrLimit = errors.New("limit of connections reached")
+
 // Settings of a pool.
 type Settings struct {
 	// Dial opens a connection; nil means plain TCP with short keep-alive probes.
@@ -48,7 +52,6 @@
 	limit   int // connections at most; 0: none
 	opening chan struct{}
 	closed  bool
-	opened  int64
 }
 
 // conn is a connection to the endpoint.
@@ -80,13 +83,6 @@
 	p.limit = n
 }
 
-// Counts returns the open and idle connections and those opened since the start.
-func (p *Pool) Counts() (open, idle int, opened int64) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.open, len(p.idle), p.opened
-}
-
 // Close closes the idle connections; those in use are closed after their exchange.
 func (p *Pool) Close() {
 	p.mu.Lock()
@@ -145,10 +141,10 @@
 	case p.opening <- struct{}{}:
 		defer func() { <-p.opening }()
 	case <-ctx.Done():
-		return nil, fmt.Errorf("connect to %s: %d connections are being opened", p.address, maxOpening)
+		return nil, fmt.Errorf("connect to %s: %w: %d are being opened", p.address, ErrLimit, maxOpening)
 	}
 	if !p.reserve() {
-		return nil, fmt.Errorf("connect to %s: limit of %d connections", p.address, p.limit)
+		return nil, fmt.Errorf("connect to %s: %w", p.address, ErrLimit)
 	}
 	nc, err := p.settings.Dial(ctx, p.address)
 	if err != nil {
@@ -165,7 +161,6 @@
 		return false
 	}
 	p.open++
-	p.opened++
 	return true
 }
 
