Move services between versions by the orders of the users' platform

Package move decides as before; an order becomes a move whose share stays below the allowed exposure until it is settled shortly before its deadline. Evidence goes through the peers, the outcome is one conditional write of the status.

--- a/cmd/trefoillug/node.go
+++ b/cmd/trefoillug/node.go
@@ -58,6 +58,7 @@
 		Kinds:   node.Kinds{Configuration: platform.KindManifest, Endpoints: platform.KindEndpoints, Rollouts: platform.KindRollouts},
 		Objects: store, Records: platform.Records{Store: store}, Wire: platform.Wire{}, Mover: platform.Mover{},
 		DecodeTable: platform.DecodeManifest, DecodeEndpoint: platform.DecodeEndpoint, Ready: platform.ReadyHandler,
+		DecodeRollout: platform.DecodeRollout, Rollouts: platform.Rollouts{Store: store},
 		Ingress: func(f *forward.Forwarder, maxBody func() int64, closing func() bool) http.Handler {
 			return &platform.Ingress{Forwarder: f, MaxBody: maxBody, Closing: closing, Log: log}
 		},
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -22,6 +22,7 @@
 	Spec     []byte `cbor:"3,keyasint"`
 	Status   []byte `cbor:"4,keyasint"`
 	Deleting bool   `cbor:"5,keyasint"` // will go once its finalizers are gone
+	Created  uint64 `cbor:"6,keyasint"` // revision at which it was created
 }
 
 // Event is a change of an object.
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -65,12 +65,17 @@
 	r.tried[e] = true
 	prefill := r.begin(e)
 	defer e.Live.End()
+	sent := time.Now()
+	r.first, r.load = 0, e.Live.View(sent).Running-1
 	first := func() {
+		if r.first == 0 {
+			r.first = time.Since(sent)
+		}
 		e.Live.Prefilled(prefill)
 		r.worked(time.Duration(prefill / placement.PrefillRate * float64(time.Millisecond)))
 		prefill = 0
 	}
-	defer first()
+	defer func() { e.Live.Prefilled(prefill) }()
 
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -85,7 +90,6 @@
 			r.moved = relocation.result()
 		}
 	}()
-	began := time.Now()
 	reply, err := e.Pool.Do(ctx, r.call(ctx, e))
 	if err != nil {
 		return r.failedExchange(ctx, err)
@@ -102,7 +106,8 @@
 	if isStream(reply) {
 		return r.relayStream(ctx, w, reply, relocation, first)
 	}
-	r.worked(time.Since(began) / time.Duration(max(1, e.Slots)))
+	r.first = time.Since(sent)
+	r.worked(r.first / time.Duration(max(1, e.Slots)))
 	return r.relayWhole(ctx, w, reply)
 }
 
@@ -189,6 +194,7 @@
 	case out.end == rejected:
 		e.Live.NoteLoad(fleet.Load{Running: e.Slots, Waiting: e.Slots, Slots: e.Slots}, now)
 	}
+	r.observe(e, out)
 	r.f.cfg.Metrics.attempt(out.end)
 	if r.moved == nil && (out.end != answered || out.answer != nil) {
 		r.log.WithError(out.err).WithFields(logrus.Fields{
@@ -197,6 +203,19 @@
 	}
 }
 
+// observe passes the end of an attempt on as evidence of its version.
+func (r *run) observe(e *fleet.Endpoint, out *outcome) {
+	if r.f.cfg.Versions == nil {
+		return
+	}
+	failed := out.end == lost || out.answer != nil && out.answer.status >= http.StatusInternalServerError
+	r.failedNew = r.failedNew || failed
+	r.f.cfg.Versions.Observe(Observation{
+		Service: r.service.Name, Version: e.Version, Route: r.route.Name, Failed: failed, First: r.first, Load: r.load,
+		Excluded: out.end == unreachable || out.end == rejected || out.end == ended || r.moved != nil || e.IsLeaving(),
+	})
+}
+
 // noteBegun counts the request once for the usage report.
 func (r *run) noteBegun() {
 	if r.began || r.workspace == nil {
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -81,7 +81,7 @@
 
 // best picks among the endpoints that this request has not tried, or among all once it has tried each.
 func (r *run) best() *fleet.Endpoint {
-	all := r.f.cfg.Fleet.Service(r.service.Name)
+	all := r.ofVersion(r.f.cfg.Fleet.Service(r.service.Name))
 	endpoints := slices.DeleteFunc(slices.Clone(all), func(e *fleet.Endpoint) bool { return r.tried[e] })
 	if len(endpoints) == 0 && r.route.MayRepeat() {
 		endpoints = all
@@ -89,6 +89,30 @@
 	return r.f.bestOf(r.prompt(), endpoints, all)
 }
 
+// ofVersion leaves the endpoints of the version that the request goes to while its service is being moved. Without any
+// of the new version the old one takes the request.
+func (r *run) ofVersion(all []*fleet.Endpoint) []*fleet.Endpoint {
+	if r.f.cfg.Versions == nil {
+		return all
+	}
+	version, isTarget, moving := r.f.cfg.Versions.Version(r.service.Name, r.req.ID)
+	if !moving {
+		return all
+	}
+	var old, target []*fleet.Endpoint
+	for _, e := range all {
+		if e.Version == version {
+			target = append(target, e)
+		} else {
+			old = append(old, e)
+		}
+	}
+	if isTarget && !r.failedNew && len(target) > 0 {
+		return target
+	}
+	return old
+}
+
 func (r *run) prompt() placement.Request {
 	if r.req.Prompt == nil {
 		return placement.Request{}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -86,7 +86,25 @@
 	Move(ctx context.Context, requestID string, from, to *fleet.Endpoint) (ref string, err error)
 }
 
-// Config of a Forwarder. All fields are required but Mover, Began and Worked.
+// Versions splits the traffic of services whose version is being moved.
+type Versions interface {
+	// Version returns the new version of a service that is being moved, and whether a request goes to it. moving is
+	// false for other services, whose endpoints take requests whatever their version.
+	Version(service, requestID string) (version string, isTarget, moving bool)
+	// Observe takes the end of an attempt as evidence.
+	Observe(o Observation)
+}
+
+// Observation is the end of an attempt.
+type Observation struct {
+	Service, Version, Route string
+	Failed                  bool
+	Excluded                bool          // says nothing of the version
+	First                   time.Duration // to the answer or the first event; 0: not measured
+	Load                    int           // own requests at the endpoint when it was sent
+}
+
+// Config of a Forwarder. All fields are required but Mover, Versions, Began and Worked.
 type Config struct {
 	Zone    string
 	Table   func() *routing.Table // nil before the first configuration
@@ -95,7 +113,9 @@
 	Quotas  Quotas
 	Repeats Repeats
 	Mover   Mover
-	Began   func(workspace string, at time.Time) // a request began to run
+	// Versions may be nil: no service is ever moved.
+	Versions Versions
+	Began    func(workspace string, at time.Time) // a request began to run
 	// Worked takes the time of an endpoint that a request took; an endpoint gives one second a second.
 	Worked  func(service string, work time.Duration)
 	Log     logrus.FieldLogger
@@ -141,10 +161,13 @@
 	log       logrus.FieldLogger
 
 	tried     map[*fleet.Endpoint]bool
-	arrivals  int  // sends that reached an endpoint
-	runs      int  // endpoints that may have run the request
-	mayRun    bool // an endpoint may have run it, or may still
-	began     bool // counted as begun
+	failedNew bool          // the new version of a service that is being moved failed the request
+	first     time.Duration // of the newest attempt: to the answer or the first event
+	load      int           // own requests at its endpoint when it was sent
+	arrivals  int           // sends that reached an endpoint
+	runs      int           // endpoints that may have run the request
+	mayRun    bool          // an endpoint may have run it, or may still
+	began     bool          // counted as begun
 	notBefore time.Time
 	stream    streamState
 	moved     *moved // where the run goes on; nil unless it was moved
--- a/node/node.go
+++ b/node/node.go
@@ -73,6 +73,7 @@
 	forwarder *forward.Forwarder
 	metrics   *metrics
 	work      work
+	rollouts  *rollouts
 
 	members  membership
 	closing  atomic.Bool
@@ -103,15 +104,17 @@
 	n.mesh = mesh
 	n.work = newWork()
 	n.members = newMembership(s.Name, time.Now())
+	n.rollouts = newRollouts(n)
 	n.forwarder = forward.New(forward.Config{
 		Zone: s.Zone, Table: n.table.Load, Fleet: n.fleet, Wire: p.Wire, Quotas: quotas{n}, Repeats: &n.repeats,
 		Mover: p.Mover, Log: n.log, Metrics: forward.NewMetrics(n.metrics.scope),
-		Worked: n.work.add,
-		Began:  func(workspace string, _ time.Time) { n.usage.Began(workspace, wall.Now()) },
+		Worked: n.work.add, Versions: n.rollouts,
+		Began: func(workspace string, _ time.Time) { n.usage.Began(workspace, wall.Now()) },
 	})
 	n.feeds = map[string]*feed.Feed{}
 	n.addFeed(p.Kinds.Configuration, configHandler{n})
 	n.addFeed(p.Kinds.Endpoints, endpointHandler{n})
+	n.addFeed(p.Kinds.Rollouts, n.rollouts)
 	n.subscribe()
 	return n, nil
 }
@@ -160,6 +163,7 @@
 	}
 	group.Go(func() error { return every(work, expireInterval, func(context.Context) { n.fleet.Expire(time.Now()) }) })
 	group.Go(func() error { return every(work, reportInterval, n.publish) })
+	group.Go(func() error { return every(work, rolloutTick, n.rollouts.tick) })
 	group.Go(func() error { n.register(work); return nil })
 	duties, endDuties := context.WithCancel(work)
 	defer endDuties()
--- a/node/peers.go
+++ b/node/peers.go
@@ -16,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/trefoillug/trefoillug/feed"
+	"github.com/trefoillug/trefoillug/move"
 	"github.com/trefoillug/trefoillug/objstore"
 	"github.com/trefoillug/trefoillug/peer"
 	"github.com/trefoillug/trefoillug/quota"
@@ -58,6 +59,7 @@
 func (n *Node) subscribe() {
 	n.mesh.Subscribe(factReport, n.receiveReport)
 	n.mesh.Subscribe(factUsage, n.receiveUsage)
+	n.mesh.Subscribe(move.FactPrefix, n.rollouts.receive)
 	n.mesh.Handle(callCopy, n.handleCopy)
 }
 
--- /dev/null
+++ b/node/rollouts.go
@@ -0,0 +1,269 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/trefoillug/trefoillug/config"
+	"github.com/trefoillug/trefoillug/feed"
+	"github.com/trefoillug/trefoillug/forward"
+	"github.com/trefoillug/trefoillug/move"
+	"github.com/trefoillug/trefoillug/peer"
+	"github.com/trefoillug/trefoillug/routing"
+	"github.com/trefoillug/trefoillug/table"
+)
+
+// Rollout is an order to move the traffic of a service to a version within a time.
+type Rollout struct {
+	Service  string
+	Target   string
+	Ramp     time.Duration
+	Revision uint64 // of the object
+	Created  uint64 // revision at which the order was given; names the order
+	State    RolloutState
+	Started  time.Time // time of day at which the first instance saw the order; zero: not recorded
+}
+
+// RolloutState is the recorded state of a rollout.
+type RolloutState int
+
+// States of a rollout.
+const (
+	RolloutNew RolloutState = iota
+	RolloutInProgress
+	RolloutComplete
+	RolloutReverted
+)
+
+// RolloutStore records the states of rollouts.
+type RolloutStore interface {
+	// Record writes the state of a rollout if the object has still the revision of r.
+	Record(ctx context.Context, r Rollout) error
+}
+
+const (
+	// oldVersion stands for all versions of a service but the target of its rollout.
+	oldVersion = "old"
+	// exposedPart is the part of the allowed exposure that the ramp uses. The rest is for the time between the decision
+	// and the deadline, in which the target has all of the traffic.
+	exposedPart = 0.6
+	// settleLead is the time between the decision on a rollout and its deadline. The old endpoints stop at completion,
+	// so the traffic has moved by then.
+	settleLead = 500 * time.Millisecond
+	// moveLead is the lead that package move keeps to its own deadline on short moves.
+	moveLead = time.Second
+	// rolloutTick is the pace at which rollouts advance.
+	rolloutTick = 100 * time.Millisecond
+)
+
+// rollouts runs the rollouts of all services.
+type rollouts struct {
+	n *Node
+
+	mu     sync.Mutex
+	moves  *move.System
+	orders map[string]Rollout // by service
+	shares map[string][]table.Share
+}
+
+func newRollouts(n *Node) *rollouts {
+	return &rollouts{
+		n: n, moves: move.New(move.Settings{Self: n.settings.Name, Epoch: seedFor(n.process)}), orders: map[string]Rollout{},
+		shares: map[string][]table.Share{},
+	}
+}
+
+// Replace implements feed.Handler.
+func (r *rollouts) Replace(objects []feed.Object, _ bool) {
+	listed := map[string]bool{}
+	for _, o := range objects {
+		listed[o.Name] = true
+		r.take(o)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for name := range r.orders {
+		if !listed[name] {
+			r.remove(name)
+		}
+	}
+}
+
+// Apply implements feed.Handler.
+func (r *rollouts) Apply(e feed.Event, _ bool) {
+	if !e.Deleted {
+		r.take(e.Object)
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.remove(e.Object.Name)
+}
+
+// remove needs r.mu.
+func (r *rollouts) remove(service string) {
+	delete(r.orders, service)
+	r.moves.Remove(service)
+}
+
+func (r *rollouts) take(o feed.Object) {
+	order, err := r.n.platform.DecodeRollout(o)
+	log := r.n.log.WithField("object", o.Name)
+	if err != nil {
+		log.WithError(err).Warn("rollout not understood")
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.n.wall.Now()
+	if order.Started.IsZero() {
+		order.Started = now
+		if old, ok := r.orders[order.Service]; ok && old.Created == order.Created {
+			order.Started = old.Started
+		}
+	}
+	if old, ok := r.orders[order.Service]; !ok || old.Created != order.Created || old.State != order.State {
+		log.WithFields(logrus.Fields{"service": order.Service, "target": order.Target, "state": order.State, "ramp": order.Ramp.String()}).Info("rollout")
+	}
+	r.orders[order.Service] = order
+	r.moves.Configure(now, r.service(order))
+	r.settled(now, order)
+	if order.State == RolloutNew {
+		go r.record(order, RolloutInProgress)
+	}
+}
+
+// service describes an order in the terms of package move.
+func (r *rollouts) service(o Rollout) *config.Service {
+	svc := &config.Service{Name: o.Service, Serve: oldVersion, Move: &config.Move{
+		ID: moveID(o), From: oldVersion, To: o.Target, Start: o.Started, Deadline: o.Started.Add(o.Ramp + moveLead - settleLead),
+		Stages: []config.Stage{{Share: r.n.settings.ExposedShare * exposedPart, MinTime: 2 * o.Ramp}},
+	}}
+	if t := r.n.table.Load(); t != nil {
+		for i := range t.Routes {
+			if leadsTo(&t.Routes[i], o.Service) {
+				svc.Routes = append(svc.Routes, config.Route{Name: t.Routes[i].Name})
+			}
+		}
+	}
+	return svc
+}
+
+func leadsTo(route *routing.Route, service string) bool {
+	for _, s := range route.Shares {
+		if s.Service == service {
+			return true
+		}
+	}
+	return false
+}
+
+func moveID(o Rollout) string { return fmt.Sprintf("%s-%d", o.Target, o.Created) }
+
+// settled hands a recorded outcome to the moves. It needs r.mu.
+func (r *rollouts) settled(now time.Time, o Rollout) {
+	object := move.Object{Service: o.Service, Move: moveID(o)}
+	switch o.State {
+	case RolloutComplete:
+		r.moves.Recorded(now, object, &move.Record{Service: o.Service, Move: object.Move, Outcome: move.Done, At: now})
+	case RolloutReverted:
+		r.moves.Recorded(now, object, &move.Record{Service: o.Service, Move: object.Move, Outcome: move.RolledBack, At: now})
+	default:
+		r.moves.Recorded(now, object, nil)
+	}
+}
+
+// tick advances the moves.
+func (r *rollouts) tick(context.Context) {
+	r.mu.Lock()
+	if len(r.orders) == 0 {
+		r.mu.Unlock()
+		return
+	}
+	now := r.n.wall.Now()
+	r.moves.SetMembers(r.n.memberIDs())
+	out := r.moves.Tick(now)
+	r.shares = out.Shares
+	var proposals []Rollout
+	for _, p := range out.Proposals {
+		o, ok := r.orders[p.Service]
+		if !ok || moveID(o) != p.Move || o.State == RolloutComplete || o.State == RolloutReverted {
+			continue
+		}
+		o.State = RolloutReverted
+		if p.Outcome == move.Done {
+			o.State = RolloutComplete
+		}
+		r.n.log.WithFields(logrus.Fields{"service": o.Service, "target": o.Target, "outcome": p.Outcome, "reason": p.Reason}).Info("rollout decided")
+		proposals = append(proposals, o)
+	}
+	r.mu.Unlock()
+	for _, f := range out.Facts {
+		r.n.mesh.Publish(f.Key, f.Value, f.TTL)
+	}
+	for _, p := range proposals {
+		go r.record(p, p.State)
+	}
+}
+
+// record writes a state. The feed brings what the store holds afterwards, also when another instance was first.
+func (r *rollouts) record(o Rollout, state RolloutState) {
+	o.State = state
+	if err := r.n.platform.Rollouts.Record(context.Background(), o); err != nil {
+		r.n.log.WithError(err).WithFields(logrus.Fields{"service": o.Service, "state": state}).Info("state of a rollout not recorded")
+	}
+}
+
+// receive takes over the evidence of a peer.
+func (r *rollouts) receive(f peer.Fact) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err := r.moves.Receive(r.n.wall.Now(), f.Origin, f.Key, f.Value); err != nil {
+		r.n.log.WithError(err).WithField("peer", f.Origin).Warn("evidence of a peer not understood")
+	}
+}
+
+// Version implements forward.Versions.
+func (r *rollouts) Version(service, requestID string) (version string, isTarget, moving bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	o, ok := r.orders[service]
+	if !ok {
+		return "", false, false
+	}
+	for _, s := range r.shares[service] {
+		if s.Version == o.Target {
+			return o.Target, routing.Draw(requestID) < s.Part, true
+		}
+	}
+	return o.Target, false, true
+}
+
+// Observe implements forward.Versions.
+func (r *rollouts) Observe(o forward.Observation) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	order, ok := r.orders[o.Service]
+	if !ok {
+		return
+	}
+	version := oldVersion
+	if o.Version == order.Target {
+		version = order.Target
+	}
+	outcome := move.OK
+	switch {
+	case o.Excluded:
+		outcome = move.Excluded
+	case o.Failed:
+		outcome = move.Failed
+	}
+	r.moves.Observe(r.n.wall.Now(), move.Result{
+		Service: o.Service, Version: version, Route: strings.Clone(o.Route), Outcome: outcome, FirstToken: o.First, Load: o.Load,
+	})
+}
--- a/node/settings.go
+++ b/node/settings.go
@@ -75,6 +75,8 @@
 	Mover          forward.Mover // nil: running requests can't be moved
 	DecodeTable    func(spec []byte) (*routing.Table, error)
 	DecodeEndpoint func(id string, spec []byte, now time.Time) (fleet.Entry, error)
+	DecodeRollout  func(o feed.Object) (Rollout, error)
+	Rollouts       RolloutStore
 	// Ingress returns the handler of callers' requests.
 	Ingress func(f *forward.Forwarder, maxBody func() int64, closing func() bool) http.Handler
 	// Ready returns the handler of the balancer's question.
