Keep reports, store calls and pools in proportion in fleets of 80 instances

Change: the interval of reports grows with the members, eight instances follow the store and the others ask them for what has changed, and the work of a token follows from the engine's slots.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -52,6 +52,11 @@
 	Revision uint64   `cbor:"1,keyasint"` // from which a watch misses no change
 	Objects  []Object `cbor:"2,keyasint"`
 	Changed  uint64   `cbor:"3,keyasint"` // revision of the newest change of an object
+	// Since is set in a copy that holds only what has changed after that revision.
+	Since   uint64   `cbor:"4,keyasint,omitempty"`
+	Deleted []string `cbor:"5,keyasint,omitempty"` // names, in a copy with Since
+	// Settled tells that the peer's store was sound for a while, so that what is missing is gone.
+	Settled bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Settings of a Feed.
@@ -65,6 +70,9 @@
 	// Wait returns the longest wait of the next watch; nil: MaxWait. A watch may hear nothing of changes while it
 	// waits, so some of the peers must wait for short times only, and nudge the others.
 	Wait func() time.Duration
+	// Follow reports whether to follow the store; nil: always. Otherwise peers that do so are asked for what has
+	// changed when they nudge, so that the calls of the store do not grow with the number of instances.
+	Follow func() bool
 }
 
 // MaxWait is the longest wait of one watch; the store allows 30 s.
@@ -89,26 +97,42 @@
 type Feed struct {
 	s Settings
 
-	mu       sync.Mutex
-	objects  map[string]Object
-	revision uint64 // from which a watch misses no change; other kinds raise it too
-	changed  uint64 // of the newest change of an object of this kind
-	wanted   uint64 // newest change that a peer has taken over
-	listed   bool
-	sound    time.Time // since when calls succeed; zero: they fail
-	pause    time.Duration
-	cancel   context.CancelFunc // of the waiting watch
-	behind   bool               // list again
-	listedAt time.Time          // of the newest list; used by Run only
-	ready    chan struct{}
+	mu        sync.Mutex
+	objects   map[string]Object
+	revision  uint64 // from which a watch misses no change; other kinds raise it too
+	changed   uint64 // of the newest change of an object of this kind
+	wanted    uint64 // newest change that a peer has taken over
+	listed    bool
+	sound     time.Time // since when calls succeed; zero: they fail
+	pause     time.Duration
+	cancel    context.CancelFunc // of the waiting watch
+	behind    bool               // list again
+	listedAt  time.Time          // of the newest list; used by Run only
+	ready     chan struct{}
+	nudged    chan struct{} // a peer has seen more
+	deletions []deletion    // the newest last
+	complete  uint64        // deletions after this revision are all known
+	gone      []string      // deleted by the events that are being taken over
 }
 
+// deletion is an object that is gone.
+type deletion struct {
+	name     string
+	revision uint64 // at which it was known to be gone
+}
+
+// keptDeletions is the number of deletions that copies for peers may name; one who lags further gets all objects.
+const keptDeletions = 200
+
 // New returns a feed without objects.
 func New(s Settings) *Feed {
 	if s.Wait == nil {
 		s.Wait = func() time.Duration { return MaxWait }
 	}
-	return &Feed{s: s, objects: map[string]Object{}, ready: make(chan struct{})}
+	if s.Follow == nil {
+		s.Follow = func() bool { return true }
+	}
+	return &Feed{s: s, objects: map[string]Object{}, ready: make(chan struct{}), nudged: make(chan struct{}, 1)}
 }
 
 // Ready is closed once a first copy was taken over.
@@ -128,9 +152,19 @@
 	if !f.listed || f.changed <= after {
 		return nil
 	}
-	c := &Copy{Revision: f.revision, Changed: f.changed}
+	c := &Copy{Revision: f.revision, Changed: f.changed, Settled: f.settled()}
+	if after >= f.complete {
+		c.Since = after
+	}
 	for _, o := range f.objects {
-		c.Objects = append(c.Objects, o)
+		if c.Since == 0 || o.Revision > after {
+			c.Objects = append(c.Objects, o)
+		}
+	}
+	for _, d := range f.deletions {
+		if _, back := f.objects[d.name]; c.Since > 0 && d.revision > after && !back {
+			c.Deleted = append(c.Deleted, d.name)
+		}
 	}
 	return c
 }
@@ -142,10 +176,13 @@
 		list := !f.listed || f.behind
 		f.mu.Unlock()
 		var err error
-		if list {
+		switch {
+		case list:
 			err = f.list(ctx)
-		} else {
+		case f.s.Follow():
 			err = f.watch(ctx)
+		default:
+			f.followPeers(ctx)
 		}
 		if err == nil || ctx.Err() != nil {
 			continue
@@ -175,7 +212,7 @@
 	return nil
 }
 
-// replace takes over a copy, unless the own one is newer. A peer's copy never settles that something is gone.
+// replace takes over a copy, unless the own one is newer.
 func (f *Feed) replace(c *Copy, fromPeer bool) {
 	f.mu.Lock()
 	first := !f.listed
@@ -185,11 +222,20 @@
 		f.s.Log.WithFields(logrus.Fields{"kind": f.s.Kind, "revision": c.Revision, "peer": fromPeer}).Info("older copy ignored")
 		return
 	}
-	settled := first || !fromPeer && f.settled()
-	f.objects = make(map[string]Object, len(c.Objects))
+	settled := first || fromPeer && c.Settled || !fromPeer && f.settled()
+	objects := make(map[string]Object, len(c.Objects))
 	for _, o := range c.Objects {
-		f.objects[o.Name] = o
+		objects[o.Name] = o
+	}
+	if !fromPeer {
+		for name := range f.objects {
+			if _, still := objects[name]; !still {
+				c.Changed = max(c.Changed, c.Revision) // peers must hear of it too
+				f.noteDeletion(name, c.Changed)
+			}
+		}
 	}
+	f.objects = objects
 	f.revision, f.changed, f.listed, f.behind = c.Revision, max(f.changed, c.Changed), true, false
 	f.mu.Unlock()
 	f.s.Handler.Replace(c.Objects, settled)
@@ -236,9 +282,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.revision = max(f.revision, revision)
-	if len(events) > 0 && events[len(events)-1].Deleted {
+	if len(f.gone) > 0 {
 		f.changed = max(f.changed, revision) // an object that is gone shows its last change only
 	}
+	for _, name := range f.gone {
+		f.noteDeletion(name, f.changed)
+	}
+	f.gone = nil
 	return nil
 }
 
@@ -247,6 +297,7 @@
 	settled := f.settled()
 	if e.Deleted {
 		delete(f.objects, e.Object.Name)
+		f.gone = append(f.gone, e.Object.Name)
 	} else {
 		f.objects[e.Object.Name] = e.Object
 	}
@@ -300,15 +351,86 @@
 	if !ask {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	if err := f.takeFromPeer(ctx, after); err != nil {
+		f.s.Log.WithError(err).WithField("kind", f.s.Kind).Debug("no copy from a peer")
+		return
+	}
+	f.s.Log.WithField("kind", f.s.Kind).Info("state taken from a peer")
+}
+
+// followCheck is how often an instance looks whether it has to follow the store itself.
+const followCheck = 500 * time.Millisecond
+
+// followPeers waits until a peer has seen more, and asks for it.
+func (f *Feed) followPeers(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(followCheck):
+	case <-f.nudged:
+		f.mu.Lock()
+		after, wanted := f.changed, f.wanted
+		f.mu.Unlock()
+		if after >= wanted {
+			return
+		}
+		if err := f.takeFromPeer(ctx, after); err != nil {
+			f.s.Log.WithError(err).WithField("kind", f.s.Kind).Info("no copy from a peer; listing")
+			f.mu.Lock()
+			f.behind = true
+			f.mu.Unlock()
+		}
+	}
+}
+
+// takeFromPeer takes over what a peer has seen after a revision.
+func (f *Feed) takeFromPeer(ctx context.Context, after uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, peerTime)
 	defer cancel()
 	c, err := f.s.Peer(ctx, f.s.Kind, after)
-	switch {
-	case err != nil:
-		f.s.Log.WithError(err).WithField("kind", f.s.Kind).Debug("no copy from a peer")
-	case c != nil:
-		f.s.Log.WithFields(logrus.Fields{"kind": f.s.Kind, "revision": c.Revision}).Info("state taken from a peer")
-		f.replace(c, true)
+	if err != nil {
+		return err
+	}
+	if c == nil {
+		return errors.New("the peer knows nothing newer")
+	}
+	f.replace(f.merged(c), true)
+	return nil
+}
+
+// peerTime bounds a call of a peer; peers answer within milliseconds.
+const peerTime = time.Second
+
+// merged completes a copy that holds only changes.
+func (f *Feed) merged(c *Copy) *Copy {
+	if c.Since == 0 {
+		return c
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	objects := make(map[string]Object, len(f.objects)+len(c.Objects))
+	for name, o := range f.objects {
+		objects[name] = o
+	}
+	for _, o := range c.Objects {
+		objects[o.Name] = o
+	}
+	for _, name := range c.Deleted {
+		delete(objects, name)
+		f.noteDeletion(name, c.Changed)
+	}
+	whole := &Copy{Revision: c.Revision, Changed: c.Changed, Settled: c.Settled}
+	for _, o := range objects {
+		whole.Objects = append(whole.Objects, o)
+	}
+	return whole
+}
+
+// noteDeletion needs f.mu.
+func (f *Feed) noteDeletion(name string, revision uint64) {
+	f.deletions = append(f.deletions, deletion{name, revision})
+	if len(f.deletions) > keptDeletions {
+		f.complete = f.deletions[0].revision
+		f.deletions = f.deletions[1:]
 	}
 }
 
@@ -321,10 +443,14 @@
 		return
 	}
 	f.wanted = changed
+	select {
+	case f.nudged <- struct{}{}:
+	default:
+	}
 	time.AfterFunc(nudgeDelay, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		if f.listed && f.changed < changed {
+		if f.listed && f.changed < changed && f.s.Follow() {
 			f.behind = true
 			if f.cancel != nil {
 				f.cancel()
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -74,14 +74,24 @@
 	}
 }
 
-// tokenWork is the part of an engine's time that a generated token takes in a batch of usual size: a step of 6 ms for
-// about 40 requests.
-const tokenWork = 150 * time.Microsecond
+// A decode step takes stepBase and stepPerRun for each request in the batch, by the sheets of both deployments. A
+// batch is usefulBatch full on an engine that is well used.
+const (
+	stepBase    = 3250 * time.Microsecond
+	stepPerRun  = 82 * time.Microsecond
+	usefulBatch = 0.7
+)
+
+// tokenWork is the part of an engine's time that a generated token takes.
+func tokenWork(slots int) time.Duration {
+	batch := max(1, usefulBatch*float64(slots))
+	return time.Duration((float64(stepBase) + batch*float64(stepPerRun)) / batch)
+}
 
 // workedOn counts the work behind generated events.
 func (r *run) workedOn(events []byte) {
 	if e := r.service.Engine; e != nil {
-		r.worked(time.Duration(bytes.Count(events, []byte("\n\n"))*e.EventTokens) * tokenWork)
+		r.worked(time.Duration(bytes.Count(events, []byte("\n\n"))*e.EventTokens) * tokenWork(e.Slots))
 	}
 }
 
--- a/node/duties.go
+++ b/node/duties.go
@@ -25,8 +25,8 @@
 	dutyStagger = 500 * time.Millisecond
 	// dutyInterval is the pace of the work of a holder.
 	dutyInterval = 250 * time.Millisecond
-	// usageSettle is the time after a window in which the counts of all instances arrive: three reports and a retry.
-	usageSettle = 2500 * time.Millisecond
+	// usageSettle is the time after a window in which the counts of all instances arrive, in intervals of reports.
+	usageSettle = 5
 	// usageMargin is kept to the end of the time in which a report is due.
 	usageMargin = 500 * time.Millisecond
 
@@ -105,7 +105,7 @@
 	n := d.n
 	now := n.wall.Now()
 	first := n.usage.Window(n.wall.Now().Add(-time.Since(n.started)))
-	for _, window := range n.usage.Due(now, usageSettle, n.settings.UsageLate-usageMargin, first) {
+	for _, window := range n.usage.Due(now, usageSettle*n.interval(), n.settings.UsageLate-usageMargin, first) {
 		if d.reported[window] {
 			continue
 		}
--- a/node/node.go
+++ b/node/node.go
@@ -46,8 +46,8 @@
 	// endMargin is kept between the last answer and the end of the grace time.
 	endMargin = 500 * time.Millisecond
 	// peerBytes bounds the reports to the peers in bytes a second. Eight instances that report to each other need about
-	// 5,000; a report that waits makes quotas and usage wrong.
-	peerBytes = 20_000
+	// 5,000, eighty need 40,000; a report that waits makes quotas and usage wrong.
+	peerBytes = 60_000
 	// expireInterval is how often endpoints that the list lost are looked at.
 	expireInterval = 100 * time.Millisecond
 	// defaultInstances stands in for the number of instances while no peer is known; deployments have 7 or 8.
@@ -75,9 +75,9 @@
 	work      work
 	rollouts  *rollouts
 
-	members  membership
-	closing  atomic.Bool
-	leftSent atomic.Bool
+	members membership
+	closing atomic.Bool
+	changed atomic.Bool // the platform's state; not reported yet
 }
 
 // New returns an instance that runs with Run.
@@ -121,7 +121,7 @@
 
 func (n *Node) addFeed(kind string, h feed.Handler) {
 	n.feeds[kind] = feed.New(feed.Settings{Kind: kind, Store: n.platform.Objects, Handler: h, Log: n.log, Peer: n.askPeers,
-		Wait: func() time.Duration { return n.watchWait(kind) },
+		Wait: func() time.Duration { return n.watchWait(kind) }, Follow: func() bool { return n.follows(kind) },
 	})
 }
 
@@ -133,6 +133,24 @@
 	shortWait = 900 * time.Millisecond
 )
 
+const (
+	// followAll is the number of instances up to which each follows the store itself.
+	followAll = 16
+	// followers is the number of instances that follow the store in larger fleets; the others hear of changes from them.
+	followers = 8
+	// followSilence is the time without a report of any peer after which an instance follows the store itself.
+	followSilence = 3 * time.Second
+)
+
+// follows reports whether this instance follows the objects of a kind in the store.
+func (n *Node) follows(kind string) bool {
+	ids := n.memberIDs()
+	if len(ids) <= followAll || n.members.sinceReport(time.Now()) > followSilence {
+		return true
+	}
+	return slices.Contains(rendezvous.Top(kind, ids, followers), n.settings.Name)
+}
+
 // watchWait returns the longest wait of this instance's next watch.
 func (n *Node) watchWait(kind string) time.Duration {
 	if slices.Contains(rendezvous.Top(kind, n.memberIDs(), shortWatchers), n.settings.Name) {
@@ -162,7 +180,7 @@
 		group.Go(func() error { f.Run(work); return nil })
 	}
 	group.Go(func() error { return every(work, expireInterval, func(context.Context) { n.fleet.Expire(time.Now()) }) })
-	group.Go(func() error { return every(work, reportInterval, n.publish) })
+	group.Go(func() error { return every(work, reportTick, n.report) })
 	group.Go(func() error { return every(work, rolloutTick, n.rollouts.tick) })
 	group.Go(func() error { n.register(work); return nil })
 	duties, endDuties := context.WithCancel(work)
--- a/node/peers.go
+++ b/node/peers.go
@@ -24,10 +24,15 @@
 )
 
 const (
-	// reportInterval is the pace of reports to the peers. The overshoot of a quota grows with it.
-	reportInterval = 400 * time.Millisecond
+	// reportInterval is the pace of reports to the peers in fleets of up to reportMembers instances; it grows with
+	// larger ones up to maxReportFactor times. The overshoot of a quota grows with it.
+	reportInterval  = 400 * time.Millisecond
+	reportMembers   = 16
+	maxReportFactor = 3
+	// reportTick is how often an instance looks whether a report is due.
+	reportTick = 100 * time.Millisecond
 	// usageEvery is the number of reports for each one with usage, which is needed seconds later only.
-	usageEvery = 3
+	usageEvery = 2
 	// reportLife is how long a report is kept: as long as its usage may still have to be reported.
 	reportLife = 30 * time.Second
 
@@ -63,12 +68,25 @@
 	n.mesh.Handle(callCopy, n.handleCopy)
 }
 
+// interval is the pace of reports at the present number of instances.
+func (n *Node) interval() time.Duration {
+	factor := float64(n.members.expected(time.Now())) / reportMembers
+	return time.Duration(min(max(1, factor), maxReportFactor) * float64(reportInterval))
+}
+
+// report publishes when a report is due, or when a change of the platform's state must reach the peers.
+func (n *Node) report(ctx context.Context) {
+	if n.members.reportDue(n.interval(), time.Now()) || n.changed.Swap(false) {
+		n.publish(ctx)
+	}
+}
+
 // publish tells the peers what this instance has used and seen.
 func (n *Node) publish(context.Context) {
 	now := time.Now()
 	n.members.update(n.mesh.Members(), now)
 	expected := n.members.expected(now)
-	n.quotas.Expect(expected)
+	n.quotas.Expect(expected, n.interval())
 	n.repeats.setInstances(expected)
 	if silent := n.quotas.OutOfTouch(now); n.members.setSilent(silent) {
 		n.log.WithFields(logrus.Fields{"silent": silent, "expected": expected}).Info("instances out of touch; quotas follow")
@@ -98,6 +116,7 @@
 		n.log.WithError(err).WithField("peer", f.Origin).Warn("report of a peer not understood")
 		return
 	}
+	n.members.heard(time.Now())
 	n.quotas.Receive(r.Process, r.Used, time.Now())
 	n.work.receive(f.Origin, r.Work, time.Now())
 	if r.Leaving {
@@ -105,6 +124,7 @@
 	}
 	for kind, changed := range r.Changed {
 		if own := n.feeds[kind]; own != nil {
+			n.members.noteNewest(kind, f.Origin, changed)
 			own.Nudge(changed)
 		}
 	}
@@ -131,7 +151,7 @@
 	return cbor.Marshal(f.Copy(c.After))
 }
 
-// askPeers asks a random peer for a copy with changes after a revision.
+// askPeers asks the peer that has reported the newest change, or else a random one, for what changed after a revision.
 func (n *Node) askPeers(ctx context.Context, kind string, after uint64) (*feed.Copy, error) {
 	var others []string
 	for _, m := range n.mesh.Members() {
@@ -146,7 +166,11 @@
 	if err != nil {
 		return nil, err
 	}
-	answer, err := n.mesh.Call(ctx, others[rand.IntN(len(others))], callCopy, body)
+	to := n.members.newestAt(kind, after)
+	if to == "" {
+		to = others[rand.IntN(len(others))]
+	}
+	answer, err := n.mesh.Call(ctx, to, callCopy, body)
 	if err != nil {
 		return nil, err
 	}
@@ -166,6 +190,15 @@
 	listed   int // instances in the register at the start
 	silent   int // out of touch at the last look
 	reported int
+	lastOwn  time.Time         // report of this instance
+	lastPeer time.Time         // report of any peer
+	newest   map[string]newest // by kind of object
+}
+
+// newest names the peer that reported the newest change.
+type newest struct {
+	origin  string
+	changed uint64
 }
 
 const (
@@ -176,7 +209,7 @@
 )
 
 func newMembership(self string, now time.Time) membership {
-	return membership{self: self, since: now, seen: map[string]time.Time{}}
+	return membership{self: self, since: now, seen: map[string]time.Time{}, newest: map[string]newest{}}
 }
 
 func (m *membership) update(live []peer.Member, now time.Time) {
@@ -212,6 +245,48 @@
 	m.listed = count
 }
 
+// reportDue reports whether the interval since the last report has passed, and notes the new one.
+func (m *membership) reportDue(interval time.Duration, now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if now.Sub(m.lastOwn) < interval-reportTick/2 {
+		return false
+	}
+	m.lastOwn = now
+	return true
+}
+
+func (m *membership) heard(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lastPeer = now
+}
+
+// sinceReport is the time since a peer was heard of.
+func (m *membership) sinceReport(now time.Time) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return now.Sub(m.lastPeer)
+}
+
+func (m *membership) noteNewest(kind, origin string, changed uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if changed > m.newest[kind].changed {
+		m.newest[kind] = newest{origin, changed}
+	}
+}
+
+// newestAt returns the peer that reported the newest change after a revision, and "" without one.
+func (m *membership) newestAt(kind string, after uint64) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.newest[kind].changed > after {
+		return m.newest[kind].origin
+	}
+	return ""
+}
+
 // setSilent takes over the number of instances out of touch and reports whether it has changed.
 func (m *membership) setSilent(count int) bool {
 	m.mu.Lock()
--- a/node/state.go
+++ b/node/state.go
@@ -38,13 +38,11 @@
 		return
 	}
 	h.n.table.Store(table)
-	h.n.applyTable(table.Version)
+	h.n.changed.Store(true)
+	h.n.limitConnections()
 	log.WithField("version", table.Version).Info("configuration in effect")
 }
 
-// applyTable hands the figures of a new configuration to those who need them.
-func (n *Node) applyTable(uint64) { n.limitConnections() }
-
 // connectionShare is the part of an endpoint's connections that the instances use in sum, so that one more instance
 // does not meet the limit.
 const connectionShare = 0.8
@@ -75,11 +73,13 @@
 		}
 	}
 	h.n.fleet.ReplaceAll(entries, settled, now)
+	h.n.changed.Store(true)
 	h.n.limitConnections()
 }
 
 func (h endpointHandler) Apply(e feed.Event, settled bool) {
 	now := time.Now()
+	h.n.changed.Store(true)
 	log := h.n.log.WithFields(logrus.Fields{"endpoint": e.Object.Name, "revision": e.Object.Revision})
 	if e.Deleted {
 		log.WithField("settled", settled).Info("endpoint gone from the list")
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -28,8 +28,10 @@
 }
 
 const (
-	// silentAfter is the age of a report after which an instance counts as out of touch: three report intervals.
-	silentAfter = 1500 * time.Millisecond
+	// silentIntervals is the age of a report, in intervals, after which an instance counts as out of touch.
+	silentIntervals = 4
+	// defaultInterval is the interval of reports until Expect names another.
+	defaultInterval = 400 * time.Millisecond
 	// forgetAfter is when a silent instance is no longer believed to serve: longer than the window of the quota rule.
 	forgetAfter = 10 * time.Second
 	// rateMemory is the time over which the use of another instance is averaged.
@@ -58,6 +60,7 @@
 	buckets   map[string]*bucket
 	origins   map[string]*origin
 	expected  int // instances that should exist, this one included
+	interval  time.Duration
 }
 
 type bucket struct {
@@ -77,7 +80,7 @@
 
 // NewLedger returns a ledger without use. expected is the number of instances that should exist.
 func NewLedger(tolerance Tolerance, expected int) *Ledger {
-	return &Ledger{tolerance: tolerance, own: Report{}, buckets: map[string]*bucket{}, origins: map[string]*origin{}, expected: max(1, expected)}
+	return &Ledger{tolerance: tolerance, own: Report{}, buckets: map[string]*bucket{}, origins: map[string]*origin{}, expected: max(1, expected), interval: defaultInterval}
 }
 
 // SetTolerance replaces the tolerance.
@@ -87,11 +90,11 @@
 	l.tolerance = t
 }
 
-// Expect sets the number of instances that should exist, this one included.
-func (l *Ledger) Expect(n int) {
+// Expect sets the number of instances that should exist, this one included, and the interval of their reports.
+func (l *Ledger) Expect(n int, interval time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.expected = max(1, n)
+	l.expected, l.interval = max(1, n), interval
 }
 
 // Take counts cost against a workspace's limit and reports whether it was within it, and else when a retry may be.
@@ -164,7 +167,7 @@
 func (l *Ledger) outOfTouch(now time.Time) int {
 	heard := 1
 	for _, o := range l.origins {
-		if !o.left && now.Sub(o.at) < silentAfter {
+		if !o.left && now.Sub(o.at) < silentIntervals*l.interval {
 			heard++
 		}
 	}
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -159,7 +159,7 @@
 		f.ledgers = append(f.ledgers, quota.NewLedger(tolerance, 9))
 	}
 	for _, l := range f.ledgers {
-		l.Expect(9)
+		l.Expect(9, reportInterval)
 	}
 	f.run(5*time.Second, limit, 1_000, usual)
 	got := f.run(10*time.Second, limit, 1_000, usual)
