--- /dev/null
+++ b/forward/serve_test.go
@@ -0,0 +1,237 @@
+package forward_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/trefoillug/trefoillug/fleet"
+	"github.com/trefoillug/trefoillug/forward"
+	"github.com/trefoillug/trefoillug/problem"
+)
+
+func reset(a *arrival) {
+	_ = a.conn.(*net.TCPConn).SetLinger(0)
+	_ = a.conn.Close()
+}
+
+// Guards against a second run of what may run once, against a promise of "not run" that is not true, and against too
+// many or too few repeats of what may run again.
+func TestServe_Kinds(t *testing.T) {
+	fail := func(a *arrival) { a.reply(http.StatusInternalServerError, "no") }
+	full := func(a *arrival) { a.reply(http.StatusServiceUnavailable, "", "Not-Run", "1") }
+	for _, c := range []struct {
+		name, route string
+		script      func(a *arrival)
+		arrivals    int
+		status      int
+	}{
+		{"once, connection lost", "once", reset, 1, http.StatusBadGateway},
+		{"once, failed", "once", fail, 1, http.StatusInternalServerError},
+		{"once, no room", "once", full, 3, http.StatusServiceUnavailable},
+		{"safe, connection lost", "safe", reset, 2, http.StatusBadGateway},
+		{"safe, failed", "safe", fail, 2, http.StatusInternalServerError},
+		{"stream, connection lost", "stream", reset, 1, http.StatusBadGateway},
+		{"resumable, connection lost", "resume", reset, 2, http.StatusBadGateway},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t, 4, c.script)
+			got := w.send(t.Context(), c.route)
+			must.NoError(t, got.broken)
+			must.Eq(t, c.status, got.status)
+			must.Eq(t, c.arrivals, w.arrived())
+			if c.status == http.StatusServiceUnavailable {
+				must.Positive(t, got.refusal.RetryAfter)
+				must.Zero(t, w.taken) // what did not run does not count against the quota
+			}
+		})
+	}
+}
+
+// Guards against a repeat that another endpoint answers but the caller does not get.
+func TestServe_RepeatDelivers(t *testing.T) {
+	first := make(chan struct{}, 1)
+	first <- struct{}{}
+	w := newWorld(t, 2, func(a *arrival) {
+		select {
+		case <-first:
+			reset(a)
+		default:
+			a.reply(http.StatusOK, "yes")
+		}
+	})
+	got := w.send(t.Context(), "safe")
+	must.Eq(t, http.StatusOK, got.status)
+	must.Eq(t, "yes", got.body.String())
+	must.Eq(t, 1, w.began)
+}
+
+// Guards against repeats beyond the budget that all instances share.
+func TestServe_RetryBudget(t *testing.T) {
+	w := newWorld(t, 4, reset)
+	w.repeats = 0
+	must.Eq(t, http.StatusBadGateway, w.send(t.Context(), "safe").status)
+	must.Eq(t, 1, w.arrived())
+}
+
+// Guards against an answer long after the route's timeout, and against one that promises what is not known.
+func TestServe_RouteTimeout(t *testing.T) {
+	w := newWorld(t, 2, func(*arrival) {})
+	got := w.send(t.Context(), "once")
+	must.Eq(t, http.StatusGatewayTimeout, got.status)
+	must.Between(t, 790*time.Millisecond, got.took, time.Second)
+}
+
+// Guards against a silent endpoint that holds an idempotent request until its deadline.
+func TestServe_SilentEndpointIsLeft(t *testing.T) {
+	quiet := make(chan struct{}, 1)
+	quiet <- struct{}{}
+	w := newWorld(t, 2, func(a *arrival) {
+		select {
+		case <-quiet:
+		default:
+			a.reply(http.StatusOK, "yes")
+		}
+	})
+	got := w.send(t.Context(), "safe")
+	must.Eq(t, http.StatusOK, got.status)
+	must.Less(t, 400*time.Millisecond, got.took)
+}
+
+// Guards against work that goes on for a caller who has left, also while the request waits for an answer.
+func TestServe_CallerLeaves(t *testing.T) {
+	for _, route := range []string{"once", "safe", "stream"} {
+		closed := make(chan struct{}, 4)
+		w := newWorld(t, 2, func(a *arrival) {
+			<-a.gone
+			closed <- struct{}{}
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { time.Sleep(50 * time.Millisecond); cancel() }()
+		w.send(ctx, route)
+		select {
+		case <-closed:
+		case <-time.After(500 * time.Millisecond):
+			t.Fatalf("route %s: the endpoint works on half a second after the caller left", route)
+		}
+		must.Eq(t, 1, w.arrived())
+	}
+}
+
+// Guards against 404 or 401 for what the first configuration will allow.
+func TestServe_BeforeConfiguration(t *testing.T) {
+	w := newWorld(t, 1, reset)
+	w.table = nil
+	got := w.send(t.Context(), "once")
+	must.Eq(t, problem.NotReady, problem.KindOf(got.refusal.Err))
+	must.Positive(t, got.refusal.RetryAfter)
+	must.Zero(t, w.arrived())
+}
+
+// Guards against a caller who waits long for a service without endpoints.
+func TestServe_NoEndpoint(t *testing.T) {
+	w := newWorld(t, 0, reset)
+	got := w.send(t.Context(), "once")
+	must.Eq(t, problem.NoEndpoint, problem.KindOf(got.refusal.Err))
+	must.Less(t, 100*time.Millisecond, got.took)
+}
+
+// Guards against events that are lost, doubled or cut in two when a stream goes on at another endpoint.
+func TestServe_StreamResumes(t *testing.T) {
+	for name, cut := range map[string]func(a *arrival){
+		"reset":                 reset,
+		"end within an event":   func(a *arrival) { a.chunk("id: 4\nda"); a.end() },
+		"silent":                func(*arrival) {},
+		"broken within a chunk": func(a *arrival) { _, _ = a.conn.Write([]byte("ff\r\nid: 4\n")); _ = a.conn.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 2, func(a *arrival) {
+				a.stream()
+				if a.after == "" {
+					a.chunk(event(1) + event(2)[:5])
+					a.chunk(event(2)[5:] + event(3))
+					time.Sleep(20 * time.Millisecond)
+					cut(a)
+					return
+				}
+				must.Eq(t, "3", a.after)
+				a.chunk(event(3) + event(4)) // an endpoint may begin earlier than asked
+				a.chunk(event(5))
+				a.end()
+			})
+			got := w.send(t.Context(), "resume")
+			must.NoError(t, got.broken)
+			must.Eq(t, event(1)+event(2)+event(3)+event(4)+event(5), got.body.String())
+		})
+	}
+}
+
+// Guards against a stream that may not be resumed and ends as if it were whole.
+func TestServe_StreamBreaksOff(t *testing.T) {
+	w := newWorld(t, 2, func(a *arrival) {
+		a.stream()
+		a.chunk(event(1))
+		time.Sleep(20 * time.Millisecond)
+		reset(a)
+	})
+	got := w.send(t.Context(), "stream")
+	must.Error(t, got.broken)
+	must.Eq(t, event(1), got.body.String())
+	must.Eq(t, 1, w.arrived())
+}
+
+// mover moves runs at once.
+type mover struct {
+	err  error
+	ref  string
+	stop func()
+}
+
+func (m *mover) Move(context.Context, string, *fleet.Endpoint, *fleet.Endpoint) (string, error) {
+	if m.err == nil || m.ref != "" {
+		m.stop()
+	}
+	return m.ref, m.err
+}
+
+// Guards against a run that stops at a leaving endpoint and goes on nowhere, also when no other endpoint had room for it.
+func TestServe_StoppedRunGoesOn(t *testing.T) {
+	for name, moveErr := range map[string]error{"moved": nil, "no room anywhere": problem.New(problem.Overloaded, "no room")} {
+		t.Run(name, func(t *testing.T) {
+			stopped := make(chan struct{})
+			m := &mover{err: moveErr, ref: "ref"}
+			var once bool
+			m.stop = func() {
+				if !once {
+					once = true
+					close(stopped)
+				}
+			}
+			began := make(chan string, 1)
+			w := newWorld(t, 3, func(a *arrival) {
+				a.stream()
+				if a.after == "" {
+					a.chunk(event(1))
+					began <- a.endpoint
+					<-stopped
+					_ = a.conn.Close()
+					return
+				}
+				a.chunk(event(2))
+				a.end()
+			}, func(c *forward.Config) { c.Mover = m })
+			w.table.Services[service].Engine = engine()
+			go func() {
+				id := <-began
+				w.fleet.MarkLeaving(id, 0)
+			}()
+			got := w.send(t.Context(), "stream")
+			must.NoError(t, got.broken)
+			must.Eq(t, event(1)+event(2), got.body.String())
+		})
+	}
+}
--- /dev/null
+++ b/forward/world_test.go
@@ -0,0 +1,216 @@
+package forward_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
+
+	"github.com/trefoillug/trefoillug/fleet"
+	"github.com/trefoillug/trefoillug/forward"
+	"github.com/trefoillug/trefoillug/problem"
+	"github.com/trefoillug/trefoillug/routing"
+	"github.com/trefoillug/trefoillug/upstream"
+)
+
+// wire is a plain form of the headers between forwarder and endpoints.
+type wire struct{}
+
+func (wire) Outbound(a *forward.Attempt) http.Header {
+	return http.Header{
+		"Id": {a.Request.ID}, "Endpoint": {a.Endpoint.ID}, "Left": {a.TimeLeft.String()}, "After": {a.LastEventID}, "From": {a.MovedFrom},
+	}
+}
+
+func (wire) IsAnswerTo(h http.Header, id string) bool { return h.Get("Id") == id }
+
+func (wire) IsNotRun(_ int, h http.Header) bool { return h.Get("Not-Run") != "" }
+
+func (wire) Load(http.Header) (fleet.Load, bool) { return fleet.Load{}, false }
+
+// arrival is a request at an endpoint, which the test's script answers on the connection.
+type arrival struct {
+	endpoint string
+	id       string
+	after    string
+	conn     net.Conn
+	gone     <-chan struct{} // closed when the forwarder has closed the connection
+}
+
+func (a *arrival) reply(status int, body string, header ...string) {
+	var b strings.Builder
+	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\nId: %s\r\nContent-Length: %d\r\n", status, http.StatusText(status), a.id, len(body))
+	for i := 0; i < len(header); i += 2 {
+		fmt.Fprintf(&b, "%s: %s\r\n", header[i], header[i+1])
+	}
+	_, _ = io.WriteString(a.conn, b.String()+"\r\n"+body)
+}
+
+// stream sends the head of a stream; chunks follow with chunk.
+func (a *arrival) stream() {
+	_, _ = fmt.Fprintf(a.conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", a.id)
+}
+
+func (a *arrival) chunk(text string) { _, _ = fmt.Fprintf(a.conn, "%x\r\n%s\r\n", len(text), text) }
+
+func (a *arrival) end() { _, _ = io.WriteString(a.conn, "0\r\n\r\n") }
+
+func event(n int) string { return fmt.Sprintf("id: %d\ndata: %d\n\n", n, n) }
+
+// world is a forwarder with scripted endpoints.
+type world struct {
+	t         *testing.T
+	forwarder *forward.Forwarder
+	fleet     *fleet.Table
+	table     *routing.Table
+	repeats   int // left in the retry budget
+	mu        sync.Mutex
+	taken     float64
+	began     int
+	arrivals  []string // endpoints in the order of arrivals
+}
+
+const service = "s"
+
+func newWorld(t *testing.T, endpoints int, script func(a *arrival), change ...func(*forward.Config)) *world {
+	t.Helper()
+	w := &world{t: t, repeats: 100}
+	w.fleet = fleet.NewTable(func(address string) *upstream.Pool { return upstream.NewPool(address, upstream.Settings{}) })
+	for i := range endpoints {
+		id := fmt.Sprintf("e%d", i)
+		w.fleet.Put(fleet.Entry{ID: id, Service: service, Address: w.listen(id, script), Slots: 8})
+	}
+	w.table = routing.New(routing.Table{
+		Version: 1, Services: map[string]*routing.Service{service: {Name: service}},
+		Routes: []routing.Route{
+			w.route("once", routing.NonIdempotent, 1, false), w.route("safe", routing.Idempotent, 2, false),
+			w.route("stream", routing.Streaming, 1, false), w.route("resume", routing.Streaming, 2, true),
+		},
+		Workspaces: []routing.Workspace{{Name: "w", Keys: []string{"k"}}},
+	})
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	cfg := forward.Config{
+		Table: func() *routing.Table { return w.table }, Fleet: w.fleet, Wire: wire{}, Quotas: w, Repeats: w, Log: log,
+		Metrics: forward.NewMetrics(nil), Began: func(string, time.Time) { w.mu.Lock(); w.began++; w.mu.Unlock() },
+	}
+	for _, c := range change {
+		c(&cfg)
+	}
+	w.forwarder = forward.New(cfg)
+	return w
+}
+
+func (w *world) route(name string, kind routing.Kind, attempts int, resumable bool) routing.Route {
+	return routing.Route{
+		Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, Resumable: resumable, MaxAttempts: attempts,
+		Timeout: 800 * time.Millisecond, Target: 300 * time.Millisecond, TargetGap: 200 * time.Millisecond,
+		Shares: []routing.Share{{Service: service, Weight: 1}},
+	}
+}
+
+// Take implements forward.Quotas.
+func (w *world) Take(_ *routing.Workspace, cost float64) (bool, time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.taken += cost
+	return true, 0
+}
+
+// Return implements forward.Quotas.
+func (w *world) Return(_ *routing.Workspace, cost float64) { _, _ = w.Take(nil, -cost) }
+
+// First implements forward.Repeats.
+func (w *world) First(string) {}
+
+// Repeat implements forward.Repeats.
+func (w *world) Repeat(string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.repeats--
+	return w.repeats >= 0
+}
+
+func (w *world) listen(id string, script func(a *arrival)) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(w.t, err)
+	var wg sync.WaitGroup
+	w.t.Cleanup(func() { _ = l.Close(); wg.Wait() })
+	wg.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			wg.Go(func() { w.serve(id, c, script) })
+		}
+	})
+	return l.Addr().String()
+}
+
+func (w *world) serve(id string, c net.Conn, script func(a *arrival)) {
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		w.mu.Lock()
+		w.arrivals = append(w.arrivals, id)
+		w.mu.Unlock()
+		gone := make(chan struct{})
+		go func() {
+			_, _ = r.Peek(1)
+			close(gone)
+		}()
+		script(&arrival{endpoint: id, id: req.Header.Get("Id"), after: req.Header.Get("After"), conn: c, gone: gone})
+		<-gone
+	}
+}
+
+// caller takes an answer; it implements forward.ResponseWriter.
+type caller struct {
+	status  int
+	body    strings.Builder
+	refusal *forward.Refusal
+	took    time.Duration
+	broken  error
+}
+
+func (c *caller) WriteHead(status int, _ http.Header, _ int64) { c.status = status }
+func (c *caller) Write(b []byte) (int, error)                  { return c.body.Write(b) }
+func (c *caller) Flush() error                                 { return nil }
+
+func (c *caller) Refuse(r *forward.Refusal) {
+	c.refusal, c.status = r, problem.AnswerFor(problem.KindOf(r.Err)).Status
+}
+
+// send makes a request on a route.
+func (w *world) send(ctx context.Context, route string) *caller {
+	now := time.Now()
+	c := &caller{}
+	c.broken = w.forwarder.Serve(ctx, c, &forward.Request{
+		ID: "r" + now.Format("150405.000000000"), Method: http.MethodPost, Host: "h", Path: "/" + route + "/x", URI: "/" + route + "/x", Key: "k",
+		Header: http.Header{}, Arrived: now, Deadline: now.Add(3 * time.Second),
+	})
+	c.took = time.Since(now)
+	return c
+}
+
+func (w *world) arrived() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.arrivals)
+}
