--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,96 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/trefoillug/trefoillug/fleet"
+	"github.com/trefoillug/trefoillug/upstream"
+)
+
+func newTable() *fleet.Table {
+	return fleet.NewTable(func(address string) *upstream.Pool { return upstream.NewPool(address, upstream.Settings{}) })
+}
+
+func entry(id, address string, born int64) fleet.Entry {
+	return fleet.Entry{ID: id, Service: "s", Address: address, Slots: 4, Born: born}
+}
+
+var now = time.Unix(100, 0)
+
+// Guards against losing all endpoints whose entries lapsed in an outage of the store, and against keeping them for long.
+func TestTable_UnsettledRemovalGetsGrace(t *testing.T) {
+	table := newTable()
+	table.ReplaceAll([]fleet.Entry{entry("a", "x:1", 1), entry("b", "x:2", 1)}, true, now)
+	table.ReplaceAll(nil, false, now)
+	must.Len(t, 2, table.Service("s"))
+	table.Put(entry("a", "x:1", 1)) // came back
+	table.Expire(now.Add(fleet.UnlistedGrace))
+	must.Len(t, 1, table.Service("s"))
+	must.Less(t, 2*time.Second, fleet.UnlistedGrace) // the rules bind 2 s after the reading
+}
+
+// Guards against work for an endpoint that is gone while the store was sound, or that said that it leaves.
+func TestTable_SettledRemovalAndDraining(t *testing.T) {
+	table := newTable()
+	table.ReplaceAll([]fleet.Entry{entry("a", "x:1", 1), entry("b", "x:2", 1)}, true, now)
+	a := table.Service("s")[0]
+	table.Remove("a", true, now)
+	must.Len(t, 1, table.Service("s"))
+	must.True(t, a.IsLeaving())
+	draining := entry("b", "x:2", 1)
+	draining.Draining, draining.LeavesAt = true, now.Add(time.Second)
+	b := table.Service("s")[0]
+	table.Put(draining)
+	must.Len(t, 0, table.Service("s"))
+	must.Eq(t, now.Add(time.Second).UnixNano(), b.LeavesAt().UnixNano())
+	table.Remove("b", false, now) // a leaving one gets no grace
+	must.Len(t, 0, table.All())
+}
+
+// Guards against a restarted endpoint that keeps the state of its earlier life, and against an old entry that replaces
+// a newer one.
+func TestTable_Lifetimes(t *testing.T) {
+	table := newTable()
+	table.Put(entry("a", "x:1", 5))
+	first := table.Service("s")[0]
+	table.Put(entry("a", "x:1", 4))
+	must.True(t, table.Service("s")[0] == first)
+	table.Put(entry("a", "x:1", 6))
+	must.True(t, table.Service("s")[0] != first)
+	must.True(t, first.IsLeaving())
+	table.MarkLeaving("a", 5) // news of the earlier life
+	must.Len(t, 1, table.Service("s"))
+	table.MarkLeaving("a", 6)
+	must.Len(t, 0, table.Service("s"))
+}
+
+// Guards against requests for an endpoint whose address belongs to another one now.
+func TestTable_AddressUsedAgain(t *testing.T) {
+	table := newTable()
+	table.Put(entry("a", "x:1", 5))
+	other := entry("b", "x:1", 6)
+	other.Service = "other"
+	table.Put(other)
+	must.Len(t, 0, table.Service("s"))
+	must.Len(t, 1, table.Service("other"))
+}
+
+// Guards against an endpoint that is left out for good, and against one that is tried with each request.
+func TestLive_AvoidsForAWhile(t *testing.T) {
+	var l fleet.Live
+	l.NoteUnreachable(now)
+	must.True(t, l.View(now.Add(100*time.Millisecond)).Avoided)
+	must.False(t, l.View(now.Add(400*time.Millisecond)).Avoided)
+	for at := now.Add(time.Second); at.Before(now.Add(time.Minute)); at = at.Add(100 * time.Millisecond) {
+		l.NoteUnreachable(at)
+	}
+	must.False(t, l.View(now.Add(time.Minute+2*time.Second)).Avoided)
+	for range 20 {
+		l.NoteAnswer(true, now)
+	}
+	must.Greater(t, 0.9, l.View(now).Failures)
+	must.Less(t, 0.1, l.View(now.Add(15*time.Second)).Failures)
+}
--- a/forward/serve_test.go
+++ b/forward/serve_test.go
@@ -158,7 +158,9 @@
 					cut(a)
 					return
 				}
-				must.Eq(t, "3", a.after)
+				if a.after != "3" {
+					t.Errorf("resumed after event %q", a.after)
+				}
 				a.chunk(event(3) + event(4)) // an endpoint may begin earlier than asked
 				a.chunk(event(5))
 				a.end()
@@ -217,7 +219,10 @@
 				if a.after == "" {
 					a.chunk(event(1))
 					began <- a.endpoint
-					<-stopped
+					select {
+					case <-stopped:
+					case <-a.gone:
+					}
 					_ = a.conn.Close()
 					return
 				}
@@ -225,6 +230,7 @@
 				a.end()
 			}, func(c *forward.Config) { c.Mover = m })
 			w.table.Services[service].Engine = engine()
+			w.table.Routes[2].Timeout = 3 * time.Second // the move comes about a second after the notice
 			go func() {
 				id := <-began
 				w.fleet.MarkLeaving(id, 0)
--- a/forward/world_test.go
+++ b/forward/world_test.go
@@ -144,13 +144,26 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(w.t, err)
 	var wg sync.WaitGroup
-	w.t.Cleanup(func() { _ = l.Close(); wg.Wait() })
+	var mu sync.Mutex
+	var open []net.Conn
+	w.t.Cleanup(func() {
+		_ = l.Close()
+		mu.Lock()
+		for _, c := range open {
+			_ = c.Close()
+		}
+		mu.Unlock()
+		wg.Wait()
+	})
 	wg.Go(func() {
 		for {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
+			mu.Lock()
+			open = append(open, c)
+			mu.Unlock()
 			wg.Go(func() { w.serve(id, c, script) })
 		}
 	})
