feed: let a nudge end the watch of a former follower, and spread questions over the peers that know

Ruled out: the short waits of two instances, which had the change at 3.1 s. Test: TestFeed_NudgeEndsWatchOfFormerFollower fails without the change.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -97,22 +97,23 @@
 type Feed struct {
 	s Settings
 
-	mu        sync.Mutex
-	objects   map[string]Object
-	revision  uint64 // from which a watch misses no change; other kinds raise it too
-	changed   uint64 // of the newest change of an object of this kind
-	wanted    uint64 // newest change that a peer has taken over
-	listed    bool
-	sound     time.Time // since when calls succeed; zero: they fail
-	pause     time.Duration
-	cancel    context.CancelFunc // of the waiting watch
-	behind    bool               // list again
-	listedAt  time.Time          // of the newest list; used by Run only
-	ready     chan struct{}
-	nudged    chan struct{} // a peer has seen more
-	deletions []deletion    // the newest last
-	complete  uint64        // deletions after this revision are all known
-	gone      []string      // deleted by the events that are being taken over
+	mu          sync.Mutex
+	objects     map[string]Object
+	revision    uint64 // from which a watch misses no change; other kinds raise it too
+	changed     uint64 // of the newest change of an object of this kind
+	wanted      uint64 // newest change that a peer has taken over
+	listed      bool
+	sound       time.Time // since when calls succeed; zero: they fail
+	pause       time.Duration
+	cancel      context.CancelFunc // of the waiting watch
+	interrupted bool               // the waiting watch was given up because of a nudge
+	behind      bool               // list again
+	listedAt    time.Time          // of the newest list; used by Run only
+	ready       chan struct{}
+	nudged      chan struct{} // a peer has seen more
+	deletions   []deletion    // the newest last
+	complete    uint64        // deletions after this revision are all known
+	gone        []string      // deleted by the events that are being taken over
 }
 
 // deletion is an object that is gone.
@@ -256,7 +257,8 @@
 	events, revision, err := f.s.Store.Watch(ctx, f.s.Kind, after, wait)
 	f.mu.Lock()
 	f.cancel = nil
-	nudged, sound := f.behind, !f.sound.IsZero()
+	nudged, sound := f.interrupted, !f.sound.IsZero()
+	f.interrupted = false
 	f.mu.Unlock()
 	switch {
 	case errors.Is(err, ErrHistoryGone) && time.Since(f.listedAt) > maxPause:
@@ -358,6 +360,9 @@
 	f.s.Log.WithField("kind", f.s.Kind).Info("state taken from a peer")
 }
 
+// askSpread spreads the questions of many instances that hear of a change at the same time over the peers that have it.
+const askSpread = 200 * time.Millisecond
+
 // followCheck is how often an instance looks whether it has to follow the store itself.
 const followCheck = 500 * time.Millisecond
 
@@ -367,6 +372,7 @@
 	case <-ctx.Done():
 	case <-time.After(followCheck):
 	case <-f.nudged:
+		time.Sleep(rand.N(askSpread))
 		f.mu.Lock()
 		after, wanted := f.changed, f.wanted
 		f.mu.Unlock()
@@ -450,11 +456,13 @@
 	time.AfterFunc(nudgeDelay, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		if f.listed && f.changed < changed && f.s.Follow() {
-			f.behind = true
-			if f.cancel != nil {
-				f.cancel()
-			}
+		if !f.listed || f.changed >= changed {
+			return
+		}
+		f.behind = f.behind || f.s.Follow()
+		if f.cancel != nil {
+			f.interrupted = true
+			f.cancel()
 		}
 	})
 }
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -295,3 +296,32 @@
 		must.Less(t, 4, s.lists)
 	})
 }
+
+// Guards against an instance that stays in a long watch of the store although it is to follow its peers by now.
+func TestFeed_NudgeEndsWatchOfFormerFollower(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.put("a", "1")
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		r := &recorder{}
+		var follow atomic.Bool
+		follow.Store(true)
+		f := feed.New(feed.Settings{
+			Kind: "k", Store: s, Handler: r, Log: log, Follow: follow.Load,
+			Peer: func(context.Context, string, uint64) (*feed.Copy, error) {
+				return &feed.Copy{Revision: 9, Changed: 9, Since: 1, Objects: []feed.Object{{Name: "b", Revision: 9}}}, nil
+			},
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); f.Run(ctx) }()
+		defer func() { cancel(); <-done }()
+		time.Sleep(time.Second)
+		follow.Store(false)
+		f.Nudge(9)
+		time.Sleep(time.Second)
+		must.Eq(t, []string{"a", "b"}, r.now())
+		must.Eq(t, 1, s.lists)
+	})
+}
--- a/node/peers.go
+++ b/node/peers.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -195,12 +196,15 @@
 	newest   map[string]newest // by kind of object
 }
 
-// newest names the peer that reported the newest change.
+// newest names the peers that reported the newest change.
 type newest struct {
-	origin  string
+	origins []string
 	changed uint64
 }
 
+// maxOrigins bounds the peers among which a question is spread.
+const maxOrigins = 16
+
 const (
 	// memberMemory keeps an instance that fell silent among the expected ones: longer than the window of the quotas.
 	memberMemory = 10 * time.Second
@@ -272,19 +276,25 @@
 func (m *membership) noteNewest(kind, origin string, changed uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if changed > m.newest[kind].changed {
-		m.newest[kind] = newest{origin, changed}
+	known := m.newest[kind]
+	switch {
+	case changed > known.changed:
+		m.newest[kind] = newest{[]string{origin}, changed}
+	case changed == known.changed && len(known.origins) < maxOrigins && !slices.Contains(known.origins, origin):
+		known.origins = append(known.origins, origin)
+		m.newest[kind] = known
 	}
 }
 
-// newestAt returns the peer that reported the newest change after a revision, and "" without one.
+// newestAt returns one of the peers that reported the newest change after a revision, and "" without one.
 func (m *membership) newestAt(kind string, after uint64) string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.newest[kind].changed > after {
-		return m.newest[kind].origin
+	known := m.newest[kind]
+	if known.changed <= after || len(known.origins) == 0 {
+		return ""
 	}
-	return ""
+	return known.origins[rand.IntN(len(known.origins))]
 }
 
 // setSilent takes over the number of instances out of touch and reports whether it has changed.
