Follow the store when no follower is heard, and keep to shares of quotas in large fleets

Change: an instance follows the store when it has heard none of the followers for 2.5 s. Above 16 instances each keeps to 1.5 times its even part of a quota. TestLedger_HotWorkspaceInLargeFleet guards the sum but passes without the change too: its reports are never delayed.

--- a/node/node.go
+++ b/node/node.go
@@ -138,17 +138,19 @@
 	followAll = 16
 	// followers is the number of instances that follow the store in larger fleets; the others hear of changes from them.
 	followers = 8
-	// followSilence is the time without a report of any peer after which an instance follows the store itself.
-	followSilence = 3 * time.Second
+	// followSilence is the time without a report of any follower after which an instance follows the store itself: two
+	// reports missed. Others of the same partition may still be heard.
+	followSilence = 2500 * time.Millisecond
 )
 
 // follows reports whether this instance follows the objects of a kind in the store.
 func (n *Node) follows(kind string) bool {
 	ids := n.memberIDs()
-	if len(ids) <= followAll || n.members.sinceReport(time.Now()) > followSilence {
+	if len(ids) <= followAll {
 		return true
 	}
-	return slices.Contains(rendezvous.Top(kind, ids, followers), n.settings.Name)
+	top := rendezvous.Top(kind, ids, followers)
+	return slices.Contains(top, n.settings.Name) || !n.members.heardOne(top, time.Now().Add(-followSilence))
 }
 
 // watchWait returns the longest wait of this instance's next watch.
--- a/node/peers.go
+++ b/node/peers.go
@@ -117,7 +117,7 @@
 		n.log.WithError(err).WithField("peer", f.Origin).Warn("report of a peer not understood")
 		return
 	}
-	n.members.heard(time.Now())
+	n.members.heard(f.Origin, time.Now())
 	n.quotas.Receive(r.Process, r.Used, time.Now())
 	n.work.receive(f.Origin, r.Work, time.Now())
 	if r.Leaving {
@@ -191,9 +191,9 @@
 	listed   int // instances in the register at the start
 	silent   int // out of touch at the last look
 	reported int
-	lastOwn  time.Time         // report of this instance
-	lastPeer time.Time         // report of any peer
-	newest   map[string]newest // by kind of object
+	lastOwn  time.Time            // report of this instance
+	reports  map[string]time.Time // newest report of each peer
+	newest   map[string]newest    // by kind of object
 }
 
 // newest names the peers that reported the newest change.
@@ -213,7 +213,7 @@
 )
 
 func newMembership(self string, now time.Time) membership {
-	return membership{self: self, since: now, seen: map[string]time.Time{}, newest: map[string]newest{}}
+	return membership{self: self, since: now, seen: map[string]time.Time{}, newest: map[string]newest{}, reports: map[string]time.Time{}}
 }
 
 func (m *membership) update(live []peer.Member, now time.Time) {
@@ -229,6 +229,7 @@
 	for id, at := range m.seen {
 		if now.Sub(at) > memberMemory {
 			delete(m.seen, id)
+			delete(m.reports, id)
 		}
 	}
 }
@@ -260,17 +261,22 @@
 	return true
 }
 
-func (m *membership) heard(now time.Time) {
+func (m *membership) heard(origin string, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.lastPeer = now
+	m.reports[origin] = now
 }
 
-// sinceReport is the time since a peer was heard of.
-func (m *membership) sinceReport(now time.Time) time.Duration {
+// heardOne reports whether one of the peers has reported since a time.
+func (m *membership) heardOne(peers []string, since time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return now.Sub(m.lastPeer)
+	for _, id := range peers {
+		if m.reports[id].After(since) {
+			return true
+		}
+	}
+	return false
 }
 
 func (m *membership) noteNewest(kind, origin string, changed uint64) {
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -44,6 +44,11 @@
 	startShare = 0.3
 	// shareFactor widens the even share of an instance out of touch, since callers spread unevenly.
 	shareFactor = 1.3
+	// largeShareFactor does so in large fleets, where an instance has few requests of a workspace at a time.
+	largeShareFactor = 1.5
+	// largeFleet is the number of instances above which each keeps to its share also in touch: their reports are
+	// slower, and together they would go far beyond a quota before they hear of each other.
+	largeFleet = 16
 	// minRetry and maxRetry bound the Retry-After of a refusal.
 	minRetry = 100 * time.Millisecond
 	maxRetry = 5 * time.Second
@@ -109,9 +114,9 @@
 	b := l.bucket(workspace, limit, now)
 	missing := cost*neededShare - (b.level - l.predicted(workspace, now))
 	perSecond := limit.PerSecond
-	if n := l.outOfTouch(now); n > 0 {
+	if l.expected > largeFleet || l.outOfTouch(now) > 0 {
 		if lack := cost*neededShare - b.share; lack > missing {
-			missing, perSecond = lack, limit.PerSecond*shareFactor/float64(l.expected)
+			missing, perSecond = lack, limit.PerSecond*l.share()
 		}
 	}
 	if missing > 0 {
@@ -146,11 +151,20 @@
 	passed := now.Sub(b.at).Seconds()
 	b.at = now
 	b.level = min(limit.Burst, b.level+limit.PerSecond*passed)
-	part := shareFactor / float64(l.expected)
+	part := l.share()
 	b.share = min(limit.Burst*part, b.share+limit.PerSecond*part*passed)
 	return b
 }
 
+// share is the part of a quota that this instance may use by itself. It needs l.mu.
+func (l *Ledger) share() float64 {
+	factor := shareFactor
+	if l.expected > largeFleet {
+		factor = largeShareFactor
+	}
+	return factor / float64(l.expected)
+}
+
 // predicted is what the others are expected to have used since their reports. It needs l.mu.
 func (l *Ledger) predicted(workspace string, now time.Time) float64 {
 	sum := 0.0
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -18,10 +18,11 @@
 	now     time.Time
 	ledgers []*quota.Ledger
 	cut     map[int]bool // exchanges no reports
+	every   time.Duration
 }
 
 func newFleet(n int) *fleet {
-	f := &fleet{now: time.Unix(1000, 0), cut: map[int]bool{}}
+	f := &fleet{now: time.Unix(1000, 0), cut: map[int]bool{}, every: reportInterval}
 	for range n {
 		f.ledgers = append(f.ledgers, quota.NewLedger(tolerance, n))
 	}
@@ -35,7 +36,7 @@
 	const step = 20 * time.Millisecond
 	for at := time.Duration(0); at < d; at += step {
 		f.now = f.now.Add(step)
-		if at%reportInterval == 0 {
+		if at%f.every == 0 {
 			f.exchange()
 		}
 		for i, l := range f.ledgers {
@@ -168,3 +169,19 @@
 		must.Zero(t, l.OutOfTouch(f.now))
 	}
 }
+
+// Guards against a hot workspace that gets far more than its quota in a large fleet, whose reports are slow and
+// which has just started.
+func TestLedger_HotWorkspaceInLargeFleet(t *testing.T) {
+	const instances = 80
+	big := quota.Limit{PerSecond: 1_060_000, Burst: 1_060_000}
+	f := newFleet(instances)
+	f.every = 1200 * time.Millisecond
+	for _, l := range f.ledgers {
+		l.Expect(instances, f.every)
+	}
+	f.run(500*time.Millisecond, big, 5_000, func(int) float64 { return big.PerSecond / 1.8 / instances })
+	got := f.run(8*time.Second, big, 5_000, func(int) float64 { return 6 * big.PerSecond / 1.8 / instances })
+	must.Less(t, (big.PerSecond*8+big.Burst)*(1+tolerance.Share)+tolerance.Units, got)
+	must.Greater(t, big.PerSecond*8*0.9, got)
+}
