--- a/node/duties.go
+++ b/node/duties.go
@@ -39,13 +39,14 @@
 	lease    *lease.Lease
 	token    uint64
 	from     time.Time // the holder acts from then on
+	acted    time.Time // when this instance may last have acted; at first its start, since an earlier process may have
 	reported map[uint64]bool
 	sizer    *sizer
 }
 
 // runDuties competes for the lease and works while it is held.
 func (n *Node) runDuties(ctx context.Context) {
-	d := &duties{n: n, reported: map[uint64]bool{}}
+	d := &duties{n: n, reported: map[uint64]bool{}, acted: clock.Now()}
 	d.lease = lease.New(lease.Settings{
 		Store: n.platform.Records, Duty: "duties", Candidate: n.settings.Name, Process: seedFor(n.process),
 		Members: n.memberIDs, Term: dutyTerm, Margin: dutyMargin, Stagger: dutyStagger, Now: clock.Now,
@@ -76,11 +77,7 @@
 		return
 	}
 	if grant.Token != d.token {
-		d.token, d.from = grant.Token, clock.Now()
-		if !grant.PreviousEnd.IsZero() {
-			// A duty that went to another holder in between must not come back to this one too soon.
-			d.from = d.from.Add(d.n.settings.Lease)
-		}
+		d.token, d.from = grant.Token, restEnd(grant, d.acted, clock.Now(), d.n.settings.Lease)
 		d.sizer = newSizer(d.n, time.Now())
 		d.n.log.WithFields(logrus.Fields{"token": grant.Token, "from": d.from.Sub(clock.Now()).String()}).Info("duties taken over")
 	}
@@ -95,10 +92,23 @@
 	}
 }
 
+// restEnd returns from when a new holder may act. A duty that another instance held in between must not come back to
+// one that acted less than a lease ago.
+func restEnd(grant lease.Grant, acted, now time.Time, rest time.Duration) time.Time {
+	if end := acted.Add(rest); !grant.PreviousEnd.IsZero() && end.After(now) {
+		return end
+	}
+	return now
+}
+
 // mayAct reports whether the lease is still held, right before a call.
 func (d *duties) mayAct() bool {
 	grant, held := d.lease.Held()
-	return held && grant.Token == d.token
+	if !held || grant.Token != d.token {
+		return false
+	}
+	d.acted = clock.Now()
+	return true
 }
 
 func (d *duties) reportUsage(ctx context.Context) {
