--- a/cmd/trefoillug/log.go
+++ b/cmd/trefoillug/log.go
@@ -2,6 +2,8 @@
 
 import (
 	"io"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -19,3 +21,59 @@
 	log.SetLevel(parsed)
 	return log, nil
 }
+
+// maxQueuedLines bounds the lines that wait for a slow reader of the log; at 500 bytes each they take 1 MB.
+const maxQueuedLines = 2048
+
+// lineWriter passes lines on without ever blocking the writer: what does not fit is dropped and counted. It is safe for
+// concurrent use.
+type lineWriter struct {
+	out     io.Writer
+	lines   chan []byte
+	done    chan struct{}
+	dropped atomic.Int64
+	close   sync.Once
+}
+
+func newLineWriter(out io.Writer) *lineWriter {
+	w := &lineWriter{out: out, lines: make(chan []byte, maxQueuedLines), done: make(chan struct{})}
+	go w.run()
+	return w
+}
+
+// Write implements io.Writer. It always reports success.
+func (w *lineWriter) Write(line []byte) (int, error) {
+	select {
+	case w.lines <- append([]byte(nil), line...):
+	default:
+		w.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// run writes the lines that are there together, since each write of the log costs processor time.
+func (w *lineWriter) run() {
+	defer close(w.done)
+	for line := range w.lines {
+		batch := line
+		for more := true; more; {
+			select {
+			case next, ok := <-w.lines:
+				more = ok
+				batch = append(batch, next...)
+			default:
+				more = false
+			}
+		}
+		_, _ = w.out.Write(batch) // there is nowhere else to tell
+	}
+}
+
+// Dropped returns the number of lines dropped so far.
+func (w *lineWriter) Dropped() int64 { return w.dropped.Load() }
+
+// Close writes what is queued. No line may be written after it.
+func (w *lineWriter) Close() {
+	w.close.Do(func() { close(w.lines) })
+	<-w.done
+}
--- a/cmd/trefoillug/node.go
+++ b/cmd/trefoillug/node.go
@@ -35,11 +35,13 @@
 }
 
 func runNode(ctx context.Context, path string, s *platform.Settings, level string) error {
-	log, err := newLog(os.Stdout, level)
+	lines := newLineWriter(os.Stdout)
+	defer lines.Close()
+	log, err := newLog(lines, level)
 	if err != nil {
 		return err
 	}
-	n, err := newNode(s, log)
+	n, err := newNode(s, log, lines.Dropped)
 	if err != nil {
 		return err
 	}
@@ -47,8 +49,10 @@
 	return n.Run(ctx)
 }
 
-func newNode(s *platform.Settings, log logrus.FieldLogger) (*node.Node, error) {
-	return node.New(s.Node, onPlatform(s, log), log)
+func newNode(s *platform.Settings, log logrus.FieldLogger, dropped func() int64) (*node.Node, error) {
+	p := onPlatform(s, log)
+	p.DroppedLogLines = dropped
+	return node.New(s.Node, p, log)
 }
 
 // onPlatform puts the parts of the adapter together.
--- a/cmd/trefoillug/reload_test.go
+++ b/cmd/trefoillug/reload_test.go
@@ -68,7 +68,7 @@
 	log.SetOutput(io.Discard)
 	seen := &messages{}
 	log.AddHook(seen)
-	n, err := newNode(s, log)
+	n, err := newNode(s, log, nil)
 	must.NoError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -62,4 +62,12 @@
 	m.scope.Tagged(map[string]string{"end": e.String()}).Counter("attempts").Inc(1)
 }
 
+// answerBuckets reach from the quickest answers to the longest deadlines.
+var answerBuckets = tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 13)
+
+// answered records the time from the arrival of a request to the answer's first byte.
+func (m *Metrics) answered(took time.Duration) {
+	m.scope.Histogram("answer", answerBuckets).RecordDuration(took)
+}
+
 func (m *Metrics) broken() { m.scope.Counter("streams_broken").Inc(1) }
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -48,8 +48,6 @@
 	body   []byte
 }
 
-func (a *answer) drop() {}
-
 // maxBuffered bounds the bytes of an answer that is read before it is passed on. Answers of plain services have a few
 // KB; a longer one is passed on as it arrives.
 const maxBuffered = 256 << 10
@@ -239,7 +237,7 @@
 	if reply.Status >= http.StatusInternalServerError {
 		return outcome{end: answered, arrived: true, answer: a, err: errors.New("the endpoint answered " + http.StatusText(reply.Status))}
 	}
-	if err := a.deliver(w); err != nil {
+	if err := r.deliver(a, w); err != nil {
 		return outcome{end: ended, arrived: true, err: err}
 	}
 	return outcome{end: answered, arrived: true, delivered: true}
@@ -259,6 +257,11 @@
 	return outcome{end: answered, arrived: true, delivered: true}
 }
 
+func (r *run) deliver(a *answer, w ResponseWriter) error {
+	r.f.cfg.Metrics.answered(time.Since(r.req.Arrived))
+	return a.deliver(w)
+}
+
 func (a *answer) deliver(w ResponseWriter) error {
 	w.WriteHead(a.status, a.header, int64(len(a.body)))
 	_, err := w.Write(a.body)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -265,9 +265,6 @@
 		if ctx.Err() != nil || !r.mayTryAgain(ctx, &out) {
 			return r.finish(ctx, w, &out)
 		}
-		if out.answer != nil {
-			out.answer.drop()
-		}
 	}
 }
 
@@ -308,7 +305,7 @@
 		r.f.cfg.Metrics.broken()
 		return problem.Wrap(problem.StreamBroken, out.err)
 	case out.answer != nil && ctx.Err() == nil:
-		return out.answer.deliver(w)
+		return r.deliver(out.answer, w)
 	case context.Cause(ctx) == context.DeadlineExceeded && r.mayRun:
 		return r.refuse(w, &Refusal{Err: problem.New(problem.TimedOut, "no answer in time: %v", out.err)})
 	case r.mayRun:
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -97,6 +97,7 @@
 
 func (r *run) start(w ResponseWriter, reply *upstream.Reply) {
 	r.stream.started = true
+	r.f.cfg.Metrics.answered(time.Since(r.req.Arrived))
 	w.WriteHead(reply.Status, reply.Header, -1)
 }
 
--- a/node/peers.go
+++ b/node/peers.go
@@ -85,6 +85,9 @@
 // publish tells the peers what this instance has used and seen.
 func (n *Node) publish(context.Context) {
 	now := time.Now()
+	if dropped := n.platform.DroppedLogLines; dropped != nil {
+		n.metrics.scope.Gauge("dropped_log_lines").Update(float64(dropped()))
+	}
 	n.members.update(n.mesh.Members(), now)
 	expected := n.members.expected(now)
 	n.quotas.Expect(expected, n.interval())
--- a/node/settings.go
+++ b/node/settings.go
@@ -67,6 +67,8 @@
 
 // Platform is what the adapter to a platform provides.
 type Platform struct {
+	DroppedLogLines func() int64 // since the start; nil: the log drops none
+
 	Kinds          Kinds
 	Objects        feed.Store
 	Records        objstore.Store
