quota: expect nothing more of a process whose instance has restarted

Ruled out: the lowered quota of 30.7 s (all workspaces were refused) and the start share of the bucket (it fills in 1 s). Test: TestLedger_MostInstancesKilled granted 761,000 of 1,067,000 units before.

--- a/node/peers.go
+++ b/node/peers.go
@@ -121,7 +121,7 @@
 		return
 	}
 	n.members.heard(f.Origin, time.Now())
-	n.quotas.Receive(r.Process, r.Used, time.Now())
+	n.quotas.Receive(f.Origin, r.Process, r.Used, time.Now())
 	n.work.receive(f.Origin, r.Work, time.Now())
 	if r.Leaving {
 		n.quotas.Left(r.Process)
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -77,10 +77,11 @@
 
 // origin is another instance's process.
 type origin struct {
-	used  Report
-	rates map[string]float64 // units a second
-	at    time.Time          // of the newest report
-	left  bool
+	instance string
+	used     Report
+	rates    map[string]float64 // units a second
+	at       time.Time          // of the newest report
+	left     bool
 }
 
 // NewLedger returns a ledger without use. expected is the number of instances that should exist.
@@ -207,14 +208,17 @@
 	return out
 }
 
-// Receive takes over the report of another instance's process.
-func (l *Ledger) Receive(process string, r Report, now time.Time) {
+// Receive takes over the report of another instance's process. Nothing more is expected of its earlier processes.
+func (l *Ledger) Receive(instance, process string, r Report, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	o := l.origins[process]
 	if o == nil {
 		l.forgetOld(now)
-		o = &origin{used: Report{}, rates: map[string]float64{}, at: now.Add(-rateMemory)}
+		for _, earlier := range l.origins {
+			earlier.left = earlier.left || earlier.instance == instance // has a successor
+		}
+		o = &origin{instance: instance, used: Report{}, rates: map[string]float64{}, at: now.Add(-rateMemory)}
 		l.origins[process] = o
 	}
 	passed := max(now.Sub(o.at).Seconds(), 0.05)
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -1,6 +1,7 @@
 package quota_test
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"testing"
@@ -19,10 +20,11 @@
 	ledgers []*quota.Ledger
 	cut     map[int]bool // exchanges no reports
 	every   time.Duration
+	starts  map[int]int // processes before the present one
 }
 
 func newFleet(n int) *fleet {
-	f := &fleet{now: time.Unix(1000, 0), cut: map[int]bool{}, every: reportInterval}
+	f := &fleet{now: time.Unix(1000, 0), cut: map[int]bool{}, every: reportInterval, starts: map[int]int{}}
 	for range n {
 		f.ledgers = append(f.ledgers, quota.NewLedger(tolerance, n))
 	}
@@ -54,7 +56,8 @@
 	for i, from := range f.ledgers {
 		for j, to := range f.ledgers {
 			if i != j && !f.cut[i] && !f.cut[j] {
-				to.Receive(string(rune('a'+i)), from.Report(), f.now)
+				name := string(rune('a' + i))
+				to.Receive(name, fmt.Sprintf("%s.%d", name, f.starts[i]), from.Report(), f.now)
 			}
 		}
 	}
@@ -185,3 +188,18 @@
 	must.Less(t, (big.PerSecond*8+big.Burst)*(1+tolerance.Share)+tolerance.Units, got)
 	must.Greater(t, big.PerSecond*8*0.9, got)
 }
+
+// Guards against the use of processes that were killed being expected to go on beside that of their successors, which
+// refused nearly all requests for 10 s after most instances had been killed at once.
+func TestLedger_MostInstancesKilled(t *testing.T) {
+	f := newFleet(8)
+	usual := func(int) float64 { return limit.PerSecond / 1.8 / 8 }
+	f.run(10*time.Second, limit, 1_000, usual)
+	for i := range 5 {
+		f.ledgers[i] = quota.NewLedger(tolerance, 8)
+		f.starts[i]++
+	}
+	f.run(time.Second, limit, 1_000, usual)
+	got := f.run(8*time.Second, limit, 1_000, usual)
+	must.Greater(t, 0.95*8*limit.PerSecond/1.8, got)
+}
