--- a/autoscale/autoscale.go
+++ b/autoscale/autoscale.go
@@ -19,7 +19,6 @@
 	Price       float64 // of an on-demand endpoint
 	OnDemand    int     // that take work
 	Reclaimable int     // that take work
-	Dry         bool    // no reclaimable ones are to be had at the moment
 }
 
 // Service is what a plan is made for.
--- a/autoscale/autoscale_test.go
+++ b/autoscale/autoscale_test.go
@@ -50,7 +50,7 @@
 	for _, lost := range [][]int{{0}, {0, 2}, {0, 1, 2}, {0, 1, 2, 3}} {
 		s := service(8, 0, 4)
 		for _, z := range lost {
-			s.Zones[z].Reclaimable, s.Zones[z].Dry = 0, true
+			s.Zones[z].Reclaimable = 0
 		}
 		wants := autoscale.Plan(s)
 		must.GreaterEq(t, 8, leftAfterLoss(s, wants))
--- a/clock/clock_test.go
+++ b/clock/clock_test.go
@@ -13,7 +13,7 @@
 func TestWall_FollowsTimeOfDay(t *testing.T) {
 	w := clock.NewWall()
 	time.Sleep(20 * time.Millisecond)
-	must.Between(t, -10*time.Millisecond, w.Now().Sub(time.Now()), 10*time.Millisecond)
+	must.Between(t, -10*time.Millisecond, time.Until(w.Now()), 10*time.Millisecond)
 }
 
 // Guards against a clock that stands still.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -168,7 +168,6 @@
 	runs      int           // endpoints that may have run the request
 	mayRun    bool          // an endpoint may have run it, or may still
 	began     bool          // counted as begun
-	notBefore time.Time
 	stream    streamState
 	moved     *moved // where the run goes on; nil unless it was moved
 }
--- a/node/pool.go
+++ b/node/pool.go
@@ -102,7 +102,7 @@
 	index := map[string]int{}
 	for i, zone := range zones {
 		index[zone] = i
-		in.Zones = append(in.Zones, autoscale.Zone{Name: zone, Price: c.ZonePrices[zone], Dry: now.Before(p.dry[zone])})
+		in.Zones = append(in.Zones, autoscale.Zone{Name: zone, Price: c.ZonePrices[zone]})
 	}
 	total := 0.0
 	for _, e := range s.n.fleet.Service(service.Name) {
--- a/node/settings.go
+++ b/node/settings.go
@@ -31,7 +31,6 @@
 	MemoryBytes int64
 
 	Grace          time.Duration      // from the signal to stop to the end of the process
-	Drain          time.Duration      // longest time in which a leaving endpoint may get work
 	Lease          time.Duration      // a duty doesn't go back to an earlier holder within this time
 	Repeats        limit.ArrivalLimit // of all instances together, for each service
 	QuotaTolerance quota.Tolerance
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -153,7 +153,7 @@
 		}
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxForeignBytes))
 		if err != nil || n == maxForeignBytes || resp.Close {
-			return nil, fmt.Errorf("late answer to another request could not be skipped: %w", err)
+			return nil, errors.Join(errors.New("late answer to another request could not be skipped"), err)
 		}
 	}
 }
