--- a/feed/feed.go
+++ b/feed/feed.go
@@ -68,10 +68,10 @@
 	// Peer asks a peer for a copy with changes after a revision; nil: no peers.
 	Peer func(ctx context.Context, kind string, after uint64) (*Copy, error)
 	// Wait returns the longest wait of the next watch; nil: MaxWait. A watch may hear nothing of changes while it
-	// waits, so some of the peers must wait for short times only, and nudge the others.
+	// waits, so some of the peers must wait for short times only, and notify the others.
 	Wait func() time.Duration
 	// Follow reports whether to follow the store; nil: always. Otherwise peers that do so are asked for what has
-	// changed when they nudge, so that the calls of the store do not grow with the number of instances.
+	// changed when they notify it, so that the calls of the store do not grow with the number of instances.
 	Follow func() bool
 }
 
@@ -87,8 +87,8 @@
 	// minPause and maxPause bound the pause after a failed call.
 	minPause = 100 * time.Millisecond
 	maxPause = 800 * time.Millisecond
-	// nudgeDelay is the time that an own watch gets to bring what a peer has seen.
-	nudgeDelay = 150 * time.Millisecond
+	// notifyDelay is the time that an own watch gets to bring what a peer has seen.
+	notifyDelay = 150 * time.Millisecond
 	// cutWatch is the time after which a watch that breaks may just have been cut off while it waited.
 	cutWatch = 200 * time.Millisecond
 )
@@ -106,11 +106,11 @@
 	sound       time.Time // since when calls succeed; zero: they fail
 	pause       time.Duration
 	cancel      context.CancelFunc // of the waiting watch
-	interrupted bool               // the waiting watch was given up because of a nudge
+	interrupted bool               // the waiting watch was given up because of a notification
 	behind      bool               // list again
 	listedAt    time.Time          // of the newest list; used by Run only
 	ready       chan struct{}
-	nudged      chan struct{} // a peer has seen more
+	notified    chan struct{} // a peer has seen more
 	deletions   []deletion    // the newest last
 	complete    uint64        // deletions after this revision are all known
 	gone        []string      // deleted by the events that are being taken over
@@ -133,7 +133,7 @@
 	if s.Follow == nil {
 		s.Follow = func() bool { return true }
 	}
-	return &Feed{s: s, objects: map[string]Object{}, ready: make(chan struct{}), nudged: make(chan struct{}, 1)}
+	return &Feed{s: s, objects: map[string]Object{}, ready: make(chan struct{}), notified: make(chan struct{}, 1)}
 }
 
 // Ready is closed once a first copy was taken over.
@@ -257,7 +257,7 @@
 	events, revision, err := f.s.Store.Watch(ctx, f.s.Kind, after, wait)
 	f.mu.Lock()
 	f.cancel = nil
-	nudged, sound := f.interrupted, !f.sound.IsZero()
+	notified, sound := f.interrupted, !f.sound.IsZero()
 	f.interrupted = false
 	f.mu.Unlock()
 	switch {
@@ -267,7 +267,7 @@
 		f.behind = true
 		f.mu.Unlock()
 		return nil // the list comes at once; when its own revision is gone too, the next one waits
-	case err != nil && (nudged || sound && time.Since(began) > cutWatch):
+	case err != nil && (notified || sound && time.Since(began) > cutWatch):
 		return nil // given up for a list, or cut off while waiting; the next call shows whether the store is sound
 	case err != nil:
 		if errors.Is(err, ErrHistoryGone) {
@@ -371,7 +371,7 @@
 	select {
 	case <-ctx.Done():
 	case <-time.After(followCheck):
-	case <-f.nudged:
+	case <-f.notified:
 		time.Sleep(rand.N(askSpread))
 		f.mu.Lock()
 		after, wanted := f.changed, f.wanted
@@ -440,9 +440,9 @@
 	}
 }
 
-// Nudge tells that a peer has taken over a change. When the own watch does not bring them soon, it
+// NotifyChange tells that a peer has taken over a change. When the own watch does not bring them soon, it
 // may be silent, and the objects are listed again.
-func (f *Feed) Nudge(changed uint64) {
+func (f *Feed) NotifyChange(changed uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.changed >= changed || f.wanted >= changed {
@@ -450,10 +450,10 @@
 	}
 	f.wanted = changed
 	select {
-	case f.nudged <- struct{}{}:
+	case f.notified <- struct{}{}:
 	default:
 	}
-	time.AfterFunc(nudgeDelay, func() {
+	time.AfterFunc(notifyDelay, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		if !f.listed || f.changed >= changed {
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -211,7 +211,7 @@
 }
 
 // Guards against a silent watch that hides a change which a peer has seen, and against listing again and again.
-func TestFeed_NudgeReplacesSilentWatch(t *testing.T) {
+func TestFeed_NotificationReplacesSilentWatch(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newStore()
 		s.put("a", "1")
@@ -225,7 +225,7 @@
 		seen := s.revision
 		s.mu.Unlock()
 		for range 20 {
-			f.Nudge(seen + 1) // the peer's revision of a deletion may lie above that of any object
+			f.NotifyChange(seen + 1) // the peer's revision of a deletion may lie above that of any object
 			time.Sleep(100 * time.Millisecond)
 		}
 		must.Eq(t, []string{"a", "b"}, r.now())
@@ -250,7 +250,7 @@
 		<-f.Ready()
 		must.Eq(t, 7, f.Changed())
 		other = &feed.Copy{Revision: 12, Changed: 11, Objects: []feed.Object{{Name: "y", Revision: 11}}}
-		f.Nudge(11)
+		f.NotifyChange(11)
 		time.Sleep(3 * time.Second)
 		must.Eq(t, []string{"y"}, r.now())
 	})
@@ -298,7 +298,7 @@
 }
 
 // Guards against an instance that stays in a long watch of the store although it is to follow its peers by now.
-func TestFeed_NudgeEndsWatchOfFormerFollower(t *testing.T) {
+func TestFeed_NotificationEndsWatchOfFormerFollower(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newStore()
 		s.put("a", "1")
@@ -319,7 +319,7 @@
 		defer func() { cancel(); <-done }()
 		time.Sleep(time.Second)
 		follow.Store(false)
-		f.Nudge(9)
+		f.NotifyChange(9)
 		time.Sleep(time.Second)
 		must.Eq(t, []string{"a", "b"}, r.now())
 		must.Eq(t, 1, s.lists)
--- a/node/node.go
+++ b/node/node.go
@@ -129,7 +129,7 @@
 	// shortWatchers is the number of instances whose watches wait for a short time only, so that a change which
 	// waiting watches do not hear of is found soon. Two, since one may be out of touch.
 	shortWatchers = 2
-	// shortWait leaves time to list again and to nudge the others within the 2 s in which a change must be in force.
+	// shortWait leaves time to list again and to notify the others within the 2 s in which a change must be in force.
 	shortWait = 900 * time.Millisecond
 )
 
--- a/node/peers.go
+++ b/node/peers.go
@@ -129,7 +129,7 @@
 	for kind, changed := range r.Changed {
 		if own := n.feeds[kind]; own != nil {
 			n.members.noteNewest(kind, f.Origin, changed)
-			own.Nudge(changed)
+			own.NotifyChange(changed)
 		}
 	}
 }
--- a/standin/usersstore.go
+++ b/standin/usersstore.go
@@ -21,7 +21,7 @@
 	floor    uint64 // history up to this revision is gone
 	changed  chan struct{}
 	failWith int  // status of each call; 0: none
-	deaf     bool // waiting watches hear nothing
+	muted    bool // waiting watches hear nothing
 	calls    int
 }
 
@@ -63,12 +63,12 @@
 // Compact drops the history, after a time in which waiting watches heard nothing.
 func (s *UsersStore) Compact(missed func()) {
 	s.mu.Lock()
-	s.deaf = true
+	s.muted = true
 	s.mu.Unlock()
 	missed()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.deaf, s.floor, s.events = false, s.revision, nil
+	s.muted, s.floor, s.events = false, s.revision, nil
 }
 
 // Calls returns the number of calls so far.
@@ -155,7 +155,7 @@
 
 // wake needs s.mu.
 func (s *UsersStore) wake() {
-	if !s.deaf {
+	if !s.muted {
 		close(s.changed)
 		s.changed = make(chan struct{})
 	}
