forward: let a lost run end at once while a move of it is tried

Cause (found in reading): a stream that ended during a call of the mover waited for all further tries, up to 2 s.

--- a/forward/relocate.go
+++ b/forward/relocate.go
@@ -72,6 +72,7 @@
 	calling := l.calling
 	l.mu.Unlock()
 	if calling {
+		l.cancel() // no further tries; the call itself goes on
 		<-l.done
 	}
 	l.mu.Lock()
--- a/forward/serve_test.go
+++ b/forward/serve_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -241,3 +242,37 @@
 		})
 	}
 }
+
+// slowMover fails after a while, with the run lost meanwhile.
+type slowMover struct{ lost func() }
+
+func (m *slowMover) Move(context.Context, string, *fleet.Endpoint, *fleet.Endpoint) (string, error) {
+	m.lost()
+	time.Sleep(50 * time.Millisecond)
+	return "", forward.ErrNoRun
+}
+
+// Guards against a caller who waits for further tries to move a run that is lost already.
+func TestServe_LostRunIsNotMovedAgain(t *testing.T) {
+	lost := make(chan struct{})
+	var ended time.Time
+	m := &slowMover{}
+	m.lost = sync.OnceFunc(func() { ended = time.Now(); close(lost) })
+	began := make(chan string, 1)
+	w := newWorld(t, 3, func(a *arrival) {
+		a.stream()
+		a.chunk(event(1))
+		began <- a.endpoint
+		<-lost
+		reset(a)
+	}, func(c *forward.Config) { c.Mover = m })
+	w.table.Services[service].Engine = engine()
+	w.table.Routes[2].Timeout = 4 * time.Second
+	go func() {
+		id := <-began
+		w.fleet.MarkLeaving(id, 0)
+	}()
+	got := w.send(t.Context(), "stream")
+	must.Error(t, got.broken)
+	must.Less(t, 300*time.Millisecond, time.Since(ended))
+}
