--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -39,7 +39,6 @@
 	leaving  chan struct{} // closed when it takes no new work any more
 	once     sync.Once
 	leavesAt atomic.Int64 // Unix nanoseconds, 0: unknown
-	gone     atomic.Bool
 }
 
 // Leaving is closed once the endpoint must get no new work.
@@ -224,7 +223,6 @@
 	if t.byAddr[r.endpoint.Address] == id {
 		delete(t.byAddr, r.endpoint.Address)
 	}
-	r.endpoint.gone.Store(true)
 	r.endpoint.leave(time.Time{})
 	r.endpoint.Pool.Close()
 }
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -168,12 +168,6 @@
 	r.conn.pool.put(r.conn)
 }
 
-// IsWhole reports whether the body was read to its end.
-func (r *Reply) IsWhole() bool { return r.whole }
-
-// Leaving reports whether the endpoint closes the connection after this answer.
-func (r *Reply) Leaving() bool { return r.resp.Close }
-
 // wholeReader notes the end of a body.
 type wholeReader struct{ reply *Reply }
 
