Let each instance of a large fleet follow the store itself, with paced watches

Instances cut from the followers learned of a change after 3.2 s and more. Ruled out: shorter silence before an instance follows the store itself (detection, list and answer still add up to 3 s). Change: all watch the store. After three watches in a row that bring changes the next one waits for 2.2 s; eight instances wait for 0.3 s and tell the others which endpoints leave. An instance that has not heard from the two with short waits for 2.5 s waits short itself, so that a silent watch hides nothing from it.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 )
 
 // ErrHistoryGone means that a watch reaches back further than the history that the store keeps.
@@ -70,9 +71,9 @@
 	// Wait returns the longest wait of the next watch; nil: MaxWait. A watch may hear nothing of changes while it
 	// waits, so some of the peers must wait for short times only, and notify the others.
 	Wait func() time.Duration
-	// Follow reports whether to follow the store; nil: always. Otherwise peers that do so are asked for what has
-	// changed when they notify it, so that the calls of the store do not grow with the number of instances.
-	Follow func() bool
+	// Pace returns the mean time between watches that bring changes; nil or 0: no bound. It bounds the calls of a large
+	// fleet while much changes; the first few watches after a calm time follow at once.
+	Pace func() time.Duration
 }
 
 // MaxWait is the longest wait of one watch; the store allows 30 s.
@@ -89,6 +90,11 @@
 	maxPause = 800 * time.Millisecond
 	// notifyDelay is the time that an own watch gets to bring what a peer has seen.
 	notifyDelay = 150 * time.Millisecond
+	// paceBurst is the number of watches that may bring changes at once before the pace binds: the first one brings
+	// the beginning of a reclaim, and the next two the rest of it.
+	paceBurst = 3
+	// minBatch is the least pause of a paced feed, in which the entries of a failure domain that is reclaimed arrive.
+	minBatch = 50 * time.Millisecond
 	// cutWatch is the time after which a watch that breaks may just have been cut off while it waited.
 	cutWatch = 200 * time.Millisecond
 )
@@ -106,14 +112,16 @@
 	sound       time.Time // since when calls succeed; zero: they fail
 	pause       time.Duration
 	cancel      context.CancelFunc // of the waiting watch
-	interrupted bool               // the waiting watch was given up because of a notification
+	watchEnd    time.Time          // of the waiting watch
+	interrupted bool               // the waiting watch was given up for a list or for a shorter one
 	behind      bool               // list again
 	listedAt    time.Time          // of the newest list; used by Run only
+	pace        *rate.Limiter      // of watches that bring changes; used by Run only
+	pausedUntil time.Time          // the next watch waits until then
 	ready       chan struct{}
-	notified    chan struct{} // a peer has seen more
-	deletions   []deletion    // the newest last
-	complete    uint64        // deletions after this revision are all known
-	gone        []string      // deleted by the events that are being taken over
+	deletions   []deletion // the newest last
+	complete    uint64     // deletions after this revision are all known
+	gone        []string   // deleted by the events that are being taken over
 }
 
 // deletion is an object that is gone.
@@ -130,10 +138,10 @@
 	if s.Wait == nil {
 		s.Wait = func() time.Duration { return MaxWait }
 	}
-	if s.Follow == nil {
-		s.Follow = func() bool { return true }
+	if s.Pace == nil {
+		s.Pace = func() time.Duration { return 0 }
 	}
-	return &Feed{s: s, objects: map[string]Object{}, ready: make(chan struct{}), notified: make(chan struct{}, 1)}
+	return &Feed{s: s, pace: rate.NewLimiter(rate.Inf, paceBurst), objects: map[string]Object{}, ready: make(chan struct{})}
 }
 
 // Ready is closed once a first copy was taken over.
@@ -176,15 +184,11 @@
 		f.mu.Lock()
 		list := !f.listed || f.behind
 		f.mu.Unlock()
-		var err error
-		switch {
-		case list:
-			err = f.list(ctx)
-		case f.s.Follow():
-			err = f.watch(ctx)
-		default:
-			f.followPeers(ctx)
+		next := f.watch
+		if list {
+			next = f.list
 		}
+		err := next(ctx)
 		if err == nil || ctx.Err() != nil {
 			continue
 		}
@@ -245,15 +249,15 @@
 	}
 }
 
-func (f *Feed) watch(ctx context.Context) error {
+func (f *Feed) watch(parent context.Context) error {
 	wait := f.s.Wait()
-	ctx, cancel := context.WithTimeout(ctx, wait+listTime)
+	ctx, cancel := context.WithTimeout(parent, wait+listTime)
 	defer cancel()
+	began := time.Now()
 	f.mu.Lock()
 	after := f.revision
-	f.cancel = cancel
+	f.cancel, f.watchEnd = cancel, began.Add(wait)
 	f.mu.Unlock()
-	began := time.Now()
 	events, revision, err := f.s.Store.Watch(ctx, f.s.Kind, after, wait)
 	f.mu.Lock()
 	f.cancel = nil
@@ -278,6 +282,15 @@
 		return err
 	}
 	f.succeeded()
+	f.takeEvents(events, revision)
+	if len(events) > 0 {
+		f.keepPace(parent)
+	}
+	return nil
+}
+
+// takeEvents takes over what a watch has brought.
+func (f *Feed) takeEvents(events []Event, revision uint64) {
 	for _, e := range events {
 		f.apply(e)
 	}
@@ -291,7 +304,30 @@
 		f.noteDeletion(name, f.changed)
 	}
 	f.gone = nil
-	return nil
+}
+
+// keepPace waits after a watch that brought changes, so that further ones arrive together.
+func (f *Feed) keepPace(ctx context.Context) {
+	pace := f.s.Pace()
+	f.pace.SetLimit(paceLimit(pace))
+	if pace <= 0 {
+		return
+	}
+	pause := max(minBatch, f.pace.Reserve().Delay())
+	f.mu.Lock()
+	f.pausedUntil = time.Now().Add(pause)
+	f.mu.Unlock()
+	select {
+	case <-ctx.Done():
+	case <-time.After(pause):
+	}
+}
+
+func paceLimit(pace time.Duration) rate.Limit {
+	if pace <= 0 {
+		return rate.Inf
+	}
+	return rate.Every(pace)
 }
 
 func (f *Feed) apply(e Event) {
@@ -360,34 +396,6 @@
 	f.s.Log.WithField("kind", f.s.Kind).Info("state taken from a peer")
 }
 
-// askSpread spreads the questions of many instances that hear of a change at the same time over the peers that have it.
-const askSpread = 200 * time.Millisecond
-
-// followCheck is how often an instance looks whether it has to follow the store itself.
-const followCheck = 500 * time.Millisecond
-
-// followPeers waits until a peer has seen more, and asks for it.
-func (f *Feed) followPeers(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(followCheck):
-	case <-f.notified:
-		time.Sleep(rand.N(askSpread))
-		f.mu.Lock()
-		after, wanted := f.changed, f.wanted
-		f.mu.Unlock()
-		if after >= wanted {
-			return
-		}
-		if err := f.takeFromPeer(ctx, after); err != nil {
-			f.s.Log.WithError(err).WithField("kind", f.s.Kind).Info("no copy from a peer; listing")
-			f.mu.Lock()
-			f.behind = true
-			f.mu.Unlock()
-		}
-	}
-}
-
 // takeFromPeer takes over what a peer has seen after a revision.
 func (f *Feed) takeFromPeer(ctx context.Context, after uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, peerTime)
@@ -449,20 +457,31 @@
 		return
 	}
 	f.wanted = changed
-	select {
-	case f.notified <- struct{}{}:
-	default:
-	}
-	time.AfterFunc(notifyDelay, func() {
+	// A watch that rests to keep its pace is not silent.
+	time.AfterFunc(notifyDelay+max(0, time.Until(f.pausedUntil)), func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		if !f.listed || f.changed >= changed {
 			return
 		}
-		f.behind = f.behind || f.s.Follow()
-		if f.cancel != nil {
-			f.interrupted = true
-			f.cancel()
-		}
+		f.behind = true
+		f.interrupt()
 	})
 }
+
+// LimitWait gives up a watch that would wait for longer than wait from now; the next one begins at once.
+func (f *Feed) LimitWait(wait time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if time.Until(f.watchEnd) > wait {
+		f.interrupt()
+	}
+}
+
+// interrupt needs f.mu.
+func (f *Feed) interrupt() {
+	if f.cancel != nil {
+		f.interrupted = true
+		f.cancel()
+	}
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -148,12 +148,13 @@
 	t.publish()
 }
 
-// MarkLeaving stops new work for a lifetime of an endpoint of which a peer or its own answers said that it leaves.
-func (t *Table) MarkLeaving(id string, born int64) {
+// MarkLeaving stops new work for a lifetime of an endpoint of which a peer said that it leaves. The zero time means that
+// its end is unknown.
+func (t *Table) MarkLeaving(id string, born int64, at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if r := t.byID[id]; r != nil && r.endpoint.Born == born && !r.endpoint.IsLeaving() {
-		r.endpoint.leave(time.Time{})
+		r.endpoint.leave(at)
 		t.publish()
 	}
 }
--- a/node/duties.go
+++ b/node/duties.go
@@ -72,6 +72,7 @@
 
 func (d *duties) work(ctx context.Context) {
 	grant, held := d.lease.Held()
+	d.n.isHolder.Store(held)
 	if !held {
 		d.token = 0
 		return
--- /dev/null
+++ b/node/news_test.go
@@ -0,0 +1,53 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/shoenig/test/must"
+
+	"github.com/trefoillug/trefoillug/fleet"
+	"github.com/trefoillug/trefoillug/peer"
+	"github.com/trefoillug/trefoillug/upstream"
+)
+
+// Guards against endpoints of a large reclaim of which the peers never hear, because a fact exceeds its size or a later
+// fact replaces an earlier one.
+func TestNews_LargeReclaim(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var s news
+	for i := range 400 {
+		s.add(fleet.Entry{ID: fmt.Sprintf("i-%010d", i), Born: 1_700_000_000_000, LeavesAt: now.Add(2 * time.Second)}, now)
+	}
+	told, facts := 0, map[int]bool{}
+	for part, fact := s.take(); len(part) > 0; part, fact = s.take() {
+		must.False(t, facts[fact])
+		facts[fact] = true
+		text, err := cbor.Marshal(part)
+		must.NoError(t, err)
+		must.Less(t, 8<<10, len(text))
+		must.Eq(t, 2000, part[0].Left)
+		told += len(part)
+	}
+	must.Eq(t, 400, told)
+}
+
+// Guards against a peer's news of an earlier lifetime that stops work for a restarted endpoint, and against an end of
+// unknown time that is taken for now.
+func TestNews_Receive(t *testing.T) {
+	n := &Node{fleet: fleet.NewTable(func(address string) *upstream.Pool { return upstream.NewPool(address, upstream.Settings{}) })}
+	for _, e := range []fleet.Entry{{ID: "a", Service: "s", Born: 2, Slots: 1}, {ID: "b", Service: "s", Born: 1, Slots: 1}} {
+		n.fleet.Put(e)
+	}
+	text, err := cbor.Marshal([]leavingNews{{ID: "a", Born: 1, Left: 500}, {ID: "b", Born: 1}})
+	must.NoError(t, err)
+	n.receiveNews(peer.Fact{Value: text})
+	left := n.fleet.Service("s")
+	must.Len(t, 1, left)
+	must.Eq(t, "a", left[0].ID)
+	for _, e := range n.fleet.All() {
+		must.True(t, e.LeavesAt().IsZero())
+	}
+}
--- a/node/peers.go
+++ b/node/peers.go
@@ -65,6 +65,7 @@
 func (n *Node) subscribe() {
 	n.mesh.Subscribe(factReport, n.receiveReport)
 	n.mesh.Subscribe(factUsage, n.receiveUsage)
+	n.mesh.Subscribe(factLeaving, n.receiveNews)
 	n.mesh.Subscribe(move.FactPrefix, n.rollouts.receive)
 	n.mesh.Handle(callCopy, n.handleCopy)
 }
@@ -89,6 +90,7 @@
 		n.metrics.scope.Gauge("dropped_log_lines").Update(float64(dropped()))
 	}
 	n.members.update(n.mesh.Members(), now)
+	n.watchAlone(now)
 	expected := n.members.expected(now)
 	n.quotas.Expect(expected, n.interval())
 	n.repeats.setInstances(expected)
@@ -105,13 +107,16 @@
 	}
 }
 
-func (n *Node) publishFact(key string, value any) {
+func (n *Node) publishFact(key string, value any) { n.publishLife(key, value, reportLife) }
+
+// publishLife publishes a fact that the peers keep for a time.
+func (n *Node) publishLife(key string, value any, life time.Duration) {
 	text, err := cbor.Marshal(value)
 	if err != nil {
 		n.log.WithError(err).WithField("fact", key).Error("fact not encoded")
 		return
 	}
-	n.mesh.Publish(key, text, reportLife)
+	n.mesh.Publish(key, text, life)
 }
 
 func (n *Node) receiveReport(f peer.Fact) {
@@ -195,8 +200,8 @@
 	silent   int // out of touch at the last look
 	reported int
 	lastOwn  time.Time            // report of this instance
-	reports  map[string]time.Time // newest report of each peer
 	newest   map[string]newest    // by kind of object
+	reports  map[string]time.Time // newest report of each peer
 }
 
 // newest names the peers that reported the newest change.
@@ -274,12 +279,7 @@
 func (m *membership) heardOne(peers []string, since time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, id := range peers {
-		if m.reports[id].After(since) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(peers, func(id string) bool { return m.reports[id].After(since) })
 }
 
 func (m *membership) noteNewest(kind, origin string, changed uint64) {
--- a/node/pool.go
+++ b/node/pool.go
@@ -19,7 +19,8 @@
 	dryTime = 1500 * time.Millisecond
 	// bootMargin is added to the boot time before an order that brought nothing is repeated.
 	bootMargin = 2 * time.Second
-	// listStable is the time without a change after which the list of endpoints is believed to be whole at the start.
+	// listStable is the time without a change, beside the pace of the list, after which the list of endpoints is believed
+	// to be whole at the start.
 	listStable = 1500 * time.Millisecond
 	// settleLoad is how long a holder watches the load before a plan may shrink the pool that it found.
 	settleLoad = 25 * time.Second
@@ -80,7 +81,7 @@
 		s.pools[service.Name] = p
 	}
 	input := s.input(service, p, now)
-	if !p.isListed(now) {
+	if !p.isListed(now, listStable+s.n.watchPace(s.n.platform.Kinds.Endpoints)) {
 		return
 	}
 	for i, want := range autoscale.Plan(input) {
@@ -137,8 +138,8 @@
 }
 
 // isListed reports whether the list of endpoints seems whole, so that a plan may follow from it.
-func (p *pool) isListed(now time.Time) bool {
-	return len(p.ordered) > 0 || p.count > 0 && now.Sub(p.changed) >= listStable
+func (p *pool) isListed(now time.Time, stable time.Duration) bool {
+	return len(p.ordered) > 0 || p.count > 0 && now.Sub(p.changed) >= stable
 }
 
 // order sends an order when the wanted number has changed, or when the last one did not bring it in time.
--- a/node/state.go
+++ b/node/state.go
@@ -92,6 +92,7 @@
 	}
 	if entry.Draining {
 		log.WithField("leaves_at", entry.LeavesAt).Info("endpoint is leaving")
+		h.n.noteLeaving(entry, now)
 	}
 	h.n.fleet.Put(entry)
 	h.n.limitConnections()
