Add a fault soak on real processes: plan from a seed, faults from outside, promises checked

Cause: pairs of faults, series of signals and long runs were proved by tests of single faults only. Change: package soak and cmd/trefoillug-soak, with the stand-ins of the users' platform extended by a caller, settings and a configuration.

--- /dev/null
+++ b/cmd/trefoillug-soak/main.go
@@ -0,0 +1,94 @@
+// Command trefoillug-soak runs instances as processes on stand-ins of the users' platform, injects faults by a plan that
+// follows from a seed, and checks the product's promises.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/trefoillug/trefoillug/soak"
+)
+
+// maxInstances keeps a run within a few hundred processes and half of a small machine's memory.
+const maxInstances = 60
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := command().Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "trefoillug-soak:", err)
+		os.Exit(1)
+	}
+}
+
+func command() *cli.Command {
+	var seed uint64
+	var runs, instances int
+	var length time.Duration
+	var binary string
+	return &cli.Command{
+		Name:  "trefoillug-soak",
+		Usage: "play seeded faults against real processes and check the promises",
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "seed", Usage: "seed of the first run", Value: 1, Destination: &seed},
+			&cli.IntFlag{Name: "runs", Usage: "number of runs, with seeds that follow each other", Value: 1, Destination: &runs},
+			&cli.DurationFlag{Name: "for", Usage: "length of the load of a run", Value: time.Minute, Destination: &length},
+			&cli.IntFlag{Name: "nodes", Usage: "number of instances", Value: 4, Destination: &instances},
+			&cli.StringFlag{Name: "binary", Usage: "path of trefoillug; built if empty", Destination: &binary},
+		},
+		Action: func(ctx context.Context, _ *cli.Command) error {
+			if instances < 1 || instances > maxInstances {
+				return fmt.Errorf("--nodes is %d: give 1 to %d", instances, maxInstances)
+			}
+			dir, err := os.MkdirTemp("", "trefoillug-soak")
+			if err != nil {
+				return err
+			}
+			if binary == "" {
+				binary = filepath.Join(dir, "trefoillug")
+				if out, err := exec.CommandContext(ctx, "go", "build", "-o", binary, "./cmd/trefoillug").CombinedOutput(); err != nil {
+					return fmt.Errorf("build trefoillug: %w\n%s", err, out)
+				}
+			}
+			broken := 0
+			for n := range runs {
+				kept, err := play(ctx, soak.Options{
+					Plan: soak.NewPlan(seed+uint64(n), length, instances), Binary: binary, Dir: filepath.Join(dir, fmt.Sprint(seed+uint64(n))),
+				})
+				if err != nil {
+					return err
+				}
+				broken += kept
+			}
+			if broken > 0 {
+				return fmt.Errorf("%d of %d runs broke a promise; logs are in %s", broken, runs, dir)
+			}
+			return os.RemoveAll(dir)
+		},
+	}
+}
+
+// play plays one plan and returns 1 if a promise was broken.
+func play(ctx context.Context, o soak.Options) (int, error) {
+	fmt.Print(o.Plan)
+	if err := os.MkdirAll(o.Dir, 0o700); err != nil {
+		return 0, err
+	}
+	evidence, err := soak.Run(ctx, o)
+	if err != nil {
+		return 0, err
+	}
+	breaches := evidence.Check()
+	if err := soak.Report(os.Stdout, o, evidence, breaches); err != nil {
+		return 0, err
+	}
+	return min(1, len(breaches)), nil
+}
--- /dev/null
+++ b/standin/userssite.go
@@ -0,0 +1,196 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// Services, routes and workspaces of UsersConfig.
+const (
+	UsersHost    = "app.example"
+	UsersModels  = "models"
+	UsersOrders  = "orders"
+	UsersOpenKey = "key-open" // of a workspace without a quota
+	UsersTight   = "tight"    // workspace with a quota of UsersTightRate tokens a second and as large a burst
+	UsersKey     = "key-tight"
+
+	UsersTightRate = 3000
+	// UsersQuotaSlack is the tolerance of quotas in tokens, beside a tenth.
+	UsersQuotaSlack = 3000
+)
+
+// UsersConfig is a configuration of the users' platform for tests: streams that may be resumed (/notes/) and may not
+// (/chat/), and plain requests that may be repeated (/look/) and may not (/book/).
+type UsersConfig struct {
+	Version int
+	Extra   []string // further prefixes that lead to orders, such as /new-1/
+	Keys    []string // further keys of the open workspace
+}
+
+// Object returns the specification of the configuration's object.
+func (c UsersConfig) Object() map[string]any {
+	routes := []any{
+		c.route("chat", "streaming", map[string]any{"service": UsersModels, "maxAttempts": 1, "targetGapMs": 500}),
+		c.route("notes", "streaming", map[string]any{"service": UsersModels, "maxAttempts": 2, "resumable": true, "targetGapMs": 500}),
+		c.route("book", "non_idempotent", map[string]any{"service": UsersOrders, "maxAttempts": 1}),
+		c.route("look", "idempotent", map[string]any{"service": UsersOrders, "maxAttempts": 2}),
+	}
+	for _, name := range c.Extra {
+		routes = append(routes, c.route(name, "idempotent", map[string]any{"service": UsersOrders, "maxAttempts": 2}))
+	}
+	return map[string]any{
+		"version": c.Version, "routes": routes,
+		"services": []any{
+			map[string]any{"name": UsersModels, "healthPath": "/health", "maxConns": 400, "engine": map[string]any{"slots": 64, "kvCapacity": 1000000, "stride": 6, "moves": true}},
+			map[string]any{"name": UsersOrders, "healthPath": "/health", "maxConns": 400},
+		},
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 100000, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"tenants": []any{
+			map[string]any{"name": "open", "apiKeys": append([]string{UsersOpenKey}, c.Keys...), "unit": "tokens", "plainTokens": 100, "ratePerS": 1e6, "burst": 1e6},
+			map[string]any{"name": UsersTight, "apiKeys": []string{UsersKey}, "unit": "tokens", "plainTokens": 100, "ratePerS": UsersTightRate, "burst": UsersTightRate},
+		},
+	}
+}
+
+func (UsersConfig) route(name, kind string, extra map[string]any) map[string]any {
+	r := map[string]any{
+		"name": name, "host": UsersHost, "pathPrefix": "/" + name + "/", "kind": kind, "timeoutMs": 4000, "targetLatencyMs": 500, "priority": 1,
+	}
+	for k, v := range extra {
+		r[k] = v
+	}
+	return r
+}
+
+// UsersMachine is a machine of the users' platform.
+type UsersMachine struct {
+	Name, Zone                  string
+	Front, Ready, Control       string // host:port
+	Seeds                       []string
+	StoreAddress, PlatformCloud string // host:port
+}
+
+// Settings returns the machine's settings file.
+func (m UsersMachine) Settings() string {
+	quoted := make([]string, len(m.Seeds))
+	for i, s := range m.Seeds {
+		quoted[i] = fmt.Sprintf("%q", s)
+	}
+	return fmt.Sprintf(`node = %q
+role = "node"
+class = "edge"
+zone = %q
+region = "r"
+seeds = [%s]
+bootstrap = true
+[listen]
+front = %q
+ready = %q
+control = %q
+[limits]
+cpuShare = 1.0
+cores = 1
+memoryMb = 284
+maxFds = 4100
+[bounds]
+drainMs = 2000
+graceS = 8
+leaseMs = 3000
+budgetRatio = 0.2
+budgetWindowS = 10
+budgetSlack = 54
+quotaOverage = 0.1
+quotaSlack = %d
+usageWindowS = 2
+usageLateS = 10
+exposeShare = 0.1
+[platform]
+address = %q
+[cloud]
+address = %q
+duties = ["usage_report"]
+`, m.Name, m.Zone, strings.Join(quoted, ","), m.Front, m.Ready, m.Control, UsersQuotaSlack, m.StoreAddress, m.PlatformCloud)
+}
+
+// ReadyURL is what the balancer asks.
+func (m UsersMachine) ReadyURL() string { return "http://" + m.Ready + "/trefoillug/ready" }
+
+// UsersCall is one attempt of a caller.
+type UsersCall struct {
+	ID       string
+	Route    string // first part of the path
+	Key      string
+	Stream   bool
+	Prompt   int // tokens, of streams
+	Output   int // tokens, of streams
+	Deadline time.Duration
+}
+
+// Request returns the call as a request to an instance at host:port.
+func (c UsersCall) Request(ctx context.Context, address string) (*http.Request, error) {
+	method, body := http.MethodPost, "body of "+c.ID
+	if c.Route == "look" {
+		method, body = http.MethodGet, ""
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+c.path(), strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Host = UsersHost
+	req.Header.Set("Authorization", "Bearer "+c.Key)
+	req.Header.Set("X-Trefoillug-Attempt-Id", c.ID)
+	req.Header.Set("X-Trefoillug-Deadline-Ms", fmt.Sprint(c.Deadline.Milliseconds()))
+	if c.Stream {
+		req.Header.Set("X-Trefoillug-Token-Count", fmt.Sprintf("%d,%d", c.Prompt, c.Output))
+		req.Header.Set("X-Trefoillug-Prompt-Prefix", fmt.Sprintf("aa:%d,%s:%d", c.Prompt/2, c.ID, c.Prompt-c.Prompt/2))
+	}
+	return req, nil
+}
+
+func (c UsersCall) path() string { return "/" + c.Route + "/" + c.ID }
+
+// IsWhole reports whether a body is the whole answer to the call, of a worker that makes a number of events.
+func (c UsersCall) IsWhole(body string, events int) bool {
+	if c.Stream {
+		var want strings.Builder
+		for k := 1; k <= events; k++ {
+			fmt.Fprintf(&want, "id: %d\ndata: token %d of %s\n\n", k, k, c.ID)
+		}
+		return body == want.String()
+	}
+	length := len("body of " + c.ID)
+	if c.Route == "look" {
+		length = 0
+	}
+	return strings.HasSuffix(body, fmt.Sprintf(" %s %d", c.path(), length))
+}
+
+// Moved reports whether a run goes on with the memory of an earlier one, which counts as the same run.
+func (r UsersRun) Moved() bool { return r.Header.Get("Kv-From") != "" }
+
+// Workspace returns the workspace that the system named to the worker.
+func (r UsersRun) Workspace() string { return r.Header.Get("X-Trefoillug-Tenant") }
+
+// Cost returns the tokens that the run counts against its workspace's quota.
+func (r UsersRun) Cost() float64 {
+	var prompt, output float64
+	if _, err := fmt.Sscanf(r.Header.Get("X-Trefoillug-Token-Count"), "%g,%g", &prompt, &output); err != nil {
+		return 100 // plain requests
+	}
+	return prompt + output
+}
+
+// Continues reports whether a run resumes the stream of an earlier one.
+func (r UsersRun) Continues() bool { return r.Header.Get("Last-Event-Id") != "" }
+
+// NewUsersRun returns a run as a worker would note it, for tests of what judges runs.
+func NewUsersRun(id, worker, workspace string, at time.Time, moved bool) UsersRun {
+	r := UsersRun{ID: id, Worker: worker, At: at, Header: http.Header{"X-Trefoillug-Tenant": {workspace}}}
+	if moved {
+		r.Header.Set("Kv-From", "127.0.0.1:1/h-1")
+	}
+	return r
+}
--- a/standin/usersworker.go
+++ b/standin/usersworker.go
@@ -22,6 +22,8 @@
 	Events int
 	// Work is the time of a plain request.
 	Work time.Duration
+	// Marked lets each event of a stream name its request.
+	Marked bool
 
 	draining atomic.Bool
 	full     atomic.Bool // rejects each request without running it
@@ -35,6 +37,8 @@
 // UsersRun is a request that a worker ran.
 type UsersRun struct {
 	ID     string
+	Worker string
+	At     time.Time
 	Header http.Header
 	URI    string
 	Body   string
@@ -88,7 +92,7 @@
 		return
 	}
 	h.Set("X-Trefoillug-Response-Seal", "seal."+u.ID)
-	u.note(UsersRun{ID: r.Header.Get("X-Trefoillug-Attempt-Id"), Header: r.Header.Clone(), URI: r.RequestURI, Body: string(body)})
+	u.note(UsersRun{ID: r.Header.Get("X-Trefoillug-Attempt-Id"), Worker: u.ID, At: time.Now(), Header: r.Header.Clone(), URI: r.RequestURI, Body: string(body)})
 	switch {
 	case u.failing.Load():
 		w.WriteHeader(http.StatusInternalServerError)
@@ -134,11 +138,18 @@
 		u.mu.Lock()
 		s.made = made
 		u.mu.Unlock()
-		fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", made, made)
+		fmt.Fprintf(w, "id: %d\ndata: token %d%s\n\n", made, made, u.mark(id))
 		_ = http.NewResponseController(w).Flush()
 	}
 }
 
+func (u *UsersWorker) mark(request string) string {
+	if !u.Marked {
+		return ""
+	}
+	return " of " + request
+}
+
 func (u *UsersWorker) serveMove(w http.ResponseWriter, body []byte) {
 	var call struct {
 		ID   string `json:"id"`
