--- a/soak/callers.go
+++ b/soak/callers.go
@@ -143,8 +143,8 @@
 	}
 }
 
-func (c *caller) attempt(ctx context.Context, call standin.UsersCall) Attempt {
-	a := Attempt{Call: call, Instance: c.at.machine.Name, Sent: time.Now()}
+func (c *caller) attempt(ctx context.Context, call standin.UsersCall) (a Attempt) {
+	a = Attempt{Call: call, Instance: c.at.machine.Name, Sent: time.Now()}
 	ctx, cancel := context.WithTimeout(ctx, call.Deadline+time.Second)
 	defer cancel()
 	defer func() { a.Ended = time.Now() }()
