autoscale: let a new holder keep the pool that it finds

Change: the need that a found pool covers is that for which the plan keeps it. TestCovered_NextHolderKeepsPool.

--- a/autoscale/autoscale.go
+++ b/autoscale/autoscale.go
@@ -52,6 +52,16 @@
 // often lost one after the other, with nothing to be had for many seconds.
 const reclaimableSpare = 1.4
 
+// Covered returns the need for which Plan would keep a pool as it is: less the zone whose loss it covers, and the spare
+// of reclaimable endpoints.
+func Covered(zones []Zone) float64 {
+	count := 0.0
+	for _, z := range zones {
+		count += float64(z.OnDemand) + float64(z.Reclaimable)/reclaimableSpare
+	}
+	return count * float64(len(zones)-1) / float64(max(1, len(zones)))
+}
+
 // perZone is the number of reclaimable endpoints in each zone with which the loss of one zone leaves need.
 func perZone(need, zones int) int { return (need + zones - 2) / (zones - 1) }
 
--- a/autoscale/autoscale_test.go
+++ b/autoscale/autoscale_test.go
@@ -84,3 +84,20 @@
 	l.Observe(1, now.Add(40*time.Second))
 	must.Between(t, 1.4, l.Need(), 1.5)
 }
+
+// Guards against a pool that grows with each new holder, because the spare endpoints that its predecessor ordered count
+// as need.
+func TestCovered_NextHolderKeepsPool(t *testing.T) {
+	for need := 4.0; need <= 12; need++ {
+		s := service(need, 0, 0)
+		for i, w := range autoscale.Plan(s) {
+			s.Zones[i].OnDemand, s.Zones[i].Reclaimable = 0, w.Reclaimable
+		}
+		again := s
+		again.Need = autoscale.Covered(s.Zones)
+		for i, w := range autoscale.Plan(again) {
+			must.LessEq(t, s.Zones[i].Reclaimable, w.Reclaimable)
+			must.GreaterEq(t, s.Zones[i].Reclaimable-1, w.Reclaimable)
+		}
+	}
+}
--- a/node/pool.go
+++ b/node/pool.go
@@ -37,8 +37,8 @@
 // pool is the state of one service.
 type pool struct {
 	load    autoscale.Load
-	found   float64 // endpoints before the first order, less those of a zone
-	count   float64 // endpoints at the last look
+	found   float64 // need that the endpoints before the first order would cover
+	count   int     // endpoints at the last look
 	changed time.Time
 	ordered map[target]ordered
 	dry     map[string]time.Time // by zone: until when
@@ -105,7 +105,7 @@
 		index[zone] = i
 		in.Zones = append(in.Zones, autoscale.Zone{Name: zone, Price: c.ZonePrices[zone]})
 	}
-	total := 0.0
+	total := 0
 	for _, e := range s.n.fleet.Service(service.Name) {
 		i, ok := index[e.Zone]
 		switch {
@@ -117,7 +117,7 @@
 		}
 		total++
 	}
-	p.note(total, len(zones), now)
+	p.note(total, autoscale.Covered(in.Zones), now)
 	p.load.Observe(s.n.work.total(service.Name, now), now)
 	in.Need = p.load.Need()
 	if now.Sub(s.since) < settleLoad {
@@ -126,14 +126,14 @@
 	return in
 }
 
-// note takes over the number of endpoints. Until the first order, the pool that was found stands for the load, less the
-// zone whose loss the plan covers.
-func (p *pool) note(total float64, zones int, now time.Time) {
+// note takes over the number of endpoints and the need that they cover. Until the first order, the pool that was found
+// stands for the load.
+func (p *pool) note(total int, covered float64, now time.Time) {
 	if total != p.count {
 		p.count, p.changed = total, now
 	}
 	if len(p.ordered) == 0 {
-		p.found = total * float64(zones-1) / float64(zones)
+		p.found = covered
 	}
 }
 
