node: fix the counts of usage windows in 64 objects in turn

Change: the objects are used again by conditional update once their window is long past. TestFixedCounts_Cases covers changes of the holder, lost answers, and writes that take effect late.

--- a/node/duties.go
+++ b/node/duties.go
@@ -148,27 +148,65 @@
 	return nil
 }
 
+// usageSlots is the number of objects in which windows are fixed in turn. A window is long past when its object is used
+// again: 320 s at 5 s.
+const usageSlots = 64
+
+// fixedWindow is the value of such an object.
+type fixedWindow struct {
+	Window uint64       `json:"window"`
+	Counts usage.Counts `json:"counts"`
+}
+
+// fixTries is the number of writes for one window: the first expects no object, the second the one that was found, and the
+// third follows a write without an answer that took effect meanwhile.
+const fixTries = 3
+
+// errWindowPast means that a later window was fixed in the place of one.
+var errWindowPast = errors.New("a later window is fixed already")
+
+// fixedCounts fixes the counts of a window, unless a holder has done so before, and returns those that are fixed.
 func (d *duties) fixedCounts(ctx context.Context, window uint64) (usage.Counts, error) {
-	key := usagePrefix + strconv.FormatUint(window, 10)
+	key := usagePrefix + strconv.FormatUint(window%usageSlots, 10)
 	counts := d.n.usage.Sum(window)
-	value, err := json.Marshal(counts)
+	value, err := json.Marshal(fixedWindow{window, counts})
 	if err != nil {
 		return nil, err
 	}
-	_, err = d.n.platform.Records.Put(ctx, key, value, 0)
-	if err == nil {
-		return counts, nil
+	version := uint64(0)
+	for range fixTries {
+		_, err = d.n.platform.Records.Put(ctx, key, value, version)
+		if err == nil {
+			return counts, nil
+		}
+		if !errors.Is(err, objstore.ErrConflict) && !errors.Is(err, objstore.ErrUnknownResult) {
+			return nil, err
+		}
+		var fixed fixedWindow
+		if version, fixed, err = d.readFixed(ctx, key); err != nil {
+			return nil, err
+		}
+		if fixed.Window == window {
+			return fixed.Counts, nil
+		}
+		if fixed.Window > window {
+			return nil, errWindowPast
+		}
 	}
-	if !errors.Is(err, objstore.ErrConflict) && !errors.Is(err, objstore.ErrUnknownResult) {
-		return nil, err
+	return nil, fmt.Errorf("fix the counts of window %d: %w", window, objstore.ErrConflict)
+}
+
+// readFixed reads an object of fixed counts; without one, version is 0.
+func (d *duties) readFixed(ctx context.Context, key string) (version uint64, fixed fixedWindow, err error) {
+	object, err := d.n.platform.Records.Get(ctx, key)
+	if errors.Is(err, objstore.ErrNotFound) {
+		return 0, fixedWindow{}, nil
 	}
-	fixed, err := d.n.platform.Records.Get(ctx, key)
 	if err != nil {
-		return nil, fmt.Errorf("read the fixed counts: %w", err)
+		return 0, fixedWindow{}, fmt.Errorf("read the fixed counts: %w", err)
 	}
-	counts = nil
-	if err := json.Unmarshal(fixed.Value, &counts); err != nil {
-		return nil, fmt.Errorf("decode the fixed counts: %w", err)
+	if err := json.Unmarshal(object.Value, &fixed); err != nil {
+		return 0, fixedWindow{}, fmt.Errorf("decode the fixed counts: %w", err)
 	}
-	return counts, nil
+	return object.Version, fixed, nil
 }
