Watch what may be old at a tenth of the price, and let others stand in for watchers that lost the store

Change: reports name the kinds that an instance watches with short waits while the store answers it; the next in the order stands in for one that does not (TestIsNext_Cases). An instance that hears of three of the eight quick watchers, which now tell of removed endpoints too, lets its list be seconds behind (TestFeed_WatchThatMayBeOld); lists of the register may be old. feed is split into three files, watch duties of node have one of their own.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -36,8 +36,17 @@
 type Store interface {
 	// List returns all objects of a kind and a revision from which a watch misses no change.
 	List(ctx context.Context, kind string) ([]Object, uint64, error)
-	// Watch waits for changes after a revision, at most for wait, and returns the revision to continue from.
-	Watch(ctx context.Context, kind string, after uint64, wait time.Duration) ([]Event, uint64, error)
+	// Watch waits for changes and returns the revision to continue from.
+	Watch(ctx context.Context, w Watch) ([]Event, uint64, error)
+}
+
+// Watch describes a call of Store.Watch.
+type Watch struct {
+	Kind  string
+	After uint64        // changes after this revision
+	Wait  time.Duration // at most
+	// MayBeOld allows an answer that is seconds behind, at a fraction of the price.
+	MayBeOld bool
 }
 
 // Handler takes over the objects. Its methods are called one at a time.
@@ -48,18 +57,6 @@
 	Apply(e Event, settled bool)
 }
 
-// Copy is a state of all objects, for peers.
-type Copy struct {
-	Revision uint64   `cbor:"1,keyasint"` // from which a watch misses no change
-	Objects  []Object `cbor:"2,keyasint"`
-	Changed  uint64   `cbor:"3,keyasint"` // revision of the newest change of an object
-	// Since is set in a copy that holds only what has changed after that revision.
-	Since   uint64   `cbor:"4,keyasint,omitempty"`
-	Deleted []string `cbor:"5,keyasint,omitempty"` // names, in a copy with Since
-	// Settled tells that the peer's store was sound for a while, so that what is missing is gone.
-	Settled bool `cbor:"6,keyasint,omitempty"`
-}
-
 // Settings of a Feed.
 type Settings struct {
 	Kind    string
@@ -74,6 +71,8 @@
 	// Pace returns the mean time between watches that bring changes; nil or 0: no bound. It bounds the calls of a large
 	// fleet while much changes; the first few watches after a calm time follow at once.
 	Pace func() time.Duration
+	// MayBeOld reports whether the next watch may be seconds behind, because peers tell what can't wait; nil: never.
+	MayBeOld func() bool
 }
 
 // MaxWait is the longest wait of one watch; the store allows 30 s.
@@ -95,6 +94,8 @@
 	paceBurst = 3
 	// minBatch is the least pause of a paced feed, in which the entries of a failure domain that is reclaimed arrive.
 	minBatch = 50 * time.Millisecond
+	// oldTime is how far a watch that may be old can be behind; the store's pages say seconds.
+	oldTime = 5 * time.Second
 	// cutWatch is the time after which a watch that breaks may just have been cut off while it waited.
 	cutWatch = 200 * time.Millisecond
 )
@@ -110,9 +111,11 @@
 	wanted      uint64 // newest change that a peer has taken over
 	listed      bool
 	sound       time.Time // since when calls succeed; zero: they fail
+	answered    time.Time // the newest call that succeeded
 	pause       time.Duration
 	cancel      context.CancelFunc // of the waiting watch
 	watchEnd    time.Time          // of the waiting watch
+	mayBeOld    bool               // the waiting watch may be seconds behind
 	interrupted bool               // the waiting watch was given up for a list or for a shorter one
 	behind      bool               // list again
 	listedAt    time.Time          // of the newest list; used by Run only
@@ -124,20 +127,14 @@
 	gone        []string   // deleted by the events that are being taken over
 }
 
-// deletion is an object that is gone.
-type deletion struct {
-	name     string
-	revision uint64 // at which it was known to be gone
-}
-
-// keptDeletions is the number of deletions that copies for peers may name; one who lags further gets all objects.
-const keptDeletions = 200
-
 // New returns a feed without objects.
 func New(s Settings) *Feed {
 	if s.Wait == nil {
 		s.Wait = func() time.Duration { return MaxWait }
 	}
+	if s.MayBeOld == nil {
+		s.MayBeOld = func() bool { return false }
+	}
 	if s.Pace == nil {
 		s.Pace = func() time.Duration { return 0 }
 	}
@@ -154,28 +151,11 @@
 	return f.changed
 }
 
-// Copy returns the state for a peer that knows the changes up to after; nil when there is nothing newer.
-func (f *Feed) Copy(after uint64) *Copy {
+// Answered returns when the store last answered a call; zero: never.
+func (f *Feed) Answered() time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.listed || f.changed <= after {
-		return nil
-	}
-	c := &Copy{Revision: f.revision, Changed: f.changed, Settled: f.settled()}
-	if after >= f.complete {
-		c.Since = after
-	}
-	for _, o := range f.objects {
-		if c.Since == 0 || o.Revision > after {
-			c.Objects = append(c.Objects, o)
-		}
-	}
-	for _, d := range f.deletions {
-		if _, back := f.objects[d.name]; c.Since > 0 && d.revision > after && !back {
-			c.Deleted = append(c.Deleted, d.name)
-		}
-	}
-	return c
+	return f.answered
 }
 
 // Run follows the store until ctx is done.
@@ -256,9 +236,11 @@
 	began := time.Now()
 	f.mu.Lock()
 	after := f.revision
+	f.mayBeOld = f.s.MayBeOld()
+	old := f.mayBeOld
 	f.cancel, f.watchEnd = cancel, began.Add(wait)
 	f.mu.Unlock()
-	events, revision, err := f.s.Store.Watch(ctx, f.s.Kind, after, wait)
+	events, revision, err := f.s.Store.Watch(ctx, Watch{Kind: f.s.Kind, After: after, Wait: wait, MayBeOld: old})
 	f.mu.Lock()
 	f.cancel = nil
 	notified, sound := f.interrupted, !f.sound.IsZero()
@@ -350,7 +332,7 @@
 func (f *Feed) succeeded() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.pause = 0
+	f.pause, f.answered = 0, time.Now()
 	if f.sound.IsZero() {
 		f.sound = time.Now()
 		f.s.Log.WithFields(logrus.Fields{"kind": f.s.Kind, "revision": f.revision}).Info("store answers")
@@ -376,112 +358,3 @@
 	case <-time.After(pause/2 + rand.N(pause)):
 	}
 }
-
-// askPeer takes over a newer copy of a peer while the store fails.
-func (f *Feed) askPeer(ctx context.Context) {
-	if f.s.Peer == nil {
-		return
-	}
-	f.mu.Lock()
-	ask := !f.listed || f.behind
-	after := f.changed
-	f.mu.Unlock()
-	if !ask {
-		return
-	}
-	if err := f.takeFromPeer(ctx, after); err != nil {
-		f.s.Log.WithError(err).WithField("kind", f.s.Kind).Debug("no copy from a peer")
-		return
-	}
-	f.s.Log.WithField("kind", f.s.Kind).Info("state taken from a peer")
-}
-
-// takeFromPeer takes over what a peer has seen after a revision.
-func (f *Feed) takeFromPeer(ctx context.Context, after uint64) error {
-	ctx, cancel := context.WithTimeout(ctx, peerTime)
-	defer cancel()
-	c, err := f.s.Peer(ctx, f.s.Kind, after)
-	if err != nil {
-		return err
-	}
-	if c == nil {
-		return errors.New("the peer knows nothing newer")
-	}
-	f.replace(f.merged(c), true)
-	return nil
-}
-
-// peerTime bounds a call of a peer; peers answer within milliseconds.
-const peerTime = time.Second
-
-// merged completes a copy that holds only changes.
-func (f *Feed) merged(c *Copy) *Copy {
-	if c.Since == 0 {
-		return c
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	objects := make(map[string]Object, len(f.objects)+len(c.Objects))
-	for name, o := range f.objects {
-		objects[name] = o
-	}
-	for _, o := range c.Objects {
-		objects[o.Name] = o
-	}
-	for _, name := range c.Deleted {
-		delete(objects, name)
-		f.noteDeletion(name, c.Changed)
-	}
-	whole := &Copy{Revision: c.Revision, Changed: c.Changed, Settled: c.Settled}
-	for _, o := range objects {
-		whole.Objects = append(whole.Objects, o)
-	}
-	return whole
-}
-
-// noteDeletion needs f.mu.
-func (f *Feed) noteDeletion(name string, revision uint64) {
-	f.deletions = append(f.deletions, deletion{name, revision})
-	if len(f.deletions) > keptDeletions {
-		f.complete = f.deletions[0].revision
-		f.deletions = f.deletions[1:]
-	}
-}
-
-// NotifyChange tells that a peer has taken over a change. When the own watch does not bring them soon, it
-// may be silent, and the objects are listed again.
-func (f *Feed) NotifyChange(changed uint64) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.changed >= changed || f.wanted >= changed {
-		return
-	}
-	f.wanted = changed
-	// A watch that rests to keep its pace is not silent.
-	time.AfterFunc(notifyDelay+max(0, time.Until(f.pausedUntil)), func() {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		if !f.listed || f.changed >= changed {
-			return
-		}
-		f.behind = true
-		f.interrupt()
-	})
-}
-
-// LimitWait gives up a watch that would wait for longer than wait from now; the next one begins at once.
-func (f *Feed) LimitWait(wait time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if time.Until(f.watchEnd) > wait {
-		f.interrupt()
-	}
-}
-
-// interrupt needs f.mu.
-func (f *Feed) interrupt() {
-	if f.cancel != nil {
-		f.interrupted = true
-		f.cancel()
-	}
-}
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -31,6 +31,7 @@
 	floor    uint64
 	lists    int
 	watches  int
+	old      bool // the newest watch may be behind
 	changed  chan struct{}
 }
 
@@ -97,11 +98,13 @@
 	return all, s.revision, nil
 }
 
-func (s *store) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]feed.Event, uint64, error) {
-	timer := time.NewTimer(wait)
+func (s *store) Watch(ctx context.Context, w feed.Watch) ([]feed.Event, uint64, error) {
+	after := w.After
+	timer := time.NewTimer(w.Wait)
 	defer timer.Stop()
 	s.mu.Lock()
 	s.watches++
+	s.old = w.MayBeOld
 	s.mu.Unlock()
 	for {
 		s.mu.Lock()
@@ -400,3 +403,31 @@
 		must.LessEq(t, 4, watches)
 	})
 }
+
+// Guards against a feed that lists all objects because a watch that may be behind is, and against one that stays with
+// such a watch when nobody tells it any more what can't wait.
+func TestFeed_WatchThatMayBeOld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.put("a", "1")
+		var told atomic.Bool
+		told.Store(true)
+		f, r := startWith(t, s, feed.Settings{MayBeOld: told.Load})
+		isOld := func() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.old }
+		time.Sleep(time.Second)
+		must.True(t, isOld())
+		s.mu.Lock()
+		s.silent = true // the answer is behind
+		s.mu.Unlock()
+		s.put("b", "1")
+		f.NotifyChange(s.newest())
+		time.Sleep(4 * time.Second)
+		must.Eq(t, 1, s.listed())
+		time.Sleep(2 * time.Second) // silent for too long
+		must.Eq(t, []string{"a", "b"}, r.now())
+		told.Store(false)
+		f.Refresh()
+		time.Sleep(100 * time.Millisecond)
+		must.False(t, isOld())
+	})
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -115,6 +115,17 @@
 	return all
 }
 
+// Born returns when the present lifetime of an endpoint began, as its entry says.
+func (t *Table) Born(id string) (born int64, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.byID[id]
+	if r == nil {
+		return 0, false
+	}
+	return r.endpoint.Born, true
+}
+
 // ReplaceAll takes over a whole list. With settled, what is missing is gone; otherwise it gets UnlistedGrace.
 func (t *Table) ReplaceAll(entries []Entry, settled bool, now time.Time) {
 	t.mu.Lock()
--- a/node/node.go
+++ b/node/node.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"runtime/debug"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,7 +21,6 @@
 	"github.com/trefoillug/trefoillug/limit"
 	"github.com/trefoillug/trefoillug/peer"
 	"github.com/trefoillug/trefoillug/quota"
-	"github.com/trefoillug/trefoillug/rendezvous"
 	"github.com/trefoillug/trefoillug/routing"
 	"github.com/trefoillug/trefoillug/upstream"
 	"github.com/trefoillug/trefoillug/usage"
@@ -127,74 +125,10 @@
 func (n *Node) addFeed(kind string, h feed.Handler) {
 	n.feeds[kind] = feed.New(feed.Settings{Kind: kind, Store: n.platform.Objects, Handler: h, Log: n.log, Peer: n.askPeers,
 		Wait: func() time.Duration { return n.watchWait(kind) }, Pace: func() time.Duration { return n.watchPace(kind) },
+		MayBeOld: func() bool { return n.hearsOfLeaving(kind, time.Now()) },
 	})
 }
 
-const (
-	// shortWatchers is the number of instances whose watches wait for a short time only, so that a change which
-	// waiting watches do not hear of is found soon. Two, since one may be out of touch.
-	shortWatchers = 2
-	// watcherSilence is the time without a report of these after which an instance waits for a short time only itself:
-	// two reports of a large fleet missed.
-	watcherSilence = 2500 * time.Millisecond
-	// shortWait leaves time to list again and to notify the others within the 2 s in which a change must be in force.
-	shortWait = 900 * time.Millisecond
-)
-
-const (
-	// largeFleet is the number of instances above which each paces its watches. Smaller fleets stay far below the rates
-	// of the store without a pace.
-	largeFleet = 16
-	// slowPace leaves a watch and an answer within the 3 s in which large deployments must act on a change.
-	slowPace = 2200 * time.Millisecond
-	// quickPace lets a reclaim, announced 2 s ahead, be known in time to move the runs.
-	quickPace = 300 * time.Millisecond
-	// quickWatchers is the number of instances of a large fleet with the quick pace; they tell the others which
-	// endpoints leave. Eight, so that cuts and restarts leave some.
-	quickWatchers = 8
-)
-
-// isQuick reports whether this instance of a large fleet watches a kind with the quick pace. The holder of the duties
-// does so too, since pools are sized by what it knows.
-func (n *Node) isQuick(kind string) bool {
-	return n.isHolder.Load() || slices.Contains(rendezvous.Top(kind, n.memberIDs(), quickWatchers), n.settings.Name)
-}
-
-// watchPace returns the mean time between watches of a kind that bring changes.
-func (n *Node) watchPace(kind string) time.Duration {
-	switch {
-	case len(n.memberIDs()) <= largeFleet:
-		return 0
-	case n.isQuick(kind):
-		return quickPace
-	default:
-		return slowPace
-	}
-}
-
-// watchWait returns the longest wait of this instance's next watch.
-func (n *Node) watchWait(kind string) time.Duration {
-	if n.mustWaitShort(kind, time.Now()) {
-		return shortWait
-	}
-	return feed.MaxWait
-}
-
-// mustWaitShort reports whether no other instance would tell this one of a change that its watch does not hear of.
-func (n *Node) mustWaitShort(kind string, now time.Time) bool {
-	top := rendezvous.Top(kind, n.memberIDs(), shortWatchers)
-	return slices.Contains(top, n.settings.Name) || !n.members.heardOne(top, now.Add(-watcherSilence))
-}
-
-// watchAlone ends the long watches of an instance that has lost touch with those that wait for a short time.
-func (n *Node) watchAlone(now time.Time) {
-	for kind, f := range n.feeds {
-		if n.mustWaitShort(kind, now) {
-			f.LimitWait(shortWait)
-		}
-	}
-}
-
 // Run serves until ctx is done and then stops gracefully. It returns an error when a listener can't be opened.
 func (n *Node) Run(ctx context.Context) error {
 	n.log.WithFields(logrus.Fields{"process": n.process, "zone": n.settings.Zone}).Info("starting")
@@ -218,6 +152,7 @@
 	group.Go(func() error { return every(work, expireInterval, func(context.Context) { n.fleet.Expire(time.Now()) }) })
 	group.Go(func() error { return every(work, reportTick, n.report) })
 	group.Go(func() error { return every(work, newsTick, n.publishNews) })
+	group.Go(func() error { return every(work, watchTick, func(context.Context) { n.reviseWatches(time.Now()) }) })
 	group.Go(func() error { return every(work, rolloutTick, n.rollouts.tick) })
 	group.Go(func() error { n.register(work); return nil })
 	duties, endDuties := context.WithCancel(work)
--- a/node/peers.go
+++ b/node/peers.go
@@ -50,6 +50,7 @@
 	Leaving bool              `cbor:"4,keyasint,omitempty"`
 	Work    map[string]uint32 `cbor:"5,keyasint,omitempty"` // by service, in thousandths of an endpoint
 	Cores   float64           `cbor:"6,keyasint,omitempty"` // of the instance's processor
+	Watches watching          `cbor:"7,keyasint"`
 }
 
 // usageReport carries the counts of the newest windows of a process.
@@ -93,7 +94,6 @@
 		n.metrics.scope.Gauge("dropped_log_lines").Update(float64(dropped()))
 	}
 	n.members.update(n.mesh.Members(), now)
-	n.watchAlone(now)
 	n.homes.update(n.memberIDs())
 	expected := n.members.expected(now)
 	n.quotas.Expect(expected, n.interval())
@@ -101,7 +101,7 @@
 	if silent := n.quotas.OutOfTouch(now); n.members.setSilent(silent) {
 		n.log.WithFields(logrus.Fields{"silent": silent, "expected": expected}).Info("instances out of touch; quotas follow")
 	}
-	r := report{Process: n.process, Used: n.quotas.Report(), Changed: map[string]uint64{}, Leaving: n.closing.Load(), Work: n.work.measure(now), Cores: n.settings.Cores}
+	r := report{Process: n.process, Used: n.quotas.Report(), Changed: map[string]uint64{}, Leaving: n.closing.Load(), Work: n.work.measure(now), Cores: n.settings.Cores, Watches: n.watching(now)}
 	for kind, f := range n.feeds {
 		r.Changed[kind] = f.Changed()
 	}
@@ -129,7 +129,7 @@
 		n.log.WithError(err).WithField("peer", f.Origin).Warn("report of a peer not understood")
 		return
 	}
-	n.members.heard(f.Origin, time.Now())
+	n.members.noteWatching(f.Origin, r.Watches, time.Now())
 	n.homes.noteCores(f.Origin, r.Cores)
 	n.quotas.Receive(f.Origin, r.Process, r.Used, time.Now())
 	n.work.receive(f.Origin, r.Work, time.Now())
@@ -204,9 +204,10 @@
 	listed   int // instances in the register at the start
 	silent   int // out of touch at the last look
 	reported int
-	lastOwn  time.Time            // report of this instance
-	newest   map[string]newest    // by kind of object
-	reports  map[string]time.Time // newest report of each peer
+	lastOwn  time.Time                       // report of this instance
+	newest   map[string]newest               // by kind of object
+	shortAt  map[string]map[string]time.Time // by kind and peer that watches it with short waits
+	toldAt   map[string]time.Time            // by peer that tells of leaving endpoints
 }
 
 // newest names the peers that reported the newest change.
@@ -226,7 +227,7 @@
 )
 
 func newMembership(self string, now time.Time) membership {
-	return membership{self: self, since: now, seen: map[string]time.Time{}, newest: map[string]newest{}, reports: map[string]time.Time{}}
+	return membership{self: self, since: now, seen: map[string]time.Time{}, newest: map[string]newest{}, shortAt: map[string]map[string]time.Time{}, toldAt: map[string]time.Time{}}
 }
 
 func (m *membership) update(live []peer.Member, now time.Time) {
@@ -242,11 +243,19 @@
 	for id, at := range m.seen {
 		if now.Sub(at) > memberMemory {
 			delete(m.seen, id)
-			delete(m.reports, id)
+			m.forget(id)
 		}
 	}
 }
 
+// forget needs m.mu.
+func (m *membership) forget(id string) {
+	delete(m.toldAt, id)
+	for _, peers := range m.shortAt {
+		delete(peers, id)
+	}
+}
+
 // expected is the number of instances that should exist, this one included.
 func (m *membership) expected(now time.Time) int {
 	m.mu.Lock()
@@ -274,17 +283,33 @@
 	return true
 }
 
-func (m *membership) heard(origin string, now time.Time) {
+// noteWatching takes over what a peer does for the others.
+func (m *membership) noteWatching(origin string, w watching, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, kind := range w.Short {
+		if m.shortAt[kind] == nil {
+			m.shortAt[kind] = map[string]time.Time{}
+		}
+		m.shortAt[kind][origin] = now
+	}
+	if w.Tells {
+		m.toldAt[origin] = now
+	}
+}
+
+// waitsShort reports whether a peer has watched a kind with short waits since a time.
+func (m *membership) waitsShort(kind, id string, since time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.reports[origin] = now
+	return m.shortAt[kind][id].After(since)
 }
 
-// heardOne reports whether one of the peers has reported since a time.
-func (m *membership) heardOne(peers []string, since time.Time) bool {
+// tellsOfLeaving reports whether a peer has watched since a time for endpoints that leave.
+func (m *membership) tellsOfLeaving(id string, since time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return slices.ContainsFunc(peers, func(id string) bool { return m.reports[id].After(since) })
+	return m.toldAt[id].After(since)
 }
 
 func (m *membership) noteNewest(kind, origin string, changed uint64) {
--- a/node/state.go
+++ b/node/state.go
@@ -95,6 +95,9 @@
 	log := h.n.log.WithFields(logrus.Fields{"endpoint": e.Object.Name, "revision": e.Object.Revision})
 	if e.Deleted {
 		log.WithField("settled", settled).Info("endpoint gone from the list")
+		if born, ok := h.n.fleet.Born(e.Object.Name); ok && settled {
+			h.n.noteLeaving(fleet.Entry{ID: e.Object.Name, Born: born}, now)
+		}
 		h.n.fleet.Remove(e.Object.Name, settled, now)
 		return
 	}
