quarantine: refuse requests that crash the engines of the users' platform

Ruled out: Table, whose suspects run alone; engines run dozens at once. Change: Strikes counts crashes in turn without an answer in between; a crash is a broken connection and no new one after 50 ms. Two crashes refuse the request (502) at all instances, any answer clears it. Endpoints that are lost together count once, so that popular requests stay served (TestStrikes_PopularRequestIsServed).

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -64,6 +64,7 @@
 	prefill := r.begin(e)
 	defer e.Live.End()
 	sent := time.Now()
+	r.sent = sent
 	r.first, r.load = 0, e.Live.View(sent).Running-1
 	first := func() {
 		if r.first == 0 {
@@ -193,6 +194,7 @@
 		e.Live.NoteLoad(fleet.Load{Running: e.Slots, Waiting: e.Slots, Slots: e.Slots}, now)
 	}
 	r.observe(e, out)
+	r.noteSuspect(e, out)
 	r.f.cfg.Metrics.attempt(out.end)
 	if r.moved == nil && (out.end != answered || out.answer != nil) {
 		r.log.WithError(out.err).WithFields(logrus.Fields{
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -13,6 +13,7 @@
 	"github.com/trefoillug/trefoillug/fleet"
 	"github.com/trefoillug/trefoillug/placement"
 	"github.com/trefoillug/trefoillug/problem"
+	"github.com/trefoillug/trefoillug/quarantine"
 	"github.com/trefoillug/trefoillug/routing"
 )
 
@@ -85,6 +86,18 @@
 	Move(ctx context.Context, requestID string, from, to *fleet.Endpoint) (ref string, err error)
 }
 
+// Suspects finds requests that crash the endpoints that run them.
+type Suspects interface {
+	// Any reports whether there are any.
+	Any() bool
+	// IsRefused reports whether requests with a fingerprint may run no more.
+	IsRefused(fp quarantine.Fingerprint) bool
+	// Lost takes note that the connection to an endpoint broke while it ran a request that was sent at a time.
+	Lost(e *fleet.Endpoint, fp quarantine.Fingerprint, sent time.Time)
+	// Answered takes note that an endpoint has answered a request.
+	Answered(fp quarantine.Fingerprint)
+}
+
 // Versions splits the traffic of services whose version is being moved.
 type Versions interface {
 	// Version returns the new version of a service that is being moved, and whether a request goes to it. moving is
@@ -103,7 +116,7 @@
 	Load                    int           // own requests at the endpoint when it was sent
 }
 
-// Config of a Forwarder. All fields are required but Mover, Versions, Began and Worked.
+// Config of a Forwarder. All fields are required but Mover, Suspects, Versions, Began and Worked.
 type Config struct {
 	Zone    string
 	Table   func() *routing.Table // nil before the first configuration
@@ -112,6 +125,8 @@
 	Quotas  Quotas
 	Repeats Repeats
 	Mover   Mover
+	// Suspects may be nil: no request is ever refused for crashing endpoints.
+	Suspects Suspects
 	// Versions may be nil: no service is ever moved.
 	Versions Versions
 	Began    func(workspace string, at time.Time) // a request began to run
@@ -162,6 +177,7 @@
 	tried     map[*fleet.Endpoint]bool
 	failedNew bool          // the new version of a service that is being moved failed the request
 	first     time.Duration // of the newest attempt: to the answer or the first event
+	sent      time.Time     // the newest attempt
 	load      int           // own requests at its endpoint when it was sent
 	arrivals  int           // sends that reached an endpoint
 	runs      int           // endpoints that may have run the request
@@ -178,6 +194,9 @@
 	if refusal := r.identify(); refusal != nil {
 		return r.refuse(w, refusal)
 	}
+	if r.isQuarantined() {
+		return r.refuse(w, &Refusal{Err: problem.New(problem.Quarantined, "the request has crashed the endpoints that ran it")})
+	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline())
 	defer cancel()
 	giveBack := func() {}
--- a/node/node.go
+++ b/node/node.go
@@ -74,6 +74,7 @@
 	rollouts  *rollouts
 	news      news
 	homes     homes
+	suspects  *suspects
 
 	members  membership
 	closing  atomic.Bool
@@ -108,9 +109,10 @@
 	n.homes = newHomes()
 	n.homes.noteCores(s.Name, s.Cores)
 	n.rollouts = newRollouts(n)
+	n.suspects = newSuspects(n)
 	n.forwarder = forward.New(forward.Config{
 		Zone: s.Zone, Table: n.table.Load, Fleet: n.fleet, Wire: p.Wire, Quotas: quotas{n}, Repeats: &n.repeats,
-		Mover: p.Mover, Log: n.log, Metrics: forward.NewMetrics(n.metrics.scope),
+		Mover: p.Mover, Suspects: n.suspects, Log: n.log, Metrics: forward.NewMetrics(n.metrics.scope),
 		Worked: n.work.add, Versions: n.rollouts,
 		Began: func(workspace string, _ time.Time) { n.usage.Began(workspace, wall.Now()) },
 	})
--- a/node/peers.go
+++ b/node/peers.go
@@ -68,6 +68,7 @@
 	n.mesh.Subscribe(factReport, n.receiveReport)
 	n.mesh.Subscribe(factUsage, n.receiveUsage)
 	n.mesh.Subscribe(factLeaving, n.receiveNews)
+	n.mesh.Subscribe(factStrike, n.suspects.receive)
 	n.mesh.Subscribe(move.FactPrefix, n.rollouts.receive)
 	n.mesh.Handle(callCopy, n.handleCopy)
 	n.mesh.Handle(callTake, n.handleTake)
--- /dev/null
+++ b/quarantine/strikes_test.go
@@ -0,0 +1,65 @@
+package quarantine_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/trefoillug/trefoillug/quarantine"
+)
+
+// Guards against a request that crashes endpoint after endpoint.
+func TestStrikes_CrashingRequestIsRefused(t *testing.T) {
+	s, now := quarantine.NewStrikes(), time.Unix(1000, 0)
+	s.Crashed(1, now.Add(-time.Second), now)
+	must.False(t, s.IsRefused(1, now))
+	s.Crashed(1, now.Add(time.Millisecond), now.Add(100*time.Millisecond)) // repeated at once
+	must.True(t, s.IsRefused(1, now.Add(4*time.Second)))
+	must.False(t, s.IsRefused(2, now.Add(4*time.Second)))
+	must.False(t, s.IsRefused(1, now.Add(4*time.Minute)))
+}
+
+// Guards against popular requests that are refused because they ran on endpoints which were lost together, or on some
+// that were lost in turn while others answered the same requests.
+func TestStrikes_PopularRequestIsServed(t *testing.T) {
+	s, now := quarantine.NewStrikes(), time.Unix(1000, 0)
+	for i := range 30 { // the endpoints of a failure domain
+		s.Crashed(1, now.Add(-time.Second), now.Add(time.Duration(i)*10*time.Millisecond))
+	}
+	must.False(t, s.IsRefused(1, now.Add(time.Second)))
+	for i := range 10 {
+		at := now.Add(time.Duration(i) * 3 * time.Second)
+		s.Crashed(1, at.Add(-time.Second), at)
+		must.False(t, s.IsRefused(1, at))
+		must.True(t, s.Answered(1))
+	}
+	must.False(t, s.Answered(1))
+}
+
+// Guards against memory that grows with the requests that took part in a crash.
+func TestStrikes_MemoryIsBounded(t *testing.T) {
+	s, now := quarantine.NewStrikes(), time.Unix(1000, 0)
+	for fp := range quarantine.Fingerprint(20_000) {
+		s.Crashed(fp, now, now)
+	}
+	for i := range 3 { // not taken in: the count is full
+		at := now.Add(time.Duration(i) * time.Second)
+		s.Crashed(19_999, at, at.Add(time.Millisecond))
+	}
+	must.False(t, s.IsRefused(19_999, now.Add(2*time.Second)))
+	later := now.Add(3 * time.Minute)
+	s.Crashed(20_000, later, later)
+	s.Crashed(20_000, later.Add(time.Millisecond), later.Add(time.Second))
+	must.True(t, s.IsRefused(20_000, later.Add(time.Second)))
+}
+
+// Guards against a count that forgets the crashes at peers, or that adds up those that several instances saw together.
+func TestStrikes_PeersCount(t *testing.T) {
+	s, now := quarantine.NewStrikes(), time.Unix(1000, 0)
+	s.Raise(1, 1, now)
+	s.Raise(1, 1, now.Add(time.Millisecond))
+	must.False(t, s.IsRefused(1, now.Add(time.Second)))
+	must.Eq(t, 2, s.Crashed(1, now.Add(time.Second), now.Add(2*time.Second)))
+	must.True(t, s.IsRefused(1, now.Add(2*time.Second)))
+}
--- a/standin/usersworker.go
+++ b/standin/usersworker.go
@@ -22,6 +22,9 @@
 	Events int
 	// Work is the time of a plain request.
 	Work time.Duration
+	// CrashOn is part of the path of requests that crash the worker, and Crash what happens then.
+	CrashOn string
+	Crash   func()
 	// Marked lets each event of a stream name its request.
 	Marked bool
 
@@ -94,6 +97,9 @@
 	h.Set("X-Trefoillug-Response-Seal", "seal."+u.ID)
 	u.note(UsersRun{ID: r.Header.Get("X-Trefoillug-Attempt-Id"), Worker: u.ID, At: time.Now(), Header: r.Header.Clone(), URI: r.RequestURI, Body: string(body)})
 	switch {
+	case u.CrashOn != "" && strings.Contains(r.URL.Path, u.CrashOn):
+		u.Crash()
+		panic(http.ErrAbortHandler)
 	case u.failing.Load():
 		w.WriteHeader(http.StatusInternalServerError)
 	case r.Header.Get("X-Trefoillug-Token-Count") != "":
