node: report windows of usage that ended before the holder started

Ruled out: missing counts (peers keep them for 30 s and tell a new member all), the API. Change: windows before the start of a process count as due when a peer has told of them, once the peers had time to tell; an instance that stops tells its last counts.

--- a/node/duties.go
+++ b/node/duties.go
@@ -115,8 +115,12 @@
 func (d *duties) reportUsage(ctx context.Context) {
 	n := d.n
 	now := n.wall.Now()
-	first := n.usage.Window(n.wall.Now().Add(-time.Since(n.started)))
-	for _, window := range n.usage.Due(now, usageSettle*n.interval(), n.settings.UsageLate-usageMargin, first) {
+	settle := usageSettle * n.interval()
+	if time.Since(n.started) < settle {
+		return // the peers have not told yet what they counted
+	}
+	first := n.usage.Window(now.Add(-time.Since(n.started)))
+	for _, window := range n.usage.Due(now, settle, n.settings.UsageLate-usageMargin, first) {
 		if d.reported[window] {
 			continue
 		}
--- a/node/node.go
+++ b/node/node.go
@@ -172,6 +172,7 @@
 		endDuties()
 		n.shutdown(callers)
 		dutiesDone.Wait()
+		n.publishUsage()
 		n.mesh.Close()
 		return errors.Join(peers.Close(), ready.Close())
 	})
--- a/node/peers.go
+++ b/node/peers.go
@@ -34,6 +34,8 @@
 	reportTick = 100 * time.Millisecond
 	// usageEvery is the number of reports for each one with usage, which is needed seconds later only.
 	usageEvery = 2
+	// usageWindows is the number of windows of which an instance tells: the present one and those that may be due.
+	usageWindows = 3
 	// reportLife is how long a report is kept: as long as its usage may still have to be reported.
 	reportLife = 30 * time.Second
 
@@ -108,10 +110,15 @@
 	}
 	n.publishFact(factReport, r)
 	if n.members.tick()%usageEvery == 0 {
-		n.publishFact(factUsage+n.process, usageReport{Windows: n.usage.Recent(n.wall.Now(), 3)})
+		n.publishUsage()
 	}
 }
 
+// publishUsage tells the peers the counts of the newest windows.
+func (n *Node) publishUsage() {
+	n.publishFact(factUsage+n.process, usageReport{Windows: n.usage.Recent(n.wall.Now(), usageWindows)})
+}
+
 func (n *Node) publishFact(key string, value any) { n.publishLife(key, value, reportLife) }
 
 // publishLife publishes a fact that the peers keep for a time.
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -111,15 +111,28 @@
 	return sum
 }
 
-// Due returns the windows that ended at least settle before now and not longer than late ago, from first on, oldest first.
+// isTold reports whether another process has counts of a window.
+func (c *Counter) isTold(window uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, w := range c.others {
+		if _, ok := w[window]; ok {
+			return true
+		}
+	}
+	return false
+}
+
+// Due returns the windows that ended at least settle before now and not longer than late ago, oldest first. Of those
+// before first, in which this process did not run, only the ones of which another has told count.
 func (c *Counter) Due(now time.Time, settle, late time.Duration, first uint64) []uint64 {
 	var due []uint64
-	for k := c.Window(now); k > 0 && k >= first; k-- {
+	for k := c.Window(now); k > 0; k-- {
 		since := now.Sub(c.End(k))
 		if since > late {
 			break
 		}
-		if since >= settle {
+		if since >= settle && (k >= first || c.isTold(k)) {
 			due = append(due, k)
 		}
 	}
