node: let a new holder of the duties ask peers for all usage that they know

Counts are merged by their maximum, and processes that are long past are dropped (they were kept for good). TestCounter_KnownToPeers.

--- /dev/null
+++ b/node/gather.go
@@ -0,0 +1,63 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/trefoillug/trefoillug/usage"
+)
+
+const (
+	callUsage = "usage-known"
+	// gatherFrom is the number of peers that a new holder of the duties asks. What processes counted that have been
+	// restarted since is known to those who heard them only.
+	gatherFrom = 3
+)
+
+// usageKnown answers callUsage.
+type usageKnown struct {
+	ByProcess map[string]usage.Windows `cbor:"1,keyasint"`
+}
+
+func (n *Node) handleUsage(context.Context, string, []byte) ([]byte, error) {
+	return cbor.Marshal(usageKnown{n.usage.Known(n.process, n.wall.Now(), usageWindows+1)})
+}
+
+// gatherUsage asks some peers for all counts that they know.
+func (n *Node) gatherUsage(ctx context.Context) {
+	ids := n.memberIDs()
+	rand.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	asked := 0
+	for _, id := range ids {
+		if id == n.settings.Name || asked == gatherFrom {
+			continue
+		}
+		asked++
+		if err := n.gatherFrom(ctx, id); err != nil {
+			n.log.WithError(err).WithFields(logrus.Fields{"peer": id}).Info("usage known to a peer not read")
+		}
+	}
+}
+
+func (n *Node) gatherFrom(ctx context.Context, id string) error {
+	ctx, cancel := context.WithTimeout(ctx, peerCallTime)
+	defer cancel()
+	answer, err := n.mesh.Call(ctx, id, callUsage, nil)
+	if err != nil {
+		return err
+	}
+	var known usageKnown
+	if err := cbor.Unmarshal(answer, &known); err != nil {
+		return fmt.Errorf("decode usage: %w", err)
+	}
+	for process, w := range known.ByProcess {
+		if process != n.process {
+			n.usage.Receive(process, w)
+		}
+	}
+	return nil
+}
--- a/node/peers.go
+++ b/node/peers.go
@@ -73,6 +73,7 @@
 	n.mesh.Subscribe(factStrike, n.suspects.receive)
 	n.mesh.Subscribe(move.FactPrefix, n.rollouts.receive)
 	n.mesh.Handle(callCopy, n.handleCopy)
+	n.mesh.Handle(callUsage, n.handleUsage)
 	n.mesh.Handle(callTake, n.handleTake)
 	n.mesh.Handle(callGiveBack, n.handleGiveBack)
 }
@@ -116,6 +117,7 @@
 
 // publishUsage tells the peers the counts of the newest windows.
 func (n *Node) publishUsage() {
+	n.usage.Forget(n.wall.Now())
 	n.publishFact(factUsage+n.process, usageReport{Windows: n.usage.Recent(n.wall.Now(), usageWindows)})
 }
 
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -81,7 +81,7 @@
 	return out
 }
 
-// Receive takes over the counts of another instance's process. A window that is missing keeps its earlier counts.
+// Receive takes over the counts of another instance's process. Counts only grow, so that older news change nothing.
 func (c *Counter) Receive(process string, w Windows) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -92,12 +92,50 @@
 	}
 	newest := uint64(0)
 	for k, counts := range w {
-		known[k] = counts
+		if known[k] == nil {
+			known[k] = Counts{}
+		}
+		for ws, n := range counts {
+			known[k][ws] = max(known[k][ws], n)
+		}
 		newest = max(newest, k)
 	}
 	prune(known, newest)
 }
 
+// Known returns a copy of all counts of the newest windows up to now, by process; those of this instance are self's.
+func (c *Counter) Known(self string, now time.Time, windows int) map[string]Windows {
+	out := map[string]Windows{self: c.Recent(now, windows)}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	newest := c.Window(now)
+	for process, known := range c.others {
+		w := Windows{}
+		for k, counts := range known {
+			if k+uint64(windows) > newest {
+				w[k] = copyOf(counts)
+			}
+		}
+		if len(w) > 0 {
+			out[process] = w
+		}
+	}
+	return out
+}
+
+// Forget drops the processes of which nothing was heard for as long as windows are kept.
+func (c *Counter) Forget(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	newest := c.Window(now)
+	for process, known := range c.others {
+		prune(known, newest)
+		if len(known) == 0 {
+			delete(c.others, process)
+		}
+	}
+}
+
 // Sum returns the counts of a window over all instances.
 func (c *Counter) Sum(window uint64) Counts {
 	c.mu.Lock()
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -33,3 +33,22 @@
 	must.Eq(t, []uint64{k - 2}, c.Due(now, 2*time.Second, 10*time.Second, 0))
 	must.Eq(t, []uint64{k - 1}, c.Due(now, time.Second, 10*time.Second, k-1))
 }
+
+// Guards against a new holder that lacks the counts of processes which were restarted before it heard of them, against
+// older news that lower a count, and against processes that are kept for good.
+func TestCounter_KnownToPeers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a, b := usage.NewCounter(5*time.Second), usage.NewCounter(5*time.Second)
+	k := a.Window(now)
+	a.Began("w", now)
+	a.Receive("old.1", usage.Windows{k: {"w": 7}, k - 6: {"w": 1}})
+	for process, w := range a.Known("a.1", now, 4) {
+		b.Receive(process, w)
+	}
+	must.Eq(t, 8, b.Sum(k)["w"])
+	must.Zero(t, b.Sum(k - 6)["w"])
+	b.Receive("old.1", usage.Windows{k: {"w": 3}})
+	must.Eq(t, 8, b.Sum(k)["w"])
+	b.Forget(now.Add(time.Minute))
+	must.Zero(t, b.Sum(k)["w"])
+}
