quota: keep the part of a home when the configuration changes

Cause (found in reading): each configuration brought the buckets up to date with the part of an instance in a small fleet, which capped what the home of a workspace may use while others are out of touch. TestLedger_ConfigurationKeepsPartOfHome failed before. Change: configurations open the buckets of new workspaces only.

--- a/quota/quota.go
+++ b/quota/quota.go
@@ -93,13 +93,13 @@
 	return &Ledger{tolerance: tolerance, own: Report{}, buckets: map[string]*bucket{}, origins: map[string]*origin{}, expected: max(1, expected), interval: defaultInterval}
 }
 
-// SetLimits opens the buckets of workspaces before their first requests, so that they fill up and count what the others
-// report.
+// SetLimits opens the buckets of new workspaces before their first requests, so that they fill up and count what the
+// others report.
 func (l *Ledger) SetLimits(limits map[string]Limit, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for workspace, limit := range limits {
-		if limit.PerSecond > 0 {
+		if limit.PerSecond > 0 && l.buckets[workspace] == nil {
 			l.bucket(workspace, l.tolerance.widened(limit), l.share(), now)
 		}
 	}
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -266,6 +266,27 @@
 	must.Less(t, 0.02*granted, refused)
 }
 
+// Guards against a home that loses its part of a quota with each configuration while some instances are out of touch.
+func TestLedger_ConfigurationKeepsPartOfHome(t *testing.T) {
+	l, now := quota.NewLedger(tolerance, 80), time.Unix(1000, 0)
+	l.Expect(80, reportInterval)
+	limits := map[string]quota.Limit{"w": limit}
+	l.SetLimits(limits, now)
+	for i := range 60 {
+		l.Receive(fmt.Sprint(i), fmt.Sprint(i), quota.Report{}, now)
+	}
+	ok, _ := l.TakeAtHome("w", limit, 1, false, now)
+	must.True(t, ok)
+	now = now.Add(time.Second)
+	for i := range 60 {
+		l.Receive(fmt.Sprint(i), fmt.Sprint(i), quota.Report{}, now)
+	}
+	_, _ = l.TakeAtHome("w", limit, 1, false, now)
+	l.SetLimits(limits, now)
+	ok, _ = l.TakeAtHome("w", limit, limit.PerSecond/2, false, now)
+	must.True(t, ok)
+}
+
 // Guards against the use of processes that were killed being expected to go on beside that of their successors, which
 // refused nearly all requests for 10 s after most instances had been killed at once.
 func TestLedger_MostInstancesKilled(t *testing.T) {
