quarantine: count crashes in whatever order they are found

Change: crashes count apart when one request had been sent after the other's crash, in either order. TestCrashes_FoundInReverse fails without it.

--- a/quarantine/crashes.go
+++ b/quarantine/crashes.go
@@ -24,8 +24,8 @@
 }
 
 type crashCount struct {
-	count int
-	last  time.Time
+	count       int
+	first, last time.Time // from the sending of the request to the crash that was counted last
 }
 
 // NewCrashes returns an empty count.
@@ -47,24 +47,32 @@
 }
 
 // Crashed counts the crash, at a time, of an endpoint to which a request had been sent, and returns the count. Crashes of
-// endpoints that ran it at the same time count once: they were lost together.
+// endpoints that ran it at the same time count once: they were lost together. They may be found in any order.
 func (s *Crashes) Crashed(fp Fingerprint, sent, at time.Time) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	k := s.entry(fp, at)
-	if k.count == 0 || sent.After(k.last) {
+	if k.count == 0 || sent.After(k.last) || at.Before(k.first) {
 		k.count++
+		k.first = sent
 	}
-	k.last = at
+	k.last = later(k.last, at)
 	return k.count
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // Raise takes over the count of a peer.
 func (s *Crashes) Raise(fp Fingerprint, count int, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if k := s.entry(fp, now); count > k.count {
-		k.count, k.last = count, now
+		k.count, k.first, k.last = count, now, now
 	}
 }
 
--- a/quarantine/crashes_test.go
+++ b/quarantine/crashes_test.go
@@ -20,6 +20,13 @@
 	must.False(t, s.IsRefused(1, now.Add(4*time.Minute)))
 }
 
+// Guards against a second crash that is not counted because it was found before the first one.
+func TestCrashes_FoundInReverse(t *testing.T) {
+	s, now := quarantine.NewCrashes(), time.Unix(1000, 0)
+	must.Eq(t, 1, s.Crashed(1, now.Add(20*time.Millisecond), now.Add(30*time.Millisecond)))
+	must.Eq(t, 2, s.Crashed(1, now, now.Add(10*time.Millisecond)))
+}
+
 // Guards against popular requests that are refused because they ran on endpoints which were lost together, or on some
 // that were lost in turn while others answered the same requests.
 func TestCrashes_PopularRequestIsServed(t *testing.T) {
