node: publish counts of crashes in their order

Cause: TestPath_CrashingRequestIsRefused failed once of eight runs beside each other (4 crashes): two endpoints of one request were confirmed at the same time, and the lower count could be published last, so that the other instance ran the request again.

--- a/node/suspects.go
+++ b/node/suspects.go
@@ -69,9 +69,9 @@
 		_ = c.Close() // it has done its job
 	}
 	s.mu.Lock()
+	defer s.mu.Unlock() // also while publishing, so that the peers get the counts in their order
 	lost := s.lost[e]
 	delete(s.lost, e)
-	s.mu.Unlock()
 	if err == nil || e.IsLeaving() {
 		return
 	}
