standin: one source of free addresses for tests, below the ephemeral ports

Cause: TestPath_UsageBeforeStartOfHolder failed once of 16 runs beside each other: "listen tcp 127.0.0.1:43369: bind: address already in use". Change: e2e's way (ports below that range, apart by process) serves all three.

--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -7,14 +7,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -45,23 +43,6 @@
 	os.Exit(code)
 }
 
-// Ports below the ephemeral range, so that outgoing connections never take them.
-var nextPort = func() *atomic.Int32 {
-	var p atomic.Int32
-	p.Store(int32(20000 + os.Getpid()*53%9000))
-	return &p
-}()
-
-func freeAddress() string {
-	for {
-		address := fmt.Sprintf("127.0.0.1:%d", nextPort.Add(1))
-		if l, err := net.Listen("tcp", address); err == nil {
-			_ = l.Close()
-			return address
-		}
-	}
-}
-
 const balancerDelay = 500 * time.Millisecond
 
 // world is a platform of stand-ins with entry instances as processes.
@@ -139,7 +120,7 @@
 
 // start runs an entry instance and waits until it answers.
 func (w *world) start(id, domain string) *process {
-	p := &process{id: id, domain: domain, caller: freeAddress(), peer: freeAddress(), exited: make(chan struct{})}
+	p := &process{id: id, domain: domain, caller: standin.FreeAddress(), peer: standin.FreeAddress(), exited: make(chan struct{})}
 	var seeds []string
 	for _, other := range w.entries {
 		seeds = append(seeds, other.peer)
--- a/soak/world.go
+++ b/soak/world.go
@@ -164,14 +164,6 @@
 	return runs
 }
 
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	return l.Addr().String(), l.Close()
-}
-
 // start adds an instance, which starts again whenever its process ends.
 func (w *world) start(name string) error {
 	i := &instance{done: make(chan struct{}), file: filepath.Join(w.dir, name+".toml")}
@@ -179,11 +171,9 @@
 	if i.store, err = standin.NewForwarder(w.storeAt); err != nil {
 		return err
 	}
-	m := standin.UsersMachine{Name: name, Zone: "a", StoreAddress: i.store.Address(), PlatformCloud: w.apiAt}
-	for _, at := range []*string{&m.Front, &m.Ready, &m.Control} {
-		if *at, err = freeAddress(); err != nil {
-			return err
-		}
+	m := standin.UsersMachine{
+		Name: name, Zone: "a", StoreAddress: i.store.Address(), PlatformCloud: w.apiAt,
+		Front: standin.FreeAddress(), Ready: standin.FreeAddress(), Control: standin.FreeAddress(),
 	}
 	for _, other := range w.instances {
 		m.Seeds = append(m.Seeds, other.machine.Control)
