--- a/quarantine/crashes.go
+++ b/quarantine/crashes.go
@@ -11,6 +11,8 @@
 	maxCrashes = 2
 	// CrashLife is how long a crash counts. Requests that are taken for crashing by chance are served again after it.
 	CrashLife = 2 * time.Minute
+	// sweepInterval keeps a burst of crashes from looking through all counts for each of them.
+	sweepInterval = 10 * time.Second
 	// maxCounted bounds the memory for requests with crashes, 100 bytes each.
 	maxCounted = 10_000
 )
@@ -21,6 +23,7 @@
 type Crashes struct {
 	mu      sync.Mutex
 	counted map[Fingerprint]*crashCount
+	swept   time.Time // when old counts were last dropped
 }
 
 type crashCount struct {
@@ -82,7 +85,9 @@
 	if k != nil && now.Sub(k.last) < CrashLife {
 		return k
 	}
-	s.expire(now)
+	if now.Sub(s.swept) >= sweepInterval {
+		s.expire(now)
+	}
 	k = &crashCount{last: now}
 	if len(s.counted) < maxCounted {
 		s.counted[fp] = k
@@ -101,6 +106,7 @@
 
 // expire needs s.mu.
 func (s *Crashes) expire(now time.Time) {
+	s.swept = now
 	for fp, k := range s.counted {
 		if now.Sub(k.last) >= CrashLife {
 			delete(s.counted, fp)
