--- a/soak/faults.go
+++ b/soak/faults.go
@@ -53,10 +53,10 @@
 	case InstanceReload:
 		i.signal(syscall.SIGHUP)
 		time.Sleep(f.For)
-	case InstanceNoNews:
+	case InstanceSilentStore:
 		i.store.Silence(true, true)
 		time.Sleep(f.For)
-	case InstanceOneWay:
+	case InstanceDeafStore:
 		i.store.Silence(false, true)
 		time.Sleep(f.For)
 	}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -16,27 +16,27 @@
 // Kinds of a plan. Targets of those that begin with "instance" are instances, of those that begin with "endpoint"
 // endpoints of a service; the others have none.
 const (
-	InstanceKill   Kind = "instance-kill"         // SIGKILL; it starts again
-	InstanceFreeze Kind = "instance-freeze"       // SIGSTOP, and SIGCONT at the end
-	InstanceStop   Kind = "instance-stop"         // SIGTERM; it starts again
-	InstanceReload Kind = "instance-reload"       // SIGHUP
-	InstanceNoNews Kind = "instance-silent-store" // its open connections to the store carry nothing any more
-	InstanceOneWay Kind = "instance-deaf-store"   // nor does what the store sends
-	StoreDown      Kind = "store-down"            // each call fails
-	StoreForgets   Kind = "store-forgets"         // watches hear nothing of a change, then the history is gone
-	EndpointCrash  Kind = "endpoint-crash"        // connections are reset; it comes back as another lifetime
-	EndpointLeave  Kind = "endpoint-leave"        // planned: it says that it drains, serves on for a while, and ends
-	EndpointReset  Kind = "endpoint-reset"        // its connections are reset
-	EndpointSilent Kind = "endpoint-silent"       // its open connections carry nothing any more
-	EndpointFull   Kind = "endpoint-full"         // it rejects each request
-	EndpointFails  Kind = "endpoint-fails"        // it answers with failures
-	ConfigRoute    Kind = "config-route"          // a route is added
-	ConfigKey      Kind = "config-key"            // a key is added, and taken away at the end
+	InstanceKill        Kind = "instance-kill"         // SIGKILL; it starts again
+	InstanceFreeze      Kind = "instance-freeze"       // SIGSTOP, and SIGCONT at the end
+	InstanceStop        Kind = "instance-stop"         // SIGTERM; it starts again
+	InstanceReload      Kind = "instance-reload"       // SIGHUP
+	InstanceSilentStore Kind = "instance-silent-store" // its open connections to the store carry nothing any more
+	InstanceDeafStore   Kind = "instance-deaf-store"   // nor does what the store sends
+	StoreDown           Kind = "store-down"            // each call fails
+	StoreForgets        Kind = "store-forgets"         // watches hear nothing of a change, then the history is gone
+	EndpointCrash       Kind = "endpoint-crash"        // connections are reset; it comes back as another lifetime
+	EndpointLeave       Kind = "endpoint-leave"        // planned: it says that it drains, serves on for a while, and ends
+	EndpointReset       Kind = "endpoint-reset"        // its connections are reset
+	EndpointSilent      Kind = "endpoint-silent"       // its open connections carry nothing any more
+	EndpointFull        Kind = "endpoint-full"         // it rejects each request
+	EndpointFails       Kind = "endpoint-fails"        // it answers with failures
+	ConfigRoute         Kind = "config-route"          // a route is added
+	ConfigKey           Kind = "config-key"            // a key is added, and taken away at the end
 )
 
 // kinds of the plan; those that stand twice are twice as likely.
 var kinds = []Kind{
-	InstanceKill, InstanceFreeze, InstanceStop, InstanceStop, InstanceReload, InstanceNoNews, InstanceOneWay, StoreDown,
+	InstanceKill, InstanceFreeze, InstanceStop, InstanceStop, InstanceReload, InstanceSilentStore, InstanceDeafStore, StoreDown,
 	StoreForgets, EndpointCrash, EndpointLeave, EndpointLeave, EndpointReset, EndpointSilent, EndpointFull, EndpointFails,
 	ConfigRoute, ConfigKey, ConfigKey,
 }
--- a/soak/world.go
+++ b/soak/world.go
@@ -172,7 +172,7 @@
 		return err
 	}
 	m := standin.UsersMachine{
-		Name: name, Zone: "a", StoreAddress: i.store.Address(), PlatformCloud: w.apiAt,
+		Name: name, Zone: "a", StoreAddress: i.store.Address(), CloudAddress: w.apiAt,
 		Front: standin.FreeAddress(), Ready: standin.FreeAddress(), Control: standin.FreeAddress(),
 	}
 	for _, other := range w.instances {
--- a/standin/userssite.go
+++ b/standin/userssite.go
@@ -67,10 +67,10 @@
 
 // UsersMachine is a machine of the users' platform.
 type UsersMachine struct {
-	Name, Zone                  string
-	Front, Ready, Control       string // host:port
-	Seeds                       []string
-	StoreAddress, PlatformCloud string // host:port
+	Name, Zone                 string
+	Front, Ready, Control      string // host:port
+	Seeds                      []string
+	StoreAddress, CloudAddress string // host:port
 }
 
 // Settings returns the machine's settings file.
@@ -112,7 +112,7 @@
 [cloud]
 address = %q
 duties = ["usage_report"]
-`, m.Name, m.Zone, strings.Join(quoted, ","), m.Front, m.Ready, m.Control, UsersQuotaSlack, m.StoreAddress, m.PlatformCloud)
+`, m.Name, m.Zone, strings.Join(quoted, ","), m.Front, m.Ready, m.Control, UsersQuotaSlack, m.StoreAddress, m.CloudAddress)
 }
 
 // ReadyURL is what the balancer asks.
