cmd: let no SIGHUP end the process while it starts or stops

Change: SIGHUP is caught from the first step to the end of the process. TestFollowSettings_SignalDuringShutdown dies when the signal is given back.

--- a/cmd/trefoillug/node.go
+++ b/cmd/trefoillug/node.go
@@ -25,16 +25,17 @@
 			stringFlag("log-level", "debug, info, warning or error", "info", &level),
 		},
 		Action: func(ctx context.Context, _ *cli.Command) error {
+			signals := reloadSignals()
 			s, err := platform.LoadSettings(path)
 			if err != nil {
 				return fmt.Errorf("invalid settings:\n%w", err)
 			}
-			return runNode(ctx, path, s, level)
+			return runNode(ctx, signals, path, s, level)
 		},
 	}
 }
 
-func runNode(ctx context.Context, path string, s *platform.Settings, level string) error {
+func runNode(ctx context.Context, signals <-chan os.Signal, path string, s *platform.Settings, level string) error {
 	lines := newLineWriter(os.Stdout)
 	defer lines.Close()
 	log, err := newLog(lines, level)
@@ -45,7 +46,7 @@
 	if err != nil {
 		return err
 	}
-	go followSettings(ctx, path, s, n, log)
+	go followSettings(ctx, signals, path, s, n, log)
 	return n.Run(ctx)
 }
 
--- a/cmd/trefoillug/reload.go
+++ b/cmd/trefoillug/reload.go
@@ -17,12 +17,17 @@
 // settingsInterval is how often the settings file is looked at, since it may change without a signal.
 const settingsInterval = 2 * time.Second
 
-// followSettings takes over changed settings at a SIGHUP, or when the file has changed. Settings that can't be read or
-// are wrong leave those before in effect.
-func followSettings(ctx context.Context, path string, current *platform.Settings, n *node.Node, log logrus.FieldLogger) {
+// reloadSignals catches SIGHUP from now to the end of the process, which must not end by it while it starts or serves its
+// last requests.
+func reloadSignals() <-chan os.Signal {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
+	return signals
+}
+
+// followSettings takes over changed settings at a signal, or when the file has changed. Settings that can't be read or
+// are wrong leave those before in effect.
+func followSettings(ctx context.Context, signals <-chan os.Signal, path string, current *platform.Settings, n *node.Node, log logrus.FieldLogger) {
 	ticker := time.NewTicker(settingsInterval)
 	defer ticker.Stop()
 	changed := modified(path, log)
--- a/cmd/trefoillug/reload_test.go
+++ b/cmd/trefoillug/reload_test.go
@@ -72,7 +72,7 @@
 	must.NoError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
-	go func() { defer close(done); followSettings(ctx, path, s, n, log) }()
+	go func() { defer close(done); followSettings(ctx, reloadSignals(), path, s, n, log) }()
 	defer func() { cancel(); <-done }()
 	time.Sleep(50 * time.Millisecond) // the handler of the signal is installed
 	for _, c := range []struct{ text, want string }{
@@ -91,3 +91,18 @@
 		must.True(t, seen.has(c.want), must.Sprint(c.want))
 	}
 }
+
+// Guards against a process that a SIGHUP ends while it serves its last requests after a SIGTERM.
+func TestFollowSettings_SignalDuringShutdown(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "node.toml")
+	must.NoError(t, os.WriteFile(path, []byte(settingsText), 0o600))
+	s, err := platform.LoadSettings(path)
+	must.NoError(t, err)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	followSettings(ctx, reloadSignals(), path, s, nil, log)
+	must.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP)) // ends the test's process if nothing catches it
+	time.Sleep(50 * time.Millisecond)
+}
