autoscale: count a zone that was just reclaimed in a found pool

Change: a zone without reclaimable endpoints beside others that have some counts like them. TestCovered_ReclaimedZoneCounts.

--- a/autoscale/autoscale.go
+++ b/autoscale/autoscale.go
@@ -53,13 +53,20 @@
 const reclaimableSpare = 1.4
 
 // Covered returns the need for which Plan would keep a pool as it is: less the zone whose loss it covers, and the spare
-// of reclaimable endpoints.
+// of reclaimable endpoints. A zone without any, beside others that have some, has just been reclaimed and counts like them.
 func Covered(zones []Zone) float64 {
-	count := 0.0
+	onDemand, reclaimable, with := 0.0, 0.0, 0
 	for _, z := range zones {
-		count += float64(z.OnDemand) + float64(z.Reclaimable)/reclaimableSpare
+		onDemand += float64(z.OnDemand)
+		reclaimable += float64(z.Reclaimable)
+		if z.Reclaimable > 0 {
+			with++
+		}
+	}
+	if with > 0 {
+		reclaimable *= float64(len(zones)) / float64(with)
 	}
-	return count * float64(len(zones)-1) / float64(max(1, len(zones)))
+	return (onDemand + reclaimable/reclaimableSpare) * float64(len(zones)-1) / float64(max(1, len(zones)))
 }
 
 // perZone is the number of reclaimable endpoints in each zone with which the loss of one zone leaves need.
--- a/autoscale/autoscale_test.go
+++ b/autoscale/autoscale_test.go
@@ -101,3 +101,16 @@
 		}
 	}
 }
+
+// Guards against a pool that shrinks while a zone is reclaimed because all instances have just started and take what is
+// left for the whole.
+func TestCovered_ReclaimedZoneCounts(t *testing.T) {
+	s := service(8, 0, 4)
+	whole := autoscale.Covered(s.Zones)
+	s.Zones[1].Reclaimable = 0
+	must.Eq(t, whole, autoscale.Covered(s.Zones))
+	s.Need = autoscale.Covered(s.Zones)
+	for _, w := range autoscale.Plan(s) {
+		must.GreaterEq(t, 4, w.Reclaimable)
+	}
+}
