cmd: bound the lines that the log writes at once

The log's writer took lines from its queue for as long as more came, before its first write; a caller that logs as fast as the writer takes lines grows that batch without bound, and nothing is dropped or written. Ruled out: the machine's load alone, since TestLineWriter_BatchIsBounded fails on the earlier code on every run (one write of 2048 lines).

Change: a write holds at most 64 lines.

The old test was wrong in a second way: it took the kept lines to be the first ones, but lines may be dropped before the writer's goroutine runs for the first time and kept after it. It now waits until the writer is stuck and then demands the exact number of dropped lines (500, before: any) and the same order.

--- a/cmd/trefoillug/log.go
+++ b/cmd/trefoillug/log.go
@@ -25,6 +25,10 @@
 // maxQueuedLines bounds the lines that wait for a slow reader of the log; at 500 bytes each they take 1 MB.
 const maxQueuedLines = 2048
 
+// maxBatchLines bounds the lines of one write, so that a writer of lines that keeps up with the batch cannot grow it
+// without end; 64 lines of 500 bytes are half of a pipe's 64 KB.
+const maxBatchLines = 64
+
 // lineWriter passes lines on without ever blocking the writer: what does not fit is dropped and counted. It is safe for
 // concurrent use.
 type lineWriter struct {
@@ -56,7 +60,7 @@
 	defer close(w.done)
 	for line := range w.lines {
 		batch := line
-		for more := true; more; {
+		for n, more := 1, true; more && n < maxBatchLines; n++ {
 			select {
 			case next, ok := <-w.lines:
 				more = ok
--- a/cmd/trefoillug/log_test.go
+++ b/cmd/trefoillug/log_test.go
@@ -9,13 +9,18 @@
 	"github.com/shoenig/test/must"
 )
 
-// stuckWriter blocks until it is released.
+// stuckWriter tells of its first write and blocks until it is released.
 type stuckWriter struct {
+	entered chan struct{}
 	release chan struct{}
 	text    bytes.Buffer
 }
 
 func (w *stuckWriter) Write(b []byte) (int, error) {
+	select {
+	case w.entered <- struct{}{}:
+	default:
+	}
 	<-w.release
 	return w.text.Write(b)
 }
@@ -23,19 +28,51 @@
 // Guards against a request path that waits for the reader of the log, against lines cut or out of order, and against
 // lines that are dropped without being counted.
 func TestLineWriter_NeverBlocks(t *testing.T) {
-	out := &stuckWriter{release: make(chan struct{})}
+	out := &stuckWriter{entered: make(chan struct{}, 1), release: make(chan struct{})}
 	w := newLineWriter(out)
-	const lines = maxQueuedLines + 500
-	for i := range lines {
+	writeLine := func(i int) {
 		_, err := fmt.Fprintf(w, "line %d\n", i)
 		must.NoError(t, err)
 	}
-	must.Positive(t, w.Dropped())
+	writeLine(0)
+	<-out.entered // from here on nothing is taken from the queue
+	const kept, dropped = 1 + maxQueuedLines, 500
+	for i := 1; i < kept+dropped; i++ {
+		writeLine(i)
+	}
+	must.Eq(t, dropped, w.Dropped())
 	close(out.release)
 	w.Close()
 	got := strings.Split(strings.TrimSpace(out.text.String()), "\n")
-	must.Eq(t, lines-int(w.Dropped()), len(got))
+	must.Eq(t, kept, len(got))
 	for i, line := range got {
 		must.Eq(t, fmt.Sprintf("line %d", i), line)
 	}
 }
+
+// batchWriter records the number of lines of each write.
+type batchWriter struct{ batches []int }
+
+func (w *batchWriter) Write(b []byte) (int, error) {
+	w.batches = append(w.batches, bytes.Count(b, []byte("\n")))
+	return len(b), nil
+}
+
+// Guards against a batch that takes lines as fast as they come: then nothing is written, nothing is dropped, and memory
+// has no bound.
+func TestLineWriter_BatchIsBounded(t *testing.T) {
+	out := &batchWriter{}
+	w := &lineWriter{out: out, lines: make(chan []byte, maxQueuedLines), done: make(chan struct{})}
+	for i := range maxQueuedLines {
+		_, err := fmt.Fprintf(w, "line %d\n", i)
+		must.NoError(t, err)
+	}
+	go w.run()
+	w.Close()
+	written := 0
+	for _, lines := range out.batches {
+		must.LessEq(t, maxBatchLines, lines)
+		written += lines
+	}
+	must.Eq(t, maxQueuedLines, written)
+}
