attempt: one loop for all request paths

Change: attempt.Run is that loop; a path gives it Choose, Try, IsAnswered, Permit, TakeRepeat and GiveUp. Permit takes nothing from the retry budget, so that a request which may not run again uses none of it. What stays apart is what the interfaces promise: claims and their records, sessions with positions and handover in relay, buffered answers and moves with proof in forward. The writer of the answer is a field of forward's run, not a parameter of eight functions.

Behaviour is as before; ruled out by the tests of relay (golden sessions, resume, handover, outcomes), forward and attempt with the race detector.

--- a/forward/answer.go
+++ b/forward/answer.go
@@ -27,8 +27,14 @@
 	RetryAfter time.Duration // 0: none
 }
 
+// Error implements error.
+func (r *Refusal) Error() string { return r.Err.Error() }
+
+// Unwrap returns the error of package problem.
+func (r *Refusal) Unwrap() error { return r.Err }
+
 // refuse answers a request with an error of the system and logs why.
-func (r *run) refuse(w ResponseWriter, refusal *Refusal) error {
+func (r *run) refuse(refusal *Refusal) error {
 	kind := problem.KindOf(refusal.Err)
 	fields := logrus.Fields{"kind": kind, "ms": time.Since(r.req.Arrived).Milliseconds(), "arrivals": r.arrivals}
 	if r.route != nil {
@@ -39,7 +45,7 @@
 	}
 	r.log.WithError(refusal.Err).WithFields(fields).Info("request refused")
 	r.f.cfg.Metrics.refused(kind)
-	w.Refuse(refusal)
+	r.w.Refuse(refusal)
 	return nil
 }
 
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -59,7 +59,7 @@
 // nearly all answers of plain services (60 ms, seldom 300) and below their objective of 300 ms.
 const repeatAfter = 220 * time.Millisecond
 
-func (r *run) attempt(ctx context.Context, w ResponseWriter, e *fleet.Endpoint) (out outcome) {
+func (r *run) attempt(ctx context.Context, e *fleet.Endpoint) (out outcome) {
 	r.tried[e] = true
 	prefill := r.begin(e)
 	defer e.Live.End()
@@ -103,11 +103,11 @@
 	}
 	r.mayRun = true
 	if isStream(reply) {
-		return r.relayStream(ctx, w, reply, relocation, first)
+		return r.relayStream(ctx, reply, relocation, first)
 	}
 	r.first = time.Since(sent)
 	r.worked(r.first / time.Duration(max(1, e.Slots)))
-	return r.relayWhole(ctx, w, reply)
+	return r.relayWhole(ctx, reply)
 }
 
 func (r *run) worked(work time.Duration) { r.f.cfg.Worked(r.service.Name, work) }
@@ -226,7 +226,7 @@
 }
 
 // relayWhole reads an answer completely before a byte of it is passed on, so that a broken one can be repeated.
-func (r *run) relayWhole(ctx context.Context, w ResponseWriter, reply *upstream.Reply) outcome {
+func (r *run) relayWhole(ctx context.Context, reply *upstream.Reply) outcome {
 	body, err := io.ReadAll(io.LimitReader(reply.Body, maxBuffered+1))
 	if err != nil {
 		out := r.failedExchange(ctx, &upstream.Error{Sent: true, Err: err})
@@ -234,24 +234,24 @@
 	}
 	a := &answer{status: reply.Status, header: reply.Header, body: body}
 	if len(body) > maxBuffered {
-		return r.relayLong(w, a, reply)
+		return r.relayLong(a, reply)
 	}
 	if reply.Status >= http.StatusInternalServerError {
 		return outcome{end: answered, arrived: true, answer: a, err: errors.New("the endpoint answered " + http.StatusText(reply.Status))}
 	}
-	if err := r.deliver(a, w); err != nil {
+	if err := r.deliver(a); err != nil {
 		return outcome{end: ended, arrived: true, err: err}
 	}
 	return outcome{end: answered, arrived: true, delivered: true}
 }
 
 // relayLong passes on an answer that is too long to be held.
-func (r *run) relayLong(w ResponseWriter, a *answer, reply *upstream.Reply) outcome {
+func (r *run) relayLong(a *answer, reply *upstream.Reply) outcome {
 	r.stream.started = true
-	w.WriteHead(a.status, a.header, reply.Length)
-	_, err := w.Write(a.body)
+	r.w.WriteHead(a.status, a.header, reply.Length)
+	_, err := r.w.Write(a.body)
 	if err == nil {
-		_, err = io.Copy(w, reply.Body)
+		_, err = io.Copy(r.w, reply.Body)
 	}
 	if err != nil {
 		return outcome{end: ended, arrived: true, err: err}
@@ -259,9 +259,9 @@
 	return outcome{end: answered, arrived: true, delivered: true}
 }
 
-func (r *run) deliver(a *answer, w ResponseWriter) error {
+func (r *run) deliver(a *answer) error {
 	r.f.cfg.Metrics.answered(time.Since(r.req.Arrived))
-	return a.deliver(w)
+	return a.deliver(r.w)
 }
 
 func (a *answer) deliver(w ResponseWriter) error {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -4,12 +4,14 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/trefoillug/trefoillug/attempt"
 	"github.com/trefoillug/trefoillug/fleet"
 	"github.com/trefoillug/trefoillug/placement"
 	"github.com/trefoillug/trefoillug/problem"
@@ -168,6 +170,7 @@
 // run is a request on its way.
 type run struct {
 	f         *Forwarder
+	w         ResponseWriter
 	req       *Request
 	route     *routing.Route
 	service   *routing.Service
@@ -190,12 +193,12 @@
 // Serve answers a request on w. An error means that an answer that had begun was broken off; the caller's connection
 // must then be closed.
 func (f *Forwarder) Serve(ctx context.Context, w ResponseWriter, req *Request) error {
-	r := &run{f: f, req: req, log: f.cfg.Log.WithField("request", req.ID), tried: map[*fleet.Endpoint]bool{}}
+	r := &run{f: f, w: w, req: req, log: f.cfg.Log.WithField("request", req.ID), tried: map[*fleet.Endpoint]bool{}}
 	if refusal := r.identify(); refusal != nil {
-		return r.refuse(w, refusal)
+		return r.refuse(refusal)
 	}
 	if r.isQuarantined() {
-		return r.refuse(w, &Refusal{Err: problem.New(problem.Quarantined, "the request has crashed the endpoints that ran it")})
+		return r.refuse(&Refusal{Err: problem.New(problem.Quarantined, "the request has crashed the endpoints that ran it")})
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline())
 	defer cancel()
@@ -203,11 +206,11 @@
 	if r.workspace != nil {
 		var retry time.Duration
 		if giveBack, retry = f.cfg.Quotas.Take(ctx, r.workspace, r.cost()); giveBack == nil {
-			return r.refuse(w, &Refusal{Err: problem.New(problem.LimitExceeded, "workspace %s is over its quota", r.workspace.Name), RetryAfter: retry})
+			return r.refuse(&Refusal{Err: problem.New(problem.LimitExceeded, "workspace %s is over its quota", r.workspace.Name), RetryAfter: retry})
 		}
 	}
 	f.cfg.Repeats.First(r.service.Name)
-	err := r.serve(ctx, w)
+	err := attempt.Run(ctx, r)
 	if !r.mayRun {
 		giveBack()
 	}
@@ -268,43 +271,68 @@
 	return r.route.Priority
 }
 
-// serve sends the request until an answer was delivered or none can be had.
-func (r *run) serve(ctx context.Context, w ResponseWriter) error {
-	for {
-		endpoint, refusal := r.choose(ctx)
-		if refusal != nil {
-			return r.giveUp(ctx, w, refusal)
-		}
-		out := r.attempt(ctx, w, endpoint)
-		r.note(endpoint, &out)
-		if out.delivered {
-			return nil
-		}
-		if ctx.Err() != nil || !r.mayTryAgain(ctx, &out) {
-			return r.finish(ctx, w, &out)
-		}
+// Choose implements attempt.Path.
+func (r *run) Choose(ctx context.Context) (*fleet.Endpoint, error) {
+	endpoint, refusal := r.choose(ctx)
+	if refusal != nil {
+		return nil, refusal
 	}
+	return endpoint, nil
 }
 
-// mayTryAgain reports whether another endpoint may get the request after an attempt that delivered no whole answer.
-func (r *run) mayTryAgain(ctx context.Context, out *outcome) bool {
-	if r.moved != nil {
-		return ctx.Err() == nil // the run goes on elsewhere; it is no repeat of the work
-	}
-	if out.end == ended || out.end == unreachable && len(r.tried) > maxUnreachable {
-		return false
-	}
-	if r.mayRun && (!r.route.MayRepeat() || r.runs >= r.route.MaxAttempts) {
-		return false
-	}
-	if out.end == rejected && r.arrivals > maxRejections {
-		return false
+// Try implements attempt.Path.
+func (r *run) Try(ctx context.Context, e *fleet.Endpoint) *outcome {
+	out := r.attempt(ctx, e)
+	r.note(e, &out)
+	return &out
+}
+
+// IsAnswered implements attempt.Path.
+func (r *run) IsAnswered(out *outcome) bool { return out.delivered }
+
+var (
+	errTimeUp    = errors.New("the caller has left or its time is up")
+	errMayNotRun = errors.New("the request may have run and may not run again")
+	errTooMany   = errors.New("too many endpoints have rejected the request or were not reached")
+	errBudget    = errors.New("the retry budget is used up")
+)
+
+// Permit implements attempt.Path.
+func (r *run) Permit(ctx context.Context, _ *fleet.Endpoint, out *outcome) error {
+	switch {
+	case ctx.Err() != nil:
+		return errTimeUp
+	case r.moved != nil:
+		return nil // the run goes on elsewhere; it is no repeat of the work
+	case out.end == ended:
+		return errTimeUp
+	case out.end == unreachable && len(r.tried) > maxUnreachable, out.end == rejected && r.arrivals > maxRejections:
+		return errTooMany
+	case r.mayRun && (!r.route.MayRepeat() || r.runs >= r.route.MaxAttempts):
+		return errMayNotRun
 	}
-	if out.arrived && !r.f.cfg.Repeats.Repeat(r.service.Name) {
+	return nil
+}
+
+// TakeRepeat implements attempt.Path.
+func (r *run) TakeRepeat(_ context.Context, _ *fleet.Endpoint, out *outcome) error {
+	if r.moved == nil && out.arrived && !r.f.cfg.Repeats.Repeat(r.service.Name) {
 		r.log.WithField("service", r.service.Name).Info("no repeat: the retry budget is used up")
-		return false
+		return errBudget
 	}
-	return true
+	return nil
+}
+
+// GiveUp implements attempt.Path.
+func (r *run) GiveUp(ctx context.Context, last **outcome, cause error) error {
+	var refusal *Refusal
+	switch {
+	case !errors.As(cause, &refusal):
+		return r.finish(ctx, *last)
+	case r.mayRun || r.stream.started:
+		return r.finish(ctx, &outcome{err: refusal.Err})
+	}
+	return r.refuse(refusal)
 }
 
 const (
@@ -315,7 +343,7 @@
 )
 
 // finish answers a request that gets no further attempt.
-func (r *run) finish(ctx context.Context, w ResponseWriter, out *outcome) error {
+func (r *run) finish(ctx context.Context, out *outcome) error {
 	switch {
 	case r.stream.started:
 		r.log.WithError(out.err).WithFields(logrus.Fields{"route": r.route.Name, "last_event": r.stream.lastID, "end": out.end.String()}).
@@ -323,22 +351,14 @@
 		r.f.cfg.Metrics.broken()
 		return problem.Wrap(problem.StreamBroken, out.err)
 	case out.answer != nil && ctx.Err() == nil:
-		return r.deliver(out.answer, w)
+		return r.deliver(out.answer)
 	case context.Cause(ctx) == context.DeadlineExceeded && r.mayRun:
-		return r.refuse(w, &Refusal{Err: problem.New(problem.TimedOut, "no answer in time: %v", out.err)})
+		return r.refuse(&Refusal{Err: problem.New(problem.TimedOut, "no answer in time: %v", out.err)})
 	case r.mayRun:
-		return r.refuse(w, &Refusal{Err: problem.New(problem.EndpointFailed, "%v", out.err)})
+		return r.refuse(&Refusal{Err: problem.New(problem.EndpointFailed, "%v", out.err)})
 	default:
-		return r.refuse(w, &Refusal{Err: problem.New(problem.Overloaded, "no endpoint had room: %v", out.err), RetryAfter: spread(refusedRetry)})
-	}
-}
-
-// giveUp answers a request for which no endpoint could be chosen.
-func (r *run) giveUp(ctx context.Context, w ResponseWriter, refusal *Refusal) error {
-	if r.mayRun || r.stream.started {
-		return r.finish(ctx, w, &outcome{err: refusal.Err})
+		return r.refuse(&Refusal{Err: problem.New(problem.Overloaded, "no endpoint had room: %v", out.err), RetryAfter: spread(refusedRetry)})
 	}
-	return r.refuse(w, refusal)
 }
 
 // spread varies a delay evenly by half, so that refused callers don't come back together.
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -37,7 +37,7 @@
 }
 
 // relayStream passes on the events of a stream, whole ones only.
-func (r *run) relayStream(ctx context.Context, w ResponseWriter, reply *upstream.Reply, relocation *relocation, first func()) outcome {
+func (r *run) relayStream(ctx context.Context, reply *upstream.Reply, relocation *relocation, first func()) outcome {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	defer context.AfterFunc(ctx, func() { reply.Abort() })()
@@ -54,7 +54,7 @@
 			buf = append(buf, chunk[:n]...)
 			whole := eventsEnd(buf)
 			r.workedOn(buf[:whole])
-			if werr := r.passOn(w, reply, buf[:whole]); werr != nil {
+			if werr := r.passOn(reply, buf[:whole]); werr != nil {
 				return outcome{end: ended, arrived: true, err: werr}
 			}
 			buf = append(buf[:0], buf[whole:]...)
@@ -63,7 +63,7 @@
 		case err == nil && len(buf) <= maxEvent:
 		case err == io.EOF && len(buf) == 0 && relocation.result() == nil:
 			if !r.stream.started {
-				r.start(w, reply)
+				r.start(reply)
 			}
 			return outcome{end: answered, arrived: true, delivered: true}
 		case err == io.EOF:
@@ -95,20 +95,20 @@
 	}
 }
 
-func (r *run) start(w ResponseWriter, reply *upstream.Reply) {
+func (r *run) start(reply *upstream.Reply) {
 	r.stream.started = true
 	r.f.cfg.Metrics.answered(time.Since(r.req.Arrived))
-	w.WriteHead(reply.Status, reply.Header, -1)
+	r.w.WriteHead(reply.Status, reply.Header, -1)
 }
 
 // passOn writes whole events, without those that the caller has from an earlier endpoint.
-func (r *run) passOn(w ResponseWriter, reply *upstream.Reply, events []byte) error {
+func (r *run) passOn(reply *upstream.Reply, events []byte) error {
 	if len(events) == 0 {
 		return nil
 	}
 	resumed := r.stream.started
 	if !resumed {
-		r.start(w, reply)
+		r.start(reply)
 	}
 	for len(events) > 0 {
 		n := firstEventEnd(events)
@@ -118,14 +118,14 @@
 		if id != "" && r.stream.lastID != "" && !isLater(id, r.stream.lastID) {
 			continue
 		}
-		if _, err := w.Write(event); err != nil {
+		if _, err := r.w.Write(event); err != nil {
 			return err
 		}
 		if id != "" {
 			r.stream.lastID = id
 		}
 	}
-	return w.Flush()
+	return r.w.Flush()
 }
 
 // isLater compares event IDs, which are increasing numbers.
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/trefoillug/trefoillug/attempt"
 	"github.com/trefoillug/trefoillug/core"
 	"github.com/trefoillug/trefoillug/dispatch"
 	"github.com/trefoillug/trefoillug/engine"
@@ -36,44 +37,91 @@
 
 // generate runs attempts until the answer is complete, the deadline passes or the session is given up.
 func (s *session) generate() {
+	p := &generation{session: s}
 	defer s.relay.stopSearch(&s.search)
 	defer s.cancel(nil)
 	s.relay.cfg.RetryBudget.Request(s.call.Service.Name)
-	var next *slot
-	for errorAnswers := 0; ; {
-		got, err := next, error(nil)
-		if got == nil {
-			got, err = s.relay.acquire(s.ctx, &s.search)
-		}
-		if err != nil {
-			s.finish(s.ended(err))
-			return
-		}
-		result := s.attempt(got)
-		if result.Sent != dispatch.Nothing {
-			s.sent.Store(true)
-		}
-		if result.End == dispatch.Answered {
-			errorAnswers++
-		}
-		to, moved := s.endRun()
-		if result.End == dispatch.Lost {
-			s.relay.awaitCrashNoted(s.ctx, s.call, got.endpoint.ID)
-		}
-		if done, err := s.judge(result, errorAnswers); done {
-			to.release()
-			s.finish(err)
-			return
-		}
-		next = to
-		if err := s.beforeRetry(result, got, moved); err != nil {
-			to.release()
-			s.finish(err)
-			return
-		}
+	err := attempt.Run(s.ctx, p)
+	p.next.release()
+	s.finish(err)
+}
+
+// generation is a session's request on its way.
+type generation struct {
+	*session
+	next   *slot // where the stream was moved; nil unless it was
+	moved  bool
+	errors int // answers of endpoints that failed
+}
+
+// Choose implements attempt.Path.
+func (g *generation) Choose(ctx context.Context) (*slot, error) {
+	if got := g.next; got != nil {
+		g.next = nil
+		return got, nil
+	}
+	got, err := g.relay.acquire(ctx, &g.search)
+	if err != nil {
+		return nil, g.ended(err)
+	}
+	return got, nil
+}
+
+// Try implements attempt.Path.
+func (g *generation) Try(ctx context.Context, got *slot) dispatch.Result {
+	result := g.attempt(got)
+	if result.Sent != dispatch.Nothing {
+		g.sent.Store(true)
+	}
+	if result.End == dispatch.Answered {
+		g.errors++
+	}
+	g.next, g.moved = g.endRun()
+	if result.End == dispatch.Lost {
+		g.relay.awaitCrashNoted(ctx, g.call, got.endpoint.ID)
+	}
+	return result
+}
+
+// IsAnswered implements attempt.Path.
+func (g *generation) IsAnswered(result dispatch.Result) bool { return result.End == dispatch.Complete }
+
+// Permit implements attempt.Path.
+func (g *generation) Permit(ctx context.Context, _ *slot, result dispatch.Result) error {
+	switch {
+	case ctx.Err() != nil:
+		return g.ended(problem.New(problem.EndpointFailed, "the deadline passed while an endpoint held the request"))
+	case result.End == dispatch.Answered && badRequest(result.Status):
+		return g.broken(problem.InvalidRequest, "%v", result.Err)
+	case g.errors >= maxErrorAnswers:
+		return g.broken(problem.EndpointFailed, "%d endpoints failed: %v", g.errors, result.Err)
+	case g.relay.cfg.Quarantine.IsQuarantined(g.call.Fingerprint):
+		return g.broken(problem.Quarantined, "the request crashed its endpoints")
 	}
+	return nil
 }
 
+// TakeRepeat implements attempt.Path. Moves are not charged: the endpoint has not failed.
+func (g *generation) TakeRepeat(ctx context.Context, got *slot, result dispatch.Result) error {
+	g.mu.Lock()
+	g.route.resumes++
+	g.mu.Unlock()
+	if g.moved {
+		return nil
+	}
+	if result.FirstEvent > 0 {
+		// The attempt brought the answer forward; what failed before it may be tried again.
+		clear(g.search.tried)
+	}
+	g.search.noteFailed(got.endpoint, result.End == dispatch.Answered || result.End == dispatch.Broken)
+	return g.relay.awaitBudget(ctx, g.call, func() error {
+		return g.broken(problem.EndpointFailed, "no retry before the deadline: %v", result.Err)
+	})
+}
+
+// GiveUp implements attempt.Path.
+func (g *generation) GiveUp(_ context.Context, _ *dispatch.Result, cause error) error { return cause }
+
 // ended explains a session whose search for an endpoint was cut off.
 func (s *session) ended(err error) error {
 	if cause := context.Cause(s.ctx); errors.Is(cause, errCallerGone) || errors.Is(cause, errClosed) {
@@ -153,46 +201,11 @@
 	s.add(from, e.Content)
 }
 
-// judge tells whether the session is over after an attempt.
-func (s *session) judge(result dispatch.Result, errorAnswers int) (bool, error) {
-	switch {
-	case result.End == dispatch.Complete:
-		return true, nil
-	case s.ctx.Err() != nil:
-		return true, s.ended(problem.New(problem.EndpointFailed, "the deadline passed while an endpoint held the request"))
-	case result.End == dispatch.Answered && badRequest(result.Status):
-		return true, s.broken(problem.InvalidRequest, "%v", result.Err)
-	case errorAnswers >= maxErrorAnswers:
-		return true, s.broken(problem.EndpointFailed, "%d endpoints failed: %v", errorAnswers, result.Err)
-	case s.relay.cfg.Quarantine.IsQuarantined(s.call.Fingerprint):
-		return true, s.broken(problem.Quarantined, "the request crashed its endpoints")
-	}
-	return false, nil
-}
-
 // badRequest tells that an engine's answer blames the request, so that every other engine would give it too.
 func badRequest(status int) bool {
 	return status == http.StatusBadRequest || status == http.StatusRequestEntityTooLarge || status == http.StatusUnprocessableEntity
 }
 
-// beforeRetry waits for the retry budget. Moves are not charged: the endpoint has not failed.
-func (s *session) beforeRetry(result dispatch.Result, got *slot, moved bool) error {
-	s.mu.Lock()
-	s.route.resumes++
-	s.mu.Unlock()
-	if moved {
-		return nil
-	}
-	if result.FirstEvent > 0 {
-		// The attempt brought the answer forward; what failed before it may be tried again.
-		clear(s.search.tried)
-	}
-	s.search.noteFailed(got.endpoint, result.End == dispatch.Answered || result.End == dispatch.Broken)
-	return s.relay.awaitBudget(s.ctx, s.call, func() error {
-		return s.broken(problem.EndpointFailed, "no retry before the deadline: %v", result.Err)
-	})
-}
-
 // awaitBudget waits for a retry from the budget. The budget delays retries instead of refusing the request.
 func (r *Relay) awaitBudget(ctx context.Context, call *Call, refused func() error) error {
 	for !r.cfg.RetryBudget.Retry(call.Service.Name) {
--- a/relay/once.go
+++ b/relay/once.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/trefoillug/trefoillug/attempt"
 	"github.com/trefoillug/trefoillug/dispatch"
 	"github.com/trefoillug/trefoillug/problem"
 )
@@ -44,25 +45,57 @@
 
 // runClaimed sends the call. Another endpoint is tried only while nothing was sent.
 func (r *Relay) runClaimed(ctx context.Context, call *Call) (*plainAnswer, error) {
-	s := &search{call: call, tried: map[string]bool{}}
-	defer r.stopSearch(s)
-	for {
-		got, err := r.acquire(ctx, s)
-		if err != nil {
-			r.cfg.Claimer.Release(call)
-			return nil, err
-		}
-		answer, result := r.callEndpoint(ctx, call, got, true)
-		switch {
-		case answer != nil:
-			r.cfg.Claimer.Complete(call, answer.recorded())
-			return answer, nil
-		case result.Sent != dispatch.Nothing:
-			r.cfg.Claimer.MarkUnknown(call)
-			return nil, problem.New(problem.OutcomeUnknown, "the endpoint gave no whole answer: %v", result.Err)
-		}
-		s.noteFailed(got.endpoint, false)
+	p := &claimedPath{plainPath{relay: r, call: call, search: search{call: call, tried: map[string]bool{}}, fresh: true}}
+	defer r.stopSearch(&p.search)
+	err := attempt.Run(ctx, p)
+	return p.answer, err
+}
+
+// claimedPath is a call on its way that runs at most once. Any answer is final, and an endpoint that was sent a byte is
+// the last one.
+type claimedPath struct{ plainPath }
+
+// Choose implements attempt.Path.
+func (p *claimedPath) Choose(ctx context.Context) (*slot, error) {
+	return p.relay.acquire(ctx, &p.search)
+}
+
+// Try implements attempt.Path.
+func (p *claimedPath) Try(ctx context.Context, got *slot) plainOutcome {
+	answer, result := p.relay.callEndpoint(ctx, p.call, got, p.fresh)
+	return plainOutcome{answer, result}
+}
+
+// IsAnswered implements attempt.Path.
+func (p *claimedPath) IsAnswered(out plainOutcome) bool {
+	if out.answer == nil {
+		return false
+	}
+	p.relay.cfg.Claimer.Complete(p.call, out.answer.recorded())
+	p.answer = out.answer
+	return true
+}
+
+// Permit implements attempt.Path.
+func (p *claimedPath) Permit(_ context.Context, got *slot, out plainOutcome) error {
+	if out.result.Sent != dispatch.Nothing {
+		return problem.New(problem.OutcomeUnknown, "the endpoint gave no whole answer: %v", out.result.Err)
+	}
+	p.search.noteFailed(got.endpoint, false)
+	return nil
+}
+
+// TakeRepeat implements attempt.Path. A call of which nothing was sent has not burdened an endpoint.
+func (p *claimedPath) TakeRepeat(context.Context, *slot, plainOutcome) error { return nil }
+
+// GiveUp implements attempt.Path.
+func (p *claimedPath) GiveUp(_ context.Context, last *plainOutcome, cause error) error {
+	if last != nil && last.result.Sent != dispatch.Nothing {
+		p.relay.cfg.Claimer.MarkUnknown(p.call)
+	} else {
+		p.relay.cfg.Claimer.Release(p.call)
 	}
+	return cause
 }
 
 // recorded returns what is retained of an answer.
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/trefoillug/trefoillug/attempt"
 	"github.com/trefoillug/trefoillug/core"
 	"github.com/trefoillug/trefoillug/dispatch"
 	"github.com/trefoillug/trefoillug/engine"
@@ -133,39 +134,83 @@
 		return r.runOnce(ctx, call)
 	}
 	r.cfg.RetryBudget.Request(call.Service.Name)
-	s := &search{call: call, tried: map[string]bool{}}
-	defer r.stopSearch(s)
-	fresh := false
-	for errorAnswers := 0; ; {
-		got, err := r.acquire(ctx, s)
-		if err != nil {
-			return nil, plainEnded(ctx, err, len(s.tried) > 0)
-		}
-		answer, result := r.callEndpoint(ctx, call, got, fresh)
-		fresh = fresh || result.End == dispatch.Silent
-		if answer != nil {
-			errorAnswers++
-			if !retriable(result.Status) || errorAnswers >= maxErrorAnswers {
-				return answer, nil
-			}
-			answer.close()
-		}
-		if result.End == dispatch.Lost {
-			r.awaitCrashNoted(ctx, call, got.endpoint.ID)
-		}
-		if ctx.Err() != nil {
-			return nil, plainEnded(ctx, ctx.Err(), true)
-		}
-		if r.cfg.Quarantine.IsQuarantined(call.Fingerprint) {
-			return nil, problem.New(problem.Quarantined, "the request crashed its endpoints")
-		}
-		s.noteFailed(got.endpoint, answer != nil)
-		if err := r.awaitBudget(ctx, call, func() error { return plainEnded(ctx, result.Err, true) }); err != nil {
-			return nil, err
-		}
+	p := &plainPath{relay: r, call: call, search: search{call: call, tried: map[string]bool{}}}
+	defer r.stopSearch(&p.search)
+	err := attempt.Run(ctx, p)
+	return p.answer, err
+}
+
+// plainPath is an idempotent call on its way.
+type plainPath struct {
+	relay  *Relay
+	call   *Call
+	search search
+	fresh  bool // only new connections: one was silent
+	errors int  // answers of endpoints that failed
+	answer *plainAnswer
+}
+
+// plainOutcome is the end of an attempt of a plain call.
+type plainOutcome struct {
+	answer *plainAnswer
+	result dispatch.Result
+}
+
+// Choose implements attempt.Path.
+func (p *plainPath) Choose(ctx context.Context) (*slot, error) {
+	got, err := p.relay.acquire(ctx, &p.search)
+	if err != nil {
+		return nil, plainEnded(ctx, err, len(p.search.tried) > 0)
 	}
+	return got, nil
 }
 
+// Try implements attempt.Path.
+func (p *plainPath) Try(ctx context.Context, got *slot) plainOutcome {
+	answer, result := p.relay.callEndpoint(ctx, p.call, got, p.fresh)
+	p.fresh = p.fresh || result.End == dispatch.Silent
+	if answer != nil {
+		p.errors++
+	}
+	if result.End == dispatch.Lost {
+		p.relay.awaitCrashNoted(ctx, p.call, got.endpoint.ID)
+	}
+	return plainOutcome{answer, result}
+}
+
+// IsAnswered implements attempt.Path.
+func (p *plainPath) IsAnswered(out plainOutcome) bool {
+	switch {
+	case out.answer == nil:
+		return false
+	case retriable(out.result.Status) && p.errors < maxErrorAnswers:
+		out.answer.close()
+		return false
+	}
+	p.answer = out.answer
+	return true
+}
+
+// Permit implements attempt.Path.
+func (p *plainPath) Permit(ctx context.Context, got *slot, out plainOutcome) error {
+	if ctx.Err() != nil {
+		return plainEnded(ctx, ctx.Err(), true)
+	}
+	if p.relay.cfg.Quarantine.IsQuarantined(p.call.Fingerprint) {
+		return problem.New(problem.Quarantined, "the request crashed its endpoints")
+	}
+	p.search.noteFailed(got.endpoint, out.answer != nil)
+	return nil
+}
+
+// TakeRepeat implements attempt.Path.
+func (p *plainPath) TakeRepeat(ctx context.Context, _ *slot, out plainOutcome) error {
+	return p.relay.awaitBudget(ctx, p.call, func() error { return plainEnded(ctx, out.result.Err, true) })
+}
+
+// GiveUp implements attempt.Path.
+func (p *plainPath) GiveUp(_ context.Context, _ *plainOutcome, cause error) error { return cause }
+
 // plainEnded explains a call that got no answer. Once an endpoint was tried the call may have run.
 func plainEnded(ctx context.Context, err error, tried bool) error {
 	if tried {
