node: one way to call a peer and to answer its calls

handleTake, handleGiveBack, handleUsage and handleCopy each decoded their call and encoded their reply, and four callers did the same the other way round. callPeer and handleCalls do it once. homes.avoided drops instances that are gone. Behaviour is as before, but that the reply to a returned quota is an empty map and no empty body.

--- a/node/collect.go
+++ b/node/collect.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/trefoillug/trefoillug/usage"
@@ -23,8 +21,8 @@
 	ByProcess map[string]usage.Windows `cbor:"1,keyasint"`
 }
 
-func (n *Node) handleUsage(context.Context, string, []byte) ([]byte, error) {
-	return cbor.Marshal(usageKnown{n.usage.Known(n.process, n.wall.Now(), usageWindows+1)})
+func (n *Node) usageKnown(none) (usageKnown, error) {
+	return usageKnown{n.usage.Known(n.process, n.wall.Now(), usageWindows+1)}, nil
 }
 
 // collectUsage asks some peers for all counts that they know.
@@ -46,14 +44,10 @@
 func (n *Node) collectFrom(ctx context.Context, id string) error {
 	ctx, cancel := context.WithTimeout(ctx, peerCallTime)
 	defer cancel()
-	answer, err := n.mesh.Call(ctx, id, callUsage, nil)
+	known, err := callPeer[usageKnown](ctx, n, id, callUsage, none{})
 	if err != nil {
 		return err
 	}
-	var known usageKnown
-	if err := cbor.Unmarshal(answer, &known); err != nil {
-		return fmt.Errorf("decode usage: %w", err)
-	}
 	for process, w := range known.ByProcess {
 		if process != n.process {
 			n.usage.Receive(process, w)
--- a/node/homes.go
+++ b/node/homes.go
@@ -3,10 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/trefoillug/trefoillug/quota"
@@ -66,6 +67,7 @@
 		largest = max(largest, known[id])
 	}
 	h.cores, h.candidates = known, nil
+	maps.DeleteFunc(h.avoided, func(id string, _ time.Time) bool { return !slices.Contains(members, id) })
 	for _, id := range members {
 		if known[id] >= largest*homeCores {
 			h.candidates = append(h.candidates, id)
@@ -140,21 +142,9 @@
 	if home == n.settings.Name {
 		return n.takeHere(call)
 	}
-	body, err := cbor.Marshal(call)
-	if err != nil {
-		return takeReply{}, err
-	}
 	ctx, cancel := context.WithTimeout(ctx, homeTime)
 	defer cancel()
-	answer, err := n.mesh.Call(ctx, home, callTake, body)
-	if err != nil {
-		return takeReply{}, err
-	}
-	var reply takeReply
-	if err := cbor.Unmarshal(answer, &reply); err != nil {
-		return takeReply{}, fmt.Errorf("decode answer of a home: %w", err)
-	}
-	return reply, nil
+	return callPeer[takeReply](ctx, n, home, callTake, call)
 }
 
 // giveBackTo returns to a home what was taken there for a request that did not run.
@@ -163,20 +153,13 @@
 		n.quotas.Return(call.Workspace, call.Cost)
 		return
 	}
-	body, err := cbor.Marshal(call)
-	if err == nil {
-		ctx, cancel := context.WithTimeout(context.Background(), peerCallTime)
-		defer cancel()
-		_, err = n.mesh.Call(ctx, home, callGiveBack, body)
-	}
-	if err != nil {
+	ctx, cancel := context.WithTimeout(context.Background(), peerCallTime)
+	defer cancel()
+	if _, err := callPeer[none](ctx, n, home, callGiveBack, call); err != nil {
 		n.log.WithError(err).WithFields(logrus.Fields{"home": home, "workspace": call.Workspace}).Info("quota not given back")
 	}
 }
 
-// peerCallTime bounds a call of a peer for which no request waits.
-const peerCallTime = time.Second
-
 // takeHere decides for this or another instance, as the home of a workspace.
 func (n *Node) takeHere(call takeCall) (takeReply, error) {
 	table := n.table.Load()
@@ -191,23 +174,7 @@
 	return takeReply{Taken: ok, RetryIn: retry}, nil
 }
 
-func (n *Node) handleTake(_ context.Context, _ string, body []byte) ([]byte, error) {
-	var call takeCall
-	if err := cbor.Unmarshal(body, &call); err != nil {
-		return nil, fmt.Errorf("decode call: %w", err)
-	}
-	reply, err := n.takeHere(call)
-	if err != nil {
-		return nil, err
-	}
-	return cbor.Marshal(reply)
-}
-
-func (n *Node) handleGiveBack(_ context.Context, _ string, body []byte) ([]byte, error) {
-	var call takeCall
-	if err := cbor.Unmarshal(body, &call); err != nil {
-		return nil, fmt.Errorf("decode call: %w", err)
-	}
+func (n *Node) giveBackHere(call takeCall) (none, error) {
 	n.quotas.Return(call.Workspace, call.Cost)
-	return nil, nil
+	return none{}, nil
 }
--- a/node/peers.go
+++ b/node/peers.go
@@ -68,10 +68,10 @@
 	n.mesh.Subscribe(factLeaving, n.receiveNotices)
 	n.mesh.Subscribe(factCrash, n.suspects.receive)
 	n.mesh.Subscribe(move.FactPrefix, n.rollouts.receive)
-	n.mesh.Handle(callCopy, n.handleCopy)
-	n.mesh.Handle(callUsage, n.handleUsage)
-	n.mesh.Handle(callTake, n.handleTake)
-	n.mesh.Handle(callGiveBack, n.handleGiveBack)
+	handleCalls(n, callCopy, n.copyOf)
+	handleCalls(n, callUsage, n.usageKnown)
+	handleCalls(n, callTake, n.takeHere)
+	handleCalls(n, callGiveBack, n.giveBackHere)
 }
 
 // interval is the pace of reports at the present number of instances.
@@ -162,16 +162,12 @@
 	n.usage.Receive(strings.TrimPrefix(f.Key, factUsage), r.Windows)
 }
 
-func (n *Node) handleCopy(_ context.Context, _ string, body []byte) ([]byte, error) {
-	var c copyCall
-	if err := cbor.Unmarshal(body, &c); err != nil {
-		return nil, fmt.Errorf("decode call: %w", err)
-	}
+func (n *Node) copyOf(c copyCall) (*feed.Copy, error) {
 	f := n.feeds[c.Kind]
 	if f == nil {
 		return nil, fmt.Errorf("no objects of kind %q", c.Kind)
 	}
-	return cbor.Marshal(f.Copy(c.After))
+	return f.Copy(c.After), nil
 }
 
 // askPeers asks the peer that has reported the newest change, or else a random one, for what changed after a revision.
@@ -185,23 +181,11 @@
 	if len(others) == 0 {
 		return nil, errors.New("no peers")
 	}
-	body, err := cbor.Marshal(copyCall{Kind: kind, After: after})
-	if err != nil {
-		return nil, err
-	}
 	to := n.members.newestAt(kind, after)
 	if to == "" {
 		to = others[rand.IntN(len(others))]
 	}
-	answer, err := n.mesh.Call(ctx, to, callCopy, body)
-	if err != nil {
-		return nil, err
-	}
-	var c *feed.Copy
-	if err := cbor.Unmarshal(answer, &c); err != nil {
-		return nil, fmt.Errorf("decode copy: %w", err)
-	}
-	return c, nil
+	return callPeer[*feed.Copy](ctx, n, to, callCopy, copyCall{Kind: kind, After: after})
 }
 
 func (n *Node) peerMux() http.Handler {
