--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -59,6 +59,28 @@
 	return granted
 }
 
+// offer takes perSecond units in requests of up to 60,000, 6,000 in the median, as prompts are.
+func (f *fleet) offer(d time.Duration, rng *rand.Rand, perSecond float64, take func(cost float64) bool) (granted, refused float64) {
+	const step = 20 * time.Millisecond
+	credit := 0.0
+	for at := time.Duration(0); at < d; at += step {
+		f.now = f.now.Add(step)
+		if at%f.every == 0 {
+			f.exchange()
+		}
+		for credit += perSecond * step.Seconds(); credit > 0; {
+			cost := min(60_000, 6_000*math.Exp(1.17*rng.NormFloat64()))
+			credit -= cost
+			if take(cost) {
+				granted += cost
+			} else {
+				refused += cost
+			}
+		}
+	}
+	return granted, refused
+}
+
 func (f *fleet) exchange() {
 	for i, from := range f.ledgers {
 		report := from.Report(f.now)
@@ -206,26 +228,9 @@
 	return ok
 }
 
-// ask lets random instances ask for perSecond units in requests of up to 60,000, 6,000 in the median, as prompts are.
+// ask lets random instances ask for perSecond units.
 func (f *largeFleet) ask(d time.Duration, rng *rand.Rand, perSecond float64) (granted, refused float64) {
-	const step = 20 * time.Millisecond
-	credit := 0.0
-	for at := time.Duration(0); at < d; at += step {
-		f.now = f.now.Add(step)
-		if at%f.every == 0 {
-			f.exchange()
-		}
-		for credit += perSecond * step.Seconds(); credit > 0; {
-			cost := min(60_000, 6_000*math.Exp(1.17*rng.NormFloat64()))
-			credit -= cost
-			if f.take(rng.IntN(len(f.ledgers)), cost) {
-				granted += cost
-			} else {
-				refused += cost
-			}
-		}
-	}
-	return granted, refused
+	return f.offer(d, rng, perSecond, func(cost float64) bool { return f.take(rng.IntN(len(f.ledgers)), cost) })
 }
 
 // Guards against a hot workspace that gets more than its quota in a large fleet, whose reports are slow, also when a
@@ -310,26 +315,12 @@
 	must.Greater(t, 0.95*8*limit.PerSecond/1.8, got)
 }
 
-// prompts lets random instances ask for perSecond units in requests of up to 60,000, 6,000 in the median.
+// prompts lets random instances of some ask for perSecond units.
 func (f *fleet) prompts(d time.Duration, rng *rand.Rand, perSecond float64, from []int) (granted, refused float64) {
-	const step = 20 * time.Millisecond
-	credit := 0.0
-	for at := time.Duration(0); at < d; at += step {
-		f.now = f.now.Add(step)
-		if at%f.every == 0 {
-			f.exchange()
-		}
-		for credit += perSecond * step.Seconds(); credit > 0; {
-			cost := min(60_000, 6_000*math.Exp(1.17*rng.NormFloat64()))
-			credit -= cost
-			if ok, _ := f.ledgers[from[rng.IntN(len(from))]].Take("w", limit, cost, f.now); ok {
-				granted += cost
-			} else {
-				refused += cost
-			}
-		}
-	}
-	return granted, refused
+	return f.offer(d, rng, perSecond, func(cost float64) bool {
+		ok, _ := f.ledgers[from[rng.IntN(len(from))]].Take("w", limit, cost, f.now)
+		return ok
+	})
 }
 
 // Guards against refusals far below the quota while one instance of eight is gone: each of the others kept to its even
