--- a/soak/faults.go
+++ b/soak/faults.go
@@ -139,6 +139,10 @@
 		w.store.Fail(http.StatusServiceUnavailable)
 		time.Sleep(f.For)
 		w.store.Fail(0)
+	case StoreLoses:
+		w.store.LoseAnswers(true)
+		time.Sleep(f.For)
+		w.store.LoseAnswers(false)
 	case StoreForgets:
 		w.store.Compact(func() {
 			w.publish(func(*standin.UsersConfig) {})
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -23,6 +23,7 @@
 	InstanceSilentStore Kind = "instance-silent-store" // its open connections to the store carry nothing any more
 	InstanceDeafStore   Kind = "instance-deaf-store"   // nor does what the store sends
 	StoreDown           Kind = "store-down"            // each call fails
+	StoreLoses          Kind = "store-loses"           // some writes are done, now or later, and not answered
 	StoreForgets        Kind = "store-forgets"         // watches hear nothing of a change, then the history is gone
 	EndpointCrash       Kind = "endpoint-crash"        // connections are reset; it comes back as another lifetime
 	EndpointLeave       Kind = "endpoint-leave"        // planned: it says that it drains, serves on for a while, and ends
@@ -37,7 +38,7 @@
 // kinds of the plan; those that stand twice are twice as likely.
 var kinds = []Kind{
 	InstanceKill, InstanceFreeze, InstanceStop, InstanceStop, InstanceReload, InstanceSilentStore, InstanceDeafStore, StoreDown,
-	StoreForgets, EndpointCrash, EndpointLeave, EndpointLeave, EndpointReset, EndpointSilent, EndpointFull, EndpointFails,
+	StoreLoses, StoreForgets, EndpointCrash, EndpointLeave, EndpointLeave, EndpointReset, EndpointSilent, EndpointFull, EndpointFails,
 	ConfigRoute, ConfigKey, ConfigKey,
 }
 
--- a/standin/usersstore.go
+++ b/standin/usersstore.go
@@ -1,8 +1,10 @@
 package standin
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -22,6 +24,8 @@
 	changed  chan struct{}
 	failWith int  // status of each call; 0: none
 	muted    bool // waiting watches hear nothing
+	losing   bool // answers of writes
+	writes   int  // since losing was set
 	calls    int
 }
 
@@ -60,6 +64,56 @@
 	s.wake()
 }
 
+const (
+	// everyLost is the pace of the writes that get no answer while answers are lost, and everyLate that of those among
+	// them which are done lateBy after the call.
+	everyLost = 2
+	everyLate = 4
+	lateBy    = 1200 * time.Millisecond
+)
+
+// LoseAnswers lets some writes get no answer, until it is called with false. They are done all the same, some of them late.
+func (s *UsersStore) LoseAnswers(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.losing, s.writes = on, 0
+}
+
+// loses reports whether a write gets no answer, and how late it is done.
+func (s *UsersStore) loses(r *http.Request) (lost bool, late time.Duration) {
+	if r.Method == http.MethodGet {
+		return false, 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.losing {
+		return false, 0
+	}
+	s.writes++
+	if s.writes%everyLate == 0 {
+		late = lateBy
+	}
+	return s.writes%everyLost == 0, late
+}
+
+// loseAnswer does a write and breaks its connection without an answer.
+func (s *UsersStore) loseAnswer(r *http.Request, late time.Duration) {
+	body, err := io.ReadAll(r.Body)
+	if err == nil {
+		call := r.Clone(context.WithoutCancel(r.Context()))
+		call.Body = io.NopCloser(bytes.NewReader(body))
+		time.AfterFunc(late, func() { s.serve(unheard{http.Header{}}, call) })
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// unheard takes an answer that reaches nobody.
+type unheard struct{ header http.Header }
+
+func (u unheard) Header() http.Header         { return u.header }
+func (u unheard) Write(b []byte) (int, error) { return len(b), nil }
+func (u unheard) WriteHeader(int)             {}
+
 // Compact drops the history, after a time in which waiting watches heard nothing.
 func (s *UsersStore) Compact(missed func()) {
 	s.mu.Lock()
@@ -167,9 +221,20 @@
 	s.calls++
 	failWith := s.failWith
 	s.mu.Unlock()
+	if failWith != 0 {
+		w.WriteHeader(failWith)
+		return
+	}
+	if lost, late := s.loses(r); lost {
+		s.loseAnswer(r, late)
+	}
+	s.serve(w, r)
+}
+
+func (s *UsersStore) serve(w http.ResponseWriter, r *http.Request) {
 	path, ok := strings.CutPrefix(r.URL.Path, "/trefoillug/objects/")
-	if failWith != 0 || !ok {
-		w.WriteHeader(max(failWith, http.StatusNotFound))
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
 		return
 	}
 	kind, name, _ := strings.Cut(path, "/")
