--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -11,7 +11,7 @@
 	Choose(ctx context.Context) (E, error)
 	// Try sends the request to the endpoint once and gives the endpoint back.
 	Try(ctx context.Context, endpoint E) O
-	// IsAnswered reports whether an outcome holds the final answer of the request.
+	// IsAnswered reports whether an outcome holds the final answer of the request, and takes the answer over.
 	IsAnswered(outcome O) bool
 	// Permit returns why the request must not go to another endpoint, such as that its time is up, or that it may have
 	// run and may not run twice. It takes nothing from the retry budget.
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -180,11 +180,7 @@
 
 // IsAnswered implements attempt.Path.
 func (p *plainPath) IsAnswered(out plainOutcome) bool {
-	switch {
-	case out.answer == nil:
-		return false
-	case retriable(out.result.Status) && p.errors < maxErrorAnswers:
-		out.answer.close()
+	if out.answer == nil || retriable(out.result.Status) && p.errors < maxErrorAnswers {
 		return false
 	}
 	p.answer = out.answer
@@ -193,6 +189,9 @@
 
 // Permit implements attempt.Path.
 func (p *plainPath) Permit(ctx context.Context, got *slot, out plainOutcome) error {
+	if out.answer != nil {
+		out.answer.close()
+	}
 	if ctx.Err() != nil {
 		return plainEnded(ctx, ctx.Err(), true)
 	}
