--- a/node/membership.go
+++ b/node/membership.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -89,6 +90,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.listed = len(renewed)
+	maps.DeleteFunc(m.left, func(id string, _ bool) bool { return renewed[id].IsZero() })
 	for id, at := range renewed {
 		if !m.left[id] && at.After(m.seen[id]) {
 			m.seen[id] = at
--- a/node/membership_test.go
+++ b/node/membership_test.go
@@ -47,6 +47,17 @@
 	must.Eq(t, 2, m.expected(now))
 }
 
+// Guards against names of stopped instances that are kept for ever, after the register has dropped them.
+func TestMembership_ForgetsStoppedInstances(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := newMembership("a", now)
+	m.update([]peer.Member{{ID: "a"}, {ID: "b", Leaving: true}}, now)
+	m.setListed(map[string]time.Time{"a": now, "b": now})
+	must.MapLen(t, 1, m.left)
+	m.setListed(map[string]time.Time{"a": now})
+	must.MapEmpty(t, m.left)
+}
+
 // Guards against a process that starts behind a partition and knows only the peers that it reaches.
 func TestMembership_RegisterCountsAtStart(t *testing.T) {
 	now := time.Unix(1000, 0)
