quota: say what forgetAfter is for

Since nothing is expected of silent instances any more, the constant only bounds how long a process's record is kept. It now holds that time, 20 s, and not half of it under a comment on what silent instances are believed to do.

--- a/quota/quota.go
+++ b/quota/quota.go
@@ -43,8 +43,9 @@
 	silentIntervals = 4
 	// defaultInterval is the interval of reports until Expect names another.
 	defaultInterval = 400 * time.Millisecond
-	// forgetAfter is when a silent instance is no longer believed to serve: longer than the window of the quota rule.
-	forgetAfter = 10 * time.Second
+	// forgetAfter is the age of the newest report after which a process's record is dropped: more than twice the window
+	// of the quota rule.
+	forgetAfter = 20 * time.Second
 	// rateMemory is the time over which the use of another instance is averaged.
 	rateMemory = 2 * time.Second
 	// startSpread is the time within which processes that are restarted together start: what an older process used
@@ -381,7 +382,7 @@
 // forgetOld needs l.mu.
 func (l *Ledger) forgetOld(now time.Time) {
 	for id, o := range l.origins {
-		if now.Sub(o.at) > 2*forgetAfter {
+		if now.Sub(o.at) > forgetAfter {
 			delete(l.origins, id)
 		}
 	}
