upstream: bound the head of an answer; no shared connection for requests without ID

Cause: the head of an endpoint's answer was buffered without bound until the deadline, and a call without an ID in its answer (a move of a run) took whatever came on a used connection, also a late copy of another answer. Package progress holds the bounds and the rule for progress that both request paths share.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -34,8 +34,11 @@
 	// NonIdempotent marks a request that must not run twice; it gets only connections that were used or opened just
 	// before.
 	NonIdempotent bool
-	// MatchesAnswer reports whether an answer belongs to this request; nil accepts every answer.
+	// MatchesAnswer reports whether an answer belongs to this request. If it is nil, the request gets a connection of its
+	// own, because on a connection that was used before, a late copy of another answer could not be told from its own.
 	MatchesAnswer func(http.Header) bool
+	// HeadTimeout is the time in which the head of an answer has to arrive once its first byte has; 0: no limit.
+	HeadTimeout time.Duration
 }
 
 // Error is the error of a failed exchange.
@@ -66,13 +69,14 @@
 	resp       *http.Response
 	complete   bool
 	written    *atomic.Bool // the request was written completely
+	single     bool         // the connection is not used again
 	stopCancel func() bool
 }
 
 // Do sends a request and returns the answer once its header has arrived. If ctx ends before Finish, the connection is
 // closed at once. Errors are of type *Error.
 func (p *Pool) Do(ctx context.Context, call *Call) (*Reply, error) {
-	c, err := p.get(ctx, call.NonIdempotent)
+	c, err := p.connFor(ctx, call)
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
@@ -86,7 +90,7 @@
 			c.setIdleTimeout(resp.Header)
 			r := &Reply{
 				Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
-				conn: c, resp: resp, written: written, stopCancel: stop,
+				conn: c, resp: resp, written: written, stopCancel: stop, single: call.MatchesAnswer == nil,
 			}
 			r.Body = &bodyReader{reply: r}
 			return r, nil
@@ -136,7 +140,7 @@
 // receive reads answers until the one that belongs to the call; late answers to earlier requests are skipped.
 func (c *conn) receive(call *Call) (*http.Response, error) {
 	for skipped, interim := 0, 0; ; {
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: call.Method})
+		resp, err := c.readHead(call)
 		if err != nil {
 			return nil, fmt.Errorf("read answer: %w", err)
 		}
@@ -159,16 +163,29 @@
 	}
 }
 
+// readHead reads the head of an answer within its bounds.
+func (c *conn) readHead(call *Call) (*http.Response, error) {
+	end := c.incoming.beginHead(call.HeadTimeout)
+	defer end()
+	return http.ReadResponse(c.reader, &http.Request{Method: call.Method})
+}
+
 // Finish ends the exchange. The connection is reused only after a complete answer to a completely written request.
 func (r *Reply) Finish() {
 	notCanceled := r.stopCancel()
-	if !notCanceled || !r.complete || r.resp.Close || !r.written.Load() || r.conn.reader.Buffered() > 0 || r.resp.ContentLength < 0 && len(r.resp.TransferEncoding) == 0 {
+	if !notCanceled || r.single || !r.complete || !r.written.Load() || r.conn.reader.Buffered() > 0 || r.endsConnection() {
 		r.conn.discard()
 		return
 	}
 	r.conn.pool.put(r.conn)
 }
 
+// endsConnection reports whether the answer is the last one on its connection, by its header or because only the end of
+// the connection marks its end.
+func (r *Reply) endsConnection() bool {
+	return r.resp.Close || r.resp.ContentLength < 0 && len(r.resp.TransferEncoding) == 0
+}
+
 // bodyReader records that a body was read to its end.
 type bodyReader struct{ reply *Reply }
 
--- /dev/null
+++ b/upstream/head.go
@@ -0,0 +1,88 @@
+package upstream
+
+import (
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/trefoillug/trefoillug/progress"
+)
+
+var (
+	errHeadTooLong = fmt.Errorf("%w: the head has more than %d bytes", progress.ErrTooLong, progress.MaxHeadBytes)
+	errHeadTimeout = fmt.Errorf("%w: the head is incomplete", progress.ErrStalled)
+)
+
+// headLimiter reads from a connection and, while the head of an answer is being read, bounds its size and the time from
+// its first byte to its end.
+type headLimiter struct {
+	conn    net.Conn
+	inHead  bool
+	left    int // bytes that the head may still have
+	timeout time.Duration
+
+	mu      sync.Mutex
+	timer   *time.Timer // runs from the first byte of the head
+	expired bool
+}
+
+// beginHead starts the bounds of a head; timeout 0 means no limit of time. The returned function ends them.
+func (l *headLimiter) beginHead(timeout time.Duration) (end func()) {
+	l.inHead, l.left, l.timeout = true, progress.MaxHeadBytes, timeout
+	return l.endHead
+}
+
+func (l *headLimiter) endHead() {
+	l.inHead = false
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.timer != nil {
+		l.timer.Stop()
+		l.timer = nil
+	}
+}
+
+// Read implements io.Reader.
+func (l *headLimiter) Read(b []byte) (int, error) {
+	if !l.inHead {
+		return l.conn.Read(b)
+	}
+	if l.left <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := l.conn.Read(b[:min(len(b), l.left)])
+	l.left -= n
+	if n > 0 {
+		l.startTimer()
+	}
+	if err != nil && l.hasExpired() {
+		err = errHeadTimeout
+	}
+	return n, err
+}
+
+func (l *headLimiter) startTimer() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.timer == nil && l.timeout > 0 {
+		l.timer = time.AfterFunc(l.timeout, l.expire)
+	}
+}
+
+// expire ends the pending read. The connection is not used after a failed head.
+func (l *headLimiter) expire() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.timer == nil {
+		return // the head has ended in the meantime
+	}
+	l.expired = true
+	_ = l.conn.SetReadDeadline(time.Unix(1, 0))
+}
+
+func (l *headLimiter) hasExpired() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.expired
+}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -60,8 +60,9 @@
 type conn struct {
 	net.Conn
 	pool        *Pool
-	reader      *bufio.Reader
-	used        bool // has carried a complete exchange
+	incoming    *headLimiter
+	reader      *bufio.Reader // reads from incoming
+	used        bool          // has carried a complete exchange
 	idleSince   time.Time
 	idleTimeout time.Duration // how long the endpoint keeps the connection idle, less idleMargin
 	closeOnce   sync.Once
@@ -108,6 +109,14 @@
 	}
 }
 
+// connFor returns a connection for a call.
+func (p *Pool) connFor(ctx context.Context, call *Call) (*conn, error) {
+	if call.MatchesAnswer == nil {
+		return p.dial(ctx)
+	}
+	return p.get(ctx, call.NonIdempotent)
+}
+
 // get returns an idle connection that seems usable, or opens a new one.
 func (p *Pool) get(ctx context.Context, nonIdempotent bool) (*conn, error) {
 	for {
@@ -153,7 +162,8 @@
 		p.unreserve()
 		return nil, fmt.Errorf("connect to %s: %w", p.address, err)
 	}
-	return &conn{Conn: nc, pool: p, reader: bufio.NewReaderSize(nc, readBuffer), idleTimeout: defaultIdleTimeout}, nil
+	incoming := &headLimiter{conn: nc}
+	return &conn{Conn: nc, pool: p, incoming: incoming, reader: bufio.NewReaderSize(incoming, readBuffer), idleTimeout: defaultIdleTimeout}, nil
 }
 
 func (p *Pool) reserve() bool {
--- a/upstream/tcp.go
+++ b/upstream/tcp.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/trefoillug/trefoillug/sockets"
 )
 
 const (
@@ -38,24 +40,4 @@
 
 // isUsable reports whether an idle connection is open and has nothing to read. Bytes that arrive before the next
 // request belong to no request.
-func (c *conn) isUsable() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	usable := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		usable = errors.Is(err, unix.EAGAIN)
-		return true
-	})
-	return err == nil && usable
-}
+func (c *conn) isUsable() bool { return c.reader.Buffered() == 0 && sockets.IsQuiet(c.Conn) }
