forward: judge answers and streams by their progress

Cause: the timer for the repeat of an idempotent request stayed armed after the head, so that sound answers above 256 KB were cut and smaller ones and streams without a prompt were run again after 220 ms; any byte kept a stalled stream; a body that broke off did not count against its endpoint; the rest of a refusal was awaited until the deadline. Change: the timer ends with the head; a progress.Watch takes over. An event or an answer beyond its bound ends the attempt as lost, which is no crash for the quarantine. At most 20 ms for the rest of a refusal. Measured: TestServe_SlowAnswerIsWhole, SlowStreamIsWhole, EndlessBody, LongAnswerBreaksOff and TricklingRefusal failed before.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -3,14 +3,17 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/trefoillug/trefoillug/fleet"
 	"github.com/trefoillug/trefoillug/placement"
+	"github.com/trefoillug/trefoillug/progress"
 	"github.com/trefoillug/trefoillug/upstream"
 )
 
@@ -34,6 +37,7 @@
 	end       attemptEnd
 	reached   bool    // a byte may have reached the endpoint
 	delivered bool    // the answer was relayed to the caller
+	partial   bool    // the caller has a part of an answer that can't be continued
 	answer    *answer // complete answer that reports a failure; not relayed yet
 	err       error
 }
@@ -52,9 +56,6 @@
 // services have a few KB; a larger one is relayed as it arrives.
 const maxBuffered = 256 << 10
 
-// errStalled cancels an attempt whose endpoint sends nothing for so long that another endpoint should be tried.
-var errStalled = errors.New("no answer from the endpoint in the expected time")
-
 // repeatAfter is the wait for the answer to an idempotent request before it is sent to another endpoint. It is longer
 // than nearly all answers of plain services take (60 ms, rarely 300) and shorter than their objective of 300 ms.
 const repeatAfter = 220 * time.Millisecond
@@ -78,10 +79,7 @@
 
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	if wait := r.answerTimeout(); wait > 0 {
-		timer := time.AfterFunc(wait, func() { cancel(errStalled) })
-		defer timer.Stop()
-	}
+	stopTimer := startAnswerTimer(r.answerTimeout(), cancel)
 	relocation, stop := r.relocate(ctx, e)
 	defer stop()
 	defer func() {
@@ -90,6 +88,7 @@
 		}
 	}()
 	reply, err := e.Pool.Do(ctx, r.call(ctx, e))
+	stopTimer()
 	if err != nil {
 		return r.classifyError(ctx, err)
 	}
@@ -98,7 +97,7 @@
 		e.Stats.RecordLoad(load, time.Now())
 	}
 	if r.f.cfg.Wire.IsNotRun(reply.Status, reply.Header) {
-		_, _ = io.Copy(io.Discard, io.LimitReader(reply.Body, maxBuffered)) // on error the connection is not reused
+		skipBody(reply)
 		return outcome{end: rejected, reached: true, err: errors.New("the endpoint had no room: " + http.StatusText(reply.Status))}
 	}
 	r.mayHaveRun = true
@@ -110,6 +109,29 @@
 	return r.relayWhole(ctx, reply)
 }
 
+const (
+	// maxSkippedBytes bounds the body of a refusal that is read so that the connection can be reused.
+	maxSkippedBytes = 4 << 10
+	// skipTimeout bounds the wait for it. Opening another connection takes less time than a longer wait.
+	skipTimeout = 20 * time.Millisecond
+)
+
+// skipBody reads the rest of an answer that is not relayed. If it fails, the connection is not reused.
+func skipBody(reply *upstream.Reply) {
+	defer time.AfterFunc(skipTimeout, reply.Abort).Stop()
+	_, _ = io.Copy(io.Discard, io.LimitReader(reply.Body, maxSkippedBytes))
+}
+
+// startAnswerTimer starts the timer that cancels an attempt without an answer; 0: never. stop must be called once the
+// head of the answer has arrived; a progress.Watch takes over.
+func startAnswerTimer(timeout time.Duration, cancel context.CancelCauseFunc) (stop func()) {
+	if timeout <= 0 {
+		return func() {}
+	}
+	timer := time.AfterFunc(timeout, func() { cancel(progress.ErrStalled) })
+	return func() { timer.Stop() }
+}
+
 func (r *exchange) recordWork(work time.Duration) { r.f.cfg.OnWork(r.service.Name, work) }
 
 // beginAttempt counts the request at the endpoint and returns the prompt tokens that the endpoint has to process.
@@ -134,6 +156,10 @@
 
 func (r *exchange) call(ctx context.Context, e *fleet.Endpoint) *upstream.Call {
 	deadline, _ := ctx.Deadline()
+	headTimeout := time.Duration(0) // without a second attempt, a slow answer is better than none
+	if r.route.MayRepeat() {
+		headTimeout = r.stallTimeout()
+	}
 	a := &Attempt{
 		Request: r.req, Endpoint: e, Priority: r.priority(), TimeLeft: time.Until(deadline), LastEventID: r.req.LastEventID,
 	}
@@ -149,7 +175,7 @@
 	}
 	return &upstream.Call{
 		Method: r.req.Method, URI: r.req.URI, Host: r.req.Host, Header: r.f.cfg.Wire.Outbound(a), Body: r.req.Body,
-		NonIdempotent: !r.route.MayRepeat(),
+		NonIdempotent: !r.route.MayRepeat(), HeadTimeout: headTimeout,
 		MatchesAnswer: func(h http.Header) bool { return r.f.cfg.Wire.IsAnswerTo(h, r.req.ID) },
 	}
 }
@@ -164,7 +190,7 @@
 	if out.reached {
 		r.mayHaveRun = true
 	}
-	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errStalled) {
+	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), progress.ErrStalled) {
 		out.end = ended
 	}
 	return out
@@ -187,7 +213,7 @@
 		e.Stats.RecordUnreachable(now)
 	case out.end == lost && r.pendingMove == nil:
 		e.Stats.RecordAnswer(true, now)
-		if errors.Is(out.err, errStalled) {
+		if errors.Is(out.err, progress.ErrStalled) {
 			e.Pool.DropIdle() // the idle connections may have stalled too
 		}
 	case out.end == answered:
@@ -230,14 +256,16 @@
 // relayWhole reads an answer completely before relaying it, so that the request can be repeated if the answer breaks
 // off.
 func (r *exchange) relayWhole(ctx context.Context, reply *upstream.Reply) outcome {
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maxBuffered+1))
+	if reply.Length > progress.MaxAnswerBytes {
+		return outcome{end: lost, reached: true, err: fmt.Errorf("%w: it has %d bytes", progress.ErrTooLong, reply.Length)}
+	}
+	body, err := r.readStart(ctx, reply)
 	if err != nil {
-		out := r.classifyError(ctx, &upstream.Error{Sent: true, Err: err})
-		return out
+		return r.classifyError(ctx, &upstream.Error{Sent: true, Err: err})
 	}
 	a := &answer{status: reply.Status, header: reply.Header, body: body}
 	if len(body) > maxBuffered {
-		return r.relayLong(a, reply)
+		return r.relayLong(ctx, a, reply)
 	}
 	if reply.Status >= http.StatusInternalServerError {
 		return outcome{end: answered, reached: true, answer: a, err: errors.New("the endpoint answered " + http.StatusText(reply.Status))}
@@ -248,20 +276,59 @@
 	return outcome{end: answered, reached: true, delivered: true}
 }
 
+// readStart reads an answer up to one byte above maxBuffered. The answer to a request that may be repeated must make
+// progress.
+func (r *exchange) readStart(ctx context.Context, reply *upstream.Reply) ([]byte, error) {
+	if !r.route.MayRepeat() {
+		return io.ReadAll(io.LimitReader(reply.Body, maxBuffered+1))
+	}
+	var stalled atomic.Bool
+	watch := progress.Start(r.stallTimeout(), func() { stalled.Store(true); reply.Abort() })
+	defer watch.Stop()
+	body, err := io.ReadAll(io.LimitReader(&progress.Reader{Reader: reply.Body, Watch: watch}, maxBuffered+1))
+	if err != nil && stalled.Load() && ctx.Err() == nil {
+		err = progress.ErrStalled
+	}
+	return body, err
+}
+
 // relayLong relays an answer that is larger than maxBuffered as it arrives. a holds the bytes read so far.
-func (r *exchange) relayLong(a *answer, reply *upstream.Reply) outcome {
+func (r *exchange) relayLong(ctx context.Context, a *answer, reply *upstream.Reply) outcome {
 	r.stream.started = true
 	r.w.WriteHead(a.status, a.header, reply.Length)
-	_, err := r.w.Write(a.body)
-	if err == nil {
-		_, err = io.Copy(r.w, reply.Body)
+	if _, err := r.w.Write(a.body); err != nil {
+		return outcome{end: ended, reached: true, err: err}
 	}
-	if err != nil {
+	left := int64(progress.MaxAnswerBytes - len(a.body))
+	source := &errorRecorder{Reader: io.LimitReader(reply.Body, left+1)}
+	n, err := io.Copy(r.w, source)
+	switch {
+	case source.err != nil:
+		out := r.classifyError(ctx, &upstream.Error{Sent: true, Err: source.err})
+		out.partial = true
+		return out
+	case err != nil:
 		return outcome{end: ended, reached: true, err: err}
+	case n > left:
+		return outcome{end: lost, reached: true, partial: true, err: progress.ErrTooLong}
 	}
 	return outcome{end: answered, reached: true, delivered: true}
 }
 
+// errorRecorder records a failed read, which io.Copy does not tell apart from a failed write.
+type errorRecorder struct {
+	io.Reader
+	err error // never io.EOF
+}
+
+func (e *errorRecorder) Read(b []byte) (int, error) {
+	n, err := e.Reader.Read(b)
+	if err != nil && err != io.EOF {
+		e.err = err
+	}
+	return n, err
+}
+
 func (r *exchange) deliver(a *answer) error {
 	r.f.cfg.Metrics.recordAnswerTime(time.Since(r.req.Arrived))
 	return a.deliver(r.w)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -295,6 +295,7 @@
 var (
 	errTimeUp          = errors.New("the caller has left or its time is up")
 	errMayHaveRun      = errors.New("the request may have run and may not run again")
+	errPartial         = errors.New("the caller has a part of an answer that can't be continued")
 	errTooManyFailures = errors.New("too many endpoints have rejected the request or were not reached")
 	errBudget          = errors.New("the retry budget is used up")
 )
@@ -308,6 +309,8 @@
 		return nil // a moved run continues, which is not a repeat
 	case out.end == ended:
 		return errTimeUp
+	case out.partial:
+		return errPartial
 	case out.end == unreachable && len(r.tried) > maxUnreachable, out.end == rejected && r.arrivals > maxRejections:
 		return errTooManyFailures
 	case r.mayHaveRun && (!r.route.MayRepeat() || r.runs >= r.route.MaxAttempts):
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -4,11 +4,13 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/trefoillug/trefoillug/progress"
 	"github.com/trefoillug/trefoillug/upstream"
 )
 
@@ -21,8 +23,6 @@
 const (
 	// readChunk is the size of the read buffer in bytes; events usually have a few hundred.
 	readChunk = 8 << 10
-	// maxEvent bounds the bytes of one event.
-	maxEvent = 1 << 20
 	// stallGaps is the pause, in target gaps, after which a resumable stream is resumed at another endpoint: twice the
 	// longest pause that is still on time, so that a slow endpoint is not taken for an unresponsive one.
 	stallGaps = 2
@@ -41,18 +41,20 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	defer context.AfterFunc(ctx, func() { reply.Abort() })()
-	stallTimer := r.startStallTimer(cancel)
-	defer stallTimer.Stop()
+	watch := r.watchProgress(cancel)
+	defer watch.Stop()
 	var buf []byte
+	received := 0
 	chunk := make([]byte, readChunk)
 	for {
 		n, err := reply.Body.Read(chunk)
 		if n > 0 {
-			stallTimer.Reset(r.stallTimeout())
 			onData()
 			r.countStart()
+			received += n
 			buf = append(buf, chunk[:n]...)
 			complete := eventsEnd(buf)
+			recordProgress(watch, buf[:complete])
 			r.recordTokenWork(buf[:complete])
 			if werr := r.forwardEvents(reply, buf[:complete]); werr != nil {
 				return outcome{end: ended, reached: true, err: werr}
@@ -60,7 +62,11 @@
 			buf = append(buf[:0], buf[complete:]...)
 		}
 		switch {
-		case err == nil && len(buf) <= maxEvent:
+		case len(buf) > progress.MaxEventBytes:
+			return outcome{end: lost, reached: true, err: fmt.Errorf("%w: an event has more than %d bytes", progress.ErrTooLong, progress.MaxEventBytes)}
+		case received > progress.MaxAnswerBytes:
+			return outcome{end: lost, reached: true, partial: true, err: progress.ErrTooLong}
+		case err == nil:
 		case err == io.EOF && len(buf) == 0 && move.result() == nil:
 			if !r.stream.started {
 				r.startStream(reply)
@@ -144,15 +150,33 @@
 	return stallGaps * gap
 }
 
-// startStallTimer starts the timer that cancels an attempt of a resumable stream when its endpoint has sent nothing for
-// stallTimeout.
-func (r *exchange) startStallTimer(cancel context.CancelCauseFunc) *time.Timer {
-	timer := time.AfterFunc(r.stallTimeout(), func() {
+// watchProgress cancels an attempt of a resumable stream when its endpoint makes no progress for stallTimeout.
+func (r *exchange) watchProgress(cancel context.CancelCauseFunc) *progress.Watch {
+	return progress.Start(r.stallTimeout(), func() {
 		if r.route.MayRepeat() {
-			cancel(errStalled)
+			cancel(progress.ErrStalled)
 		}
 	})
-	return timer
+}
+
+// recordProgress records complete events, some of which may be comments only, with a watch.
+func recordProgress(watch *progress.Watch, events []byte) {
+	hasField, hasComment := false, false
+	for line := range bytes.Lines(events) {
+		switch line[0] {
+		case ':':
+			hasComment = true
+		case '\r', '\n':
+		default:
+			hasField = true
+		}
+	}
+	switch {
+	case hasField:
+		watch.RecordEvent()
+	case hasComment:
+		watch.RecordComment()
+	}
 }
 
 // eventsEnd returns the length of the complete events at the start of b.
--- a/forward/suspect.go
+++ b/forward/suspect.go
@@ -4,6 +4,7 @@
 	"errors"
 
 	"github.com/trefoillug/trefoillug/fleet"
+	"github.com/trefoillug/trefoillug/progress"
 	"github.com/trefoillug/trefoillug/quarantine"
 )
 
@@ -18,12 +19,12 @@
 }
 
 // reportToSuspects tells Config.Suspects that the request lost its connection or was answered. It reports no loss from
-// an endpoint that stalled or is leaving, because the request did not crash it.
+// an endpoint that stalled, sent too much or is leaving, because the request did not crash it.
 func (r *exchange) reportToSuspects(e *fleet.Endpoint, out *outcome) {
 	s := r.f.cfg.Suspects
 	switch {
 	case s == nil || r.pendingMove != nil || e.IsLeaving():
-	case out.end == lost && !errors.Is(out.err, errStalled):
+	case out.end == lost && !errors.Is(out.err, progress.ErrStalled) && !errors.Is(out.err, progress.ErrTooLong):
 		s.RecordLost(e, r.fingerprint(), r.sentAt)
 	case out.end == answered && s.Any():
 		s.RecordAnswered(r.fingerprint())
