dispatch: the rule for progress, and own answers only on kept connections

Cause: on a kept connection the late copy of an answer went to the next caller of a plain service; comments kept a stalled stream for ever; a sound answer was cut at half of its deadline while its body arrived; answers had no bound; FirstEvent mixed the clocks. Change: a connection to a plain service is kept only while its answers carry the ID of their attempt, and an answer with another ID, or without one on such a connection, is refused as invalid. progress.Watch as in forward. Measured: TestCall_LateCopies (two cases), TestStream_ProgressIsEvents, TestCall_ProgressOfBody and TestCall_AnswerTooLong failed before.

--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -9,6 +9,8 @@
 	"strings"
 	"time"
 
+	"github.com/trefoillug/trefoillug/engine"
+	"github.com/trefoillug/trefoillug/progress"
 	"github.com/trefoillug/trefoillug/table"
 )
 
@@ -25,7 +27,8 @@
 	NewConn bool
 	// ReusedTimeout replaces AnswerTimeout on a reused connection, which may be stalled, if it is shorter; 0: not used.
 	ReusedTimeout time.Duration
-	// AnswerTimeout is the time limit for the buffered start of the answer; 0: until the context ends.
+	// AnswerTimeout is the time limit for the head of the answer; 0: until the context ends. With a limit, the buffered
+	// start of the answer must make progress too.
 	AnswerTimeout time.Duration
 	// BufferBytes is the number of body bytes that are read before Call returns. Event streams are not buffered.
 	BufferBytes int
@@ -50,14 +53,19 @@
 		g.transport.DisableKeepAlives = true
 	}
 	ctx, a := c.start(ctx, g)
+	stall := func() { a.cancel(progress.ErrStalled); p.replaceGeneration(g) }
 	if call.AnswerTimeout > 0 {
-		timer := time.AfterFunc(call.AnswerTimeout, func() { a.cancel(errStalled); p.replaceGeneration(g) })
+		timer := time.AfterFunc(call.AnswerTimeout, stall)
+		a.onHead = func() *progress.Watch {
+			timer.Stop()
+			return progress.Start(c.settings.StreamGap, stall)
+		}
 		defer timer.Stop()
 		if call.ReusedTimeout > 0 {
 			a.onReused = func() { timer.Reset(min(call.ReusedTimeout, call.AnswerTimeout)) }
 		}
 	}
-	answer, result := c.roundTrip(ctx, a, call)
+	answer, result := c.roundTrip(ctx, p, a, call)
 	if answer == nil || answer.Rest == nil {
 		a.finish()
 	}
@@ -68,49 +76,101 @@
 // connections are stalled, since the service may be slow.
 func (p *pool) replaceGeneration(g *generation) { p.retire(g, time.Hour) }
 
-func (c *Client) roundTrip(ctx context.Context, a *attempt, call *PlainCall) (*Answer, Result) {
+func (c *Client) roundTrip(ctx context.Context, p *pool, a *attempt, call *PlainCall) (*Answer, Result) {
 	req, err := newPlainRequest(ctx, call)
 	if err != nil {
 		return nil, Result{End: Cancelled, Err: err}
 	}
+	// Without its ID in the answer, a late copy of another answer on a connection in use again looks like the answer.
+	req.Close = !p.returnsIDs.Load()
 	resp, err := a.gen.transport.RoundTrip(req)
 	if err != nil {
 		return nil, a.classify(ctx, err)
 	}
 	a.recordReceive()
 	first := a.now().Sub(a.started)
-	buffer := call.BufferBytes
-	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
-		// The caller waits for each event.
-		buffer = 0
+	if err := p.checkAnswer(req, resp); err != nil {
+		resp.Body.Close()
+		p.replaceGeneration(a.gen)
+		return nil, Result{End: InvalidStream, Sent: SentSome, Status: resp.StatusCode, Err: err}
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(buffer)+1))
+	body, err := readStart(resp, a, call.BufferBytes)
 	if err != nil {
 		resp.Body.Close()
 		r := a.classify(ctx, fmt.Errorf("read answer: %w", err))
 		r.Status = resp.StatusCode
 		return nil, r
 	}
-	answer := &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}
+	answer := &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body.buffered}
 	result := Result{End: Complete, Sent: SentAll, Status: resp.StatusCode, FirstEvent: first}
-	if len(body) <= buffer {
+	if body.complete {
 		resp.Body.Close()
 		return answer, result
 	}
 	result.Sent = SentSome
-	answer.Rest = &restBody{ReadCloser: resp.Body, attempt: a}
+	rest := &io.LimitedReader{R: resp.Body, N: progress.MaxAnswerBytes}
+	answer.Rest = &restBody{Reader: rest, body: resp.Body, limit: rest, attempt: a}
 	return answer, result
 }
 
+// checkAnswer reports whether an answer may be relayed: it belongs to the request, as far as the service returns the
+// IDs of attempts, and is not too long. It removes the ID, which is of no use to callers, from the answer.
+func (p *pool) checkAnswer(req *http.Request, resp *http.Response) error {
+	sent, returned := req.Header.Get(engine.HeaderAttemptID), resp.Header.Get(engine.HeaderAttemptID)
+	resp.Header.Del(engine.HeaderAttemptID)
+	switch {
+	case resp.ContentLength > progress.MaxAnswerBytes:
+		return fmt.Errorf("%w: it has %d bytes", progress.ErrTooLong, resp.ContentLength)
+	case sent != "" && sent == returned:
+		p.returnsIDs.Store(true)
+	case returned != "" || !req.Close:
+		p.returnsIDs.Store(false)
+		return errOtherRequest
+	}
+	return nil
+}
+
+// startOfBody is the buffered start of a body.
+type startOfBody struct {
+	buffered []byte
+	complete bool
+}
+
+// readStart reads the start of a body, up to one byte above limit. The start of an event stream is not buffered, since
+// its caller waits for each event.
+func readStart(resp *http.Response, a *attempt, limit int) (startOfBody, error) {
+	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+		limit = 0
+	}
+	var source io.Reader = resp.Body
+	if a.onHead != nil {
+		watch := a.onHead()
+		defer watch.Stop()
+		source = &progress.Reader{Reader: resp.Body, Watch: watch}
+	}
+	b, err := io.ReadAll(io.LimitReader(source, int64(limit)+1))
+	return startOfBody{b, len(b) <= limit}, err
+}
+
 // restBody ends the attempt when the rest of an answer has been read.
 type restBody struct {
-	io.ReadCloser
+	io.Reader
+	body    io.Closer
+	limit   *io.LimitedReader
 	attempt *attempt
 }
 
+func (b *restBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if err == io.EOF && b.limit.N <= 0 {
+		err = progress.ErrTooLong
+	}
+	return n, err
+}
+
 func (b *restBody) Close() error {
 	defer b.attempt.finish()
-	return b.ReadCloser.Close()
+	return b.body.Close()
 }
 
 func newPlainRequest(ctx context.Context, call *PlainCall) (*http.Request, error) {
--- a/dispatch/control.go
+++ b/dispatch/control.go
@@ -6,20 +6,16 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/trefoillug/trefoillug/engine"
+	"github.com/trefoillug/trefoillug/progress"
 	"github.com/trefoillug/trefoillug/table"
 )
 
-const (
-	// cancelTimeout bounds a cancel call, which is best effort: closing the stream cancels the attempt too.
-	cancelTimeout = time.Second
-	// maxKVBytes is the largest exported KV cache that is read.
-	maxKVBytes = 64 << 20
-)
+// cancelTimeout bounds a cancel call, which is best effort: closing the stream cancels the attempt too.
+const cancelTimeout = time.Second
 
 // ErrNoAttempt means that the engine doesn't run the attempt: it has ended, or the request has not arrived yet.
 var ErrNoAttempt = errors.New("engine does not run the attempt")
@@ -71,5 +67,5 @@
 	if out == nil {
 		return nil
 	}
-	return json.NewDecoder(io.LimitReader(resp.Body, maxKVBytes)).Decode(out)
+	return progress.DecodeJSON(resp.Body, out)
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/trefoillug/trefoillug/progress"
 	"github.com/trefoillug/trefoillug/table"
 )
 
@@ -21,14 +22,14 @@
 type Settings struct {
 	Dialer      Dialer
 	DialTimeout time.Duration // default DefaultDialTimeout
-	StreamGap   time.Duration // longest time without bytes on a stream; default DefaultStreamGap
+	StreamGap   time.Duration // longest time without progress of an answer; default DefaultStreamGap
 	Now         func() time.Time
 }
 
 const (
 	// DefaultDialTimeout leaves time for one lost SYN (retransmitted after 1 s) within a region.
 	DefaultDialTimeout = 1500 * time.Millisecond
-	// DefaultStreamGap is the longest time without bytes on a healthy stream. Engines send comments while a request
+	// DefaultStreamGap is the longest time without progress on a healthy stream. Engines send comments while a request
 	// waits.
 	DefaultStreamGap = 2 * time.Second
 	// maxIdleConns bounds the idle connections kept for an endpoint. It exceeds the number of streams that an endpoint
@@ -47,9 +48,9 @@
 	Complete      End = iota // the whole answer arrived
 	NoConn                   // no connection could be opened
 	Lost                     // the connection broke
-	Stalled                  // the connection stopped carrying bytes
+	Stalled                  // the answer made no progress
 	ErrorStatus              // the endpoint answered with an error status
-	InvalidStream            // the stream had a gap, an event of another request or an invalid event
+	InvalidStream            // the answer had a gap, was too long, invalid or one to another request
 	Moved                    // the engine exported the KV cache and ended the stream
 	Cancelled                // the context ended
 )
@@ -142,7 +143,7 @@
 		MaxIdleConns:           maxIdleConns,
 		MaxIdleConnsPerHost:    maxIdleConns,
 		IdleConnTimeout:        idleTimeout,
-		MaxResponseHeaderBytes: 64 << 10,
+		MaxResponseHeaderBytes: progress.MaxHeadBytes,
 	}
 }
 
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -10,12 +10,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/trefoillug/trefoillug/progress"
 	"github.com/trefoillug/trefoillug/table"
 )
 
-// errStalled is the cancellation cause of attempts whose connection is established but carries no bytes.
-var errStalled = errors.New("connection stalled: no bytes received")
-
 // countingConn counts the bytes written to a connection, which shows whether an attempt has sent anything.
 type countingConn struct {
 	net.Conn
@@ -40,8 +38,11 @@
 type pool struct {
 	client *Client
 	live   *table.Counters
-	mu     sync.Mutex
-	gen    *generation
+	// returnsIDs is set while the answers of a plain service carry the IDs of their attempts.
+	returnsIDs atomic.Bool
+
+	mu  sync.Mutex
+	gen *generation
 }
 
 func (p *pool) current() *generation {
@@ -76,7 +77,7 @@
 	defer g.mu.Unlock()
 	for a := range g.attempts {
 		if a.sinceLastBytes() >= minStall {
-			a.cancel(errStalled)
+			a.cancel(progress.ErrStalled)
 		}
 	}
 }
@@ -90,6 +91,8 @@
 	lastBytes atomic.Int64 // Unix nanoseconds of the latest bytes received
 	conns     []connUse    // guarded by gen.mu
 	onReused  func()       // called when the attempt gets a reused connection
+	// onHead is called when the head of an answer has arrived and returns the watch for its body; nil: no watch.
+	onHead func() *progress.Watch
 }
 
 type connUse struct {
@@ -156,7 +159,7 @@
 	connected := len(a.conns) > 0
 	a.gen.mu.Unlock()
 	switch {
-	case errors.Is(context.Cause(ctx), errStalled):
+	case errors.Is(context.Cause(ctx), progress.ErrStalled):
 		r.End = Stalled
 	case ctx.Err() != nil:
 		r.End = Cancelled
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -12,12 +12,10 @@
 	"time"
 
 	"github.com/trefoillug/trefoillug/engine"
+	"github.com/trefoillug/trefoillug/progress"
 	"github.com/trefoillug/trefoillug/table"
 )
 
-// maxEventBytes is the longest line of an engine stream.
-const maxEventBytes = 256 << 10
-
 // maxErrorBytes is the number of bytes of an error answer that are kept.
 const maxErrorBytes = 4 << 10
 
@@ -38,11 +36,11 @@
 	ctx, a := c.start(ctx, g)
 	defer a.finish()
 	gap := c.settings.StreamGap
-	timer := time.AfterFunc(gap, func() {
-		a.cancel(errStalled)
+	watch := progress.Start(gap, func() {
+		a.cancel(progress.ErrStalled)
 		p.retire(g, gap/2)
 	})
-	defer timer.Stop()
+	defer watch.Stop()
 	req, err := newEngineRequest(ctx, call)
 	if err != nil {
 		return Result{End: Cancelled, Err: err}
@@ -56,7 +54,7 @@
 		detail, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
 		return Result{End: ErrorStatus, Sent: SentAll, Status: resp.StatusCode, Err: fmt.Errorf("engine answered status %d: %s", resp.StatusCode, bytes.TrimSpace(detail))}
 	}
-	s := stream{call: call, nextSeq: call.First, sink: sink, onProgress: func() { a.recordReceive(); timer.Reset(gap) }}
+	s := stream{call: call, nextSeq: call.First, sink: sink, attempt: a, watch: watch}
 	r := s.read(resp.Body)
 	if r.End == Lost {
 		r = a.classify(ctx, r.Err)
@@ -83,7 +81,7 @@
 
 // Reasons for which a stream is ended.
 var (
-	errOtherRequest = errors.New("stream event of another request")
+	errOtherRequest = errors.New("answer to another request")
 	errGap          = errors.New("gap in the stream")
 	errSink         = errors.New("receiver ended the stream")
 )
@@ -94,19 +92,21 @@
 	nextSeq      int
 	firstEventAt int64 // Unix nanoseconds of the first accepted event
 	sink         func(*engine.StreamEvent) error
-	onProgress   func()
+	attempt      *attempt
+	watch        *progress.Watch
 }
 
 // read passes the events of body to sink until the stream ends. The End is Lost when body ends before the last event.
 func (s *stream) read(body io.Reader) Result {
 	lines := bufio.NewScanner(body)
-	lines.Buffer(make([]byte, 0, 1024), maxEventBytes)
+	lines.Buffer(make([]byte, 0, 1024), progress.MaxEventBytes)
 	for lines.Scan() {
 		line := lines.Bytes()
 		data, ok := bytes.CutPrefix(line, []byte("data: "))
 		if !ok {
 			if len(line) > 0 {
-				s.onProgress()
+				s.attempt.recordReceive()
+				s.watch.RecordComment()
 			}
 			continue
 		}
@@ -138,15 +138,16 @@
 	case e.RequestID != s.call.RequestID:
 		return InvalidStream, errOtherRequest
 	case e.AttemptID != s.call.AttemptID || e.Seq < s.nextSeq:
-		// Late events of an abandoned attempt and duplicates are dropped. They don't reset the stall timer, so that
+		// Late events of an abandoned attempt and duplicates are dropped. They are no progress, so that
 		// a stream that carries nothing else times out.
 		return Lost, nil
 	case e.Seq > s.nextSeq:
 		return InvalidStream, errGap
 	}
-	s.onProgress()
+	s.attempt.recordReceive()
+	s.watch.RecordEvent()
 	if s.firstEventAt == 0 {
-		s.firstEventAt = time.Now().UnixNano()
+		s.firstEventAt = s.attempt.now().UnixNano()
 	}
 	switch e.FinishReason {
 	case "":
--- a/standin/service.go
+++ b/standin/service.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/trefoillug/trefoillug/engine"
 )
 
 // ServiceConfig sets the behaviour of a plain service.
@@ -93,6 +95,9 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if id := r.Header.Get(engine.HeaderAttemptID); id != "" {
+		w.Header().Set(engine.HeaderAttemptID, id)
+	}
 	key := r.Header.Get("Idempotency-Key")
 	f, run := s.begin(key)
 	time.Sleep(s.cfg.Work + f.Delay)
