graceful: a shutdown that loses no request

Cause: Server.Shutdown of net/http closes connections on which a part of a request has arrived, and resets those that the kernel has accepted and the server not yet. Change: package graceful drains the listener, closes a connection only when nothing has arrived on it, and serves both daemons; entry asks callers to close their connections while it leaves, as node did.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/trefoillug/trefoillug/cloud"
 	"github.com/trefoillug/trefoillug/config"
 	"github.com/trefoillug/trefoillug/core"
+	"github.com/trefoillug/trefoillug/graceful"
 	"github.com/trefoillug/trefoillug/limit"
 	"github.com/trefoillug/trefoillug/objstore"
 	"github.com/trefoillug/trefoillug/peer"
@@ -159,10 +160,10 @@
 	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, runCtx := errgroup.WithContext(runCtx)
-	peerServer := &http.Server{Handler: d.peerMux(), ReadHeaderTimeout: headerTimeout}
-	callerServer := relay.NewServer(d.callerMux())
-	group.Go(func() error { return serve(peerServer, peers) })
-	group.Go(func() error { return serve(callerServer, callers) })
+	peerServer := graceful.New(&http.Server{Handler: d.peerMux(), ReadHeaderTimeout: headerTimeout})
+	callerServer := graceful.New(relay.NewServer(d.callerMux()))
+	group.Go(func() error { return peerServer.Serve(peers) })
+	group.Go(func() error { return callerServer.Serve(callers) })
 	d.startSystems(runCtx, group)
 	group.Go(func() error {
 		defer stop()
@@ -234,7 +235,7 @@
 }
 
 // shutdown serves until the balancer stops sending, waits for the open requests, and closes everything else.
-func (d *Daemon) shutdown(server *http.Server) {
+func (d *Daemon) shutdown(server *graceful.Server) {
 	if !d.leaving.Load() {
 		d.leave()
 		sleep(context.Background(), d.settings.BalancerDelay)
@@ -254,7 +255,7 @@
 }
 
 // closeServer refuses new connections and waits until the last answers are sent.
-func (d *Daemon) closeServer(server *http.Server) {
+func (d *Daemon) closeServer(server *graceful.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
@@ -275,10 +276,18 @@
 func (d *Daemon) callerMux() http.Handler {
 	mux := http.NewServeMux()
 	d.addHealthHandlers(mux)
-	mux.Handle("/", d.relay)
+	mux.Handle("/", http.HandlerFunc(d.serveCaller))
 	return mux
 }
 
+// serveCaller serves a caller, which is asked to open its next connection at another instance once this one leaves.
+func (d *Daemon) serveCaller(w http.ResponseWriter, r *http.Request) {
+	if d.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	d.relay.ServeHTTP(w, r)
+}
+
 func (d *Daemon) peerMux() http.Handler {
 	mux := http.NewServeMux()
 	d.addHealthHandlers(mux)
@@ -297,13 +306,6 @@
 	})
 }
 
-func serve(server *http.Server, l net.Listener) error {
-	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- /dev/null
+++ b/graceful/conn.go
@@ -0,0 +1,86 @@
+package graceful
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/trefoillug/trefoillug/sockets"
+)
+
+// listener wraps the connections that it accepts. Once the server is draining, it returns those that wait, and then
+// closes.
+type listener struct {
+	deadlineListener
+	server *Server
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		draining := l.server.isDraining()
+		start := time.Now()
+		if draining {
+			_ = l.SetDeadline(start.Add(acceptWindow)) // fails only if the listener is closed
+		}
+		nc, err := l.deadlineListener.Accept()
+		switch {
+		case err == nil:
+			c := &conn{Conn: nc, acceptedAt: time.Now()}
+			l.server.add(c)
+			return c, nil
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			l.server.forgetListener()
+			return nil, err
+		case draining && time.Since(start) >= acceptWindow:
+			// Accept has waited, so no connection was left. A deadline that passes before the call fails without a look.
+			defer l.server.forgetListener()
+			return nil, errors.Join(net.ErrClosed, l.Close())
+		}
+	}
+}
+
+// conn records whether a request is arriving or being answered on a connection.
+type conn struct {
+	net.Conn
+	acceptedAt time.Time
+
+	mu        sync.Mutex
+	inRequest bool // bytes of a request have arrived, and its answer is not complete
+	served    bool // a request was answered
+	closed    bool // closed because it was idle
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return 0, io.EOF // the bytes are lost, but the request has not begun
+	}
+	c.inRequest = c.inRequest || n > 0
+	return n, err
+}
+
+func (c *conn) endRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inRequest, c.served = false, true
+}
+
+// tryClose closes the connection if it is idle. A new one counts as idle only after firstByteTimeout, because its
+// caller opened it for a request.
+func (c *conn) tryClose(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.inRequest || !c.served && now.Sub(c.acceptedAt) < firstByteTimeout || !sockets.IsQuiet(c.Conn) {
+		return false
+	}
+	c.closed = true
+	_ = c.Conn.Close() // nothing is pending on an idle connection
+	return true
+}
--- /dev/null
+++ b/graceful/server.go
@@ -0,0 +1,149 @@
+// Package graceful runs HTTP servers that lose no request when they are shut down. In contrast to Server.Shutdown of
+// net/http, it serves connections that still wait to be accepted, and requests whose header has arrived in part.
+package graceful
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// pollInterval is the time between checks for idle connections during a shutdown.
+	pollInterval = 5 * time.Millisecond
+	// acceptWindow is the time without a waiting connection after which a draining listener is closed.
+	acceptWindow = 5 * time.Millisecond
+	// firstByteTimeout is the time in which the first request on a new connection is expected during a shutdown.
+	firstByteTimeout = time.Second
+)
+
+// Server is an HTTP server. Use New.
+type Server struct {
+	http *http.Server
+
+	mu       sync.Mutex
+	listener deadlineListener // nil: closed or not yet serving
+	draining bool
+	conns    map[*conn]struct{}
+}
+
+// New returns a server with the settings of s, whose ConnState must not be set.
+func New(s *http.Server) *Server {
+	g := &Server{http: s, conns: map[*conn]struct{}{}}
+	s.ConnState = g.recordState
+	return g
+}
+
+// deadlineListener is a listener whose Accept can be woken, such as a TCP listener.
+type deadlineListener interface {
+	net.Listener
+	SetDeadline(t time.Time) error
+}
+
+// Serve serves connections from l, a TCP listener, until Shutdown or Close, and then returns nil.
+func (s *Server) Serve(l net.Listener) error {
+	s.mu.Lock()
+	if s.draining {
+		s.mu.Unlock()
+		return l.Close()
+	}
+	d, ok := l.(deadlineListener)
+	if !ok {
+		s.mu.Unlock()
+		return fmt.Errorf("listener %T has no deadline", l)
+	}
+	s.listener = d
+	s.mu.Unlock()
+	err := s.http.Serve(&listener{deadlineListener: d, server: s})
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+// Shutdown accepts the connections that wait, closes the listener, answers all requests that have begun to arrive and
+// closes each connection once it is idle. It returns an error if ctx ends first; Close then ends the rest.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.stopAccepting()
+	poll := time.NewTicker(pollInterval)
+	defer poll.Stop()
+	for {
+		if s.closeIdle(time.Now()) {
+			return s.http.Close()
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%d connections still open: %w", s.openConns(), ctx.Err())
+		case <-poll.C:
+		}
+	}
+}
+
+// Close closes the listener and all connections at once.
+func (s *Server) Close() error { return s.http.Close() }
+
+// stopAccepting makes the listener accept only what already waits.
+func (s *Server) stopAccepting() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = true
+	if s.listener != nil {
+		_ = s.listener.SetDeadline(time.Unix(1, 0)) // wakes Accept; fails only if the listener is closed
+	}
+}
+
+func (s *Server) isDraining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.draining
+}
+
+// closeIdle closes the idle connections and reports whether none is left and the listener is closed.
+func (s *Server) closeIdle(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if c.tryClose(now) {
+			delete(s.conns, c)
+		}
+	}
+	return len(s.conns) == 0 && s.listener == nil
+}
+
+func (s *Server) forgetListener() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listener = nil
+}
+
+func (s *Server) openConns() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+func (s *Server) add(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[c] = struct{}{}
+}
+
+// recordState implements http.Server.ConnState.
+func (s *Server) recordState(nc net.Conn, state http.ConnState) {
+	c, ok := nc.(*conn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateIdle:
+		c.endRequest()
+	case http.StateHijacked, http.StateClosed:
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.conns, c)
+	}
+}
--- /dev/null
+++ b/graceful/server_test.go
@@ -0,0 +1,186 @@
+package graceful_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/trefoillug/trefoillug/graceful"
+)
+
+// gatedListener accepts no connection before the gate is closed, like an instance without processor time.
+type gatedListener struct {
+	*net.TCPListener
+	gate <-chan struct{}
+}
+
+func (l *gatedListener) Accept() (net.Conn, error) {
+	<-l.gate
+	return l.TCPListener.Accept()
+}
+
+// start starts a server whose answers take work, and returns it with its address.
+func start(t *testing.T, work time.Duration) (*graceful.Server, string) {
+	gate := make(chan struct{})
+	close(gate)
+	return startGated(t, work, gate)
+}
+
+func startGated(t *testing.T, work time.Duration, gate <-chan struct{}) (*graceful.Server, string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	s := graceful.New(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(work)
+		_, _ = io.WriteString(w, r.URL.Path)
+	})})
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(&gatedListener{l.(*net.TCPListener), gate}) }()
+	t.Cleanup(func() {
+		_ = s.Close()
+		must.NoError(t, <-done)
+	})
+	return s, l.Addr().String()
+}
+
+func shutdown(t *testing.T, s *graceful.Server) <-chan error {
+	t.Helper()
+	done := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		done <- s.Shutdown(ctx)
+	}()
+	return done
+}
+
+func dial(t *testing.T, address string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	must.NoError(t, c.SetDeadline(time.Now().Add(3*time.Second)))
+	return c
+}
+
+const head = "GET %s HTTP/1.1\r\nHost: h\r\n\r\n"
+
+func receive(t *testing.T, c net.Conn, want string) {
+	t.Helper()
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	must.NoError(t, err)
+	body, err := io.ReadAll(resp.Body)
+	must.NoError(t, err)
+	must.Eq(t, want, string(body))
+}
+
+// Guards against a request that is cut off by a planned stop: one whose header has arrived in part on a new or on a
+// kept-alive connection, and one that is being answered.
+func TestShutdown_RequestInPart(t *testing.T) {
+	for name, kept := range map[string]bool{"new": false, "kept alive": true} {
+		t.Run(name, func(t *testing.T) {
+			s, address := start(t, 50*time.Millisecond)
+			c := dial(t, address)
+			if kept {
+				_, _ = fmt.Fprintf(c, head, "/first")
+				receive(t, c, "/first")
+			}
+			_, _ = io.WriteString(c, "GET /second HT")
+			time.Sleep(20 * time.Millisecond)
+			done := shutdown(t, s)
+			time.Sleep(50 * time.Millisecond)
+			_, _ = io.WriteString(c, "TP/1.1\r\nHost: h\r\n\r\n")
+			receive(t, c, "/second")
+			must.NoError(t, <-done)
+		})
+	}
+}
+
+// Guards against a request that is cut off because the kernel had accepted its connection and the server had not.
+func TestShutdown_ConnectionsThatWait(t *testing.T) {
+	gate := make(chan struct{})
+	s, address := startGated(t, 0, gate)
+	var waiting []net.Conn
+	for n := range 4 {
+		c := dial(t, address)
+		_, _ = fmt.Fprintf(c, head, fmt.Sprintf("/%d", n))
+		waiting = append(waiting, c)
+	}
+	done := shutdown(t, s)
+	time.Sleep(20 * time.Millisecond)
+	close(gate)
+	for n, c := range waiting {
+		receive(t, c, fmt.Sprintf("/%d", n))
+	}
+	must.NoError(t, <-done)
+	_, err := net.DialTimeout("tcp", address, time.Second)
+	must.Error(t, err)
+}
+
+// Guards against a stop that waits for idle connections, and against connections that stay open.
+func TestShutdown_ClosesIdleConnections(t *testing.T) {
+	s, address := start(t, 0)
+	c := dial(t, address)
+	_, _ = fmt.Fprintf(c, head, "/first")
+	receive(t, c, "/first")
+	begin := time.Now()
+	must.NoError(t, <-shutdown(t, s))
+	must.Less(t, 500*time.Millisecond, time.Since(begin))
+	_, err := c.Read(make([]byte, 1))
+	must.ErrorIs(t, err, io.EOF)
+}
+
+// Guards against requests on kept-alive connections that get neither an answer nor a closed connection, or an answer
+// that is cut off, while the server stops.
+func TestShutdown_UnderLoad(t *testing.T) {
+	s, address := start(t, time.Millisecond)
+	results := make(chan error, 32)
+	for range cap(results) {
+		c := dial(t, address)
+		go func() { results <- requestUntilClosed(c) }()
+	}
+	time.Sleep(50 * time.Millisecond)
+	must.NoError(t, <-shutdown(t, s))
+	for range cap(results) {
+		must.NoError(t, <-results)
+	}
+}
+
+// requestUntilClosed sends requests until the server closes the connection. It returns an error if that happens after
+// a part of an answer.
+func requestUntilClosed(c net.Conn) error {
+	r := bufio.NewReader(c)
+	for {
+		if _, err := fmt.Fprintf(c, head, "/x"); err != nil {
+			return nil
+		}
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			if r.Buffered() > 0 {
+				return err
+			}
+			return nil
+		}
+		if _, err := io.ReadAll(resp.Body); err != nil {
+			return err
+		}
+	}
+}
+
+// Guards against a stop without end when a request is never completed.
+func TestShutdown_Deadline(t *testing.T) {
+	s, address := start(t, 0)
+	c := dial(t, address)
+	_, _ = io.WriteString(c, "GET /never HT")
+	time.Sleep(20 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	must.ErrorIs(t, s.Shutdown(ctx), context.DeadlineExceeded)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/trefoillug/trefoillug/feed"
 	"github.com/trefoillug/trefoillug/fleet"
 	"github.com/trefoillug/trefoillug/forward"
+	"github.com/trefoillug/trefoillug/graceful"
 	"github.com/trefoillug/trefoillug/limit"
 	"github.com/trefoillug/trefoillug/peer"
 	"github.com/trefoillug/trefoillug/quota"
@@ -142,11 +143,11 @@
 	serveCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, serveCtx := errgroup.WithContext(serveCtx)
-	peers := &http.Server{Handler: n.peerMux(), ReadHeaderTimeout: readHeaderTimeout}
-	ready := &http.Server{Handler: n.platform.Ready(n.IsReady), ReadHeaderTimeout: readHeaderTimeout}
-	callers := n.callerServer()
-	for i, server := range []*http.Server{peers, ready, callers} {
-		group.Go(func() error { return serve(server, listeners[i]) })
+	peers := graceful.New(&http.Server{Handler: n.peerMux(), ReadHeaderTimeout: readHeaderTimeout})
+	ready := graceful.New(&http.Server{Handler: n.platform.Ready(n.IsReady), ReadHeaderTimeout: readHeaderTimeout})
+	callers := graceful.New(n.callerServer())
+	for i, server := range []*graceful.Server{peers, ready, callers} {
+		group.Go(func() error { return server.Serve(listeners[i]) })
 	}
 	n.mesh.Start()
 	for _, f := range n.feeds {
@@ -224,7 +225,7 @@
 
 // shutdown turns readiness off, serves requests that the balancer still sends, waits for open requests to end, and
 // closes the server.
-func (n *Node) shutdown(callers *http.Server) {
+func (n *Node) shutdown(callers *graceful.Server) {
 	start := time.Now()
 	n.closing.Store(true)
 	n.log.Info("leaving: readiness is off")
@@ -254,13 +255,6 @@
 	return all, nil
 }
 
-func serve(server *http.Server, l net.Listener) error {
-	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
-}
-
 // every runs fn at each interval until ctx is done, and returns nil.
 func every(ctx context.Context, interval time.Duration, fn func(context.Context)) error {
 	ticker := time.NewTicker(interval)
