platform, cloud, pool, entry: bound the answers to control calls

Cause: a list of the platform's store could have any number of pages, some control answers were decoded without bound, and heads could have 10 MB.

--- a/cloud/instances.go
+++ b/cloud/instances.go
@@ -3,12 +3,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/trefoillug/trefoillug/progress"
 )
 
 // Role is the kind of program that runs on an instance.
@@ -124,7 +125,7 @@
 	default:
 		return "", false, fmt.Errorf("get %s from the platform: status %d", path, resp.StatusCode)
 	}
-	if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
+	if err := progress.DecodeJSON(resp.Body, out); err != nil {
 		return "", false, fmt.Errorf("decode %s from the platform: %w", path, err)
 	}
 	return resp.Header.Get("ETag"), true, nil
--- a/cmd/trefoillug/status.go
+++ b/cmd/trefoillug/status.go
@@ -14,6 +14,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/trefoillug/trefoillug/entry"
+	"github.com/trefoillug/trefoillug/progress"
 )
 
 // statusTimeout bounds reading the status of one instance.
@@ -80,7 +81,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return st, fmt.Errorf("%s answered status %d", address, resp.StatusCode)
 	}
-	return st, json.NewDecoder(resp.Body).Decode(&st)
+	return st, progress.DecodeJSON(resp.Body, &st)
 }
 
 func printStatuses(w io.Writer, all []entry.Status) error {
--- a/entry/loads.go
+++ b/entry/loads.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"time"
@@ -10,6 +9,7 @@
 	"github.com/trefoillug/trefoillug/config"
 	"github.com/trefoillug/trefoillug/core"
 	"github.com/trefoillug/trefoillug/engine"
+	"github.com/trefoillug/trefoillug/progress"
 	"github.com/trefoillug/trefoillug/table"
 )
 
@@ -88,7 +88,7 @@
 		return table.Load{}, fmt.Errorf("load report: status %d", resp.StatusCode)
 	}
 	var r engine.LoadReport
-	if err := json.NewDecoder(resp.Body).Decode(&r); err != nil {
+	if err := progress.DecodeJSON(resp.Body, &r); err != nil {
 		return table.Load{}, fmt.Errorf("decode load report: %w", err)
 	}
 	return table.Load{Running: r.Running, Waiting: r.Waiting, KVUsed: r.KVUsed, MeasuredAt: time.Now()}, nil
--- a/objstore/client.go
+++ b/objstore/client.go
@@ -15,6 +15,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/trefoillug/trefoillug/progress"
 )
 
 const (
@@ -25,7 +27,7 @@
 	// WatchTimeout is the timeout of a watch. A stalled connection can't be distinguished from a key without changes,
 	// so a watch ends after this time and the caller opens another one.
 	WatchTimeout = 10 * time.Second
-	// maxListBytes is the maximum size of the response to a list.
+	// maxListBytes is the maximum size of the response to a list, which only reports read.
 	maxListBytes = 64 * MaxValueBytes
 	// maxIdleConnections is the number of idle connections kept open. More concurrent calls are rare on an instance.
 	maxIdleConnections = 8
@@ -46,6 +48,8 @@
 			DialContext:         (&net.Dialer{Timeout: callTimeout}).DialContext,
 			MaxIdleConnsPerHost: maxIdleConnections,
 			IdleConnTimeout:     time.Minute,
+
+			MaxResponseHeaderBytes: progress.MaxHeadBytes,
 		}}
 	}
 	return &Client{base: strings.TrimSuffix(base, "/"), http: hc}
--- a/pool/orders.go
+++ b/pool/orders.go
@@ -12,6 +12,7 @@
 	"github.com/trefoillug/trefoillug/config"
 	"github.com/trefoillug/trefoillug/engine"
 	"github.com/trefoillug/trefoillug/lease"
+	"github.com/trefoillug/trefoillug/progress"
 )
 
 // orderTimeout is the time after which an order in transit has arrived or is lost.
@@ -68,7 +69,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return s, fmt.Errorf("read back orders of %s: status %d", address, resp.StatusCode)
 	}
-	if err := json.NewDecoder(resp.Body).Decode(&s); err != nil {
+	if err := progress.DecodeJSON(resp.Body, &s); err != nil {
 		return s, fmt.Errorf("decode orders of %s: %w", address, err)
 	}
 	return s, nil
