fleet, limit, move, claim, config, peer, standin: faults noticed while reading

Cause and change, each: an entry of a leaving endpoint that is read again seemed to allow more time (the earliest end counts); with LogOnly a request that took no tokens gave some back when it was refused; early evidence of a restarted instance replaced that of its earlier life (the key has the epoch); a lost Content-Type, a digest and a reserved key were reported for another reason; a fact published after Close went unlogged; the stand-ins cleared their faults on a body that can't be read, and lost a last event that was held back; one test waited a fixed 50 ms for a stream to begin and now waits for its first event. Measured: TestTable_SettledRemovalAndDraining and TestAdmit_LogOnlyReleasesNothing failed before; the others are shown by reading only.

--- a/claim/submit.go
+++ b/claim/submit.go
@@ -76,7 +76,7 @@
 	switch a.Verdict {
 	case verdictDone:
 		if a.Response == nil || !a.Response.Retained {
-			return Result{}, problem.New(problem.AnswerNotRetained, "the response was over %d bytes", MaxRecordedBody)
+			return Result{}, problem.New(problem.AnswerNotRetained, "the response had a body over %d bytes or a Content-Type over %d", MaxRecordedBody, maxContentType)
 		}
 		return Result{Response: a.Response}, nil
 	case verdictReused:
--- a/config/fetch.go
+++ b/config/fetch.go
@@ -116,7 +116,11 @@
 	accepted := d.tracker.record(member, announcement{r.revision(), digestOf(r.bytes)}, floor)
 	d.mu.Unlock()
 	conflicting := announced && latest.Revision == r.revision() && latest.Digest != digestOf(r.bytes)
-	if !accepted || conflicting {
+	switch {
+	case conflicting:
+		d.raiseAlarm("config_reverted", member, r.revision(), floor)
+		return nil, false, fmt.Errorf("member %s: %w: revision %d has another digest than it announced", member, ErrCorrupt, r.revision())
+	case !accepted:
 		d.raiseAlarm("config_reverted", member, r.revision(), floor)
 		return nil, false, fmt.Errorf("member %s: %w: revision %d, want at least %d", member, ErrCorrupt, r.revision(), floor)
 	}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -128,10 +128,16 @@
 	ep := endpoint(serve(t, e))
 	client := dispatch.New(dispatch.Settings{StreamGap: 300 * time.Millisecond})
 	healthy := make(chan dispatch.Result, 1)
+	started := make(chan struct{})
+	begin := sync.OnceFunc(func() { close(started) })
 	go func() {
-		healthy <- client.Stream(context.Background(), streamCall(ep, "h", 100), func(*engine.StreamEvent) error { return nil })
+		healthy <- client.Stream(context.Background(), streamCall(ep, "h", 100), func(*engine.StreamEvent) error { begin(); return nil })
 	}()
-	time.Sleep(50 * time.Millisecond)
+	select {
+	case <-started:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the healthy stream received no event")
+	}
 	e.SetFaults(standin.EngineFaults{StallFrom: 1})
 	r := client.Stream(t.Context(), streamCall(ep, "s", 100), func(*engine.StreamEvent) error { return nil })
 	must.Eq(t, dispatch.Stalled, r.End)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -63,9 +63,13 @@
 	return time.Time{}
 }
 
+// leave marks the endpoint as leaving at a time, zero if that is unknown. Entries state the time that was left when they
+// were written, so that one that is read again later seems to allow more; the earliest end counts.
 func (e *Endpoint) leave(at time.Time) {
-	if !at.IsZero() {
-		e.leavesAt.Store(at.UnixNano())
+	for known := e.leavesAt.Load(); !at.IsZero() && (known == 0 || at.UnixNano() < known); known = e.leavesAt.Load() {
+		if e.leavesAt.CompareAndSwap(known, at.UnixNano()) {
+			break
+		}
 	}
 	e.once.Do(func() { close(e.leaving) })
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -47,6 +47,9 @@
 	table.Put(draining)
 	must.Len(t, 0, table.Service("s"))
 	must.Eq(t, now.Add(time.Second).UnixNano(), b.LeavesAt().UnixNano())
+	draining.LeavesAt = now.Add(2 * time.Second) // the same entry, read a second later
+	table.Put(draining)
+	must.Eq(t, now.Add(time.Second).UnixNano(), b.LeavesAt().UnixNano())
 	table.Remove("b", false, now) // a leaving endpoint gets no grace
 	must.Len(t, 0, table.All())
 }
--- a/limit/exchange.go
+++ b/limit/exchange.go
@@ -22,8 +22,9 @@
 	maxDemands = 2048
 )
 
-// acquire takes the tokens of a request from the share of its workspace, waiting at most until the deadline.
-func (a *Admission) acquire(ctx context.Context, k key, g globalLimit, r *Request) error {
+// acquire takes the tokens of a request from the share of its workspace, waiting at most until the deadline. With
+// Settings.LogOnly, a request over the limit takes none and gets no error.
+func (a *Admission) acquire(ctx context.Context, k key, g globalLimit, r *Request) (taken bool, err error) {
 	now := time.Now()
 	a.mu.Lock()
 	s := a.share(k, g, now)
@@ -31,12 +32,12 @@
 	s.expireGrant(now, len(a.settings.Mesh.Members()))
 	if len(s.waiters) == 0 && s.bucket.take(r.Cost, now) {
 		a.mu.Unlock()
-		return nil
+		return true, nil
 	}
 	wait, rateKnown := s.expectedWait(r.Cost, now)
 	if rateKnown && now.Add(wait).After(r.Deadline) {
 		defer a.mu.Unlock()
-		return a.overLimit(s, wait, r.Deadline.Sub(now))
+		return false, a.overLimit(s, wait, r.Deadline.Sub(now))
 	}
 	w := &waiter{cost: r.Cost, deadline: r.Deadline, ready: make(chan struct{})}
 	s.waiters = append(s.waiters, w)
@@ -76,7 +77,7 @@
 }
 
 // waitForTokens waits until a queued request gets its tokens or is refused, at most until its deadline.
-func (a *Admission) waitForTokens(ctx context.Context, s *share, w *waiter, since time.Time) error {
+func (a *Admission) waitForTokens(ctx context.Context, s *share, w *waiter, since time.Time) (taken bool, err error) {
 	timer := time.NewTimer(remaining(w.deadline))
 	defer timer.Stop()
 	select {
@@ -90,16 +91,16 @@
 		if ctx.Err() != nil {
 			s.releaseTokens(w.cost)
 		}
-		return ctx.Err()
+		return ctx.Err() == nil, ctx.Err()
 	}
 	now := time.Now()
 	if s.drop(w) {
 		w.wait, _ = s.expectedWait(w.cost, now)
 	}
 	if err := ctx.Err(); err != nil && now.Before(w.deadline) {
-		return err
+		return false, err
 	}
-	return a.overLimit(s, w.wait, w.deadline.Sub(now))
+	return false, a.overLimit(s, w.wait, w.deadline.Sub(now))
 }
 
 // releaseTokens puts back into the share of a workspace the tokens of a request that did not run.
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -186,13 +186,14 @@
 	}
 	r.setDefaults(ctx)
 	k := key{r.Service, r.Workspace}
+	taken := false
 	if g.rate > 0 {
-		if err := a.acquire(ctx, k, g, &r); err != nil {
+		if taken, err = a.acquire(ctx, k, g, &r); err != nil {
 			return nil, err
 		}
 	}
 	release, err = a.enqueue(ctx, svc, &r)
-	if err != nil && g.rate > 0 {
+	if err != nil && taken {
 		a.releaseTokens(k, r.Cost)
 	}
 	return release, err
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -170,6 +170,24 @@
 	})
 }
 
+// Guards against tokens that appear with LogOnly when requests that took none are refused for another reason.
+func TestAdmit_LogOnlyReleasesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := startSingle(testSnapshot(0.01, 1, 1), true)
+		defer a.Close()
+		time.Sleep(10 * time.Second)
+		release, err := admitWithin(a, "w", 0) // takes the only token and the only place
+		must.NoError(t, err)
+		defer release(Result{})
+		over := a.Stats().OverLimit
+		for range 5 {
+			_, err := admitWithin(a, "w", 0)
+			must.Error(t, err)
+		}
+		must.Eq(t, over+5, a.Stats().OverLimit)
+	})
+}
+
 // overload sends 300 requests a second, a third of each priority, to a service that can run 150, for 20 s. With flat,
 // all have normal priority. It returns the number of admitted requests by class.
 func overload(t *testing.T, a *Admission, flat bool) (admitted [3]int) {
--- a/move/facts.go
+++ b/move/facts.go
@@ -178,7 +178,7 @@
 	until  time.Time
 }
 
-// keepEarly keeps the last abort of each move, and the last evidence of each origin and route. When there are maxEarly
+// keepEarly keeps the last abort of each move, and the last evidence of each origin, epoch and route. When there are maxEarly
 // facts, an abort evicts all other kinds.
 func (s *System) keepEarly(now time.Time, origin, kind, service, id string, value []byte) {
 	f := earlyFact{origin: origin, kind: kind, value: value, until: now.Add(earlyEvidenceTTL)}
@@ -188,7 +188,7 @@
 	} else {
 		var r routeFact
 		_ = cbor.Unmarshal(value, &r) // the caller has decoded it without error
-		key += "/" + origin + "/" + r.Route
+		key += "/" + origin + "/" + strconv.FormatUint(r.Epoch, 36) + "/" + r.Route
 	}
 	if len(s.early) >= maxEarly {
 		s.evictEarly(now, kind == keyAbort)
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -32,18 +32,26 @@
 // Publish implements Mesh. Values of more than 8 KiB, keys of more than 256 bytes, more than 512 keys of one member
 // and keys that begin with "peer/" are not published; an error is logged.
 func (n *Node) Publish(key string, value []byte, ttl time.Duration) {
-	if len(key) > maxKeyBytes || len(value) > maxValueBytes || strings.HasPrefix(key, reservedPrefix) {
-		n.log.WithFields(logrus.Fields{"key": key, "bytes": len(value)}).Error("fact exceeds a limit and is not published")
+	log := n.log.WithFields(logrus.Fields{"key": key, "bytes": len(value)})
+	switch {
+	case strings.HasPrefix(key, reservedPrefix):
+		log.Error("fact has a reserved key and is not published")
+		return
+	case len(key) > maxKeyBytes || len(value) > maxValueBytes:
+		log.Error("fact exceeds a limit and is not published")
 		return
 	}
 	value = slices.Clone(value)
-	full := false
+	done, full := false, false
 	n.do(func(m *machine, now time.Time) {
 		m.publish(key, value, ttl, now)
-		full = m.facts.byID[factID(m.self.ID, key)] == nil
+		done, full = true, m.facts.byID[factID(m.self.ID, key)] == nil
 	})
-	if full {
-		n.log.WithFields(logrus.Fields{"key": key}).Error("too many facts; the fact is not published")
+	switch {
+	case !done:
+		log.Info("this member has closed; the fact is not published")
+	case full:
+		log.Error("too many facts; the fact is not published")
 	}
 }
 
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -100,6 +100,10 @@
 		worker.SetFailing(true)
 		time.Sleep(f.For)
 		worker.SetFailing(false)
+	default:
+		worker.SetAnswerFault(answerFaults[f.Kind])
+		time.Sleep(f.For)
+		worker.SetAnswerFault(standin.NoAnswerFault)
 	}
 }
 
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -8,6 +8,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/trefoillug/trefoillug/standin"
 )
 
 // Kind is a kind of fault or of planned work.
@@ -31,6 +33,12 @@
 	EndpointStalled           Kind = "endpoint-silent"       // its open connections stall
 	EndpointFull              Kind = "endpoint-full"         // it rejects each request without running it
 	EndpointFails             Kind = "endpoint-fails"        // it answers with status 500
+	EndpointEndlessHeads      Kind = "endpoint-endless-head" // the heads of its answers never end
+	EndpointEndlessBodies     Kind = "endpoint-endless-body" // its answers never end
+	EndpointTrickles          Kind = "endpoint-trickle"      // its answers arrive a byte at a time
+	EndpointResetsBodies      Kind = "endpoint-reset-body"   // it breaks its answers off
+	EndpointSlow              Kind = "endpoint-slow"         // its sound answers take long
+	EndpointLateCopies        Kind = "endpoint-late-copy"    // it sends its plain answers twice
 	ConfigRoute               Kind = "config-route"          // a route is added
 	ConfigKey                 Kind = "config-key"            // a key is added, and revoked at the end
 )
@@ -39,12 +47,19 @@
 var kinds = []Kind{
 	InstanceKill, InstanceFreeze, InstanceStop, InstanceStop, InstanceReload, InstanceStalledStore, InstanceStalledStoreReads, StoreDown,
 	StoreLosesAnswers, StoreCompacts, EndpointCrash, EndpointLeave, EndpointLeave, EndpointReset, EndpointStalled, EndpointFull, EndpointFails,
+	EndpointEndlessHeads, EndpointEndlessBodies, EndpointTrickles, EndpointResetsBodies, EndpointSlow, EndpointLateCopies,
 	ConfigRoute, ConfigKey, ConfigKey,
 }
 
-// isPlanned reports whether a kind is planned work, which must not interrupt any request.
+// answerFaults are the kinds that set how an endpoint answers.
+var answerFaults = map[Kind]standin.AnswerFault{
+	EndpointEndlessHeads: standin.EndlessHeads, EndpointEndlessBodies: standin.EndlessBodies, EndpointTrickles: standin.Trickles,
+	EndpointResetsBodies: standin.ResetsBodies, EndpointSlow: standin.SlowAnswers, EndpointLateCopies: standin.LateCopies,
+}
+
+// isPlanned reports whether a kind is planned work, or slow but sound work, which must not interrupt any request.
 func (k Kind) isPlanned() bool {
-	return slices.Contains([]Kind{InstanceStop, InstanceReload, EndpointLeave, ConfigRoute, ConfigKey}, k)
+	return slices.Contains([]Kind{InstanceStop, InstanceReload, EndpointLeave, EndpointSlow, ConfigRoute, ConfigKey}, k)
 }
 
 func (k Kind) onInstance() bool { return strings.HasPrefix(string(k), "instance-") }
--- a/standin/cloud.go
+++ b/standin/cloud.go
@@ -145,10 +145,13 @@
 }
 
 func (c *Cloud) setFaults(w http.ResponseWriter, r *http.Request) {
+	var faults CloudFaults
+	if !decode(w, r, &faults) {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.faults = CloudFaults{}
-	decode(w, r, &c.faults)
+	c.faults = faults
 }
 
 func decode(w http.ResponseWriter, r *http.Request, out any) bool {
--- a/standin/engine_events.go
+++ b/standin/engine_events.go
@@ -68,6 +68,10 @@
 	o.writeWithFaults(engine.StreamEvent{
 		RequestID: o.run.ref.RequestID, AttemptID: o.run.ref.AttemptID, Seq: offset, FinishReason: reason,
 	})
+	if o.delayed != nil { // no event came after the one held back
+		o.write(o.delayed)
+		o.delayed = nil
+	}
 }
 
 // abort ends the stream of a run that ended before its answer was complete.
--- a/standin/platformworker.go
+++ b/standin/platformworker.go
@@ -32,6 +32,8 @@
 	full     atomic.Bool // rejects each request without running it
 	failing  atomic.Bool // answers with status 500
 
+	answerFault atomic.Value // an AnswerFault
+
 	mu     sync.Mutex
 	runs   []PlatformRun
 	active map[string]*workerStream
@@ -96,7 +98,10 @@
 		return
 	}
 	h.Set("X-Trefoillug-Response-Seal", "seal."+u.ID)
-	u.recordRun(PlatformRun{ID: r.Header.Get("X-Trefoillug-Attempt-Id"), Worker: u.ID, At: time.Now(), Header: r.Header.Clone(), URI: r.RequestURI, Body: string(body)})
+	u.recordRequest(r, body)
+	if u.serveFault(w, r) {
+		return
+	}
 	switch {
 	case u.CrashPath != "" && strings.Contains(r.URL.Path, u.CrashPath):
 		u.OnCrash()
@@ -106,12 +111,17 @@
 	case r.Header.Get("X-Trefoillug-Token-Count") != "":
 		u.serveStream(w, r)
 	default:
-		time.Sleep(u.Work)
-		fmt.Fprintf(w, "%s %s %d", u.ID, r.RequestURI, len(body))
+		time.Sleep(u.Work * u.slowness())
+		_, _ = io.WriteString(w, u.plainAnswer(r, len(body))) // the caller may have gone
 	}
 }
 
-func (u *PlatformWorker) recordRun(run PlatformRun) {
+func (u *PlatformWorker) plainAnswer(r *http.Request, bodyBytes int) string {
+	return fmt.Sprintf("%s %s %d", u.ID, r.RequestURI, bodyBytes)
+}
+
+func (u *PlatformWorker) recordRequest(r *http.Request, body []byte) {
+	run := PlatformRun{ID: r.Header.Get("X-Trefoillug-Attempt-Id"), Worker: u.ID, At: time.Now(), Header: r.Header.Clone(), URI: r.RequestURI, Body: string(body)}
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.runs = append(u.runs, run)
@@ -139,7 +149,7 @@
 			panic(http.ErrAbortHandler) // closes the stream before its end
 		case <-r.Context().Done():
 			return
-		case <-time.After(u.EventTime):
+		case <-time.After(u.EventTime * u.slowness()):
 		}
 		sent++
 		u.mu.Lock()
