--- a/forward/trouble_test.go
+++ b/forward/trouble_test.go
@@ -181,3 +181,30 @@
 	must.Eq(t, "yes", got.body.String())
 	must.Less(t, 300*time.Millisecond, got.took)
 }
+
+// Guards against running work that is started again or given up because its endpoint, silent for a while, has left the
+// list.
+func TestServe_EndpointLeavesList(t *testing.T) {
+	for _, route := range []string{"stream", "resume"} {
+		t.Run(route, func(t *testing.T) {
+			began, removed := make(chan string, 1), make(chan struct{})
+			w := newHarness(t, 2, func(a *arrival) {
+				a.stream()
+				a.chunk(event(1))
+				began <- a.endpoint
+				<-removed
+				time.Sleep(100 * time.Millisecond)
+				a.chunk(event(2))
+				a.end()
+			})
+			go func() {
+				w.fleet.Remove(<-began, true, time.Now())
+				close(removed)
+			}()
+			got := w.send(t.Context(), route)
+			must.NoError(t, got.broken)
+			must.Eq(t, event(1)+event(2), got.body.String())
+			must.Eq(t, 1, w.arrivalCount())
+		})
+	}
+}
--- a/standin/platformfaults.go
+++ b/standin/platformfaults.go
@@ -28,6 +28,8 @@
 	slowFactor      = 4
 	trickleInterval = 50 * time.Millisecond
 	floodBlock      = 32 << 10 // bytes
+	// unreachedLength ends the header of an answer that is cut off before its end, so that it can't look complete.
+	unreachedLength = "Transfer-Encoding: chunked\r\n\r\nfffffffff\r\n"
 	// maxFaultTime bounds an answer that would never end.
 	maxFaultTime = 10 * time.Second
 )
@@ -71,9 +73,9 @@
 	case EndlessHeads:
 		repeatUntilError(conn, head+"X-Field: ", block, 0)
 	case EndlessBodies:
-		repeatUntilError(conn, head+"\r\n", block, 0)
+		repeatUntilError(conn, head+unreachedLength, block, 0)
 	case Trickles:
-		repeatUntilError(conn, head+"\r\n", ":", trickleInterval)
+		repeatUntilError(conn, head+unreachedLength, ":", trickleInterval)
 	case ResetsBodies:
 		_, _ = io.WriteString(conn, head+"Content-Length: 1000\r\n\r\npart")
 		if c, ok := conn.(*net.TCPConn); ok {
