speed: learn the engines' speed from answers; the pool follows the work offered

Cause: the speed of the engines of two data sheets (115 prompt tokens per ms, decode steps, 60 ms of plain work, repeats after 220 ms) was taken for that of all. Change: package speed estimates the prefill rate, the decode step, and the times of generations and plain answers from answers; prefills are charged by the time that they took; requests that no engine began count as load; the need halves in 15 s at most, and a zone's endpoints shrink once in 2 s at most.

--- a/autoscale/autoscale.go
+++ b/autoscale/autoscale.go
@@ -127,6 +127,9 @@
 const (
 	// peakWindow is how long the highest load counts: the need falls only after the load has been lower for this long.
 	peakWindow = 20 * time.Second
+	// needHalfLife is the time in which the need falls to half at most: the prompts that removed endpoints have cached
+	// must be processed again, which raises the load for a while.
+	needHalfLife = 15 * time.Second
 	// targetUtilization is the fraction of the endpoints' time that the load may take. Above it the latency of first
 	// events grows faster than the cost of endpoints falls.
 	targetUtilization = 0.7
@@ -135,6 +138,8 @@
 // Load computes the need of a service from its measured work. It isn't safe for concurrent use.
 type Load struct {
 	samples []sample
+	need    float64 // at the latest call of Need
+	needAt  time.Time
 }
 
 type sample struct {
@@ -148,11 +153,17 @@
 	l.samples = slices.DeleteFunc(l.samples, func(s sample) bool { return now.Sub(s.at) > peakWindow })
 }
 
-// Need returns the number of endpoints required for the highest load within peakWindow.
-func (l *Load) Need() float64 {
+// Need returns the number of endpoints required for the highest load within peakWindow. It is at least floor, and falls
+// only slowly.
+func (l *Load) Need(floor float64, now time.Time) float64 {
 	highest := 0.0
 	for _, s := range l.samples {
 		highest = max(highest, s.work)
 	}
-	return highest / targetUtilization
+	need := max(floor, highest/targetUtilization)
+	if !l.needAt.IsZero() {
+		need = max(need, l.need*math.Exp2(-now.Sub(l.needAt).Seconds()/needHalfLife.Seconds()))
+	}
+	l.need, l.needAt = need, now
+	return need
 }
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -12,7 +12,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/trefoillug/trefoillug/fleet"
-	"github.com/trefoillug/trefoillug/placement"
 	"github.com/trefoillug/trefoillug/progress"
 	"github.com/trefoillug/trefoillug/upstream"
 )
@@ -56,9 +55,16 @@
 // services have a few KB; a larger one is relayed as it arrives.
 const maxBuffered = 256 << 10
 
-// repeatAfter is the wait for the answer to an idempotent request before it is sent to another endpoint. It is longer
-// than nearly all answers of plain services take (60 ms, rarely 300) and shorter than their objective of 300 ms.
-const repeatAfter = 220 * time.Millisecond
+const (
+	// repeatShare is the share of the objective that an idempotent request waits for an answer before it is sent to
+	// another endpoint, so that this one may still answer in time.
+	repeatShare = 0.75
+	// slowFactor times the time that few answers exceed is the least wait: a service that is slow as a whole must not
+	// get each request twice.
+	slowFactor = 1.5
+	// defaultRepeatWait is the least wait on a route without an objective.
+	defaultRepeatWait = time.Second
+)
 
 func (r *exchange) attempt(ctx context.Context, e *fleet.Endpoint) (out outcome) {
 	r.tried[e] = true
@@ -68,11 +74,12 @@
 	r.sentAt = sent
 	r.timeToFirst, r.load = 0, e.Stats.Snapshot(sent).Running-1
 	onData := func() {
-		if r.timeToFirst == 0 {
-			r.timeToFirst = time.Since(sent)
+		if r.timeToFirst != 0 {
+			return
 		}
+		r.timeToFirst = time.Since(sent)
 		e.Stats.RecordPrefilled(prefill)
-		r.recordWork(time.Duration(prefill / placement.PrefillRate * float64(time.Millisecond)))
+		r.recordFirstEvent()
 		prefill = 0
 	}
 	defer func() { e.Stats.RecordPrefilled(prefill) }()
@@ -105,6 +112,7 @@
 		return r.relayStream(ctx, reply, relocation, onData)
 	}
 	r.timeToFirst = time.Since(sent)
+	r.speed().RecordAnswer(r.timeToFirst)
 	r.recordWork(r.timeToFirst / time.Duration(max(1, e.Slots)))
 	return r.relayWhole(ctx, reply)
 }
@@ -132,13 +140,13 @@
 	return func() { timer.Stop() }
 }
 
-func (r *exchange) recordWork(work time.Duration) { r.f.cfg.OnWork(r.service.Name, work) }
-
 // beginAttempt counts the request at the endpoint and returns the prompt tokens that the endpoint has to process.
 func (r *exchange) beginAttempt(e *fleet.Endpoint) float64 {
 	prefill := 0.0
+	r.measured = 0
 	if p := r.prompt(); p.Input > 0 && r.pendingMove == nil {
 		now := time.Now()
+		r.measured = r.measurableTokens(e, p, now)
 		prefill = max(0, float64(p.Input)-r.f.expectedCached(e, p, now))
 		r.f.caches.recordSent(e, p, now)
 	}
@@ -151,7 +159,11 @@
 	if !r.route.MayRepeat() || r.runs+1 >= r.route.MaxAttempts || r.req.Prompt != nil {
 		return 0
 	}
-	return repeatAfter
+	wait := time.Duration(repeatShare * float64(r.route.TargetLatency))
+	if wait == 0 {
+		wait = defaultRepeatWait
+	}
+	return max(wait, time.Duration(slowFactor*float64(r.speed().Speed().SlowAnswer)))
 }
 
 func (r *exchange) call(ctx context.Context, e *fleet.Endpoint) *upstream.Call {
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -116,9 +116,9 @@
 
 func (r *exchange) prompt() placement.Request {
 	if r.req.Prompt == nil {
-		return placement.Request{}
+		return placement.Request{Speed: r.speed().Speed()}
 	}
-	return placement.Request{Blocks: r.req.Prompt.Blocks, Input: r.req.Prompt.Input}
+	return placement.Request{Blocks: r.req.Prompt.Blocks, Input: r.req.Prompt.Input, Speed: r.speed().Speed()}
 }
 
 // bestOf returns the endpoint with the least expected cost. The owners of the prompt are picked from all.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -7,6 +7,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -143,6 +144,7 @@
 type Forwarder struct {
 	cfg    Config
 	caches caches
+	speeds sync.Map // of *speed.Estimator by service
 }
 
 // New returns a forwarder.
@@ -183,6 +185,8 @@
 	targetFailed bool          // the new version of a service that is being moved failed the request
 	timeToFirst  time.Duration // of the latest attempt, until the answer or the first event
 	sentAt       time.Time     // start of the latest attempt
+	measured     float64       // prompt tokens that show the speed of the engine of the latest attempt; 0: none do
+	workCounted  bool          // an engine has begun to work on the request, which OnWork was told
 	load         int           // this instance's other requests at the endpoint when the latest attempt was sent
 	arrivals     int           // attempts that may have reached an endpoint
 	runs         int           // attempts that may have run the request; moves are not counted
@@ -330,6 +334,7 @@
 
 // GiveUp implements attempt.Steps.
 func (r *exchange) GiveUp(ctx context.Context, last **outcome, cause error) error {
+	r.recordUnserved()
 	var refusal *Refusal
 	switch {
 	case !errors.As(cause, &refusal):
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -45,6 +45,7 @@
 	defer watch.Stop()
 	var buf []byte
 	received := 0
+	last := time.Time{} // of the latest event
 	chunk := make([]byte, readChunk)
 	for {
 		n, err := reply.Body.Read(chunk)
@@ -55,7 +56,7 @@
 			buf = append(buf, chunk[:n]...)
 			complete := eventsEnd(buf)
 			recordProgress(watch, buf[:complete])
-			r.recordTokenWork(buf[:complete])
+			last = r.recordTokens(buf[:complete], last)
 			if werr := r.forwardEvents(reply, buf[:complete]); werr != nil {
 				return outcome{end: ended, reached: true, err: werr}
 			}
@@ -71,6 +72,9 @@
 			if !r.stream.started {
 				r.startStream(reply)
 			}
+			if r.arrivals == 0 {
+				r.speed().RecordGeneration(time.Since(r.sentAt))
+			}
 			return outcome{end: answered, reached: true, delivered: true}
 		case err == io.EOF:
 			return outcome{end: lost, reached: true, err: errPartialEvent}
@@ -80,28 +84,6 @@
 	}
 }
 
-// A decode step takes stepBase plus stepPerRun for each request in the batch, by the data sheets of both deployments.
-// On a well-used engine the batch fills the fraction batchFill of the slots.
-const (
-	stepBase   = 3250 * time.Microsecond
-	stepPerRun = 82 * time.Microsecond
-	batchFill  = 0.7
-)
-
-// tokenWork returns the engine time that generating one token takes: the time of a decode step divided by the requests
-// in the batch.
-func tokenWork(slots int) time.Duration {
-	batch := max(1, batchFill*float64(slots))
-	return time.Duration((float64(stepBase) + batch*float64(stepPerRun)) / batch)
-}
-
-// recordTokenWork records the engine time that generating the events took.
-func (r *exchange) recordTokenWork(events []byte) {
-	if e := r.service.Engine; e != nil {
-		r.recordWork(time.Duration(bytes.Count(events, []byte("\n\n"))*e.EventTokens) * tokenWork(e.Slots))
-	}
-}
-
 func (r *exchange) startStream(reply *upstream.Reply) {
 	r.stream.started = true
 	r.f.cfg.Metrics.recordAnswerTime(time.Since(r.req.Arrived))
--- a/forward/trouble_test.go
+++ b/forward/trouble_test.go
@@ -208,3 +208,19 @@
 		})
 	}
 }
+
+// Guards against a service that is slow as a whole and gets each idempotent request twice.
+func TestServe_SlowServiceIsNotAskedTwice(t *testing.T) {
+	w := newHarness(t, 2, func(a *arrival) {
+		time.Sleep(260 * time.Millisecond) // longer than three quarters of the objective
+		a.reply(http.StatusOK, "yes")
+	})
+	for range 10 {
+		must.Eq(t, "yes", w.send(t.Context(), "safe").body.String())
+	}
+	before := w.arrivalCount()
+	for range 4 {
+		must.Eq(t, "yes", w.send(t.Context(), "safe").body.String())
+	}
+	must.Eq(t, before+4, w.arrivalCount())
+}
--- a/node/pool.go
+++ b/node/pool.go
@@ -17,6 +17,9 @@
 	planInterval = 250 * time.Millisecond
 	// zoneUnavailableTime is how long a zone counts as having no reclaimable endpoints after an order found none.
 	zoneUnavailableTime = 1500 * time.Millisecond
+	// shrinkInterval is the shortest time between two orders that shrink the endpoints of a zone, each of which changes
+	// the endpoint list of all instances.
+	shrinkInterval = 2 * time.Second
 	// bootMargin is added to the boot time before an order that had no effect is repeated.
 	bootMargin = 2 * time.Second
 	// listStableTime plus the pace of the watches is how long the endpoint list must be unchanged at the start before it
@@ -38,6 +41,7 @@
 type pool struct {
 	load             autoscale.Load
 	initialNeed      float64   // need that the endpoints covered before the first order
+	need             float64   // at the latest plan
 	endpoints        int       // at the last check
 	changed          time.Time // when the number of endpoints last changed
 	lastOrders       map[orderTarget]sentOrder
@@ -119,10 +123,12 @@
 	}
 	p.update(total, autoscale.CoveredNeed(in.Zones), now)
 	p.load.Observe(s.n.load.total(service.Name, now), now)
-	in.Need = p.load.Need()
+	floor := 0.0
 	if now.Sub(s.start) < loadSettleTime {
-		in.Need = max(in.Need, p.initialNeed)
+		floor = p.initialNeed
 	}
+	p.need = p.load.Need(floor, now)
+	in.Need = p.need
 	return in
 }
 
@@ -150,14 +156,18 @@
 		return
 	case !ordered && want == have:
 		return
+	case ordered && want < last.desired && now.Sub(last.at) < shrinkInterval:
+		return
 	case t.reclaimable && now.Before(p.unavailableUntil[t.zone]) && want >= have:
 		return
 	case !mayAct():
 		return
 	}
 	err := s.n.platform.API.Order(ctx, token, Order{Service: service.Name, Zone: t.zone, Desired: want, Reclaimable: t.reclaimable})
+	engines := s.n.forwarder.Speed(service.Name)
 	log := s.n.log.WithFields(logrus.Fields{
-		"service": service.Name, "zone": t.zone, "reclaimable": t.reclaimable, "want": want, "have": have, "need": p.load.Need(),
+		"service": service.Name, "zone": t.zone, "reclaimable": t.reclaimable, "want": want, "have": have, "need": p.need,
+		"tokens_per_ms": engines.PrefillRate, "step_us": engines.Step.Microseconds(), "generation_ms": engines.Generation.Milliseconds(),
 	})
 	switch {
 	case errors.Is(err, ErrNoneAvailable):
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/trefoillug/trefoillug/rendezvous"
+	"github.com/trefoillug/trefoillug/speed"
 )
 
 // Block is a block of a prompt that other requests may share.
@@ -18,6 +19,7 @@
 type Request struct {
 	Blocks []Block // in the order of the prompt; the last one is specific to this request or its session
 	Input  int     // prompt tokens; 0 on plain services
+	Speed  speed.Speed
 }
 
 // Candidate is an endpoint with the state that this instance has recorded for it.
@@ -33,12 +35,8 @@
 }
 
 const (
-	// PrefillRate is the speed of an engine in prompt tokens per millisecond, from the data sheets of both deployments.
-	PrefillRate = 115.0
-	// runningDelay is the delay of a first event in ms for each running generation: a share of a decode step of 6 ms.
-	runningDelay = 0.6
-	// plainWork is the usual time to process a plain request in ms, from the data sheets of both deployments.
-	plainWork = 60.0
+	// runningShare is the share of a decode step by which each running generation delays a first event.
+	runningShare = 0.15
 	// zoneDelay is the round-trip time between zones in ms, 2.8 by the data sheets, and about as much again for the price
 	// of traffic between zones.
 	zoneDelay = 5.0
@@ -65,10 +63,12 @@
 func Cost(r Request, c *Candidate) float64 {
 	cost := c.Failures * failureDelay
 	if r.Input > 0 {
-		cost += (c.Prefill+max(0, float64(r.Input)-c.Cached))/PrefillRate + c.Running*runningDelay
-		cost += queueLength(c) * queueDelay
+		cost += milliseconds(r.Speed.PrefillTime(c.Prefill + max(0, float64(r.Input)-c.Cached)))
+		cost += c.Running * runningShare * milliseconds(r.Speed.Step)
+		// A place in a full engine becomes free each time that one of its generations ends.
+		cost += queueLength(c) * milliseconds(r.Speed.Generation) / max(1, c.Slots)
 	} else {
-		cost += queueLength(c) * plainWork / max(1, c.Slots)
+		cost += queueLength(c) * milliseconds(r.Speed.Answer) / max(1, c.Slots)
 		cost += c.Running // prefers the less loaded of two endpoints with free slots
 	}
 	if !c.SameZone {
@@ -80,9 +80,7 @@
 	return cost
 }
 
-// queueDelay is the wait in ms for each request ahead in the queue of a full engine: a generation of half a second
-// over 64 slots.
-const queueDelay = 8.0
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 // queueLength returns the number of requests that would wait at the endpoint, with this one.
 func queueLength(c *Candidate) float64 {
