node: fewer calls to the store from a fleet that starts

Change: the duty of short waits is taken on in the order of the instances, with a head start of one report interval for each two; the lease is read after the time in which the peers are found; the version of the register entry is kept; watches that return changes come every 400 ms instead of 300.

--- a/node/duties.go
+++ b/node/duties.go
@@ -56,6 +56,11 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
+		select {
+		case <-ctx.Done():
+		case <-time.After(discoveryTime):
+			// Before it knows its peers, each instance of a fleet that starts would read the lease as its first candidate.
+		}
 		d.lease.Run(ctx, func(err error) { n.log.WithError(err).Info("duty lease not renewed") })
 	}()
 	_ = every(ctx, dutyInterval, d.tick) // returns nil only
--- a/node/membership.go
+++ b/node/membership.go
@@ -24,6 +24,7 @@
 	newestChanges map[string]newestChange         // by kind of object
 	shortWaitAt   map[string]map[string]time.Time // by kind and peer: last report that it watches with short waits
 	notifyingAt   map[string]time.Time            // by peer: last report that it notifies others of leaving endpoints
+	neededSince   map[string]time.Time            // by kind: since when this instance is needed to watch it with short waits
 }
 
 // newestChange is the newest change of a kind and the peers that reported it.
@@ -45,7 +46,10 @@
 )
 
 func newMembership(self string, now time.Time) membership {
-	return membership{self: self, since: now, lastSeen: map[string]time.Time{}, stopped: map[string]bool{}, newestChanges: map[string]newestChange{}, shortWaitAt: map[string]map[string]time.Time{}, notifyingAt: map[string]time.Time{}}
+	return membership{
+		self: self, since: now, lastSeen: map[string]time.Time{}, stopped: map[string]bool{}, newestChanges: map[string]newestChange{},
+		shortWaitAt: map[string]map[string]time.Time{}, notifyingAt: map[string]time.Time{}, neededSince: map[string]time.Time{},
+	}
 }
 
 func (m *membership) update(live []peer.Member, now time.Time) {
@@ -125,6 +129,22 @@
 	}
 }
 
+// neededFor records whether this instance is needed as a watcher of a kind, and returns for how long it has been.
+func (m *membership) neededFor(kind string, needed bool, now time.Time) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !needed {
+		delete(m.neededSince, kind)
+		return 0
+	}
+	since, ok := m.neededSince[kind]
+	if !ok {
+		since = now
+		m.neededSince[kind] = now
+	}
+	return now.Sub(since)
+}
+
 // hasShortWait reports whether a peer has reported after the given time that it watches a kind with short waits.
 func (m *membership) hasShortWait(kind, id string, since time.Time) bool {
 	m.mu.Lock()
--- a/node/membership_test.go
+++ b/node/membership_test.go
@@ -67,3 +67,13 @@
 	m.update(liveMembers("a"), now)
 	must.Eq(t, 3, m.expected(now))
 }
+
+// Guards against a duty that is taken on before those with a head start can have reported it, or never.
+func TestMembership_NeededFor(t *testing.T) {
+	now := time.Unix(0, 0)
+	m := newMembership("a", now)
+	must.Zero(t, m.neededFor("k", true, now))
+	must.Eq(t, 3*time.Second, m.neededFor("k", true, now.Add(3*time.Second)))
+	must.Zero(t, m.neededFor("k", false, now.Add(4*time.Second)))
+	must.Zero(t, m.neededFor("k", true, now.Add(5*time.Second)))
+}
--- a/node/register.go
+++ b/node/register.go
@@ -34,12 +34,14 @@
 // maintainRegister keeps this instance's entry in the register up to date and reads the register periodically.
 func (n *Node) maintainRegister(ctx context.Context) {
 	var written time.Time
+	version := uint64(0)
 	for i := 0; ctx.Err() == nil; i++ {
 		if written.IsZero() || time.Since(written) >= renewInterval {
-			if err := n.writeRegisterEntry(ctx); err != nil {
+			stored, err := n.writeRegisterEntry(ctx, version)
+			if err != nil {
 				n.log.WithError(err).Info("register entry not written")
 			} else {
-				written = time.Now()
+				version, written = stored, time.Now()
 			}
 		}
 		if err := n.readRegister(ctx); err != nil {
@@ -56,24 +58,24 @@
 	}
 }
 
-func (n *Node) writeRegisterEntry(ctx context.Context) error {
+// writeRegisterEntry replaces the entry, whose version is expected to be version; 0: none. It returns the new version.
+func (n *Node) writeRegisterEntry(ctx context.Context, version uint64) (uint64, error) {
 	value, err := json.Marshal(registerEntry{
 		Address: n.settings.PeerListen, Zone: n.settings.Zone, Region: n.settings.Region, RenewedMs: n.wall.Now().UnixMilli(),
 	})
 	if err != nil {
-		return err
+		return 0, err
 	}
 	key := registerPrefix + n.settings.Name
-	_, err = n.platform.Records.Put(ctx, key, value, 0)
+	stored, err := n.platform.Records.Put(ctx, key, value, version)
 	if !errors.Is(err, objstore.ErrConflict) && !errors.Is(err, objstore.ErrUnknownResult) {
-		return err
+		return stored, err
 	}
 	old, err := n.platform.Records.Get(ctx, key)
 	if err != nil {
-		return err
+		return 0, err
 	}
-	_, err = n.platform.Records.Put(ctx, key, value, old.Version)
-	return err
+	return n.platform.Records.Put(ctx, key, value, old.Version)
 }
 
 func (n *Node) readRegister(ctx context.Context) error {
--- a/node/watch.go
+++ b/node/watch.go
@@ -20,6 +20,8 @@
 	// watcherTimeout is the time without a report from a short or quick watcher after which it no longer counts as one:
 	// two missed reports of a large fleet. The next instance takes the place of a short watcher.
 	watcherTimeout = 2500 * time.Millisecond
+	// discoveryTime is the time in which a starting instance finds its peers through the store.
+	discoveryTime = 2 * time.Second
 	// watchTick is how often an instance checks whether its watches must change.
 	watchTick = 100 * time.Millisecond
 )
@@ -32,7 +34,7 @@
 	slowPace = 2200 * time.Millisecond
 	// quickPace is short enough for a reclaim, announced 2 s ahead, to be noticed in time to move the running
 	// requests.
-	quickPace = 300 * time.Millisecond
+	quickPace = 400 * time.Millisecond
 	// quickWatchers is the number of instances of a large fleet that watch at quickPace and notify the others of
 	// leaving endpoints. Eight, so that some remain during partitions and restarts.
 	quickWatchers = 8
@@ -66,12 +68,20 @@
 	return w
 }
 
-// needsShortWait reports whether this instance has to watch a kind with short waits.
+// needsShortWait reports whether this instance has to watch a kind with short waits. It takes the duty on only after
+// those before it in the order have had the time to report that they do; without this, all instances of a fleet that
+// starts would.
 func (n *Node) needsShortWait(kind string, now time.Time) bool {
+	if now.Sub(n.started) < discoveryTime {
+		return false // its connections to the store are new, and it does not know its peers yet
+	}
 	ids := n.memberIDs()
-	return isNeeded(rendezvous.Top(kind, ids, len(ids)), n.settings.Name, shortWatchers, func(id string) bool {
+	order := rendezvous.Top(kind, ids, len(ids))
+	needed := isNeeded(order, n.settings.Name, shortWatchers, func(id string) bool {
 		return n.members.hasShortWait(kind, id, now.Add(-watcherTimeout))
 	})
+	headStart := time.Duration(slices.Index(order, n.settings.Name)/shortWatchers) * n.interval()
+	return n.members.neededFor(kind, needed, now) >= headStart && needed
 }
 
 // isNeeded reports whether self has to take on a duty: fewer than wanted of the instances before it in order are
