--- a/node/settings.go
+++ b/node/settings.go
@@ -32,6 +32,7 @@
 	MemoryBytes int64
 	Cores       float64 // processor cores of the machine
 
+	StoreHistory    time.Duration     // how long the store keeps changes for watches; 0: unknown
 	GracePeriod     time.Duration     // from the signal to stop to the end of the process
 	DutyReturnDelay time.Duration     // a duty doesn't return to an earlier holder within this time
 	Repeats         limit.RepeatLimit // of all instances together, for each service
--- a/node/watch.go
+++ b/node/watch.go
@@ -124,8 +124,19 @@
 	case kind == n.platform.Kinds.Endpoints && len(n.memberIDs()) > largeFleet && n.isQuickWatcher(kind):
 		return quickWait
 	default:
+		return longestWait(n.settings.StoreHistory)
+	}
+}
+
+// historyShare is the share of the store's history that a watch may wait. One that waits longer starts from a revision
+// before the history and must list again.
+const historyShare = 0.8
+
+func longestWait(history time.Duration) time.Duration {
+	if history <= 0 {
 		return feed.MaxWait
 	}
+	return min(feed.MaxWait, time.Duration(historyShare*float64(history)))
 }
 
 // hasNotifiers reports whether enough quick watchers notify this instance of leaving endpoints, so that its own list
--- a/node/watch_test.go
+++ b/node/watch_test.go
@@ -3,8 +3,11 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/trefoillug/trefoillug/feed"
 )
 
 // Guards against a change that no instance finds because those that should find it have lost the store, and against
@@ -30,3 +33,10 @@
 		must.Eq(t, c.wantNeeded, isNeeded(order, c.self, shortWatchers, active), must.Sprint(name))
 	}
 }
+
+// Guards against watches that wait until their revision has left the store's history, and list again each time.
+func TestLongestWait_Cases(t *testing.T) {
+	must.Eq(t, feed.MaxWait, longestWait(0))
+	must.Eq(t, 16*time.Second, longestWait(20*time.Second))
+	must.Eq(t, feed.MaxWait, longestWait(time.Hour))
+}
