--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -213,11 +213,16 @@
 
 // send makes a request on a route.
 func (w *harness) send(ctx context.Context, route string) *caller {
+	return w.sendPrompt(ctx, route, nil)
+}
+
+// sendPrompt makes a request for a model engine on a route.
+func (w *harness) sendPrompt(ctx context.Context, route string, p *forward.Prompt) *caller {
 	now := time.Now()
 	c := &caller{}
 	c.broken = w.forwarder.Serve(ctx, c, &forward.Request{
 		ID: "r" + now.Format("150405.000000000"), Method: http.MethodPost, Host: "h", Path: "/" + route + "/x", URI: "/" + route + "/x", Key: "k",
-		Header: http.Header{}, Arrived: now, Deadline: now.Add(3 * time.Second),
+		Header: http.Header{}, Arrived: now, Deadline: now.Add(3 * time.Second), Prompt: p,
 	})
 	c.took = time.Since(now)
 	return c
