node: usage with the first report after its window, rarer between

Change: usage goes with the first report after the end of a window, and in a fleet above 16 with every fourth report between.

--- a/node/membership.go
+++ b/node/membership.go
@@ -19,7 +19,8 @@
 	stopped       map[string]bool                 // instances that stopped as planned and have not come back
 	registered    int                             // entries in the register
 	unreachable   int                             // at the last check
-	reports       int                             // published by this instance
+	reports       int                             // published by this instance since its latest usage report
+	usageWindow   uint64                          // current at the latest usage report
 	lastReport    time.Time                       // of this instance
 	newestChanges map[string]newestChange         // by kind of object
 	shortWaitAt   map[string]map[string]time.Time // by kind and peer: last report that it watches with short waits
@@ -193,10 +194,15 @@
 	return changed
 }
 
-// countReport counts a report of this instance and returns the number of reports so far.
-func (m *membership) countReport() int {
+// isUsageDue counts a report of this instance and reports whether one of its usage goes with it: with the first report
+// after the end of a window, whose counts are final then, and after each perUsage reports without.
+func (m *membership) isUsageDue(window uint64, perUsage int) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.reports++
-	return m.reports
+	if window == m.usageWindow && m.reports < perUsage {
+		return false
+	}
+	m.usageWindow, m.reports = window, 0
+	return true
 }
--- a/node/membership_test.go
+++ b/node/membership_test.go
@@ -77,3 +77,16 @@
 	must.Zero(t, m.neededFor("k", false, now.Add(4*time.Second)))
 	must.Zero(t, m.neededFor("k", true, now.Add(5*time.Second)))
 }
+
+// Guards against final counts of a window that are reported late, and against usage in each report.
+func TestMembership_UsageDue(t *testing.T) {
+	m := newMembership("a", time.Unix(0, 0))
+	must.True(t, m.isUsageDue(7, 4))
+	for range 3 {
+		must.False(t, m.isUsageDue(7, 4))
+	}
+	must.True(t, m.isUsageDue(7, 4))
+	must.False(t, m.isUsageDue(7, 4))
+	must.True(t, m.isUsageDue(8, 4))
+	must.False(t, m.isUsageDue(8, 4))
+}
--- a/node/peers.go
+++ b/node/peers.go
@@ -28,8 +28,10 @@
 	maxReportFactor     = 3
 	// reportTick is how often an instance checks whether a report is due.
 	reportTick = 100 * time.Millisecond
-	// reportsPerUsage is the number of reports per usage report, which is needed only seconds later.
-	reportsPerUsage = 2
+	// reportsPerUsage is the number of reports per usage report, which is needed only seconds later. In a large fleet usage
+	// is the larger part of the bytes that each instance receives.
+	reportsPerUsage      = 2
+	largeReportsPerUsage = 4
 	// reportedWindows is the number of windows in a usage report: the current one and those that may be due.
 	reportedWindows = 3
 	// reportLifetime is how long peers keep a report: as long as its usage may still have to be reported to the
@@ -110,7 +112,11 @@
 		r.Changed[kind] = f.NewestChange()
 	}
 	n.publishFact(factReport, r)
-	if n.members.countReport()%reportsPerUsage == 0 {
+	perUsage := reportsPerUsage
+	if expected > largeFleet {
+		perUsage = largeReportsPerUsage
+	}
+	if n.members.isUsageDue(n.usage.Window(n.wall.Now()), perUsage) {
 		n.publishUsage()
 	}
 }
