graceful, node: the configuration's header timeout

Cause: the time limit of a request's header stayed at 3 s whatever the configuration said, since net/http reads its limit at the start only. Change: graceful.Server.HeaderTimeout is asked at the first byte of each request. Measured: TestServe_HeaderTimeout (new; the limit of net/http cannot change while it serves).

--- a/graceful/conn.go
+++ b/graceful/conn.go
@@ -29,7 +29,7 @@
 		nc, err := l.deadlineListener.Accept()
 		switch {
 		case err == nil:
-			c := &conn{Conn: nc, acceptedAt: time.Now()}
+			c := &conn{Conn: nc, acceptedAt: time.Now(), headerTimeout: l.server.HeaderTimeout}
 			l.server.add(c)
 			return c, nil
 		case !errors.Is(err, os.ErrDeadlineExceeded):
@@ -46,12 +46,15 @@
 // conn records whether a request is arriving or being answered on a connection.
 type conn struct {
 	net.Conn
-	acceptedAt time.Time
+	acceptedAt    time.Time
+	headerTimeout func() time.Duration // nil: no limit
 
 	mu        sync.Mutex
 	inRequest bool // bytes of a request have arrived, and its answer is not complete
 	served    bool // a request was answered
 	closed    bool // closed because it was idle
+	// headerTimer runs while the header of a request arrives.
+	headerTimer *time.Timer
 }
 
 // Read implements net.Conn.
@@ -62,10 +65,41 @@
 	if c.closed {
 		return 0, io.EOF // the bytes are lost, but the request has not begun
 	}
-	c.inRequest = c.inRequest || n > 0
+	if n > 0 && !c.inRequest {
+		c.inRequest = true
+		c.beginHeader()
+	}
 	return n, err
 }
 
+// beginHeader starts the time limit of a header. c.mu must be held.
+func (c *conn) beginHeader() {
+	if c.headerTimeout == nil {
+		return
+	}
+	if timeout := c.headerTimeout(); timeout > 0 {
+		c.headerTimer = time.AfterFunc(timeout, c.expireHeader)
+	}
+}
+
+func (c *conn) endHeader() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.headerTimer != nil {
+		c.headerTimer.Stop()
+		c.headerTimer = nil
+	}
+}
+
+// expireHeader closes a connection on which a header has not arrived in time.
+func (c *conn) expireHeader() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.headerTimer != nil {
+		_ = c.Conn.Close() // the request has not begun
+	}
+}
+
 func (c *conn) endRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/graceful/server.go
+++ b/graceful/server.go
@@ -23,6 +23,10 @@
 
 // Server is an HTTP server. Use New.
 type Server struct {
+	// HeaderTimeout returns the time in which the header of a request has to arrive once its first byte has; nil: no
+	// limit besides the one of the http.Server. It may change while the server runs.
+	HeaderTimeout func() time.Duration
+
 	http *http.Server
 
 	mu       sync.Mutex
@@ -139,6 +143,8 @@
 		return
 	}
 	switch state {
+	case http.StateActive:
+		c.endHeader()
 	case http.StateIdle:
 		c.endRequest()
 	case http.StateHijacked, http.StateClosed:
--- a/graceful/server_test.go
+++ b/graceful/server_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,13 +28,13 @@
 }
 
 // start starts a server whose answers take work, and returns it with its address.
-func start(t *testing.T, work time.Duration) (*graceful.Server, string) {
+func start(t *testing.T, work time.Duration, change ...func(*graceful.Server)) (*graceful.Server, string) {
 	gate := make(chan struct{})
 	close(gate)
-	return startGated(t, work, gate)
+	return startGated(t, work, gate, change...)
 }
 
-func startGated(t *testing.T, work time.Duration, gate <-chan struct{}) (*graceful.Server, string) {
+func startGated(t *testing.T, work time.Duration, gate <-chan struct{}, change ...func(*graceful.Server)) (*graceful.Server, string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
@@ -41,6 +42,9 @@
 		time.Sleep(work)
 		_, _ = io.WriteString(w, r.URL.Path)
 	})})
+	for _, c := range change {
+		c(s)
+	}
 	done := make(chan error, 1)
 	go func() { done <- s.Serve(&gatedListener{l.(*net.TCPListener), gate}) }()
 	t.Cleanup(func() {
@@ -184,3 +188,27 @@
 	defer cancel()
 	must.ErrorIs(t, s.Shutdown(ctx), context.DeadlineExceeded)
 }
+
+// Guards against a header timeout that differs from the one in force, that cuts a request whose header is complete, or
+// that keeps a connection whose header never is.
+func TestServe_HeaderTimeout(t *testing.T) {
+	var timeout atomic.Int64
+	_, address := start(t, 150*time.Millisecond, func(s *graceful.Server) {
+		s.HeaderTimeout = func() time.Duration { return time.Duration(timeout.Load()) }
+	})
+	timeout.Store(int64(100 * time.Millisecond))
+	c := dial(t, address)
+	_, _ = io.WriteString(c, "GET /never HT")
+	_, err := c.Read(make([]byte, 1))
+	must.ErrorIs(t, err, io.EOF)
+	kept := dial(t, address)
+	for range 2 { // the answer takes longer than the header may
+		_, _ = fmt.Fprintf(kept, head, "/x")
+		receive(t, kept, "/x")
+	}
+	timeout.Store(int64(time.Second))
+	_, _ = io.WriteString(kept, "GET /late HT")
+	time.Sleep(150 * time.Millisecond)
+	_, _ = io.WriteString(kept, "TP/1.1\r\nHost: h\r\n\r\n")
+	receive(t, kept, "/late")
+}
--- a/node/node.go
+++ b/node/node.go
@@ -146,6 +146,7 @@
 	peers := graceful.New(&http.Server{Handler: n.peerMux(), ReadHeaderTimeout: readHeaderTimeout})
 	ready := graceful.New(&http.Server{Handler: n.platform.Ready(n.IsReady), ReadHeaderTimeout: readHeaderTimeout})
 	callers := graceful.New(n.callerServer())
+	callers.HeaderTimeout = n.headerTimeout
 	for i, server := range []*graceful.Server{peers, ready, callers} {
 		group.Go(func() error { return server.Serve(listeners[i]) })
 	}
@@ -209,13 +210,20 @@
 
 func (n *Node) callerServer() *http.Server {
 	return &http.Server{
-		Handler:           n.platform.Ingress(n.forwarder, n.maxBody, n.closing.Load),
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+		Handler:        n.platform.Ingress(n.forwarder, n.maxBody, n.closing.Load),
+		IdleTimeout:    idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes,
 	}
 }
 
+// headerTimeout returns the time limit that the configuration sets for the header of a request.
+func (n *Node) headerTimeout() time.Duration {
+	if t := n.table.Load(); t != nil && t.Limits.HeaderTimeout > 0 {
+		return t.Limits.HeaderTimeout
+	}
+	return readHeaderTimeout
+}
+
 func (n *Node) maxBody() int64 {
 	if t := n.table.Load(); t != nil && t.Limits.BodyBytes > 0 {
 		return t.Limits.BodyBytes
