--- a/forward/serve_test.go
+++ b/forward/serve_test.go
@@ -55,16 +55,7 @@
 
 // Guards against the answer to a repeated request not reaching the caller.
 func TestServe_RepeatDelivers(t *testing.T) {
-	first := make(chan struct{}, 1)
-	first <- struct{}{}
-	w := newHarness(t, 2, func(a *arrival) {
-		select {
-		case <-first:
-			reset(a)
-		default:
-			a.reply(http.StatusOK, "yes")
-		}
-	})
+	w := newHarness(t, 2, firstArrival(reset))
 	got := w.send(t.Context(), "safe")
 	must.Eq(t, http.StatusOK, got.status)
 	must.Eq(t, "yes", got.body.String())
@@ -90,15 +81,7 @@
 
 // Guards against an unresponsive endpoint that holds up an idempotent request until its deadline.
 func TestServe_RepeatsAfterUnresponsiveEndpoint(t *testing.T) {
-	stallOnce := make(chan struct{}, 1)
-	stallOnce <- struct{}{}
-	w := newHarness(t, 2, func(a *arrival) {
-		select {
-		case <-stallOnce:
-		default:
-			a.reply(http.StatusOK, "yes")
-		}
-	})
+	w := newHarness(t, 2, firstArrival(func(*arrival) {}))
 	got := w.send(t.Context(), "safe")
 	must.Eq(t, http.StatusOK, got.status)
 	must.Less(t, 400*time.Millisecond, got.took)
--- a/forward/trouble_test.go
+++ b/forward/trouble_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -78,6 +79,18 @@
 	}
 }
 
+// firstArrival returns a script that answers the first arrival with script, and all others with "yes".
+func firstArrival(script func(a *arrival)) func(a *arrival) {
+	var arrivals atomic.Int32
+	return func(a *arrival) {
+		if arrivals.Add(1) == 1 {
+			script(a)
+			return
+		}
+		a.reply(http.StatusOK, "yes")
+	}
+}
+
 // trickle calls send each 50 ms until the forwarder closes the connection.
 func trickle(a *arrival, send func()) {
 	for {
@@ -97,18 +110,10 @@
 		"body": "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 800\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
-			first := make(chan struct{}, 1)
-			first <- struct{}{}
-			w := newHarness(t, 2, func(a *arrival) {
-				select {
-				case <-first:
-				default:
-					a.reply(http.StatusOK, "yes")
-					return
-				}
+			w := newHarness(t, 2, firstArrival(func(a *arrival) {
 				_, _ = io.WriteString(a.conn, strings.Replace(start, "%s", a.id, 1))
 				trickle(a, func() { _, _ = io.WriteString(a.conn, "x") })
-			})
+			}))
 			w.table.Routes[1].Timeout = 3 * time.Second
 			got := w.send(t.Context(), "safe")
 			must.Eq(t, "yes", got.body.String())
@@ -165,18 +170,10 @@
 
 // Guards against a request that waits for the rest of a refusal that arrives a byte at a time.
 func TestServe_TricklingRefusal(t *testing.T) {
-	first := make(chan struct{}, 1)
-	first <- struct{}{}
-	w := newHarness(t, 2, func(a *arrival) {
-		select {
-		case <-first:
-		default:
-			a.reply(http.StatusOK, "yes")
-			return
-		}
+	w := newHarness(t, 2, firstArrival(func(a *arrival) {
 		_, _ = fmt.Fprintf(a.conn, "HTTP/1.1 503 Full\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 800\r\n\r\n", a.id)
 		trickle(a, func() { _, _ = io.WriteString(a.conn, "x") })
-	})
+	}))
 	got := w.send(t.Context(), "once")
 	must.Eq(t, "yes", got.body.String())
 	must.Less(t, 300*time.Millisecond, got.took)
