--- a/node/duties.go
+++ b/node/duties.go
@@ -154,6 +154,7 @@
 // reportWindow stores the final counts of a window before it reports them, so that every holder reports the same
 // counts.
 func (d *duties) reportWindow(ctx context.Context, window uint64) error {
+	d.n.collectMissing(ctx, window)
 	counts, err := d.finalCounts(ctx, window)
 	if err != nil {
 		return err
--- a/node/membership.go
+++ b/node/membership.go
@@ -21,6 +21,7 @@
 	unreachable   int                             // at the last check
 	reports       int                             // published by this instance since its latest usage report
 	usageWindow   uint64                          // current at the latest usage report
+	usageWindows  map[string]uint64               // by peer: current at its latest usage report
 	lastReport    time.Time                       // of this instance
 	newestChanges map[string]newestChange         // by kind of object
 	shortWaitAt   map[string]map[string]time.Time // by kind and peer: last report that it watches with short waits
@@ -50,6 +51,7 @@
 	return membership{
 		self: self, since: now, lastSeen: map[string]time.Time{}, stopped: map[string]bool{}, newestChanges: map[string]newestChange{},
 		shortWaitAt: map[string]map[string]time.Time{}, notifyingAt: map[string]time.Time{}, neededSince: map[string]time.Time{},
+		usageWindows: map[string]uint64{},
 	}
 }
 
@@ -76,6 +78,7 @@
 // dropWatcher drops what a peer has reported about its watches. Callers must hold m.mu.
 func (m *membership) dropWatcher(id string) {
 	delete(m.notifyingAt, id)
+	delete(m.usageWindows, id)
 	for _, peers := range m.shortWaitAt {
 		delete(peers, id)
 	}
@@ -194,6 +197,25 @@
 	return changed
 }
 
+func (m *membership) recordUsage(origin string, current uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.usageWindows[origin] = max(m.usageWindows[origin], current)
+}
+
+// withoutUsage returns those of the peers whose final counts of a window have not arrived.
+func (m *membership) withoutUsage(ids []string, window uint64) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var missing []string
+	for _, id := range ids {
+		if id != m.self && m.usageWindows[id] <= window {
+			missing = append(missing, id)
+		}
+	}
+	return missing
+}
+
 // isUsageDue counts a report of this instance and reports whether one of its usage goes with it: with the first report
 // after the end of a window, whose counts are final then, and after each perUsage reports without.
 func (m *membership) isUsageDue(window uint64, perUsage int) bool {
--- a/node/membership_test.go
+++ b/node/membership_test.go
@@ -90,3 +90,13 @@
 	must.True(t, m.isUsageDue(8, 4))
 	must.False(t, m.isUsageDue(8, 4))
 }
+
+// Guards against a window that is settled without the counts of a peer whose report is late.
+func TestMembership_WithoutUsage(t *testing.T) {
+	m := newMembership("a", time.Unix(0, 0))
+	m.recordUsage("b", 8)
+	m.recordUsage("c", 7)
+	m.recordUsage("b", 6) // an earlier report that arrives later
+	must.Eq(t, []string{"c", "d"}, m.withoutUsage([]string{"a", "b", "c", "d"}, 7))
+	must.Eq(t, []string{"d"}, m.withoutUsage([]string{"a", "b", "c", "d"}, 6))
+}
--- a/node/peers.go
+++ b/node/peers.go
@@ -57,6 +57,7 @@
 // usageReport holds the counts of the newest windows of a process.
 type usageReport struct {
 	Windows usage.Windows `cbor:"1,keyasint"`
+	Current uint64        `cbor:"2,keyasint,omitempty"` // window of the report; the counts of earlier ones are final
 }
 
 // copyCall asks for what has changed in a kind of objects after a revision.
@@ -73,6 +74,7 @@
 	n.mesh.Subscribe(move.FactPrefix, n.rollouts.receive)
 	handleCalls(n, callCopy, n.handleCopy)
 	handleCalls(n, callUsage, n.handleUsage)
+	handleCalls(n, callOwnUsage, n.handleOwnUsage)
 	handleCalls(n, callAcquire, n.acquireLocal)
 	handleCalls(n, callRelease, n.releaseLocal)
 }
@@ -124,7 +126,12 @@
 // publishUsage reports the counts of the newest windows to the peers.
 func (n *Node) publishUsage() {
 	n.usage.Expire(n.wall.Now())
-	n.publishFact(factUsage+n.process, usageReport{Windows: n.usage.Recent(n.wall.Now(), reportedWindows)})
+	n.publishFact(factUsage+n.process, n.recentUsage())
+}
+
+func (n *Node) recentUsage() usageReport {
+	now := n.wall.Now()
+	return usageReport{Windows: n.usage.Recent(now, reportedWindows), Current: n.usage.Window(now)}
 }
 
 func (n *Node) publishFact(key string, value any) { n.publishFor(key, value, reportLifetime) }
@@ -167,6 +174,7 @@
 		return
 	}
 	n.usage.Receive(strings.TrimPrefix(f.Key, factUsage), r.Windows)
+	n.members.recordUsage(f.Origin, r.Current)
 }
 
 func (n *Node) handleCopy(c copyCall) (*feed.Copy, error) {
