--- a/dispatch/control.go
+++ b/dispatch/control.go
@@ -35,6 +35,9 @@
 	if err := c.post(ctx, e, engine.PathKVExport, ref, &kv); err != nil {
 		return nil, err
 	}
+	if kv.RequestID != ref.RequestID {
+		return nil, fmt.Errorf("%s at %s: KV cache of request %q: %w", engine.PathKVExport, e.ID, kv.RequestID, errOtherRequest)
+	}
 	return &kv, nil
 }
 
--- a/dispatch/faulty_test.go
+++ b/dispatch/faulty_test.go
@@ -229,3 +229,17 @@
 		})
 	}
 }
+
+// Guards against the KV cache of another request, from a late copy of an earlier answer, that a request continues from.
+func TestExportKV_OtherRequest(t *testing.T) {
+	address := serveRaw(t, func(c net.Conn, _ *http.Request) {
+		text := `{"request_id":"a","offset":3}`
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+	})
+	client := dispatch.New(dispatch.Settings{})
+	defer client.Close()
+	_, err := client.ExportKV(t.Context(), endpoint(address), engine.AttemptRef{RequestID: "a"})
+	must.NoError(t, err)
+	_, err = client.ExportKV(t.Context(), endpoint(address), engine.AttemptRef{RequestID: "b"})
+	must.Error(t, err)
+}
--- a/graceful/conn.go
+++ b/graceful/conn.go
@@ -33,11 +33,9 @@
 			l.server.add(c)
 			return c, nil
 		case !errors.Is(err, os.ErrDeadlineExceeded):
-			l.server.forgetListener()
 			return nil, err
 		case draining && time.Since(start) >= acceptWindow:
 			// Accept has waited, so no connection was left. A deadline that passes before the call fails without a look.
-			defer l.server.forgetListener()
 			return nil, errors.Join(net.ErrClosed, l.Close())
 		}
 	}
--- a/graceful/server.go
+++ b/graceful/server.go
@@ -62,6 +62,7 @@
 	}
 	s.listener = d
 	s.mu.Unlock()
+	defer s.forgetListener() // only now, since http.Server accepts again after a temporary error
 	err := s.http.Serve(&listener{deadlineListener: d, server: s})
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
--- a/graceful/server_test.go
+++ b/graceful/server_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -212,3 +213,32 @@
 	_, _ = io.WriteString(kept, "TP/1.1\r\nHost: h\r\n\r\n")
 	receive(t, kept, "/late")
 }
+
+// failingListener fails its first Accept as a process without free descriptors does.
+type failingListener struct {
+	*net.TCPListener
+	failed atomic.Bool
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if !l.failed.Swap(true) {
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+	return l.TCPListener.Accept()
+}
+
+// Guards against a planned stop that forgets a listener after a temporary error, and cuts what it accepts.
+func TestShutdown_AfterTemporaryError(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	s := graceful.New(&http.Server{Handler: http.NotFoundHandler()})
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(&failingListener{TCPListener: l.(*net.TCPListener)}) }()
+	c := dial(t, l.Addr().String())
+	_, _ = fmt.Fprintf(c, head, "/x")
+	receive(t, c, "404 page not found\n")
+	must.NoError(t, <-shutdown(t, s))
+	must.NoError(t, <-done)
+	_, err = net.DialTimeout("tcp", l.Addr().String(), time.Second)
+	must.Error(t, err)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -213,6 +213,8 @@
 		Handler:        n.platform.Ingress(n.forwarder, n.maxBody, n.closing.Load),
 		IdleTimeout:    idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes,
+		// A connection without any request is closed like an idle one; graceful.Server bounds the headers.
+		ReadHeaderTimeout: idleTimeout,
 	}
 }
 
