forward: a broken stream logs why it was not continued

The log named the error of the last attempt only. Whether the caller had left, the budget was used up or the route allowed no further attempt could not be told, so the hypotheses of the incident 'requests without an answer' could not be told apart either. The log line and the counter now carry the reason. No decision changes.

--- a/forward/answer.go
+++ b/forward/answer.go
@@ -76,4 +76,7 @@
 	m.scope.Histogram("answer", answerBuckets).RecordDuration(took)
 }
 
-func (m *Metrics) countBrokenStream() { m.scope.Counter("streams_broken").Inc(1) }
+// countBrokenStream counts a stream that was broken off. cause is the reason why it was not continued elsewhere.
+func (m *Metrics) countBrokenStream(cause string) {
+	m.scope.Tagged(map[string]string{"cause": cause}).Counter("streams_broken").Inc(1)
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -16,6 +16,7 @@
 	"github.com/trefoillug/trefoillug/fleet"
 	"github.com/trefoillug/trefoillug/placement"
 	"github.com/trefoillug/trefoillug/problem"
+	"github.com/trefoillug/trefoillug/progress"
 	"github.com/trefoillug/trefoillug/quarantine"
 	"github.com/trefoillug/trefoillug/routing"
 )
@@ -302,6 +303,7 @@
 	errPartial         = errors.New("the caller has a part of an answer that can't be continued")
 	errTooManyFailures = errors.New("too many endpoints have rejected the request or were not reached")
 	errBudget          = errors.New("the retry budget is used up")
+	errNoEndpoint      = errors.New("no endpoint is ready for another attempt")
 )
 
 // CheckRetry implements attempt.Steps.
@@ -338,9 +340,9 @@
 	var refusal *Refusal
 	switch {
 	case !errors.As(cause, &refusal):
-		return r.finish(ctx, *last)
+		return r.finish(ctx, *last, cause)
 	case r.mayHaveRun || r.stream.started:
-		return r.finish(ctx, &outcome{err: refusal.Err})
+		return r.finish(ctx, &outcome{err: refusal.Err}, errNoEndpoint)
 	}
 	return r.refuse(refusal)
 }
@@ -352,13 +354,15 @@
 	maxRejections = 2
 )
 
-// finish answers a request that gets no further attempt.
-func (r *exchange) finish(ctx context.Context, out *outcome) error {
+// finish answers a request that gets no further attempt. cause says why.
+func (r *exchange) finish(ctx context.Context, out *outcome, cause error) error {
 	switch {
 	case r.stream.started:
-		r.log.WithError(out.err).WithFields(logrus.Fields{"route": r.route.Name, "last_event": r.stream.lastID, "end": out.end.String()}).
-			Info("stream broken off")
-		r.f.cfg.Metrics.countBrokenStream()
+		r.log.WithError(out.err).WithFields(logrus.Fields{
+			"route": r.route.Name, "last_event": r.stream.lastID, "end": out.end.String(), "no_retry": cause.Error(),
+			"stalled": errors.Is(out.err, progress.ErrStalled), "runs": r.runs, "ms": time.Since(r.req.Arrived).Milliseconds(),
+		}).Info("stream broken off")
+		r.f.cfg.Metrics.countBrokenStream(causeLabel(cause))
 		return problem.Wrap(problem.StreamBroken, out.err)
 	case out.answer != nil && ctx.Err() == nil:
 		return r.deliver(out.answer)
@@ -371,6 +375,23 @@
 	}
 }
 
+// causeLabel returns the value of a metric's tag for the reason why a request gets no further attempt.
+func causeLabel(cause error) string {
+	switch cause {
+	case errTimeUp:
+		return "time_up"
+	case errMayHaveRun:
+		return "no_repeat"
+	case errPartial:
+		return "partial"
+	case errTooManyFailures:
+		return "failures"
+	case errBudget:
+		return "budget"
+	}
+	return "no_endpoint"
+}
+
 // jitter returns a random delay within half of d around d, so that refused callers don't retry at the same time.
 func jitter(d time.Duration) time.Duration {
 	return d/2 + rand.N(d)
