--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -141,6 +141,13 @@
 	return w.retries >= 0
 }
 
+// setRetries sets what is left in the retry budget.
+func (w *harness) setRetries(n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.retries = n
+}
+
 func (w *harness) listen(id string, script func(a *arrival)) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(w.t, err)
