forward: an attempt is given up for silence only when another is allowed

Callers lost streams, or got 502, when a sound endpoint fell silent for a second or so and no other attempt was allowed.

Cause: the timers that detect an attempt without progress (stream, head, body, answer) cancelled it at once; maxAttempts and the retry budget were checked only afterwards. One silent endpoint stalls all of its streams together, which empties this instance's share of the budget, and a configuration that moves a route starts with the empty budget of another service. Class: a resource is released before its replacement is secured.

Now a stalled attempt acquires its successor first (attempts left, then the budget) and is cancelled only with it. Without one it continues, and asks again after each further gap, so that a stream whose connection is dead still resumes once the budget allows it.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -70,6 +70,8 @@
 	r.tried[e] = true
 	prefill := r.beginAttempt(e)
 	defer e.Stats.End()
+	r.successor.begin()
+	defer r.successor.end()
 	sent := time.Now()
 	r.sentAt = sent
 	r.timeToFirst, r.load = 0, e.Stats.Snapshot(sent).Running-1
@@ -86,7 +88,7 @@
 
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	stopTimer := startAnswerTimer(r.answerTimeout(), cancel)
+	stopTimer := r.startAnswerTimer(cancel)
 	relocation, stop := r.relocate(ctx, e)
 	defer stop()
 	defer func() {
@@ -130,14 +132,19 @@
 	_, _ = io.Copy(io.Discard, io.LimitReader(reply.Body, maxSkippedBytes))
 }
 
-// startAnswerTimer starts the timer that cancels an attempt without an answer; 0: never. stop must be called once the
-// head of the answer has arrived; a progress.Watch takes over.
-func startAnswerTimer(timeout time.Duration, cancel context.CancelCauseFunc) (stop func()) {
+// startAnswerTimer starts the watch that cancels an attempt without an answer. stop must be called once the head of the
+// answer has arrived; another watch takes over.
+func (r *exchange) startAnswerTimer(cancel context.CancelCauseFunc) (stop func()) {
+	timeout := r.answerTimeout()
 	if timeout <= 0 {
 		return func() {}
 	}
-	timer := time.AfterFunc(timeout, func() { cancel(progress.ErrStalled) })
-	return func() { timer.Stop() }
+	watch := progress.Start(timeout, func() {
+		if r.mayAbandon() {
+			cancel(progress.ErrStalled)
+		}
+	})
+	return watch.Stop
 }
 
 // beginAttempt counts the request at the endpoint and returns the prompt tokens that the endpoint has to process.
@@ -187,7 +194,7 @@
 	}
 	return &upstream.Call{
 		Method: r.req.Method, URI: r.req.URI, Host: r.req.Host, Header: r.f.cfg.Wire.Outbound(a), Body: r.req.Body,
-		NonIdempotent: !r.route.MayRepeat(), HeadTimeout: headTimeout,
+		NonIdempotent: !r.route.MayRepeat(), HeadTimeout: headTimeout, MayTimeOut: r.mayAbandon,
 		MatchesAnswer: func(h http.Header) bool { return r.f.cfg.Wire.IsAnswerTo(h, r.req.ID) },
 	}
 }
@@ -295,7 +302,12 @@
 		return io.ReadAll(io.LimitReader(reply.Body, maxBuffered+1))
 	}
 	var stalled atomic.Bool
-	watch := progress.Start(r.stallTimeout(), func() { stalled.Store(true); reply.Abort() })
+	watch := progress.Start(r.stallTimeout(), func() {
+		if r.mayAbandon() {
+			stalled.Store(true)
+			reply.Abort()
+		}
+	})
 	defer watch.Stop()
 	body, err := io.ReadAll(io.LimitReader(&progress.Reader{Reader: reply.Body, Watch: watch}, maxBuffered+1))
 	if err != nil && stalled.Load() && ctx.Err() == nil {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -195,6 +195,7 @@
 	startCounted bool          // Config.OnStarted was called
 	stream       streamState
 	pendingMove  *moveResult // where the next attempt continues the run; nil unless it was moved
+	successor    successor   // of a stalled attempt
 }
 
 // Serve answers a request on w. It returns an error if the answer was broken off after it had begun; the caller's
@@ -327,6 +328,9 @@
 
 // AcquireRetry implements attempt.Steps.
 func (r *exchange) AcquireRetry(_ context.Context, _ *fleet.Endpoint, out *outcome) error {
+	if r.successor.take() {
+		return nil
+	}
 	if r.pendingMove == nil && out.reached && !r.f.cfg.RetryBudget.AcquireRetry(r.service.Name) {
 		r.log.WithField("service", r.service.Name).Info("no repeat: the retry budget is used up")
 		return errBudget
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -132,10 +132,11 @@
 	return stallGaps * gap
 }
 
-// watchProgress cancels an attempt of a resumable stream when its endpoint makes no progress for stallTimeout.
+// watchProgress cancels an attempt of a resumable stream when its endpoint makes no progress for stallTimeout and another
+// attempt is allowed.
 func (r *exchange) watchProgress(cancel context.CancelCauseFunc) *progress.Watch {
 	return progress.Start(r.stallTimeout(), func() {
-		if r.route.MayRepeat() {
+		if r.mayAbandon() {
 			cancel(progress.ErrStalled)
 		}
 	})
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -39,6 +39,9 @@
 	MatchesAnswer func(http.Header) bool
 	// HeadTimeout is the time in which the head of an answer has to arrive once its first byte has; 0: no limit.
 	HeadTimeout time.Duration
+	// MayTimeOut is called when HeadTimeout has passed, from another goroutine. If it returns false, the exchange goes on and
+	// MayTimeOut is called again after a further HeadTimeout; nil: the exchange fails at once.
+	MayTimeOut func() bool
 }
 
 // Error is the error of a failed exchange.
@@ -165,7 +168,7 @@
 
 // readHead reads the head of an answer within its bounds.
 func (c *conn) readHead(call *Call) (*http.Response, error) {
-	end := c.incoming.beginHead(call.HeadTimeout)
+	end := c.incoming.beginHead(call.HeadTimeout, call.MayTimeOut)
 	defer end()
 	return http.ReadResponse(c.reader, &http.Request{Method: call.Method})
 }
--- a/upstream/head.go
+++ b/upstream/head.go
@@ -21,6 +21,8 @@
 	inHead  bool
 	left    int // bytes that the head may still have
 	timeout time.Duration
+	// mayExpire decides whether the head has failed when timeout has passed; nil: it has.
+	mayExpire func() bool
 
 	mu      sync.Mutex
 	timer   *time.Timer // runs from the first byte of the head
@@ -28,8 +30,8 @@
 }
 
 // beginHead starts the bounds of a head; timeout 0 means no limit of time. The returned function ends them.
-func (l *headLimiter) beginHead(timeout time.Duration) (end func()) {
-	l.inHead, l.left, l.timeout = true, progress.MaxHeadBytes, timeout
+func (l *headLimiter) beginHead(timeout time.Duration, mayExpire func() bool) (end func()) {
+	l.inHead, l.left, l.timeout, l.mayExpire = true, progress.MaxHeadBytes, timeout, mayExpire
 	return l.endHead
 }
 
@@ -77,6 +79,10 @@
 	if l.timer == nil {
 		return // the head has ended in the meantime
 	}
+	if l.mayExpire != nil && !l.mayExpire() {
+		l.timer.Reset(l.timeout)
+		return
+	}
 	l.expired = true
 	_ = l.conn.SetReadDeadline(time.Unix(1, 0))
 }
