relay: a silent end does not cut a complete long answer

Twin of the platform's path: the test lost the end of an answer over 256 KB ("unexpected EOF") when its endpoint was silent for longer than WriteTimeout before the end. The deadline is renewed once the answer is complete.

--- a/relay/plain.go
+++ b/relay/plain.go
@@ -296,6 +296,7 @@
 			// Breaking the connection tells the caller that the answer is incomplete.
 			panic(http.ErrAbortHandler)
 		}
+		_ = rc.SetWriteDeadline(time.Now().Add(r.cfg.Limits.WriteTimeout)) // for the end of the answer, which the server writes
 	}
 	r.cfg.Post(core.Served{Service: call.Service.Name, Workspace: call.Workspace})
 }
--- a/relay/plain_test.go
+++ b/relay/plain_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -189,3 +190,25 @@
 	must.Eq(t, "data: 2\n\n", string(tail))
 	must.NoError(t, rl.Drain(t.Context(), DrainPlanned))
 }
+
+// Guards against a long answer that is cut before its end because its endpoint was silent for longer than a write may
+// take.
+func TestPlain_SilenceBeforeEnd(t *testing.T) {
+	const writeTimeout = 200 * time.Millisecond
+	long := strings.Repeat("x", 2*bufferBytes)
+	service := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, long)
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(2 * writeTimeout)
+	}))
+	defer service.Close()
+	env := newTestEnv(t)
+	env.addInstance(cloud.Instance{ID: "s", Address: service.Listener.Addr().String(), FailureDomain: "fd1", Service: "orders"})
+	_, url := env.startRelay(Config{Limits: Limits{WriteTimeout: writeTimeout}})
+	resp, err := http.Get(url + "/services/orders/list")
+	must.NoError(t, err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	must.NoError(t, err)
+	must.Eq(t, len(long), len(body))
+}
