--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -70,8 +70,8 @@
 	r.tried[e] = true
 	prefill := r.beginAttempt(e)
 	defer e.Stats.End()
-	r.successor.begin()
-	defer r.successor.end()
+	r.successor.Begin()
+	defer r.successor.End()
 	sent := time.Now()
 	r.sentAt = sent
 	r.timeToFirst, r.load = 0, e.Stats.Snapshot(sent).Running-1
@@ -147,6 +147,14 @@
 	return watch.Stop
 }
 
+// mayAbandon reports whether the current attempt, which has stalled, may be given up for another one. If so, the other one
+// has been acquired from the retry budget.
+func (r *exchange) mayAbandon() bool {
+	return r.successor.Acquire(func() bool {
+		return r.route.MayRepeat() && r.runs+1 < r.route.MaxAttempts && r.f.cfg.RetryBudget.AcquireRetry(r.service.Name)
+	})
+}
+
 // beginAttempt counts the request at the endpoint and returns the prompt tokens that the endpoint has to process.
 func (r *exchange) beginAttempt(e *fleet.Endpoint) float64 {
 	prefill := 0.0
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -194,8 +194,8 @@
 	mayHaveRun   bool          // an endpoint may have run the request, or may still run it
 	startCounted bool          // Config.OnStarted was called
 	stream       streamState
-	pendingMove  *moveResult // where the next attempt continues the run; nil unless it was moved
-	successor    successor   // of a stalled attempt
+	pendingMove  *moveResult       // where the next attempt continues the run; nil unless it was moved
+	successor    attempt.Successor // of a stalled attempt
 }
 
 // Serve answers a request on w. It returns an error if the answer was broken off after it had begun; the caller's
@@ -328,7 +328,7 @@
 
 // AcquireRetry implements attempt.Steps.
 func (r *exchange) AcquireRetry(_ context.Context, _ *fleet.Endpoint, out *outcome) error {
-	if r.successor.take() {
+	if r.successor.Take() {
 		return nil
 	}
 	if r.pendingMove == nil && out.reached && !r.f.cfg.RetryBudget.AcquireRetry(r.service.Name) {
