dispatch, relay: a stalled attempt ends only when a retry is in the budget

An engine that was silent for longer than the stream gap, or a service that took half of the time left, was cancelled, and the caller waited for the retry budget until its deadline: 502 after 20 s where the engine would have gone on after 50 ms (TestResume_SilenceWithoutBudget), and 502 for a call that takes 350 of 500 ms (TestPlain_SilenceWithoutBudget).

--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -30,6 +30,9 @@
 	// AnswerTimeout is the time limit for the head of the answer; 0: until the context ends. With a limit, the buffered
 	// start of the answer must make progress too.
 	AnswerTimeout time.Duration
+	// MayAbandon reports whether the attempt may be given up for one of the limits of time; nil: it may. It is called from
+	// other goroutines, and again after each further limit.
+	MayAbandon func() bool
 	// BufferBytes is the number of body bytes that are read before Call returns. Event streams are not buffered.
 	BufferBytes int
 }
@@ -52,17 +55,17 @@
 		g = &generation{transport: c.newTransport(), attempts: map[*attempt]struct{}{}}
 		g.transport.DisableKeepAlives = true
 	}
-	ctx, a := c.start(ctx, g)
-	stall := func() { a.cancel(progress.ErrStalled); p.replaceGeneration(g) }
+	ctx, a := c.start(ctx, g, call.MayAbandon)
+	stall := func() { a.stall(); p.replaceGeneration(g) }
 	if call.AnswerTimeout > 0 {
-		timer := time.AfterFunc(call.AnswerTimeout, stall)
+		watch := progress.Start(call.AnswerTimeout, stall)
 		a.onHead = func() *progress.Watch {
-			timer.Stop()
+			watch.Stop()
 			return progress.Start(c.settings.StreamGap, stall)
 		}
-		defer timer.Stop()
+		defer watch.Stop()
 		if call.ReusedTimeout > 0 {
-			a.onReused = func() { timer.Reset(min(call.ReusedTimeout, call.AnswerTimeout)) }
+			a.onReused = func() { watch.SetGap(min(call.ReusedTimeout, call.AnswerTimeout)) }
 		}
 	}
 	answer, result := c.roundTrip(ctx, p, a, call)
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -64,8 +64,8 @@
 	}
 }
 
-// retire replaces a generation. Its attempts that have received nothing for at least minStall end as Stalled; the
-// others continue, since the bytes received prove that their connections work.
+// retire replaces a generation. Its attempts that have received nothing for at least minStall end as Stalled if they may
+// be given up; the others continue, since the bytes received prove that their connections work.
 func (p *pool) retire(g *generation, minStall time.Duration) {
 	p.mu.Lock()
 	if p.gen == g {
@@ -77,7 +77,7 @@
 	defer g.mu.Unlock()
 	for a := range g.attempts {
 		if a.sinceLastBytes() >= minStall {
-			a.cancel(progress.ErrStalled)
+			a.stall()
 		}
 	}
 }
@@ -93,6 +93,8 @@
 	onReused  func()       // called when the attempt gets a reused connection
 	// onHead is called when the head of an answer has arrived and returns the watch for its body; nil: no watch.
 	onHead func() *progress.Watch
+	// mayAbandon reports whether the attempt may end as Stalled; nil: it may.
+	mayAbandon func() bool
 }
 
 type connUse struct {
@@ -101,9 +103,9 @@
 }
 
 // start registers an attempt with a generation.
-func (c *Client) start(ctx context.Context, g *generation) (context.Context, *attempt) {
+func (c *Client) start(ctx context.Context, g *generation, mayAbandon func() bool) (context.Context, *attempt) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	a := &attempt{gen: g, cancel: cancel, now: c.settings.Now, started: c.settings.Now()}
+	a := &attempt{gen: g, cancel: cancel, now: c.settings.Now, started: c.settings.Now(), mayAbandon: mayAbandon}
 	a.recordReceive()
 	g.mu.Lock()
 	g.attempts[a] = struct{}{}
@@ -131,6 +133,13 @@
 	a.cancel(nil)
 }
 
+// stall ends the attempt as Stalled if it may be given up.
+func (a *attempt) stall() {
+	if a.mayAbandon == nil || a.mayAbandon() {
+		a.cancel(progress.ErrStalled)
+	}
+}
+
 func (a *attempt) recordReceive() { a.lastBytes.Store(a.now().UnixNano()) }
 
 // sinceLastBytes returns the time since bytes were last received, or since the start of the attempt.
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -26,6 +26,9 @@
 	AttemptID string
 	Body      []byte // JSON of an engine.ChatRequest
 	First     int    // expected sequence number of the first event
+	// MayAbandon reports whether the attempt may be given up because it makes no progress; nil: it may. It is called from
+	// other goroutines, and again after each further gap without progress.
+	MayAbandon func() bool
 }
 
 // Stream makes one attempt and passes each event once and in order to sink, which must not block for long. An error of
@@ -33,11 +36,11 @@
 func (c *Client) Stream(ctx context.Context, call *StreamCall, sink func(*engine.StreamEvent) error) Result {
 	p := c.pool(call.Endpoint)
 	g := p.current()
-	ctx, a := c.start(ctx, g)
+	ctx, a := c.start(ctx, g, call.MayAbandon)
 	defer a.finish()
 	gap := c.settings.StreamGap
 	watch := progress.Start(gap, func() {
-		a.cancel(progress.ErrStalled)
+		a.stall()
 		p.retire(g, gap/2)
 	})
 	defer watch.Stop()
--- a/progress/progress.go
+++ b/progress/progress.go
@@ -101,6 +101,14 @@
 	}
 }
 
+// SetGap replaces the gap and begins a new one.
+func (w *Watch) SetGap(gap time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.gap = gap
+	w.restart()
+}
+
 // Stop ends the watch; onStall is not called after Stop has returned, except by a call that has already begun.
 func (w *Watch) Stop() {
 	w.mu.Lock()
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -52,6 +52,7 @@
 	moveTarget   *slot // slot to which the stream was moved; nil if it was not moved
 	moved        bool
 	errorAnswers int // attempts that endpoints answered with an error
+	successor    attempt.Successor
 }
 
 // Choose implements attempt.Steps.
@@ -69,7 +70,9 @@
 
 // Try implements attempt.Steps.
 func (g *generation) Try(ctx context.Context, acquired *slot) dispatch.Result {
-	result := g.attempt(acquired)
+	g.successor.Begin()
+	result := g.attempt(acquired, g.mayAbandon)
+	g.successor.End()
 	if result.Sent != dispatch.SentNothing {
 		g.maybeSent.Store(true)
 	}
@@ -115,11 +118,19 @@
 		clear(g.search.failedEndpoints)
 	}
 	g.search.recordFailure(acquired.endpoint, result.End == dispatch.ErrorStatus || result.End == dispatch.InvalidStream)
+	if g.successor.Take() {
+		return nil
+	}
 	return g.relay.awaitBudget(ctx, g.call, func() error {
 		return g.incompleteError(problem.EndpointFailed, "no retry before the deadline: %v", result.Err)
 	})
 }
 
+// mayAbandon reports whether the current attempt, which has stalled, may be given up for another one.
+func (g *generation) mayAbandon() bool {
+	return g.successor.Acquire(func() bool { return g.relay.cfg.RetryBudget.AcquireRetry(g.call.Service.Name) })
+}
+
 // GiveUp implements attempt.Steps.
 func (g *generation) GiveUp(_ context.Context, _ *dispatch.Result, cause error) error { return cause }
 
@@ -131,8 +142,9 @@
 	return s.incompleteError(problem.KindOf(err), "%v", err)
 }
 
-// attempt runs one attempt at an endpoint, reports its end and releases the slot.
-func (s *session) attempt(acquired *slot) dispatch.Result {
+// attempt runs one attempt at an endpoint, reports its end and releases the slot. mayAbandon is that of
+// dispatch.StreamCall.
+func (s *session) attempt(acquired *slot, mayAbandon func() bool) dispatch.Result {
 	defer acquired.release()
 	offset, text := s.emitted()
 	ctx, cancel := context.WithCancelCause(s.ctx)
@@ -147,6 +159,7 @@
 	defer stats.recordPrefilled(acquired.endpoint)
 	result := s.relay.cfg.Dispatch.Stream(ctx, &dispatch.StreamCall{
 		Endpoint: acquired.endpoint, RequestID: s.call.RequestID, AttemptID: acquired.attempt, Body: body, First: offset,
+		MayAbandon: mayAbandon,
 	}, func(e *engine.StreamEvent) error { s.receive(acquired.endpoint, e, &stats, offset > 0); return nil })
 	s.relay.reportEnd(s.call, acquired, &stats, result)
 	if result.End == dispatch.Cancelled || result.End == dispatch.InvalidStream || result.End == dispatch.Stalled {
--- a/relay/once.go
+++ b/relay/once.go
@@ -63,7 +63,7 @@
 
 // Try implements attempt.Steps.
 func (s *claimedSteps) Try(ctx context.Context, acquired *slot) plainResult {
-	answer, result := s.relay.callEndpoint(ctx, s.call, acquired, s.newConnections)
+	answer, result := s.relay.callEndpoint(ctx, s.call, acquired, s.newConnections, nil)
 	return plainResult{answer, result}
 }
 
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -151,6 +151,7 @@
 	newConnections bool // use only new connections, after an attempt on a stalled one
 	answers        int  // answers received from endpoints
 	answer         *plainAnswer
+	successor      attempt.Successor
 }
 
 // plainResult is the result of an attempt of a plain call. answer is nil if the endpoint returned no complete answer.
@@ -170,7 +171,9 @@
 
 // Try implements attempt.Steps.
 func (s *plainSteps) Try(ctx context.Context, acquired *slot) plainResult {
-	answer, result := s.relay.callEndpoint(ctx, s.call, acquired, s.newConnections)
+	s.successor.Begin()
+	answer, result := s.relay.callEndpoint(ctx, s.call, acquired, s.newConnections, s.mayAbandon)
+	s.successor.End()
 	s.newConnections = s.newConnections || result.End == dispatch.Stalled
 	if answer != nil {
 		s.answers++
@@ -207,9 +210,17 @@
 
 // AcquireRetry implements attempt.Steps.
 func (s *plainSteps) AcquireRetry(ctx context.Context, _ *slot, out plainResult) error {
+	if s.successor.Take() {
+		return nil
+	}
 	return s.relay.awaitBudget(ctx, s.call, func() error { return plainError(ctx, out.result.Err, true) })
 }
 
+// mayAbandon reports whether the current attempt, which has stalled, may be given up for another one.
+func (s *plainSteps) mayAbandon() bool {
+	return s.successor.Acquire(func() bool { return s.relay.cfg.RetryBudget.AcquireRetry(s.call.Service.Name) })
+}
+
 // GiveUp implements attempt.Steps.
 func (s *plainSteps) GiveUp(_ context.Context, _ *plainResult, cause error) error { return cause }
 
@@ -233,16 +244,17 @@
 	}
 }
 
-// callEndpoint makes one attempt. The slot is released when the answer has been read or the attempt has failed.
+// callEndpoint makes one attempt. The slot is released when the answer has been read or the attempt has failed. mayAbandon
+// is that of dispatch.PlainCall.
 func (r *Relay) callEndpoint(
-	ctx context.Context, call *Call, acquired *slot, newConnection bool) (*plainAnswer, dispatch.Result) {
+	ctx context.Context, call *Call, acquired *slot, newConnection bool, mayAbandon func() bool) (*plainAnswer, dispatch.Result) {
 	stats := &attemptStats{started: r.cfg.Now()}
 	header := call.Header.Clone()
 	header.Set(headerRequestID, call.RequestID)
 	header.Set(engine.HeaderAttemptID, acquired.attempt)
 	attempt := &dispatch.PlainCall{
 		Endpoint: acquired.endpoint, Method: call.Method, Path: call.Path, Header: header, Body: call.Body,
-		SendOnce: call.runsAtMostOnce(), NewConn: newConnection, BufferBytes: bufferBytes,
+		SendOnce: call.runsAtMostOnce(), NewConn: newConnection, BufferBytes: bufferBytes, MayAbandon: mayAbandon,
 	}
 	if deadline, ok := ctx.Deadline(); ok && !attempt.SendOnce {
 		// Half of the remaining time is reserved for another endpoint.
--- a/relay/plain_test.go
+++ b/relay/plain_test.go
@@ -212,3 +212,13 @@
 	must.NoError(t, err)
 	must.Eq(t, len(long), len(body))
 }
+
+// Guards against a call that is refused because its sound endpoint is silent for half of the time left while the retry
+// budget is used up.
+func TestPlain_SilenceWithoutBudget(t *testing.T) {
+	env := newTestEnv(t)
+	env.startService("a", standin.ServiceConfig{Work: 350 * time.Millisecond})
+	env.startService("b", standin.ServiceConfig{Work: 350 * time.Millisecond})
+	_, url := env.startRelay(Config{RetryBudget: emptyUntil{time.Now().Add(time.Hour)}})
+	must.Eq(t, 200, send("GET", url+"/services/orders/short", "").status)
+}
--- a/relay/resume_test.go
+++ b/relay/resume_test.go
@@ -299,3 +299,15 @@
 	mustBeComplete(t, chat(url, "quote", 30), "quote", 30)
 	must.Greater(t, 500*time.Millisecond, time.Since(start))
 }
+
+// Guards against a stream that is cut because its sound endpoint falls silent while the retry budget is used up.
+func TestResume_SilenceWithoutBudget(t *testing.T) {
+	env := newTestEnv(t)
+	env.streamGap = 100 * time.Millisecond
+	env.startEngine("a", "fd1", standin.EngineConfig{DecodeStep: 150 * time.Millisecond})
+	env.startEngine("b", "fd2", standin.EngineConfig{DecodeStep: 150 * time.Millisecond})
+	_, url := env.startRelay(Config{RetryBudget: emptyUntil{time.Now().Add(time.Hour)}})
+	start := time.Now()
+	mustBeComplete(t, chat(url, "silent", 6), "silent", 6)
+	must.Less(t, 5*time.Second, time.Since(start))
+}
