--- a/forward/silent_test.go
+++ b/forward/silent_test.go
@@ -85,3 +85,18 @@
 	must.Eq(t, event(1)+event(2), got.body.String())
 	must.Less(t, 1500*time.Millisecond, got.took)
 }
+
+// Guards against a stream that is cut because its sound endpoint falls silent while no endpoint is ready for another
+// attempt.
+func TestServe_SilentStreamWithoutOtherEndpoint(t *testing.T) {
+	began := make(chan string, 1)
+	w := newHarness(t, 1, func(a *arrival) {
+		began <- a.endpoint
+		pausingStream(a)
+	})
+	w.table.Routes[3].Timeout = 3 * time.Second
+	go func() { w.fleet.Remove(<-began, true, time.Now()) }()
+	got := w.send(t.Context(), "resume")
+	must.NoError(t, got.broken)
+	must.Eq(t, event(1)+event(2), got.body.String())
+}
