forward: a stream may pause for three target gaps before it is resumed elsewhere

A sound endpoint may be silent for a second or so. With two target gaps (1 s on Jadran) each such pause sent its resumable streams to other endpoints, which read their prompts again and use the shared retry budget up. Callers give a stream up after eight gaps, so three leave time for the next attempt. Answers that are not streams keep two gaps: their deadlines are short.

--- a/forward/stream.go
+++ b/forward/stream.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/trefoillug/trefoillug/progress"
+	"github.com/trefoillug/trefoillug/routing"
 	"github.com/trefoillug/trefoillug/upstream"
 )
 
@@ -23,9 +24,11 @@
 const (
 	// readChunk is the size of the read buffer in bytes; events usually have a few hundred.
 	readChunk = 8 << 10
-	// stallGaps is the pause, in target gaps, after which a resumable stream is resumed at another endpoint: twice the
-	// longest pause that is still on time, so that a slow endpoint is not taken for an unresponsive one.
-	stallGaps = 2
+	// streamStallGaps is the pause, in target gaps, after which a resumable stream is resumed at another endpoint. A sound
+	// endpoint may pause for a second or so, and callers wait for eight gaps.
+	streamStallGaps = 3
+	// answerStallGaps is the same for an answer that is not a stream.
+	answerStallGaps = 2
 	// defaultGap is the target gap of routes that set none.
 	defaultGap = 500 * time.Millisecond
 )
@@ -129,7 +132,10 @@
 	if gap == 0 {
 		gap = defaultGap
 	}
-	return stallGaps * gap
+	if r.route.Kind == routing.Streaming {
+		return streamStallGaps * gap
+	}
+	return answerStallGaps * gap
 }
 
 // watchProgress cancels an attempt of a resumable stream when its endpoint makes no progress for stallTimeout and another
