graceful, node, entry: connections that an instance closes itself are counted and logged

Callers saw requests end without an answer on planned stops, and no log or counter said whether this instance had closed the connection, or why. No change of what is closed.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -162,6 +162,7 @@
 	group, runCtx := errgroup.WithContext(runCtx)
 	peerServer := graceful.New(&http.Server{Handler: d.peerMux(), ReadHeaderTimeout: headerTimeout})
 	callerServer := graceful.New(relay.NewServer(d.callerMux()))
+	callerServer.OnClose = graceful.Report(d.log, d.metrics.scope)
 	group.Go(func() error { return peerServer.Serve(peers) })
 	group.Go(func() error { return callerServer.Serve(callers) })
 	d.startSystems(runCtx, group)
--- a/graceful/conn.go
+++ b/graceful/conn.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"time"
@@ -29,7 +30,7 @@
 		nc, err := l.deadlineListener.Accept()
 		switch {
 		case err == nil:
-			c := &conn{Conn: nc, acceptedAt: time.Now(), headerTimeout: l.server.HeaderTimeout}
+			c := &conn{Conn: nc, acceptedAt: time.Now(), headerTimeout: l.server.HeaderTimeout, onClose: l.server.OnClose}
 			l.server.add(c)
 			return c, nil
 		case !errors.Is(err, os.ErrDeadlineExceeded):
@@ -46,8 +47,10 @@
 	net.Conn
 	acceptedAt    time.Time
 	headerTimeout func() time.Duration // nil: no limit
+	onClose       func(Closing)        // nil: not reported
 
 	mu        sync.Mutex
+	state     http.ConnState
 	inRequest bool // bytes of a request have arrived, and its answer is not complete
 	served    bool // a request was answered
 	closed    bool // closed because it was idle
@@ -94,6 +97,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.headerTimer != nil {
+		c.report(ReasonHeaderTimeout)
 		_ = c.Conn.Close() // the request has not begun
 	}
 }
@@ -113,6 +117,27 @@
 		return false
 	}
 	c.closed = true
+	c.report(ReasonIdleAtStop)
 	_ = c.Conn.Close() // nothing is pending on an idle connection
 	return true
 }
+
+// cut records that the connection is closed whatever its state.
+func (c *conn) cut() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.report(ReasonClose)
+}
+
+func (c *conn) setState(state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state = state
+}
+
+// report tells the owner of the server that the connection is closed. c.mu must be held.
+func (c *conn) report(why Reason) {
+	if c.onClose != nil {
+		c.onClose(Closing{Reason: why, State: c.state, Begun: c.inRequest, Caller: c.RemoteAddr().String()})
+	}
+}
--- a/graceful/server.go
+++ b/graceful/server.go
@@ -26,6 +26,9 @@
 	// HeaderTimeout returns the time in which the header of a request has to arrive once its first byte has; nil: no
 	// limit besides the one of the http.Server. It may change while the server runs.
 	HeaderTimeout func() time.Duration
+	// OnClose is told of each connection that the server closes by its own decision; nil: nobody is. It must not block
+	// or call the server.
+	OnClose func(Closing)
 
 	http *http.Server
 
@@ -89,7 +92,14 @@
 }
 
 // Close closes the listener and all connections at once.
-func (s *Server) Close() error { return s.http.Close() }
+func (s *Server) Close() error {
+	s.mu.Lock()
+	for c := range s.conns {
+		c.cut()
+	}
+	s.mu.Unlock()
+	return s.http.Close()
+}
 
 // stopAccepting makes the listener accept only what already waits.
 func (s *Server) stopAccepting() {
@@ -143,6 +153,7 @@
 	if !ok {
 		return
 	}
+	c.setState(state)
 	switch state {
 	case http.StateActive:
 		c.endHeader()
--- a/graceful/server_test.go
+++ b/graceful/server_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -245,3 +246,55 @@
 	must.NoError(t, <-stopped)
 	must.NoError(t, <-done)
 }
+
+// closings collects what a server reports of the connections that it closes.
+type closings struct {
+	mu  sync.Mutex
+	all []graceful.Closing
+}
+
+func (c *closings) record(s *graceful.Server) {
+	s.OnClose = func(closing graceful.Closing) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		closing.Caller = ""
+		c.all = append(c.all, closing)
+	}
+}
+
+func (c *closings) get() []graceful.Closing {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.all
+}
+
+// Guards against connections that the server closes without a trace, or with a wrong state.
+func TestServer_ReportsWhatItCloses(t *testing.T) {
+	for name, test := range map[string]struct {
+		sent  string
+		work  time.Duration
+		close bool // Close instead of Shutdown
+		want  graceful.Closing
+	}{
+		"idle":           {sent: "GET / HTTP/1.1\r\nHost: h\r\n\r\n", want: graceful.Closing{Reason: graceful.ReasonIdleAtStop, State: http.StateIdle}},
+		"cut when new":   {close: true, want: graceful.Closing{Reason: graceful.ReasonClose, State: http.StateNew}},
+		"cut in answer":  {sent: "GET / HTTP/1.1\r\nHost: h\r\n\r\n", work: 200 * time.Millisecond, close: true, want: graceful.Closing{Reason: graceful.ReasonClose, State: http.StateActive, Begun: true}},
+		"header is late": {sent: "GET / HT", want: graceful.Closing{Reason: graceful.ReasonHeaderTimeout, State: http.StateNew, Begun: true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var closed closings
+			s, address := start(t, test.work, closed.record, func(s *graceful.Server) {
+				s.HeaderTimeout = func() time.Duration { return 100 * time.Millisecond }
+			})
+			c := dial(t, address)
+			_, _ = io.WriteString(c, test.sent)
+			time.Sleep(50 * time.Millisecond)
+			if test.close {
+				must.NoError(t, s.Close())
+			} else {
+				must.NoError(t, <-shutdown(t, s))
+			}
+			must.Eq(t, []graceful.Closing{test.want}, closed.get())
+		})
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -147,6 +147,7 @@
 	ready := graceful.New(&http.Server{Handler: n.platform.Ready(n.IsReady), ReadHeaderTimeout: readHeaderTimeout})
 	callers := graceful.New(n.callerServer())
 	callers.HeaderTimeout = n.headerTimeout
+	callers.OnClose = graceful.Report(n.log, n.metrics.scope)
 	for i, server := range []*graceful.Server{peers, ready, callers} {
 		group.Go(func() error { return server.Serve(listeners[i]) })
 	}
