graceful: a planned stop does not cut a request that was read along with the one before

Callers saw: a second request on a connection, sent before the first was answered, ended with an unexpected EOF on a planned stop. Cause: whether a request had begun was taken from reads of the socket. net/http buffers up to 4 KB and reads one byte in the background while a handler runs, so it often holds the second request when the first is answered, and does not read again. Change: the state of a connection follows net/http's own steps: ConnState, the two read deadlines that it sets between an answer and the next header, and the free part of its buffer at a read. A connection is idle only while the server waits in a read that began with an empty buffer. Should net/http change these steps, connections count as busy, and a stop waits longer instead of cutting.

--- a/graceful/conn.go
+++ b/graceful/conn.go
@@ -42,6 +42,18 @@
 	}
 }
 
+// phase is what the server does with a connection. It follows the calls that net/http makes on the connection, since
+// reads alone do not show it: net/http buffers bytes of the next request along with the one before.
+type phase int
+
+const (
+	phaseNew      phase = iota // the first request has not begun
+	phaseHeader                // bytes of a request were read, and its header is not complete
+	phaseRequest               // a request is being answered, or the connection was hijacked
+	phaseAnswered              // an answer is complete, and the server has yet to look for the next request
+	phaseIdle                  // the server looks for the next request
+)
+
 // conn records whether a request is arriving or being answered on a connection.
 type conn struct {
 	net.Conn
@@ -49,32 +61,63 @@
 	headerTimeout func() time.Duration // nil: no limit
 	onClose       func(Closing)        // nil: not reported
 
-	mu        sync.Mutex
-	state     http.ConnState
-	inRequest bool // bytes of a request have arrived, and its answer is not complete
-	served    bool // a request was answered
-	closed    bool // closed because it was idle
+	mu         sync.Mutex
+	state      http.ConnState
+	phase      phase
+	bufferSize int  // of net/http's reader
+	waiting    bool // the server waits for the first byte of a request
+	closed     bool // closed because it was idle
 	// headerTimer runs while the header of a request arrives.
 	headerTimer *time.Timer
 }
 
 // Read implements net.Conn.
 func (c *conn) Read(b []byte) (int, error) {
+	c.beginRead(len(b))
 	n, err := c.Conn.Read(b)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
 		return 0, io.EOF // the bytes are lost, but the request has not begun
 	}
-	if n > 0 && !c.inRequest {
-		c.inRequest = true
+	if c.waiting && n > 0 {
 		c.beginHeader()
 	}
+	c.waiting = false
 	return n, err
 }
 
-// beginHeader starts the time limit of a header. c.mu must be held.
+// beginRead records that the server reads up to n bytes. It reads into the free part of its buffer, which is the whole
+// buffer only if the server holds no bytes of the next request.
+func (c *conn) beginRead(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.bufferSize == 0 {
+		c.bufferSize = n
+	}
+	if c.phase == phaseIdle && n < c.bufferSize {
+		c.beginHeader()
+	}
+	c.waiting = c.phase == phaseNew || c.phase == phaseIdle
+}
+
+// SetReadDeadline implements net.Conn. After an answer net/http sets the deadline for the first bytes of the next
+// request, looks for them in its buffer and on the connection, and sets the deadline for the header.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	switch c.phase {
+	case phaseAnswered:
+		c.phase = phaseIdle
+	case phaseIdle:
+		c.beginHeader()
+	}
+	c.mu.Unlock()
+	return c.Conn.SetReadDeadline(t)
+}
+
+// beginHeader records that a request has begun, and starts the time limit of its header. c.mu must be held.
 func (c *conn) beginHeader() {
+	c.phase = phaseHeader
 	if c.headerTimeout == nil {
 		return
 	}
@@ -83,12 +126,20 @@
 	}
 }
 
-func (c *conn) endHeader() {
+// recordState records a state that net/http reports.
+func (c *conn) recordState(state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.headerTimer != nil {
-		c.headerTimer.Stop()
-		c.headerTimer = nil
+	c.state = state
+	switch state {
+	case http.StateActive:
+		c.phase = phaseRequest
+		if c.headerTimer != nil {
+			c.headerTimer.Stop()
+			c.headerTimer = nil
+		}
+	case http.StateIdle:
+		c.phase = phaseAnswered
 	}
 }
 
@@ -102,18 +153,12 @@
 	}
 }
 
-func (c *conn) endRequest() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.inRequest, c.served = false, true
-}
-
 // tryClose closes the connection if it is idle. A new one counts as idle only after firstByteTimeout, because its
 // caller opened it for a request.
 func (c *conn) tryClose(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.inRequest || !c.served && now.Sub(c.acceptedAt) < firstByteTimeout || !sockets.IsQuiet(c.Conn) {
+	if !c.waiting || c.phase == phaseNew && now.Sub(c.acceptedAt) < firstByteTimeout || !sockets.IsQuiet(c.Conn) {
 		return false
 	}
 	c.closed = true
@@ -129,15 +174,9 @@
 	c.report(ReasonClose)
 }
 
-func (c *conn) setState(state http.ConnState) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.state = state
-}
-
 // report tells the owner of the server that the connection is closed. c.mu must be held.
 func (c *conn) report(why Reason) {
 	if c.onClose != nil {
-		c.onClose(Closing{Reason: why, State: c.state, Begun: c.inRequest, Caller: c.RemoteAddr().String()})
+		c.onClose(Closing{Reason: why, State: c.state, Begun: c.phase == phaseHeader || c.phase == phaseRequest, Caller: c.RemoteAddr().String()})
 	}
 }
--- a/graceful/server.go
+++ b/graceful/server.go
@@ -153,13 +153,8 @@
 	if !ok {
 		return
 	}
-	c.setState(state)
-	switch state {
-	case http.StateActive:
-		c.endHeader()
-	case http.StateIdle:
-		c.endRequest()
-	case http.StateHijacked, http.StateClosed:
+	c.recordState(state)
+	if state == http.StateHijacked || state == http.StateClosed {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		delete(s.conns, c)
--- a/graceful/server_test.go
+++ b/graceful/server_test.go
@@ -80,7 +80,12 @@
 
 func receive(t *testing.T, c net.Conn, want string) {
 	t.Helper()
-	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	receiveFrom(t, bufio.NewReader(c), want)
+}
+
+func receiveFrom(t *testing.T, r *bufio.Reader, want string) {
+	t.Helper()
+	resp, err := http.ReadResponse(r, nil)
 	must.NoError(t, err)
 	body, err := io.ReadAll(resp.Body)
 	must.NoError(t, err)
@@ -298,3 +303,46 @@
 		})
 	}
 }
+
+// Guards against a planned stop that cuts a request of which the server has read bytes together with the one before, or
+// while that one was answered: the server then does not read again before it answers, or only for the rest.
+func TestShutdown_PipelinedRequest(t *testing.T) {
+	second := fmt.Sprintf(head, "/second")
+	for name, test := range map[string]struct {
+		with   int // bytes of the second request that are sent with the first
+		during int // bytes of it that are sent while the first is answered
+	}{
+		"whole":                  {with: len(second)},
+		"a byte":                 {with: 1},
+		"three bytes":            {with: 3},
+		"four bytes":             {with: 4},
+		"to the end of a line":   {with: len("GET /second HTTP/1.1\r\n")},
+		"within a line":          {with: len("GET /second HTTP/1.1\r\nHo")},
+		"all but a byte":         {with: len(second) - 1},
+		"a byte during answer":   {during: 1},
+		"a part during answer":   {during: 10},
+		"whole during answer":    {during: len(second)},
+		"a byte, then a byte":    {with: 1, during: 1},
+		"a byte, then the whole": {with: 1, during: len(second) - 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s, address := start(t, 150*time.Millisecond)
+			c := dial(t, address)
+			_, _ = fmt.Fprintf(c, head+"%s", "/first", second[:test.with])
+			time.Sleep(50 * time.Millisecond)
+			sent := test.with + test.during
+			_, _ = io.WriteString(c, second[test.with:sent])
+			r := bufio.NewReader(c)
+			receiveFrom(t, r, "/first")
+			time.Sleep(20 * time.Millisecond)
+			done := shutdown(t, s)
+			time.Sleep(50 * time.Millisecond)
+			_, _ = io.WriteString(c, second[sent:])
+			receiveFrom(t, r, "/second")
+			begin := time.Now()
+			must.NoError(t, <-done)
+			must.Less(t, 100*time.Millisecond, time.Since(begin))
+		})
+	}
+}
