graceful: a planned stop does not cut a request whose bytes have just left the socket

Callers saw: a request on a kept-alive connection ended without an answer when the stop fell between the return of the read and its record, which lasts long on an instance without processor time. Cause: reading the first bytes and recording that were two steps; in between the socket is quiet and the connection looked idle. Change: the first bytes of a request are read and recorded under the mutex that the check for idle connections takes. Measured: TestShutdown_RequestJustRead (reads return 100 ms late) failed before in 3 of 3 runs with an unexpected EOF; passes in 5 of 5 now.

--- a/graceful/conn.go
+++ b/graceful/conn.go
@@ -2,13 +2,17 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/trefoillug/trefoillug/sockets"
 )
 
@@ -30,9 +34,7 @@
 		nc, err := l.deadlineListener.Accept()
 		switch {
 		case err == nil:
-			c := &conn{Conn: nc, acceptedAt: time.Now(), headerTimeout: l.server.HeaderTimeout, onClose: l.server.OnClose}
-			l.server.add(c)
-			return c, nil
+			return l.wrap(nc)
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			return nil, err
 		case draining && time.Since(start) >= acceptWindow:
@@ -42,6 +44,22 @@
 	}
 }
 
+func (l *listener) wrap(nc net.Conn) (net.Conn, error) {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return nil, errors.Join(fmt.Errorf("connection %T is not a socket", nc), nc.Close())
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return nil, errors.Join(err, nc.Close())
+	}
+	c := &conn{
+		Conn: nc, raw: raw, acceptedAt: time.Now(), headerTimeout: l.server.HeaderTimeout, onClose: l.server.OnClose,
+	}
+	l.server.add(c)
+	return c, nil
+}
+
 // phase is what the server does with a connection. It follows the calls that net/http makes on the connection, since
 // reads alone do not show it: net/http buffers bytes of the next request along with the one before.
 type phase int
@@ -57,6 +75,7 @@
 // conn records whether a request is arriving or being answered on a connection.
 type conn struct {
 	net.Conn
+	raw           syscall.RawConn
 	acceptedAt    time.Time
 	headerTimeout func() time.Duration // nil: no limit
 	onClose       func(Closing)        // nil: not reported
@@ -73,23 +92,15 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(b []byte) (int, error) {
-	c.beginRead(len(b))
-	n, err := c.Conn.Read(b)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closed {
-		return 0, io.EOF // the bytes are lost, but the request has not begun
-	}
-	if c.waiting && n > 0 {
-		c.beginHeader()
+	if c.beginRead(len(b)) {
+		return c.readFirst(b)
 	}
-	c.waiting = false
-	return n, err
+	return c.Conn.Read(b)
 }
 
-// beginRead records that the server reads up to n bytes. It reads into the free part of its buffer, which is the whole
-// buffer only if the server holds no bytes of the next request.
-func (c *conn) beginRead(n int) {
+// beginRead records that the server reads up to n bytes, and reports whether they are the first ones of a request. The
+// server reads into the free part of its buffer, which is the whole buffer only if it holds no bytes of the next request.
+func (c *conn) beginRead(n int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.bufferSize == 0 {
@@ -99,6 +110,52 @@
 		c.beginHeader()
 	}
 	c.waiting = c.phase == phaseNew || c.phase == phaseIdle
+	return c.waiting
+}
+
+// readFirst reads the first bytes of a request. It holds c.mu while it reads and records that, so that tryClose never
+// takes a connection for idle whose bytes have left the socket.
+func (c *conn) readFirst(b []byte) (n int, err error) {
+	waitErr := c.raw.Read(func(fd uintptr) bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.closed {
+			err = net.ErrClosed
+			return true
+		}
+		n, err = readNow(fd, b)
+		if errors.Is(err, unix.EAGAIN) {
+			return false
+		}
+		c.waiting = false
+		if n > 0 {
+			c.beginHeader()
+		}
+		return true
+	})
+	if waitErr != nil {
+		err = waitErr
+	}
+	if err == nil || err == io.EOF {
+		return n, err
+	}
+	return 0, &net.OpError{Op: "read", Net: c.LocalAddr().Network(), Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: err}
+}
+
+// readNow reads from a socket that does not block.
+func readNow(fd uintptr, b []byte) (int, error) {
+	for {
+		n, err := unix.Read(int(fd), b)
+		switch {
+		case errors.Is(err, unix.EINTR):
+		case err != nil:
+			return 0, err
+		case n == 0:
+			return 0, io.EOF
+		default:
+			return n, nil
+		}
+	}
 }
 
 // SetReadDeadline implements net.Conn. After an answer net/http sets the deadline for the first bytes of the next
@@ -157,12 +214,13 @@
 // caller opened it for a request.
 func (c *conn) tryClose(now time.Time) bool {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	if !c.waiting || c.phase == phaseNew && now.Sub(c.acceptedAt) < firstByteTimeout || !sockets.IsQuiet(c.Conn) {
+		c.mu.Unlock()
 		return false
 	}
 	c.closed = true
 	c.report(ReasonIdleAtStop)
+	c.mu.Unlock()      // Close waits for readFirst
 	_ = c.Conn.Close() // nothing is pending on an idle connection
 	return true
 }
--- a/graceful/server_test.go
+++ b/graceful/server_test.go
@@ -40,20 +40,30 @@
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
-	s := graceful.New(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		time.Sleep(work)
-		_, _ = io.WriteString(w, r.URL.Path)
-	})})
+	s := graceful.New(&http.Server{Handler: echo(work)})
 	for _, c := range change {
 		c(s)
 	}
+	serve(t, s, &gatedListener{l.(*net.TCPListener), gate})
+	return s, l.Addr().String()
+}
+
+// echo returns a handler that answers with the path of the request.
+func echo(work time.Duration) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(work)
+		_, _ = io.WriteString(w, r.URL.Path)
+	})
+}
+
+func serve(t *testing.T, s *graceful.Server, l net.Listener) {
+	t.Helper()
 	done := make(chan error, 1)
-	go func() { done <- s.Serve(&gatedListener{l.(*net.TCPListener), gate}) }()
+	go func() { done <- s.Serve(l) }()
 	t.Cleanup(func() {
 		_ = s.Close()
 		must.NoError(t, <-done)
 	})
-	return s, l.Addr().String()
 }
 
 func shutdown(t *testing.T, s *graceful.Server) <-chan error {
@@ -346,3 +356,49 @@
 		})
 	}
 }
+
+// lateListener accepts connections whose reads return late, as on an instance without processor time.
+type lateListener struct{ *net.TCPListener }
+
+func (l lateListener) Accept() (net.Conn, error) {
+	c, err := l.AcceptTCP()
+	return lateConn{c}, err
+}
+
+const lateness = 100 * time.Millisecond
+
+type lateConn struct{ *net.TCPConn }
+
+func (c lateConn) Read(b []byte) (int, error) {
+	defer time.Sleep(lateness)
+	return c.TCPConn.Read(b)
+}
+
+func (c lateConn) SyscallConn() (syscall.RawConn, error) {
+	raw, err := c.TCPConn.SyscallConn()
+	return lateRawConn{raw}, err
+}
+
+type lateRawConn struct{ syscall.RawConn }
+
+func (c lateRawConn) Read(f func(fd uintptr) bool) error {
+	defer time.Sleep(lateness)
+	return c.RawConn.Read(f)
+}
+
+// Guards against a planned stop that takes a connection for idle when a request was read from its socket just before.
+func TestShutdown_RequestJustRead(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	s := graceful.New(&http.Server{Handler: echo(0)})
+	serve(t, s, lateListener{l.(*net.TCPListener)})
+	c := dial(t, l.Addr().String())
+	_, _ = fmt.Fprintf(c, head, "/first")
+	receive(t, c, "/first")
+	time.Sleep(2 * lateness) // the server is ready for the next request
+	_, _ = fmt.Fprintf(c, head, "/second")
+	time.Sleep(lateness / 2)
+	done := shutdown(t, s)
+	receive(t, c, "/second")
+	must.NoError(t, <-done)
+}
