graceful: an answer with Connection: close arrives whole although its caller has sent more bytes

Callers saw: an answer reset in the middle, at answers that end the connection (planned stops, refused bodies) when they had sent more bytes. Cause: the kernel drops what it has not yet sent when a connection is closed with unread bytes, or gets bytes afterwards. net/http guards only bodies that it did not read, and could not end the sending side, since our connections hid CloseWrite. Change: Close ends the sending side and waits until the caller has confirmed every byte or has closed, up to 2 s without progress, or 0.5 s once all is confirmed and unread bytes remain. The bytes behind the answer are not read, so that no request among them looks accepted. Shutdown waits for such connections, Close does not. Not covered: net/http may have buffered a pipelined request behind such an answer; it is not run, and its caller learns that from Connection: close.

--- a/graceful/conn.go
+++ b/graceful/conn.go
@@ -53,9 +53,7 @@
 	if err != nil {
 		return nil, errors.Join(err, nc.Close())
 	}
-	c := &conn{
-		Conn: nc, raw: raw, acceptedAt: time.Now(), headerTimeout: l.server.HeaderTimeout, onClose: l.server.OnClose,
-	}
+	c := &conn{Conn: nc, raw: raw, server: l.server, acceptedAt: time.Now()}
 	l.server.add(c)
 	return c, nil
 }
@@ -75,10 +73,9 @@
 // conn records whether a request is arriving or being answered on a connection.
 type conn struct {
 	net.Conn
-	raw           syscall.RawConn
-	acceptedAt    time.Time
-	headerTimeout func() time.Duration // nil: no limit
-	onClose       func(Closing)        // nil: not reported
+	raw        syscall.RawConn
+	server     *Server
+	acceptedAt time.Time
 
 	mu         sync.Mutex
 	state      http.ConnState
@@ -175,10 +172,10 @@
 // beginHeader records that a request has begun, and starts the time limit of its header. c.mu must be held.
 func (c *conn) beginHeader() {
 	c.phase = phaseHeader
-	if c.headerTimeout == nil {
+	if c.server.HeaderTimeout == nil {
 		return
 	}
-	if timeout := c.headerTimeout(); timeout > 0 {
+	if timeout := c.server.HeaderTimeout(); timeout > 0 {
 		c.headerTimer = time.AfterFunc(timeout, c.expireHeader)
 	}
 }
@@ -225,6 +222,20 @@
 	return true
 }
 
+// Close implements net.Conn. It lets the caller receive the last answer first, unless the whole server is closed.
+func (c *conn) Close() error {
+	if !c.isHijacked() {
+		c.linger()
+	}
+	return c.Conn.Close()
+}
+
+func (c *conn) isHijacked() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state == http.StateHijacked
+}
+
 // cut records that the connection is closed whatever its state.
 func (c *conn) cut() {
 	c.mu.Lock()
@@ -234,7 +245,7 @@
 
 // report tells the owner of the server that the connection is closed. c.mu must be held.
 func (c *conn) report(why Reason) {
-	if c.onClose != nil {
-		c.onClose(Closing{Reason: why, State: c.state, Begun: c.phase == phaseHeader || c.phase == phaseRequest, Caller: c.RemoteAddr().String()})
+	if c.server.OnClose != nil {
+		c.server.OnClose(Closing{Reason: why, State: c.state, Begun: c.phase == phaseHeader || c.phase == phaseRequest, Caller: c.RemoteAddr().String()})
 	}
 }
--- a/graceful/server.go
+++ b/graceful/server.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -30,7 +31,8 @@
 	// or call the server.
 	OnClose func(Closing)
 
-	http *http.Server
+	http    *http.Server
+	closing atomic.Bool // Close was called
 
 	mu       sync.Mutex
 	listener deadlineListener // nil: closed or not yet serving
@@ -93,6 +95,7 @@
 
 // Close closes the listener and all connections at once.
 func (s *Server) Close() error {
+	s.closing.Store(true)
 	s.mu.Lock()
 	for c := range s.conns {
 		c.cut()
--- a/graceful/server_test.go
+++ b/graceful/server_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -402,3 +403,59 @@
 	receive(t, c, "/second")
 	must.NoError(t, <-done)
 }
+
+// Guards against an answer with Connection: close that is reset while its caller still reads it, because the caller has
+// sent more bytes, and against a request among those bytes that runs.
+func TestServe_AnswerBeforeClose(t *testing.T) {
+	second := fmt.Sprintf(head, "/second")
+	answer := strings.Repeat("answer  ", 32<<10)
+	for name, test := range map[string]struct{ with, during, later string }{
+		"nothing sent":                {},
+		"request sent with the first": {with: second},
+		"request sent during answer":  {during: second},
+		"request sent when closed":    {later: second},
+		"much sent":                   {with: strings.Repeat(second, 1000)},
+	} {
+		for _, stopping := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, stopping %t", name, stopping), func(t *testing.T) {
+				t.Parallel()
+				var runs atomic.Int32
+				l, err := net.Listen("tcp", "127.0.0.1:0")
+				must.NoError(t, err)
+				s := graceful.New(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					runs.Add(1)
+					time.Sleep(50 * time.Millisecond)
+					w.Header().Set("Connection", "close")
+					_, _ = io.WriteString(w, answer)
+				})})
+				serve(t, s, l)
+				c := dial(t, l.Addr().String())
+				must.NoError(t, c.(*net.TCPConn).SetReadBuffer(32<<10))
+				_, _ = fmt.Fprintf(c, head+"%s", "/first", test.with)
+				time.Sleep(20 * time.Millisecond)
+				_, _ = io.WriteString(c, test.during)
+				done := make(<-chan error)
+				if stopping {
+					done = shutdown(t, s)
+				}
+				resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+				must.NoError(t, err)
+				var body strings.Builder
+				for err == nil {
+					_, err = io.CopyN(&body, resp.Body, 8<<10)
+					time.Sleep(5 * time.Millisecond)
+					if body.Len() == len(answer)/2 {
+						_, _ = io.WriteString(c, test.later)
+					}
+				}
+				must.ErrorIs(t, err, io.EOF)
+				must.True(t, body.String() == answer, must.Sprintf("got %d bytes of %d", body.Len(), len(answer)))
+				must.Eq(t, 1, runs.Load())
+				_ = c.Close()
+				if stopping {
+					must.NoError(t, <-done)
+				}
+			})
+		}
+	}
+}
