graceful: time limits close no connection whose bytes have arrived

Callers saw: a request whose header was complete, or whose rest waited in the socket, ended without an answer when the server was late in reading it; and one whose header limit was raised meanwhile was cut at the old one. Cause: the limit was a timer that closed the connection unless net/http had parsed the header by then, and the deadlines of net/http fail a read without a look at the socket once they have passed. The limit was fixed at the first byte. Change: the limit is the deadline of the reads of a header, so it never runs beside a parse or a handler. When it passes, the connection is closed only if a last look finds no bytes and the limit in force now has passed too. Servers without HeaderTimeout use the ReadHeaderTimeout of the http.Server in the same way. The connection is closed as before, without net/http's 400.

--- a/graceful/conn.go
+++ b/graceful/conn.go
@@ -77,26 +77,29 @@
 	server     *Server
 	acceptedAt time.Time
 
-	mu         sync.Mutex
-	state      http.ConnState
-	phase      phase
-	bufferSize int  // of net/http's reader
-	waiting    bool // the server waits for the first byte of a request
-	closed     bool // closed because it was idle
-	// headerTimer runs while the header of a request arrives.
-	headerTimer *time.Timer
+	mu          sync.Mutex
+	state       http.ConnState
+	phase       phase
+	headerBegan time.Time // when phaseHeader began
+	bufferSize  int       // of net/http's reader
+	waiting     bool      // the server waits for the first byte of a request
+	closed      bool      // closed because it was idle
 }
 
 // Read implements net.Conn.
 func (c *conn) Read(b []byte) (int, error) {
-	if c.beginRead(len(b)) {
-		return c.readFirst(b)
+	if !c.beginRead(len(b)) {
+		return c.Conn.Read(b)
 	}
-	return c.Conn.Read(b)
+	n, err := c.readHeader(b)
+	if err != nil && err != io.EOF {
+		err = &net.OpError{Op: "read", Net: c.LocalAddr().Network(), Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: err}
+	}
+	return n, err
 }
 
-// beginRead records that the server reads up to n bytes, and reports whether they are the first ones of a request. The
-// server reads into the free part of its buffer, which is the whole buffer only if it holds no bytes of the next request.
+// beginRead records that the server reads up to n bytes, and reports whether they belong to a header. The server reads
+// into the free part of its buffer, which is the whole buffer only if it holds no bytes of the next request.
 func (c *conn) beginRead(n int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -107,36 +110,81 @@
 		c.beginHeader()
 	}
 	c.waiting = c.phase == phaseNew || c.phase == phaseIdle
-	return c.waiting
+	return c.waiting || c.phase == phaseHeader
 }
 
-// readFirst reads the first bytes of a request. It holds c.mu while it reads and records that, so that tryClose never
-// takes a connection for idle whose bytes have left the socket.
-func (c *conn) readFirst(b []byte) (n int, err error) {
-	waitErr := c.raw.Read(func(fd uintptr) bool {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		if c.closed {
-			err = net.ErrClosed
-			return true
+// readHeader reads bytes of a header until its time limit. The limit ends only a wait for bytes: those that have
+// arrived are read however late the server is.
+func (c *conn) readHeader(b []byte) (n int, err error) {
+	read := func(fd uintptr) (done bool) {
+		n, err, done = c.tryRead(fd, b)
+		return done
+	}
+	for {
+		if limit := c.headerLimit(); !limit.IsZero() {
+			_ = c.Conn.SetReadDeadline(limit) // fails only if the connection is closed
+		}
+		waitErr := c.raw.Read(read)
+		if waitErr == nil {
+			return n, err
 		}
-		n, err = readNow(fd, b)
-		if errors.Is(err, unix.EAGAIN) {
-			return false
+		done := false
+		if !errors.Is(waitErr, os.ErrDeadlineExceeded) || c.raw.Control(func(fd uintptr) { done = read(fd) }) != nil {
+			return 0, waitErr
 		}
-		c.waiting = false
-		if n > 0 {
-			c.beginHeader()
+		if done {
+			return n, err
 		}
-		return true
-	})
-	if waitErr != nil {
-		err = waitErr
+		if c.expire() {
+			_ = c.Close() // net/http would answer 400 to a header in part
+			return 0, os.ErrDeadlineExceeded
+		}
+	}
+}
+
+// tryRead reads bytes of a header without waiting. It holds c.mu while it reads and records that, so that tryClose never
+// takes a connection for idle whose bytes have left the socket.
+func (c *conn) tryRead(fd uintptr, b []byte) (n int, err error, done bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return 0, net.ErrClosed, true
+	}
+	n, err = readNow(fd, b)
+	if errors.Is(err, unix.EAGAIN) {
+		return 0, err, false
+	}
+	if c.waiting && n > 0 {
+		c.beginHeader()
 	}
-	if err == nil || err == io.EOF {
-		return n, err
+	c.waiting = false
+	return n, err, true
+}
+
+// headerLimit returns when the header that arrives has to be complete, and the zero time if there is no limit.
+func (c *conn) headerLimit() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	timeout := c.server.headerTimeout()
+	if c.phase != phaseHeader || timeout <= 0 {
+		return time.Time{}
 	}
-	return 0, &net.OpError{Op: "read", Net: c.LocalAddr().Network(), Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: err}
+	return c.headerBegan.Add(timeout)
+}
+
+// expire reports whether the time limit has passed, which may have changed since it was set.
+func (c *conn) expire() bool {
+	limit := c.headerLimit()
+	if limit.After(time.Now()) {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting = false
+	if c.phase == phaseHeader {
+		c.report(ReasonHeaderTimeout)
+	}
+	return true
 }
 
 // readNow reads from a socket that does not block.
@@ -165,20 +213,15 @@
 	case phaseIdle:
 		c.beginHeader()
 	}
+	if c.phase == phaseHeader {
+		t = time.Time{} // readHeader sets the deadline
+	}
 	c.mu.Unlock()
 	return c.Conn.SetReadDeadline(t)
 }
 
-// beginHeader records that a request has begun, and starts the time limit of its header. c.mu must be held.
-func (c *conn) beginHeader() {
-	c.phase = phaseHeader
-	if c.server.HeaderTimeout == nil {
-		return
-	}
-	if timeout := c.server.HeaderTimeout(); timeout > 0 {
-		c.headerTimer = time.AfterFunc(timeout, c.expireHeader)
-	}
-}
+// beginHeader records that a request has begun. c.mu must be held.
+func (c *conn) beginHeader() { c.phase, c.headerBegan = phaseHeader, time.Now() }
 
 // recordState records a state that net/http reports.
 func (c *conn) recordState(state http.ConnState) {
@@ -188,25 +231,11 @@
 	switch state {
 	case http.StateActive:
 		c.phase = phaseRequest
-		if c.headerTimer != nil {
-			c.headerTimer.Stop()
-			c.headerTimer = nil
-		}
 	case http.StateIdle:
 		c.phase = phaseAnswered
 	}
 }
 
-// expireHeader closes a connection on which a header has not arrived in time.
-func (c *conn) expireHeader() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.headerTimer != nil {
-		c.report(ReasonHeaderTimeout)
-		_ = c.Conn.Close() // the request has not begun
-	}
-}
-
 // tryClose closes the connection if it is idle. A new one counts as idle only after firstByteTimeout, because its
 // caller opened it for a request.
 func (c *conn) tryClose(now time.Time) bool {
--- a/graceful/server.go
+++ b/graceful/server.go
@@ -24,8 +24,8 @@
 
 // Server is an HTTP server. Use New.
 type Server struct {
-	// HeaderTimeout returns the time in which the header of a request has to arrive once its first byte has; nil: no
-	// limit besides the one of the http.Server. It may change while the server runs.
+	// HeaderTimeout returns the time in which the header of a request has to arrive once its first byte has; 0: no limit;
+	// nil: the ReadHeaderTimeout of the http.Server. It may change while the server runs.
 	HeaderTimeout func() time.Duration
 	// OnClose is told of each connection that the server closes by its own decision; nil: nobody is. It must not block
 	// or call the server.
@@ -40,7 +40,7 @@
 	conns    map[*conn]struct{}
 }
 
-// New returns a server with the settings of s, whose ConnState must not be set.
+// New returns a server with the settings of s, whose ConnState and ReadTimeout must not be set.
 func New(s *http.Server) *Server {
 	g := &Server{http: s, conns: map[*conn]struct{}{}}
 	s.ConnState = g.recordState
@@ -114,6 +114,13 @@
 	}
 }
 
+func (s *Server) headerTimeout() time.Duration {
+	if s.HeaderTimeout != nil {
+		return s.HeaderTimeout()
+	}
+	return s.http.ReadHeaderTimeout
+}
+
 func (s *Server) isDraining() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/graceful/server_test.go
+++ b/graceful/server_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -358,33 +360,47 @@
 	}
 }
 
-// lateListener accepts connections whose reads return late, as on an instance without processor time.
-type lateListener struct{ *net.TCPListener }
+const lateness = 100 * time.Millisecond
+
+// lateListener accepts connections whose reads begin or return late, as on an instance without processor time.
+type lateListener struct {
+	*net.TCPListener
+	before, after time.Duration
+}
 
 func (l lateListener) Accept() (net.Conn, error) {
 	c, err := l.AcceptTCP()
-	return lateConn{c}, err
+	return lateConn{c, l}, err
 }
 
-const lateness = 100 * time.Millisecond
+func (l lateListener) read(read func() error) error {
+	time.Sleep(l.before)
+	defer time.Sleep(l.after)
+	return read()
+}
 
-type lateConn struct{ *net.TCPConn }
+type lateConn struct {
+	*net.TCPConn
+	late lateListener
+}
 
-func (c lateConn) Read(b []byte) (int, error) {
-	defer time.Sleep(lateness)
-	return c.TCPConn.Read(b)
+func (c lateConn) Read(b []byte) (n int, err error) {
+	err = c.late.read(func() error { n, err = c.TCPConn.Read(b); return err })
+	return n, err
 }
 
 func (c lateConn) SyscallConn() (syscall.RawConn, error) {
 	raw, err := c.TCPConn.SyscallConn()
-	return lateRawConn{raw}, err
+	return lateRawConn{raw, c.late}, err
 }
 
-type lateRawConn struct{ syscall.RawConn }
+type lateRawConn struct {
+	syscall.RawConn
+	late lateListener
+}
 
 func (c lateRawConn) Read(f func(fd uintptr) bool) error {
-	defer time.Sleep(lateness)
-	return c.RawConn.Read(f)
+	return c.late.read(func() error { return c.RawConn.Read(f) })
 }
 
 // Guards against a planned stop that takes a connection for idle when a request was read from its socket just before.
@@ -392,7 +408,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	s := graceful.New(&http.Server{Handler: echo(0)})
-	serve(t, s, lateListener{l.(*net.TCPListener)})
+	serve(t, s, lateListener{TCPListener: l.(*net.TCPListener), after: lateness})
 	c := dial(t, l.Addr().String())
 	_, _ = fmt.Fprintf(c, head, "/first")
 	receive(t, c, "/first")
@@ -459,3 +475,72 @@
 		}
 	}
 }
+
+// Guards against a header timeout that closes a connection whose header has arrived, because the server was late in
+// reading it, or because the limit was raised meanwhile, and against one that spares a header in the reader's buffer.
+func TestServe_HeaderAtItsTimeout(t *testing.T) {
+	request := fmt.Sprintf(head, "/x")
+	for name, test := range map[string]struct {
+		first, rest string // the rest follows after half of lateness
+		late        bool   // reads return late
+		timeout     time.Duration
+		raised      time.Duration // later limit
+		want        int           // answers
+		stays       bool          // the connection stays open
+	}{
+		"complete, read late":     {first: request, late: true, timeout: lateness / 2, want: 1, stays: true},
+		"rest waits, read late":   {first: request[:9], rest: request[9:], late: true, timeout: lateness * 3 / 4, want: 1, stays: true},
+		"limit raised":            {first: request[:9], rest: request[9:], timeout: lateness * 2 / 5, raised: time.Second, want: 1, stays: true},
+		"too late":                {first: request[:9], rest: request[9:], timeout: lateness / 4},
+		"behind another":          {first: request + request[:9], timeout: lateness / 2, want: 1},
+		"byte behind another":     {first: request + request[:1], timeout: lateness / 2, want: 1},
+		"line behind another":     {first: request + request[:17], timeout: lateness / 2, want: 1},
+		"rest in time":            {first: request + request[:17], rest: request[17:], timeout: lateness, want: 2, stays: true},
+		"answer takes longer":     {first: request + request, timeout: lateness / 20, want: 2, stays: true},
+		"second comes in answer":  {first: request, rest: request, timeout: lateness / 20, want: 2, stays: true},
+		"part comes in an answer": {first: request, rest: request[:9], timeout: lateness / 2, want: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			must.NoError(t, err)
+			var timeout atomic.Int64
+			timeout.Store(int64(test.timeout))
+			s := graceful.New(&http.Server{Handler: echo(lateness)})
+			s.HeaderTimeout = func() time.Duration { return time.Duration(timeout.Load()) }
+			if test.late {
+				l = lateListener{TCPListener: l.(*net.TCPListener), after: lateness}
+			}
+			serve(t, s, l)
+			c := dial(t, l.Addr().String())
+			begin := time.Now()
+			_, _ = io.WriteString(c, test.first)
+			time.Sleep(lateness / 5)
+			if test.raised > 0 {
+				timeout.Store(int64(test.raised))
+			}
+			time.Sleep(lateness/2 - time.Since(begin))
+			_, _ = io.WriteString(c, test.rest)
+			r := bufio.NewReader(c)
+			for range test.want {
+				receiveFrom(t, r, "/x")
+			}
+			must.NoError(t, c.SetDeadline(time.Now().Add(2*lateness)))
+			_, err = r.ReadByte()
+			must.Eq(t, test.stays, errors.Is(err, os.ErrDeadlineExceeded), must.Sprint(err))
+		})
+	}
+}
+
+// Guards against a request that is lost because the server, which is late, looks at the time before it looks for bytes.
+func TestServe_RequestAtIdleTimeout(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	s := graceful.New(&http.Server{Handler: echo(0), IdleTimeout: lateness / 2, ReadHeaderTimeout: lateness / 2})
+	serve(t, s, lateListener{TCPListener: l.(*net.TCPListener), before: lateness})
+	c := dial(t, l.Addr().String())
+	for _, path := range []string{"/first", "/second"} {
+		_, _ = fmt.Fprintf(c, head, path)
+		receive(t, c, path)
+	}
+}
