graceful, node: no configuration makes an instance close idle connections before their callers expect it

Cause: node's limit was fixed at 2 min whatever the configuration says. Change: graceful.Server.IdleTimeout, read when the wait begins and again when it ends, so that a raised limit holds at once and a lowered one from the next answer on; node keeps connections for 2 min or for the configured limit, if that is longer. A connection without any request is kept like an idle one. Closings are reported as idle_timeout.

--- a/graceful/conn.go
+++ b/graceful/conn.go
@@ -80,10 +80,11 @@
 	mu          sync.Mutex
 	state       http.ConnState
 	phase       phase
-	headerBegan time.Time // when phaseHeader began
-	bufferSize  int       // of net/http's reader
-	waiting     bool      // the server waits for the first byte of a request
-	closed      bool      // closed because it was idle
+	phaseBegan  time.Time     // set for phaseHeader and phaseIdle
+	idleTimeout time.Duration // in force when phaseIdle began
+	bufferSize  int           // of net/http's reader
+	waiting     bool          // the server waits for the first byte of a request
+	closed      bool          // closed because it was idle
 }
 
 // Read implements net.Conn.
@@ -121,9 +122,7 @@
 		return done
 	}
 	for {
-		if limit := c.headerLimit(); !limit.IsZero() {
-			_ = c.Conn.SetReadDeadline(limit) // fails only if the connection is closed
-		}
+		_ = c.Conn.SetReadDeadline(c.readLimit()) // fails only if the connection is closed
 		waitErr := c.raw.Read(read)
 		if waitErr == nil {
 			return n, err
@@ -161,21 +160,35 @@
 	return n, err, true
 }
 
-// headerLimit returns when the header that arrives has to be complete, and the zero time if there is no limit.
-func (c *conn) headerLimit() time.Time {
+// readLimit returns when the bytes that the server waits for have to arrive, and the zero time if there is no limit. The
+// limit of an idle connection is never less than the one in force when its caller got the last answer.
+func (c *conn) readLimit() time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	timeout := c.server.headerTimeout()
-	if c.phase != phaseHeader || timeout <= 0 {
+	switch idle := c.server.idleTimeout(); c.phase {
+	case phaseNew:
+		return limitAfter(c.acceptedAt, max(idle, c.server.http.ReadHeaderTimeout))
+	case phaseIdle:
+		if idle <= 0 || c.idleTimeout <= 0 {
+			return time.Time{}
+		}
+		return limitAfter(c.phaseBegan, max(idle, c.idleTimeout))
+	default:
+		return limitAfter(c.phaseBegan, c.server.headerTimeout())
+	}
+}
+
+// limitAfter returns the time at which a timeout passes, and the zero time for no timeout.
+func limitAfter(begin time.Time, timeout time.Duration) time.Time {
+	if timeout <= 0 {
 		return time.Time{}
 	}
-	return c.headerBegan.Add(timeout)
+	return begin.Add(timeout)
 }
 
 // expire reports whether the time limit has passed, which may have changed since it was set.
 func (c *conn) expire() bool {
-	limit := c.headerLimit()
-	if limit.After(time.Now()) {
+	if limit := c.readLimit(); limit.IsZero() || limit.After(time.Now()) {
 		return false
 	}
 	c.mu.Lock()
@@ -183,6 +196,8 @@
 	c.waiting = false
 	if c.phase == phaseHeader {
 		c.report(ReasonHeaderTimeout)
+	} else {
+		c.report(ReasonIdleTimeout)
 	}
 	return true
 }
@@ -209,11 +224,11 @@
 	c.mu.Lock()
 	switch c.phase {
 	case phaseAnswered:
-		c.phase = phaseIdle
+		c.phase, c.phaseBegan, c.idleTimeout = phaseIdle, time.Now(), c.server.idleTimeout()
 	case phaseIdle:
 		c.beginHeader()
 	}
-	if c.phase == phaseHeader {
+	if c.phase != phaseRequest {
 		t = time.Time{} // readHeader sets the deadline
 	}
 	c.mu.Unlock()
@@ -221,7 +236,7 @@
 }
 
 // beginHeader records that a request has begun. c.mu must be held.
-func (c *conn) beginHeader() { c.phase, c.headerBegan = phaseHeader, time.Now() }
+func (c *conn) beginHeader() { c.phase, c.phaseBegan = phaseHeader, time.Now() }
 
 // recordState records a state that net/http reports.
 func (c *conn) recordState(state http.ConnState) {
@@ -246,7 +261,7 @@
 	}
 	c.closed = true
 	c.report(ReasonIdleAtStop)
-	c.mu.Unlock()      // Close waits for readFirst
+	c.mu.Unlock()      // Close waits for tryRead, which takes c.mu
 	_ = c.Conn.Close() // nothing is pending on an idle connection
 	return true
 }
--- a/graceful/report.go
+++ b/graceful/report.go
@@ -14,6 +14,7 @@
 // Reasons to close a connection.
 const (
 	ReasonIdleAtStop    Reason = "idle_at_stop"   // Shutdown closed it while no request was on it
+	ReasonIdleTimeout   Reason = "idle_timeout"   // no request came in time
 	ReasonHeaderTimeout Reason = "header_timeout" // a header did not arrive in time
 	ReasonClose         Reason = "close"          // Close closed it, such as at the end of the grace time
 )
--- a/graceful/server.go
+++ b/graceful/server.go
@@ -27,6 +27,10 @@
 	// HeaderTimeout returns the time in which the header of a request has to arrive once its first byte has; 0: no limit;
 	// nil: the ReadHeaderTimeout of the http.Server. It may change while the server runs.
 	HeaderTimeout func() time.Duration
+	// IdleTimeout returns the time after which a connection without a request is closed; 0: no limit; nil: the
+	// IdleTimeout of the http.Server. It may change while the server runs; a lower value holds from the next answer on
+	// a connection. Connections without any request are kept for the ReadHeaderTimeout of the http.Server at least.
+	IdleTimeout func() time.Duration
 	// OnClose is told of each connection that the server closes by its own decision; nil: nobody is. It must not block
 	// or call the server.
 	OnClose func(Closing)
@@ -121,6 +125,13 @@
 	return s.http.ReadHeaderTimeout
 }
 
+func (s *Server) idleTimeout() time.Duration {
+	if s.IdleTimeout != nil {
+		return s.IdleTimeout()
+	}
+	return s.http.IdleTimeout
+}
+
 func (s *Server) isDraining() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/graceful/server_test.go
+++ b/graceful/server_test.go
@@ -544,3 +544,48 @@
 		receive(t, c, path)
 	}
 }
+
+// Guards against a change of the configuration by which an idle connection is closed earlier than its caller expects,
+// and against idle connections that are kept for ever.
+func TestServe_IdleTimeoutChanges(t *testing.T) {
+	for name, test := range map[string]struct {
+		before, after time.Duration // the limit changes after half of lateness
+		stays         bool          // the connection is open after lateness
+	}{
+		"same":     {before: lateness * 3 / 4, after: lateness * 3 / 4},
+		"raised":   {before: lateness * 3 / 4, after: time.Minute, stays: true},
+		"lowered":  {before: time.Minute, after: lateness / 4, stays: true},
+		"no limit": {stays: true},
+	} {
+		for _, kept := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, kept alive %t", name, kept), func(t *testing.T) {
+				t.Parallel()
+				var closed closings
+				var timeout atomic.Int64
+				timeout.Store(int64(test.before))
+				_, address := start(t, 0, closed.record, func(s *graceful.Server) {
+					s.IdleTimeout = func() time.Duration { return time.Duration(timeout.Load()) }
+				})
+				c := dial(t, address)
+				if kept {
+					_, _ = fmt.Fprintf(c, head, "/first")
+					receive(t, c, "/first")
+				}
+				time.Sleep(lateness / 2)
+				timeout.Store(int64(test.after))
+				must.NoError(t, c.SetDeadline(time.Now().Add(lateness)))
+				_, err := c.Read(make([]byte, 1))
+				if test.stays {
+					must.ErrorIs(t, err, os.ErrDeadlineExceeded)
+					return
+				}
+				must.ErrorIs(t, err, io.EOF)
+				want := graceful.Closing{Reason: graceful.ReasonIdleTimeout}
+				if kept {
+					want.State = http.StateIdle
+				}
+				must.Eq(t, []graceful.Closing{want}, closed.get())
+			})
+		}
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -33,8 +33,8 @@
 	memoryShare = 0.6
 	// readHeaderTimeout is used until the configuration sets another.
 	readHeaderTimeout = 3 * time.Second
-	// idleTimeout exceeds the idle time of callers' connections that any configuration is expected to allow.
-	idleTimeout = 2 * time.Minute
+	// minIdleTimeout is how long idle connections of callers are kept at least.
+	minIdleTimeout = 2 * time.Minute
 	// maxHeaderBytes exceeds the header limit of the deployments (16 KB).
 	maxHeaderBytes = 32 << 10
 	// defaultMaxBodyBytes limits request bodies until a configuration sets a limit.
@@ -146,7 +146,7 @@
 	peers := graceful.New(&http.Server{Handler: n.peerMux(), ReadHeaderTimeout: readHeaderTimeout})
 	ready := graceful.New(&http.Server{Handler: n.platform.Ready(n.IsReady), ReadHeaderTimeout: readHeaderTimeout})
 	callers := graceful.New(n.callerServer())
-	callers.HeaderTimeout = n.headerTimeout
+	callers.HeaderTimeout, callers.IdleTimeout = n.headerTimeout, n.idleTimeout
 	callers.OnClose = graceful.Report(n.log, n.metrics.scope)
 	for i, server := range []*graceful.Server{peers, ready, callers} {
 		group.Go(func() error { return server.Serve(listeners[i]) })
@@ -212,13 +212,19 @@
 func (n *Node) callerServer() *http.Server {
 	return &http.Server{
 		Handler:        n.platform.Ingress(n.forwarder, n.maxBody, n.closing.Load),
-		IdleTimeout:    idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes,
-		// A connection without any request is closed like an idle one; graceful.Server bounds the headers.
-		ReadHeaderTimeout: idleTimeout,
 	}
 }
 
+// idleTimeout returns how long idle connections of callers are kept: longer than any caller that observes the
+// configuration reuses them.
+func (n *Node) idleTimeout() time.Duration {
+	if t := n.table.Load(); t != nil {
+		return max(minIdleTimeout, t.Limits.IdleTimeout)
+	}
+	return minIdleTimeout
+}
+
 // headerTimeout returns the time limit that the configuration sets for the header of a request.
 func (n *Node) headerTimeout() time.Duration {
 	if t := n.table.Load(); t != nil && t.Limits.HeaderTimeout > 0 {
