--- a/graceful/server_test.go
+++ b/graceful/server_test.go
@@ -589,3 +589,42 @@
 		}
 	}
 }
+
+// startAnswering starts a server with large answers, and returns it with a connection whose caller has yet to read the
+// first one.
+func startAnswering(t *testing.T, answer string) (*graceful.Server, net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	s := graceful.New(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, answer)
+	})})
+	serve(t, s, l)
+	c := dial(t, l.Addr().String())
+	must.NoError(t, c.(*net.TCPConn).SetReadBuffer(32<<10))
+	_, _ = fmt.Fprintf(c, head, "/first")
+	time.Sleep(50 * time.Millisecond)
+	return s, c
+}
+
+// Guards against a planned stop that takes a connection for idle whose caller still receives an answer, and cuts that
+// answer when the caller sends its next request.
+func TestShutdown_AnswerIsOnItsWay(t *testing.T) {
+	answer := strings.Repeat("answer  ", 32<<10)
+	s, c := startAnswering(t, answer)
+	done := shutdown(t, s)
+	time.Sleep(50 * time.Millisecond)
+	_, _ = fmt.Fprintf(c, head, "/second")
+	time.Sleep(50 * time.Millisecond)
+	r := bufio.NewReader(c)
+	receiveFrom(t, r, answer)
+	receiveFrom(t, r, answer)
+	must.NoError(t, <-done)
+}
+
+// Guards against a planned stop that waits to its end for a caller that does not read.
+func TestShutdown_CallerDoesNotRead(t *testing.T) {
+	t.Parallel()
+	s, _ := startAnswering(t, strings.Repeat("answer  ", 32<<10))
+	must.NoError(t, <-shutdown(t, s))
+}
