--- a/graceful/server_test.go
+++ b/graceful/server_test.go
@@ -3,10 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -39,20 +43,30 @@
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
-	s := graceful.New(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		time.Sleep(work)
-		_, _ = io.WriteString(w, r.URL.Path)
-	})})
+	s := graceful.New(&http.Server{Handler: echo(work)})
 	for _, c := range change {
 		c(s)
 	}
+	serve(t, s, &gatedListener{l.(*net.TCPListener), gate})
+	return s, l.Addr().String()
+}
+
+// echo returns a handler that answers with the path of the request.
+func echo(work time.Duration) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(work)
+		_, _ = io.WriteString(w, r.URL.Path)
+	})
+}
+
+func serve(t *testing.T, s *graceful.Server, l net.Listener) {
+	t.Helper()
 	done := make(chan error, 1)
-	go func() { done <- s.Serve(&gatedListener{l.(*net.TCPListener), gate}) }()
+	go func() { done <- s.Serve(l) }()
 	t.Cleanup(func() {
 		_ = s.Close()
 		must.NoError(t, <-done)
 	})
-	return s, l.Addr().String()
 }
 
 func shutdown(t *testing.T, s *graceful.Server) <-chan error {
@@ -79,7 +93,12 @@
 
 func receive(t *testing.T, c net.Conn, want string) {
 	t.Helper()
-	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	receiveFrom(t, bufio.NewReader(c), want)
+}
+
+func receiveFrom(t *testing.T, r *bufio.Reader, want string) {
+	t.Helper()
+	resp, err := http.ReadResponse(r, nil)
 	must.NoError(t, err)
 	body, err := io.ReadAll(resp.Body)
 	must.NoError(t, err)
@@ -245,3 +264,393 @@
 	must.NoError(t, <-stopped)
 	must.NoError(t, <-done)
 }
+
+// closings collects what a server reports of the connections that it closes.
+type closings struct {
+	mu  sync.Mutex
+	all []graceful.Closing
+}
+
+func (c *closings) record(s *graceful.Server) {
+	s.OnClose = func(closing graceful.Closing) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		closing.Caller = ""
+		c.all = append(c.all, closing)
+	}
+}
+
+func (c *closings) get() []graceful.Closing {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.all
+}
+
+// Guards against connections that the server closes without a trace, or with a wrong state.
+func TestServer_ReportsWhatItCloses(t *testing.T) {
+	for name, test := range map[string]struct {
+		sent  string
+		work  time.Duration
+		close bool // Close instead of Shutdown
+		want  graceful.Closing
+	}{
+		"idle":           {sent: "GET / HTTP/1.1\r\nHost: h\r\n\r\n", want: graceful.Closing{Reason: graceful.ReasonIdleAtStop, State: http.StateIdle}},
+		"cut when new":   {close: true, want: graceful.Closing{Reason: graceful.ReasonClose, State: http.StateNew}},
+		"cut in answer":  {sent: "GET / HTTP/1.1\r\nHost: h\r\n\r\n", work: 200 * time.Millisecond, close: true, want: graceful.Closing{Reason: graceful.ReasonClose, State: http.StateActive, Begun: true}},
+		"header is late": {sent: "GET / HT", want: graceful.Closing{Reason: graceful.ReasonHeaderTimeout, State: http.StateNew, Begun: true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var closed closings
+			s, address := start(t, test.work, closed.record, func(s *graceful.Server) {
+				s.HeaderTimeout = func() time.Duration { return 100 * time.Millisecond }
+			})
+			c := dial(t, address)
+			_, _ = io.WriteString(c, test.sent)
+			time.Sleep(50 * time.Millisecond)
+			if test.close {
+				must.NoError(t, s.Close())
+			} else {
+				must.NoError(t, <-shutdown(t, s))
+			}
+			must.Eq(t, []graceful.Closing{test.want}, closed.get())
+		})
+	}
+}
+
+// Guards against a planned stop that cuts a request of which the server has read bytes together with the one before, or
+// while that one was answered: the server then does not read again before it answers, or only for the rest.
+func TestShutdown_PipelinedRequest(t *testing.T) {
+	second := fmt.Sprintf(head, "/second")
+	for name, test := range map[string]struct {
+		with   int // bytes of the second request that are sent with the first
+		during int // bytes of it that are sent while the first is answered
+	}{
+		"whole":                  {with: len(second)},
+		"a byte":                 {with: 1},
+		"three bytes":            {with: 3},
+		"four bytes":             {with: 4},
+		"to the end of a line":   {with: len("GET /second HTTP/1.1\r\n")},
+		"within a line":          {with: len("GET /second HTTP/1.1\r\nHo")},
+		"all but a byte":         {with: len(second) - 1},
+		"a byte during answer":   {during: 1},
+		"a part during answer":   {during: 10},
+		"whole during answer":    {during: len(second)},
+		"a byte, then a byte":    {with: 1, during: 1},
+		"a byte, then the whole": {with: 1, during: len(second) - 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s, address := start(t, 150*time.Millisecond)
+			c := dial(t, address)
+			_, _ = fmt.Fprintf(c, head+"%s", "/first", second[:test.with])
+			time.Sleep(50 * time.Millisecond)
+			sent := test.with + test.during
+			_, _ = io.WriteString(c, second[test.with:sent])
+			r := bufio.NewReader(c)
+			receiveFrom(t, r, "/first")
+			time.Sleep(20 * time.Millisecond)
+			done := shutdown(t, s)
+			time.Sleep(50 * time.Millisecond)
+			_, _ = io.WriteString(c, second[sent:])
+			receiveFrom(t, r, "/second")
+			begin := time.Now()
+			must.NoError(t, <-done)
+			must.Less(t, 100*time.Millisecond, time.Since(begin))
+		})
+	}
+}
+
+const lateness = 100 * time.Millisecond
+
+// lateListener accepts connections whose reads begin or return late, as on an instance without processor time.
+type lateListener struct {
+	*net.TCPListener
+	before, after time.Duration
+}
+
+func (l lateListener) Accept() (net.Conn, error) {
+	c, err := l.AcceptTCP()
+	return lateConn{c, l}, err
+}
+
+func (l lateListener) read(read func() error) error {
+	time.Sleep(l.before)
+	defer time.Sleep(l.after)
+	return read()
+}
+
+type lateConn struct {
+	*net.TCPConn
+	late lateListener
+}
+
+func (c lateConn) Read(b []byte) (n int, err error) {
+	err = c.late.read(func() error { n, err = c.TCPConn.Read(b); return err })
+	return n, err
+}
+
+func (c lateConn) SyscallConn() (syscall.RawConn, error) {
+	raw, err := c.TCPConn.SyscallConn()
+	return lateRawConn{raw, c.late}, err
+}
+
+type lateRawConn struct {
+	syscall.RawConn
+	late lateListener
+}
+
+func (c lateRawConn) Read(f func(fd uintptr) bool) error {
+	return c.late.read(func() error { return c.RawConn.Read(f) })
+}
+
+// Guards against a planned stop that takes a connection for idle when a request was read from its socket just before.
+func TestShutdown_RequestJustRead(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	s := graceful.New(&http.Server{Handler: echo(0)})
+	serve(t, s, lateListener{TCPListener: l.(*net.TCPListener), after: lateness})
+	c := dial(t, l.Addr().String())
+	_, _ = fmt.Fprintf(c, head, "/first")
+	receive(t, c, "/first")
+	time.Sleep(2 * lateness) // the server is ready for the next request
+	_, _ = fmt.Fprintf(c, head, "/second")
+	time.Sleep(lateness / 2)
+	done := shutdown(t, s)
+	receive(t, c, "/second")
+	must.NoError(t, <-done)
+}
+
+// Guards against an answer with Connection: close that is reset while its caller still reads it, because the caller has
+// sent more bytes, and against a request among those bytes that runs.
+func TestServe_AnswerBeforeClose(t *testing.T) {
+	second := fmt.Sprintf(head, "/second")
+	answer := strings.Repeat("answer  ", 32<<10)
+	for name, test := range map[string]struct{ with, during, later string }{
+		"nothing sent":                {},
+		"request sent with the first": {with: second},
+		"request sent during answer":  {during: second},
+		"request sent when closed":    {later: second},
+		"much sent":                   {with: strings.Repeat(second, 1000)},
+	} {
+		for _, stopping := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, stopping %t", name, stopping), func(t *testing.T) {
+				t.Parallel()
+				var runs atomic.Int32
+				l, err := net.Listen("tcp", "127.0.0.1:0")
+				must.NoError(t, err)
+				s := graceful.New(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					runs.Add(1)
+					time.Sleep(50 * time.Millisecond)
+					w.Header().Set("Connection", "close")
+					_, _ = io.WriteString(w, answer)
+				})})
+				serve(t, s, l)
+				c := dial(t, l.Addr().String())
+				must.NoError(t, c.(*net.TCPConn).SetReadBuffer(32<<10))
+				_, _ = fmt.Fprintf(c, head+"%s", "/first", test.with)
+				time.Sleep(20 * time.Millisecond)
+				_, _ = io.WriteString(c, test.during)
+				done := make(<-chan error)
+				if stopping {
+					done = shutdown(t, s)
+				}
+				resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+				must.NoError(t, err)
+				var body strings.Builder
+				for err == nil {
+					_, err = io.CopyN(&body, resp.Body, 8<<10)
+					time.Sleep(5 * time.Millisecond)
+					if body.Len() == len(answer)/2 {
+						_, _ = io.WriteString(c, test.later)
+					}
+				}
+				must.ErrorIs(t, err, io.EOF)
+				must.True(t, body.String() == answer, must.Sprintf("got %d bytes of %d", body.Len(), len(answer)))
+				must.Eq(t, 1, runs.Load())
+				_ = c.Close()
+				if stopping {
+					must.NoError(t, <-done)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a header timeout that closes a connection whose header has arrived, because the server was late in
+// reading it, or because the limit was raised meanwhile, and against one that spares a header in the reader's buffer.
+func TestServe_HeaderAtItsTimeout(t *testing.T) {
+	request := fmt.Sprintf(head, "/x")
+	for name, test := range map[string]struct {
+		first, rest string // the rest follows after half of lateness
+		late        bool   // reads return late
+		timeout     time.Duration
+		raised      time.Duration // later limit
+		want        int           // answers
+		stays       bool          // the connection stays open
+	}{
+		"complete, read late":     {first: request, late: true, timeout: lateness / 2, want: 1, stays: true},
+		"rest waits, read late":   {first: request[:9], rest: request[9:], late: true, timeout: lateness * 3 / 4, want: 1, stays: true},
+		"limit raised":            {first: request[:9], rest: request[9:], timeout: lateness * 2 / 5, raised: time.Second, want: 1, stays: true},
+		"too late":                {first: request[:9], rest: request[9:], timeout: lateness / 4},
+		"behind another":          {first: request + request[:9], timeout: lateness / 2, want: 1},
+		"byte behind another":     {first: request + request[:1], timeout: lateness / 2, want: 1},
+		"line behind another":     {first: request + request[:17], timeout: lateness / 2, want: 1},
+		"rest in time":            {first: request + request[:17], rest: request[17:], timeout: lateness, want: 2, stays: true},
+		"answer takes longer":     {first: request + request, timeout: lateness / 20, want: 2, stays: true},
+		"second comes in answer":  {first: request, rest: request, timeout: lateness / 20, want: 2, stays: true},
+		"part comes in an answer": {first: request, rest: request[:9], timeout: lateness / 2, want: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			must.NoError(t, err)
+			var timeout atomic.Int64
+			timeout.Store(int64(test.timeout))
+			s := graceful.New(&http.Server{Handler: echo(lateness)})
+			s.HeaderTimeout = func() time.Duration { return time.Duration(timeout.Load()) }
+			if test.late {
+				l = lateListener{TCPListener: l.(*net.TCPListener), after: lateness}
+			}
+			serve(t, s, l)
+			c := dial(t, l.Addr().String())
+			begin := time.Now()
+			_, _ = io.WriteString(c, test.first)
+			time.Sleep(lateness / 5)
+			if test.raised > 0 {
+				timeout.Store(int64(test.raised))
+			}
+			time.Sleep(lateness/2 - time.Since(begin))
+			_, _ = io.WriteString(c, test.rest)
+			r := bufio.NewReader(c)
+			for range test.want {
+				receiveFrom(t, r, "/x")
+			}
+			must.NoError(t, c.SetDeadline(time.Now().Add(2*lateness)))
+			_, err = r.ReadByte()
+			must.Eq(t, test.stays, errors.Is(err, os.ErrDeadlineExceeded), must.Sprint(err))
+		})
+	}
+}
+
+// Guards against a request that is lost because the server, which is late, looks at the time before it looks for bytes.
+func TestServe_RequestAtIdleTimeout(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	s := graceful.New(&http.Server{Handler: echo(0), IdleTimeout: lateness / 2, ReadHeaderTimeout: lateness / 2})
+	serve(t, s, lateListener{TCPListener: l.(*net.TCPListener), before: lateness})
+	c := dial(t, l.Addr().String())
+	for _, path := range []string{"/first", "/second"} {
+		_, _ = fmt.Fprintf(c, head, path)
+		receive(t, c, path)
+	}
+}
+
+// Guards against a change of the configuration by which an idle connection is closed earlier than its caller expects,
+// and against idle connections that are kept for ever.
+func TestServe_IdleTimeoutChanges(t *testing.T) {
+	for name, test := range map[string]struct {
+		before, after time.Duration // the limit changes after half of lateness
+		stays         bool          // the connection is open after lateness
+	}{
+		"same":     {before: lateness * 3 / 4, after: lateness * 3 / 4},
+		"raised":   {before: lateness * 3 / 4, after: time.Minute, stays: true},
+		"lowered":  {before: time.Minute, after: lateness / 4, stays: true},
+		"no limit": {stays: true},
+	} {
+		for _, kept := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, kept alive %t", name, kept), func(t *testing.T) {
+				t.Parallel()
+				var closed closings
+				var timeout atomic.Int64
+				timeout.Store(int64(test.before))
+				_, address := start(t, 0, closed.record, func(s *graceful.Server) {
+					s.IdleTimeout = func() time.Duration { return time.Duration(timeout.Load()) }
+				})
+				c := dial(t, address)
+				if kept {
+					_, _ = fmt.Fprintf(c, head, "/first")
+					receive(t, c, "/first")
+				}
+				time.Sleep(lateness / 2)
+				timeout.Store(int64(test.after))
+				must.NoError(t, c.SetDeadline(time.Now().Add(lateness)))
+				_, err := c.Read(make([]byte, 1))
+				if test.stays {
+					must.ErrorIs(t, err, os.ErrDeadlineExceeded)
+					return
+				}
+				must.ErrorIs(t, err, io.EOF)
+				want := graceful.Closing{Reason: graceful.ReasonIdleTimeout}
+				if kept {
+					want.State = http.StateIdle
+				}
+				must.Eq(t, []graceful.Closing{want}, closed.get())
+			})
+		}
+	}
+}
+
+// startAnswering starts a server with large answers, and returns it with a connection whose caller has yet to read the
+// first one.
+func startAnswering(t *testing.T, answer string) (*graceful.Server, net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	s := graceful.New(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, answer)
+	})})
+	serve(t, s, l)
+	c := dial(t, l.Addr().String())
+	must.NoError(t, c.(*net.TCPConn).SetReadBuffer(32<<10))
+	_, _ = fmt.Fprintf(c, head, "/first")
+	time.Sleep(50 * time.Millisecond)
+	return s, c
+}
+
+// Guards against a planned stop that takes a connection for idle whose caller still receives an answer, and cuts that
+// answer when the caller sends its next request.
+func TestShutdown_AnswerIsOnItsWay(t *testing.T) {
+	answer := strings.Repeat("answer  ", 32<<10)
+	s, c := startAnswering(t, answer)
+	done := shutdown(t, s)
+	time.Sleep(50 * time.Millisecond)
+	_, _ = fmt.Fprintf(c, head, "/second")
+	time.Sleep(50 * time.Millisecond)
+	r := bufio.NewReader(c)
+	receiveFrom(t, r, answer)
+	receiveFrom(t, r, answer)
+	must.NoError(t, <-done)
+}
+
+// Guards against a planned stop that waits to its end for a caller that does not read.
+func TestShutdown_CallerDoesNotRead(t *testing.T) {
+	t.Parallel()
+	s, _ := startAnswering(t, strings.Repeat("answer  ", 32<<10))
+	must.NoError(t, <-shutdown(t, s))
+}
+
+// tardyListener returns late from the calls of Accept that found no connection.
+type tardyListener struct{ *net.TCPListener }
+
+func (l tardyListener) Accept() (net.Conn, error) {
+	c, err := l.TCPListener.Accept()
+	if err != nil {
+		time.Sleep(lateness)
+	}
+	return c, err
+}
+
+// Guards against a request that is cut off because its connection was opened just before the listener was closed.
+func TestShutdown_ConnectionAtLastMoment(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	s := graceful.New(&http.Server{Handler: echo(0)})
+	serve(t, s, tardyListener{l.(*net.TCPListener)})
+	time.Sleep(20 * time.Millisecond)
+	done := shutdown(t, s)
+	time.Sleep(lateness * 3 / 2) // Accept has looked for the last time
+	c := dial(t, l.Addr().String())
+	_, _ = fmt.Fprintf(c, head, "/x")
+	receive(t, c, "/x")
+	must.NoError(t, <-done)
+}
