platform, upstream: a refusal without the request ID proves nothing on a used connection

What callers saw: a worker wrote a copy of an earlier refusal, without its request ID, on a kept connection. It counted as the answer to the next request on it, although the worker ran that request: the caller was told "not run, try again", or the request ran at a second worker.

Cause: a refusal without the request ID was accepted on any connection.

Change: MatchesAnswer and Wire.IsAnswerTo learn whether the connection has carried another request. No connection is closed for it: callers get the answer that follows.

Not affected: calls of platform.Mover take a connection of their own, on which no refusal came before. Plain calls of dispatch that must not run twice do the same, and relay takes only "no byte sent" as proof that one did not run.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -188,7 +188,7 @@
 	return &upstream.Call{
 		Method: r.req.Method, URI: r.req.URI, Host: r.req.Host, Header: r.f.cfg.Wire.Outbound(a), Body: r.req.Body,
 		NonIdempotent: !r.route.MayRepeat(), HeadTimeout: headTimeout,
-		MatchesAnswer: func(h http.Header) bool { return r.f.cfg.Wire.IsAnswerTo(h, r.req.ID) },
+		MatchesAnswer: func(h http.Header, reused bool) bool { return r.f.cfg.Wire.IsAnswerTo(h, r.req.ID, reused) },
 	}
 }
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -58,8 +58,9 @@
 type Wire interface {
 	// Outbound returns the headers of an attempt.
 	Outbound(a *Attempt) http.Header
-	// IsAnswerTo reports whether an endpoint's answer belongs to a request.
-	IsAnswerTo(h http.Header, requestID string) bool
+	// IsAnswerTo reports whether an endpoint's answer belongs to a request. reused means that the connection has carried
+	// another request, of whose answer this may be a late copy.
+	IsAnswerTo(h http.Header, requestID string, reused bool) bool
 	// IsNotRun reports whether an endpoint states that it did not run a request.
 	IsNotRun(status int, h http.Header) bool
 	// Load returns the load that an endpoint reports with an answer.
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -31,7 +31,7 @@
 	}
 }
 
-func (wire) IsAnswerTo(h http.Header, id string) bool { return h.Get("Id") == id }
+func (wire) IsAnswerTo(h http.Header, id string, _ bool) bool { return h.Get("Id") == id }
 
 func (wire) IsNotRun(_ int, h http.Header) bool { return h.Get("Not-Run") != "" }
 
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -34,9 +34,10 @@
 	// NonIdempotent marks a request that must not run twice; it gets only connections that were used or opened just
 	// before.
 	NonIdempotent bool
-	// MatchesAnswer reports whether an answer belongs to this request. If it is nil, the request gets a connection of its
-	// own, because on a connection that was used before, a late copy of another answer could not be told from its own.
-	MatchesAnswer func(http.Header) bool
+	// MatchesAnswer reports whether an answer belongs to this request. reused means that the connection has carried
+	// another request, of whose answer this may be a late copy. If MatchesAnswer is nil, the request gets a connection of
+	// its own.
+	MatchesAnswer func(h http.Header, reused bool) bool
 	// HeadTimeout is the time in which the head of an answer has to arrive once its first byte has; 0: no limit.
 	HeadTimeout time.Duration
 }
@@ -150,7 +151,7 @@
 			}
 			continue
 		}
-		if call.MatchesAnswer == nil || call.MatchesAnswer(resp.Header) {
+		if call.MatchesAnswer == nil || call.MatchesAnswer(resp.Header, c.used) {
 			return resp, nil
 		}
 		if skipped++; skipped > maxSkippedAnswers || !c.used {
--- a/upstream/exchange_test.go
+++ b/upstream/exchange_test.go
@@ -83,7 +83,7 @@
 func call(id string) *upstream.Call {
 	return &upstream.Call{
 		Method: http.MethodGet, URI: "/x?y=1", Host: "h", Header: http.Header{"Id": {id}},
-		MatchesAnswer: func(h http.Header) bool { return h.Get("Id") == id },
+		MatchesAnswer: func(h http.Header, _ bool) bool { return h.Get("Id") == id },
 	}
 }
 
