forward, upstream: a connection carries each request ID once

What callers saw: an idempotent request that its worker had refused went there again on the same kept connection. A copy of the first refusal then bore its ID and counted as the second one although the worker ran the request. A moved run that comes to a worker which refused it before was open to the same. A request without an ID took any answer without one.

Change: a request that goes to an endpoint again gets a connection that was not in use since it arrived, or a new one that replaces an idle one, so that the pool does not grow. A request without an ID gets a connection of its own.

The path of a first attempt is unchanged but for two comparisons. TestDo_UnusedSince shows that the number of connections stays.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -67,6 +67,7 @@
 )
 
 func (r *exchange) attempt(ctx context.Context, e *fleet.Endpoint) (out outcome) {
+	again := r.tried[e]
 	r.tried[e] = true
 	prefill := r.beginAttempt(e)
 	defer e.Stats.End()
@@ -94,7 +95,11 @@
 			r.pendingMove = relocation.result()
 		}
 	}()
-	reply, err := e.Pool.Do(ctx, r.call(ctx, e))
+	call := r.call(ctx, e)
+	if again {
+		call.UnusedSince = r.req.Arrived
+	}
+	reply, err := e.Pool.Do(ctx, call)
 	stopTimer()
 	if err != nil {
 		return r.classifyError(ctx, err)
@@ -185,11 +190,14 @@
 		a.MovedFrom = r.pendingMove.ref
 		r.pendingMove = nil
 	}
-	return &upstream.Call{
+	call := &upstream.Call{
 		Method: r.req.Method, URI: r.req.URI, Host: r.req.Host, Header: r.f.cfg.Wire.Outbound(a), Body: r.req.Body,
 		NonIdempotent: !r.route.MayRepeat(), HeadTimeout: headTimeout,
-		MatchesAnswer: func(h http.Header, reused bool) bool { return r.f.cfg.Wire.IsAnswerTo(h, r.req.ID, reused) },
 	}
+	if r.req.ID != "" {
+		call.MatchesAnswer = func(h http.Header, reused bool) bool { return r.f.cfg.Wire.IsAnswerTo(h, r.req.ID, reused) }
+	}
+	return call
 }
 
 // classifyError returns the outcome of an attempt that failed with err.
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -38,6 +38,9 @@
 	// another request, of whose answer this may be a late copy. If MatchesAnswer is nil, the request gets a connection of
 	// its own.
 	MatchesAnswer func(h http.Header, reused bool) bool
+	// UnusedSince, unless zero, excludes connections that were in use since then: one that has carried the same request
+	// may deliver another copy of its answer.
+	UnusedSince time.Time
 	// HeadTimeout is the time in which the head of an answer has to arrive once its first byte has; 0: no limit.
 	HeadTimeout time.Duration
 }
--- a/upstream/exchange_test.go
+++ b/upstream/exchange_test.go
@@ -323,3 +323,31 @@
 	close(release)
 	must.NoError(t, <-done)
 }
+
+// Guards against a call on a connection that it excludes, and against more connections because of that.
+func TestDo_UnusedSince(t *testing.T) {
+	e := serve(t, func(e *endpoint, _ int, c net.Conn) {
+		r := bufio.NewReader(c)
+		for {
+			id, ok := e.read(r)
+			if !ok {
+				return
+			}
+			_, _ = io.WriteString(c, answer(id, "ok"))
+		}
+	})
+	p := e.pool()
+	p.SetLimit(1)
+	again := call("a")
+	for _, conns := range []int32{1, 2} { // the first connection was in use since the second call's time
+		before := time.Now()
+		_, err := do(t, p, again)
+		must.NoError(t, err)
+		must.Eq(t, conns, e.conns.Load())
+		again.UnusedSince = before
+	}
+	again.UnusedSince = time.Now()
+	_, err := do(t, p, again)
+	must.NoError(t, err)
+	must.Eq(t, 2, e.conns.Load())
+}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -114,34 +115,42 @@
 	if call.MatchesAnswer == nil {
 		return p.dial(ctx)
 	}
-	return p.get(ctx, call.NonIdempotent)
+	return p.get(ctx, call)
 }
 
 // get returns an idle connection that seems usable, or opens a new one.
-func (p *Pool) get(ctx context.Context, nonIdempotent bool) (*conn, error) {
+func (p *Pool) get(ctx context.Context, call *Call) (*conn, error) {
 	for {
-		c := p.takeIdle()
+		c := p.takeIdle(call.UnusedSince)
 		if c == nil {
 			break
 		}
 		age := time.Since(c.idleSince)
-		if age < c.idleTimeout && !(nonIdempotent && age > maxNonIdempotentIdle) && c.isUsable() {
+		if age < c.idleTimeout && !(call.NonIdempotent && age > maxNonIdempotentIdle) && c.isUsable() {
 			return c, nil
 		}
 		c.discard()
 	}
+	if c := p.takeIdle(time.Time{}); c != nil {
+		c.discard() // excluded by UnusedSince; the new connection takes its place within the limit
+	}
 	return p.dial(ctx)
 }
 
-func (p *Pool) takeIdle() *conn {
+// takeIdle takes the most recently used idle connection out of the pool, of those not in use since unusedSince unless
+// that is zero.
+func (p *Pool) takeIdle(unusedSince time.Time) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := len(p.idle)
-	if n == 0 {
+	n := len(p.idle) - 1
+	for n >= 0 && !unusedSince.IsZero() && p.idle[n].idleSince.After(unusedSince) {
+		n--
+	}
+	if n < 0 {
 		return nil
 	}
-	c := p.idle[n-1]
-	p.idle = p.idle[:n-1]
+	c := p.idle[n]
+	p.idle = slices.Delete(p.idle, n, n+1)
 	return c
 }
 
