node: an odd entry is logged once per revision

What was seen: an entry that names no endpoint was logged at each list, without its revision, and with its whole text if that was its address or state.

--- a/node/node.go
+++ b/node/node.go
@@ -119,7 +119,7 @@
 	})
 	n.feeds = map[string]*feed.Feed{}
 	n.addFeed(p.Kinds.Configuration, configHandler{n})
-	n.addFeed(p.Kinds.Endpoints, endpointHandler{n})
+	n.addFeed(p.Kinds.Endpoints, &endpointHandler{n: n})
 	n.addFeed(p.Kinds.Rollouts, n.rollouts)
 	n.subscribe()
 	return n, nil
--- a/node/state.go
+++ b/node/state.go
@@ -74,13 +74,18 @@
 }
 
 // endpointHandler applies the list of endpoints.
-type endpointHandler struct{ n *Node }
+type endpointHandler struct {
+	n       *Node
+	skipped map[string]uint64 // revisions of invalid entries by name
+}
 
-func (h endpointHandler) Replace(objects []feed.Object, settled bool) {
+func (h *endpointHandler) Replace(objects []feed.Object, settled bool) {
 	now := time.Now()
 	var entries []fleet.Entry
+	before := h.skipped
+	h.skipped = nil
 	for _, o := range objects {
-		if e, ok := h.decode(o, now); ok {
+		if e, ok := h.decode(o, now, before); ok {
 			entries = append(entries, e)
 		}
 	}
@@ -89,11 +94,12 @@
 	h.n.limitConnections()
 }
 
-func (h endpointHandler) Apply(e feed.Event, settled bool) {
+func (h *endpointHandler) Apply(e feed.Event, settled bool) {
 	now := time.Now()
 	h.n.stateChanged.Store(true)
 	log := h.n.log.WithFields(logrus.Fields{"endpoint": e.Object.Name, "revision": e.Object.Revision})
 	if e.Deleted {
+		delete(h.skipped, e.Object.Name)
 		log.WithField("settled", settled).Info("endpoint removed from the list")
 		if startedMs, ok := h.n.fleet.StartedMs(e.Object.Name); ok && settled {
 			h.n.announceLeaving(fleet.Entry{ID: e.Object.Name, StartedMs: startedMs}, now)
@@ -101,7 +107,7 @@
 		h.n.fleet.Remove(e.Object.Name, settled, now)
 		return
 	}
-	entry, ok := h.decode(e.Object, now)
+	entry, ok := h.decode(e.Object, now, h.skipped)
 	if !ok {
 		return
 	}
@@ -113,11 +119,19 @@
 	h.n.limitConnections()
 }
 
-func (h endpointHandler) decode(o feed.Object, now time.Time) (fleet.Entry, bool) {
+// decode decodes an entry. It logs an invalid one, unless known holds its revision, since each list contains it again.
+func (h *endpointHandler) decode(o feed.Object, now time.Time, known map[string]uint64) (fleet.Entry, bool) {
 	e, err := h.n.platform.DecodeEndpoint(o.Name, o.Spec, now)
-	if err != nil {
-		h.n.log.WithError(err).Warn("invalid entry of the endpoint list skipped")
-		return fleet.Entry{}, false
+	if err == nil {
+		delete(h.skipped, o.Name)
+		return e, true
+	}
+	if revision, ok := known[o.Name]; !ok || revision != o.Revision {
+		h.n.log.WithError(err).WithFields(logrus.Fields{"endpoint": o.Name, "revision": o.Revision}).Warn("invalid entry of the endpoint list skipped")
+	}
+	if h.skipped == nil {
+		h.skipped = map[string]uint64{}
 	}
-	return e, true
+	h.skipped[o.Name] = o.Revision
+	return fleet.Entry{}, false
 }
