fleet: an endpoint that answers is not displaced by an entry with its address

What was seen: an entry of another writer with the address of a sound worker, an unknown service and a later start removed that worker from the table, until its own entry changed or the list was read again.

Cause: the later start counts as proof that the address is used again.

Change: an endpoint that has answered since that start stays, and a start more than 5 s ahead of the clock proves nothing. Both are then in the table; a worker rejects what is meant for another ID. An idle endpoint is displaced as before.

Evidence: TestTable_AddressClaimedByOddEntry failed before ("answered since"); TestTable_AddressUsedAgain is unchanged.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -205,7 +205,7 @@
 		old = nil
 	}
 	if holder := t.byAddr[e.Address]; holder != "" && holder != e.ID {
-		if r := t.byID[holder]; r != nil && r.endpoint.StartedMs < e.StartedMs {
+		if r := t.byID[holder]; r != nil && r.endpoint.StartedMs < e.StartedMs && !refutes(r.endpoint, &e, time.Now()) {
 			t.deleteRow(holder) // another endpoint uses the address now
 		}
 	}
@@ -220,6 +220,16 @@
 	}
 }
 
+// maxClockSkew bounds the difference between the clocks of an endpoint and of this instance for refutes.
+const maxClockSkew = 5 * time.Second
+
+// refutes reports whether an endpoint shows that an entry with its address, and a later start, is odd: it has answered
+// since, or that start is in the future. With both in the table, an endpoint rejects what is meant for the other.
+func refutes(holder *Endpoint, e *Entry, now time.Time) bool {
+	start := time.UnixMilli(e.StartedMs)
+	return start.After(now.Add(maxClockSkew)) || holder.Stats.AnsweredAt().After(start)
+}
+
 func sameLifetime(a, b *Entry) bool {
 	return a.StartedMs == b.StartedMs && a.Address == b.Address && a.Service == b.Service && a.Version == b.Version
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -82,6 +82,28 @@
 	must.Len(t, 1, table.Service("other"))
 }
 
+// Guards against a sound endpoint that is lost to an odd entry with its address.
+func TestTable_AddressClaimedByOddEntry(t *testing.T) {
+	start := time.Now().Add(-time.Minute)
+	for name, c := range map[string]struct {
+		claimed, answered time.Time
+		wantKept          bool
+	}{
+		"answered since":                       {start.Add(time.Second), start.Add(2 * time.Second), true},
+		"not answered since":                   {start.Add(2 * time.Second), start.Add(time.Second), false},
+		"start in the future, answered before": {start.Add(time.Hour), start.Add(time.Second), true},
+	} {
+		table := newTable()
+		table.Put(entry("a", "x:1", start.UnixMilli()))
+		table.Service("s")[0].Stats.RecordAnswer(false, c.answered)
+		odd := entry("odd", "x:1", c.claimed.UnixMilli())
+		odd.Service = "unknown"
+		table.Put(odd)
+		must.Eq(t, c.wantKept, len(table.Service("s")) == 1, must.Sprint(name))
+		must.Len(t, 1, table.Service("unknown"))
+	}
+}
+
 // Guards against an endpoint that is avoided permanently after failures, and against one that is tried for every
 // request.
 func TestStats_AvoidsForAWhile(t *testing.T) {
--- a/fleet/live.go
+++ b/fleet/live.go
@@ -30,6 +30,7 @@
 	avoidUntil time.Time
 	reported   Load
 	reportedAt time.Time
+	answeredAt time.Time // last answer without a failure
 }
 
 // Load is the number of requests at an endpoint and of its slots, as reported by the endpoint or by peers.
@@ -91,7 +92,7 @@
 	if failed {
 		value = 1
 	} else {
-		s.avoid = 0
+		s.avoid, s.answeredAt = 0, now
 	}
 	s.failures, s.failuresAt = rate+(value-rate)*failureWeight, now
 }
@@ -120,3 +121,10 @@
 	}
 	return s.failures * math.Exp2(-float64(now.Sub(s.failuresAt))/float64(failureHalfLife))
 }
+
+// AnsweredAt returns when the endpoint last answered without a failure; the zero time means never.
+func (s *Stats) AnsweredAt() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.answeredAt
+}
