--- a/forward/forward.go
+++ b/forward/forward.go
@@ -59,8 +59,9 @@
 type Wire interface {
 	// Outbound returns the headers of an attempt.
 	Outbound(a *Attempt) http.Header
-	// IsAnswerTo reports whether an endpoint's answer belongs to a request.
-	IsAnswerTo(h http.Header, requestID string) bool
+	// IsAnswerTo reports whether an endpoint's answer belongs to a request. reused means that the connection has carried
+	// another request, of whose answer this may be a late copy.
+	IsAnswerTo(h http.Header, requestID string, reused bool) bool
 	// IsNotRun reports whether an endpoint states that it did not run a request.
 	IsNotRun(status int, h http.Header) bool
 	// Load returns the load that an endpoint reports with an answer.
@@ -183,6 +184,7 @@
 	log       logrus.FieldLogger
 
 	tried        map[*fleet.Endpoint]bool
+	lastEnd      attemptEnd    // of the latest attempt
 	targetFailed bool          // the new version of a service that is being moved failed the request
 	timeToFirst  time.Duration // of the latest attempt, until the answer or the first event
 	sentAt       time.Time     // start of the latest attempt
@@ -291,6 +293,7 @@
 // Try implements attempt.Steps.
 func (r *exchange) Try(ctx context.Context, e *fleet.Endpoint) *outcome {
 	out := r.attempt(ctx, e)
+	r.lastEnd = out.end
 	r.recordAttempt(e, &out)
 	return &out
 }
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -34,9 +34,13 @@
 	// NonIdempotent marks a request that must not run twice; it gets only connections that were used or opened just
 	// before.
 	NonIdempotent bool
-	// MatchesAnswer reports whether an answer belongs to this request. If it is nil, the request gets a connection of its
-	// own, because on a connection that was used before, a late copy of another answer could not be told from its own.
-	MatchesAnswer func(http.Header) bool
+	// MatchesAnswer reports whether an answer belongs to this request. reused means that the connection has carried
+	// another request, of whose answer this may be a late copy. If MatchesAnswer is nil, the request gets a connection of
+	// its own.
+	MatchesAnswer func(h http.Header, reused bool) bool
+	// UnusedSince, unless zero, excludes connections that were in use since then: one that has carried the same request
+	// may deliver another copy of its answer.
+	UnusedSince time.Time
 	// HeadTimeout is the time in which the head of an answer has to arrive once its first byte has; 0: no limit.
 	HeadTimeout time.Duration
 	// MayTimeOut is called when HeadTimeout has passed, from another goroutine. If it returns false, the exchange goes on and
@@ -153,7 +157,7 @@
 			}
 			continue
 		}
-		if call.MatchesAnswer == nil || call.MatchesAnswer(resp.Header) {
+		if call.MatchesAnswer == nil || call.MatchesAnswer(resp.Header, c.used) {
 			return resp, nil
 		}
 		if skipped++; skipped > maxSkippedAnswers || !c.used {
