fleet, forward, platform: answers that say that an endpoint is leaving

Callers saw nothing yet, but a worker did: an instance that does not reach the store, or whose list is late, sent requests to a worker on and on that had said in its answers that it is leaving.

Cause: nothing read the header Server-Leaving, and a leaving endpoint was forgotten together with its row, so that an older list brought the same lifetime back as ready.

It becomes evidence on the endpoint: no new work for this lifetime, whatever a list says later.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -40,6 +40,10 @@
 	leaving  chan struct{} // closed when the endpoint must get no new work
 	once     sync.Once
 	leavesAt atomic.Int64 // Unix nanoseconds, 0: unknown
+
+	table        *Table
+	answeredAt   atomic.Int64 // latest answer that did not say that the endpoint is leaving, in Unix nanoseconds; 0: none
+	leavingSince atomic.Int64 // see LeavingSince; Unix nanoseconds, 0: it has not said so
 }
 
 // Leaving returns a channel that is closed once the endpoint must get no new work.
@@ -76,11 +80,13 @@
 
 // Table is the table of endpoints. It is safe for concurrent use.
 type Table struct {
-	newPool func(address string) *upstream.Pool
+	newPool  func(address string) *upstream.Pool
+	onSignal func(e *Endpoint, s Signals, isNew bool) // may be nil
 
 	mu       sync.Mutex
 	byID     map[string]*row
 	byAddr   map[string]string // address -> ID of the latest endpoint that uses it
+	departed departures
 	services atomic.Pointer[map[string][]*Endpoint]
 	changed  chan struct{} // closed and replaced on each change
 }
@@ -178,6 +184,18 @@
 	}
 }
 
+// MarkDeparted is MarkLeaving for an endpoint that has itself said that it is leaving: neither this lifetime nor an
+// earlier one gets new work again, even if it is listed anew.
+func (t *Table) MarkDeparted(id string, startedMs int64, at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.departed.add(id, startedMs, "")
+	if r := t.byID[id]; r != nil && t.departed.includes(&r.endpoint.Entry) && !r.endpoint.IsLeaving() {
+		r.endpoint.leave(at)
+		t.publish()
+	}
+}
+
 // Expire removes the endpoints whose grace has ended.
 func (t *Table) Expire(now time.Time) {
 	t.mu.Lock()
@@ -210,14 +228,18 @@
 		}
 	}
 	if old == nil {
-		old = &row{endpoint: &Endpoint{Entry: e, Pool: t.newPool(e.Address), leaving: make(chan struct{})}}
+		old = &row{endpoint: &Endpoint{Entry: e, Pool: t.newPool(e.Address), leaving: make(chan struct{}), table: t}}
 		t.byID[e.ID] = old
 		t.byAddr[e.Address] = e.ID
 	}
 	old.removeAt = time.Time{}
 	if e.Draining {
+		t.departed.add(e.ID, e.StartedMs, e.Address)
 		old.endpoint.leave(e.LeavesAt)
 	}
+	if t.departed.includes(&e) {
+		old.endpoint.leave(time.Time{})
+	}
 }
 
 func sameLifetime(a, b *Entry) bool {
--- /dev/null
+++ b/fleet/signals.go
@@ -0,0 +1,54 @@
+package fleet
+
+import "time"
+
+// Signals is what an endpoint says of itself with an answer.
+type Signals struct {
+	Leaving bool  // it is leaving
+	Invalid error // a signal that could not be read and counts for nothing; nil: none
+}
+
+// OnSignal sets the function that is called with the signals of each answer that has any. isNew is set if they changed
+// what was known of the endpoint. It must be called before the table is used; fn must not call RecordSignals.
+func (t *Table) OnSignal(fn func(e *Endpoint, s Signals, isNew bool)) { t.onSignal = fn }
+
+// RecordSignals records the signals of an answer of this endpoint that arrived at now, also those of an answer without
+// any.
+func (e *Endpoint) RecordSignals(s Signals, now time.Time) {
+	if !s.Leaving {
+		e.answeredAt.Store(now.UnixNano())
+	}
+	if e.table == nil || !s.Leaving && s.Invalid == nil {
+		return
+	}
+	isNew := false
+	if s.Leaving {
+		isNew = e.table.recordLeaving(e)
+	}
+	if e.table.onSignal != nil {
+		e.table.onSignal(e, s, isNew)
+	}
+}
+
+// recordLeaving stops new work for an endpoint that says that it is leaving, and reports whether that is news.
+func (t *Table) recordLeaving(e *Endpoint) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.departed.add(e.ID, e.StartedMs, e.Address)
+	if e.IsLeaving() {
+		return false
+	}
+	e.leavingSince.Store(max(1, e.answeredAt.Load()))
+	e.leave(time.Time{})
+	t.publish()
+	return true
+}
+
+// LeavingSince returns the earliest time at which an endpoint that says that it is leaving may have begun to leave: that
+// of its last answer that did not say so, and the Unix epoch if there was none. It is the zero time for other endpoints.
+func (e *Endpoint) LeavingSince() time.Time {
+	if ns := e.leavingSince.Load(); ns != 0 {
+		return time.Unix(0, ns)
+	}
+	return time.Time{}
+}
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -100,6 +100,7 @@
 		return r.classifyError(ctx, err)
 	}
 	defer reply.Finish()
+	e.RecordSignals(r.f.cfg.Wire.Signals(reply.Status, reply.Header), time.Now())
 	if load, ok := r.f.cfg.Wire.Load(reply.Header); ok {
 		e.Stats.RecordLoad(load, time.Now())
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -64,6 +64,8 @@
 	IsNotRun(status int, h http.Header) bool
 	// Load returns the load that an endpoint reports with an answer.
 	Load(h http.Header) (fleet.Load, bool)
+	// Signals returns what an endpoint says of itself with an answer.
+	Signals(status int, h http.Header) fleet.Signals
 }
 
 // Quotas limits what workspaces may use over all instances.
--- a/forward/relocate.go
+++ b/forward/relocate.go
@@ -83,10 +83,7 @@
 }
 
 func (l *relocation) moveBeforeEnd(ctx context.Context, r *exchange, from *fleet.Endpoint) {
-	end := from.LeavesAt()
-	if end.IsZero() {
-		end = time.Now().Add(assumedStay)
-	}
+	end := expectedEnd(from, time.Now())
 	wait := time.Until(end) - moveLead + time.Duration(routing.HashFraction(r.req.ID)*float64(moveJitter))
 	for ctx.Err() == nil && time.Now().Before(end.Add(moveLead)) {
 		select {
@@ -101,6 +98,24 @@
 	}
 }
 
+// expectedEnd returns when a leaving endpoint is expected to end. One that says with its answers that it is leaving may
+// have begun to leave at any time since the last answer that did not say so.
+func expectedEnd(from *fleet.Endpoint, now time.Time) time.Time {
+	end := from.LeavesAt()
+	if !end.IsZero() {
+		return end
+	}
+	begun := from.LeavingSince()
+	if begun.IsZero() {
+		return now.Add(assumedStay)
+	}
+	end = begun.Add(assumedStay)
+	if earliest := now.Add(moveLead); end.Before(earliest) {
+		return earliest
+	}
+	return end
+}
+
 // maxMoveTargets bounds the endpoints to which one stopped run is offered.
 const maxMoveTargets = 3
 
--- a/node/node.go
+++ b/node/node.go
@@ -93,6 +93,7 @@
 	}
 	debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryShare))
 	n.fleet = fleet.NewTable(func(address string) *upstream.Pool { return upstream.NewPool(address, upstream.Settings{}) })
+	n.fleet.OnSignal(n.receiveSignals)
 	n.quotas = quota.NewLedger(s.Name, s.QuotaTolerance, defaultInstances, n.started)
 	n.usage = usage.NewCounter(max(s.UsageWindow, time.Second))
 	n.retryBudgets = retryBudgets{limit: s.Repeats, instances: defaultInstances, byService: map[string]*limit.RepeatBudget{}}
