fleet, forward, platform: a pause that a full endpoint asks for

Callers were refused with a Retry-After of about 0.25 s, while the worker had said 503 with Retry-After of some seconds and got request after request meanwhile; when it was over, all that waited reached it at once.

Cause: nothing read an endpoint's Retry-After. A refusal counted as a high load for 2 s, which matters only while there is another endpoint.

Change: platform.Wire reads Retry-After of each 503, also without the proof that the request did not run (that answer stays a failed one, and the caller gets it). Fractions count, of two headers the longest counts, above 30 s it is 30 s; dates, signs, exponents and other texts count for nothing and are logged. The endpoint then gets nothing from this instance: no request, repeat, call for a move, or moved run. Its evidence of health stays. Afterwards one request may wait for its answer there, one more for each answer and one more each 50 ms, until its slots are filled. A request waits for the end of a pause only if that is within its wait for an endpoint; otherwise it is refused at once, as overloaded, with the time until the first endpoint accepts requests and jitter beyond it, and costs no retry budget. A failed answer that can't be repeated for that reason is returned instead of an error of the system. While the endpoints of a new version want nothing, its requests go to the old one.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -42,6 +42,7 @@
 	leavesAt atomic.Int64 // Unix nanoseconds, 0: unknown
 
 	table        *Table
+	gate         gate
 	answeredAt   atomic.Int64 // latest answer that did not say that the endpoint is leaving, in Unix nanoseconds; 0: none
 	leavingSince atomic.Int64 // see LeavingSince; Unix nanoseconds, 0: it has not said so
 }
--- a/fleet/signals.go
+++ b/fleet/signals.go
@@ -4,8 +4,9 @@
 
 // Signals is what an endpoint says of itself with an answer.
 type Signals struct {
-	Leaving bool  // it is leaving
-	Invalid error // a signal that could not be read and counts for nothing; nil: none
+	Leaving bool          // it is leaving
+	Pause   time.Duration // it wants no request from this instance for so long; 0: says nothing
+	Invalid error         // a signal that could not be read and counts for nothing; nil: none
 }
 
 // OnSignal sets the function that is called with the signals of each answer that has any. isNew is set if they changed
@@ -18,13 +19,16 @@
 	if !s.Leaving {
 		e.answeredAt.Store(now.UnixNano())
 	}
-	if e.table == nil || !s.Leaving && s.Invalid == nil {
+	if e.table == nil || !s.Leaving && s.Pause <= 0 && s.Invalid == nil {
 		return
 	}
 	isNew := false
 	if s.Leaving {
 		isNew = e.table.recordLeaving(e)
 	}
+	if s.Pause > 0 && e.gate.pause(now.Add(s.Pause), now) {
+		isNew = true
+	}
 	if e.table.onSignal != nil {
 		e.table.onSignal(e, s, isNew)
 	}
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -96,6 +96,7 @@
 	}()
 	reply, err := e.Pool.Do(ctx, r.call(ctx, e))
 	stopTimer()
+	e.EndAdmission(r.admission, err == nil && !r.f.cfg.Wire.IsNotRun(reply.Status, reply.Header))
 	if err != nil {
 		return r.classifyError(ctx, err)
 	}
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -50,23 +51,35 @@
 // choose picks an endpoint. If none is available, it waits for one up to endpointWait.
 func (r *exchange) choose(ctx context.Context) (*fleet.Endpoint, *Refusal) {
 	if r.pendingMove != nil {
-		return r.pendingMove.to, nil
+		r.admission = fleet.Admission{}
+		return r.pendingMove.endpoint(time.Now()), nil
 	}
+	end := time.Now().Add(r.endpointWait())
 	timeout := time.NewTimer(r.endpointWait())
 	defer timeout.Stop()
 	for {
 		changed := r.f.cfg.Fleet.Changed()
-		if e := r.best(); e != nil {
+		now := time.Now()
+		e, opensAt := r.best(now)
+		if e != nil {
 			return e, nil
 		}
+		if opensAt.After(end) {
+			return nil, r.pausedRefusal(opensAt.Sub(now))
+		}
+		opens, stop := timerFor(opensAt, now)
 		select {
 		case <-changed:
+			stop()
+		case <-opens:
 		case <-timeout.C:
+			stop()
 			return nil, &Refusal{
 				Err:        problem.New(problem.NoEndpoint, "no endpoint of service %s is ready", r.service.Name),
 				RetryAfter: jitter(refusedRetryAfter),
 			}
 		case <-ctx.Done():
+			stop()
 			return nil, &Refusal{Err: problem.New(problem.NoEndpoint, "no endpoint of service %s in time", r.service.Name), RetryAfter: jitter(refusedRetryAfter)}
 		}
 	}
@@ -79,20 +92,84 @@
 	return defaultEndpointWait
 }
 
-// best picks one of the endpoints that this request has not tried. Once it has tried each, a request that may be
-// repeated can get any of them.
-func (r *exchange) best() *fleet.Endpoint {
-	all := r.filterByVersion(r.f.cfg.Fleet.Service(r.service.Name))
-	endpoints := slices.DeleteFunc(slices.Clone(all), func(e *fleet.Endpoint) bool { return r.tried[e] })
-	if len(endpoints) == 0 && r.route.MayRepeat() {
-		endpoints = all
+// best picks one of the endpoints that this request has not tried, and gets its permission to send the request. Once it
+// has tried each that accepts requests, a request that may be repeated can get any of them. Without such an endpoint the
+// result is nil with the time at which the first one accepts requests again; zero: none will.
+func (r *exchange) best(now time.Time) (e *fleet.Endpoint, opensAt time.Time) {
+	all := r.filterByVersion(r.f.cfg.Fleet.Service(r.service.Name), now)
+	fresh := make([]*fleet.Endpoint, 0, len(all))
+	var again []*fleet.Endpoint
+	for _, e := range all {
+		if r.tried[e] && !r.route.MayRepeat() {
+			continue
+		}
+		at := e.AcceptsAt(now)
+		switch {
+		case at.After(now):
+			if opensAt.IsZero() || at.Before(opensAt) {
+				opensAt = at
+			}
+		case r.tried[e]:
+			again = append(again, e)
+		default:
+			fresh = append(fresh, e)
+		}
+	}
+	if len(fresh) == 0 {
+		fresh = again
+	}
+	for len(fresh) > 0 {
+		e := r.f.bestOf(r.prompt(), fresh, all)
+		var ok bool
+		if r.admission, ok = e.Admit(now); ok {
+			return e, time.Time{}
+		}
+		// Another request was faster.
+		fresh = slices.DeleteFunc(fresh, func(other *fleet.Endpoint) bool { return other == e })
+		opensAt = now.Add(admitRetry)
+	}
+	return nil, opensAt
+}
+
+// admitRetry is the wait after another request got the last place at an endpoint.
+const admitRetry = 10 * time.Millisecond
+
+// timerFor returns a channel that receives at a time; with the zero time, never.
+func timerFor(at, now time.Time) (c <-chan time.Time, stop func()) {
+	if at.IsZero() {
+		return nil, func() {}
+	}
+	timer := time.NewTimer(at.Sub(now))
+	return timer.C, func() { timer.Stop() }
+}
+
+// pausedRefusal refuses a request because the endpoints want none for a time. The jitter keeps the callers from coming
+// back at the same time, and never too early.
+func (r *exchange) pausedRefusal(d time.Duration) *Refusal {
+	return &Refusal{
+		Err:        problem.New(problem.Overloaded, "the endpoints of service %s want no requests for %v", r.service.Name, d.Round(time.Millisecond)),
+		RetryAfter: d + rand.N(max(d/2, refusedRetryAfter)),
+	}
+}
+
+// checkPaused refuses another attempt at once if no endpoint accepts it in time, so that it costs no retry budget.
+func (r *exchange) checkPaused() error {
+	now := time.Now()
+	var opensAt time.Time
+	for _, e := range r.filterByVersion(r.f.cfg.Fleet.Service(r.service.Name), now) {
+		if at := e.AcceptsAt(now); opensAt.IsZero() || at.Before(opensAt) {
+			opensAt = at
+		}
+	}
+	if opensAt.After(now.Add(r.endpointWait())) {
+		return r.pausedRefusal(opensAt.Sub(now))
 	}
-	return r.f.bestOf(r.prompt(), endpoints, all)
+	return nil
 }
 
 // filterByVersion returns the endpoints of the version that the request goes to while its service is being moved. It
-// goes to the old version if the new one has no endpoint, or has already failed this request.
-func (r *exchange) filterByVersion(all []*fleet.Endpoint) []*fleet.Endpoint {
+// goes to the old version if the new one has no endpoint that accepts requests, or has already failed this request.
+func (r *exchange) filterByVersion(all []*fleet.Endpoint, now time.Time) []*fleet.Endpoint {
 	if r.f.cfg.Versions == nil {
 		return all
 	}
@@ -108,7 +185,8 @@
 			old = append(old, e)
 		}
 	}
-	if isTarget && !r.targetFailed && len(target) > 0 {
+	accepts := func(e *fleet.Endpoint) bool { return !e.AcceptsAt(now).After(now) }
+	if isTarget && !r.targetFailed && slices.ContainsFunc(target, accepts) {
 		return target
 	}
 	return old
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -195,7 +195,8 @@
 	mayHaveRun   bool          // an endpoint may have run the request, or may still run it
 	startCounted bool          // Config.OnStarted was called
 	stream       streamState
-	pendingMove  *moveResult // where the next attempt continues the run; nil unless it was moved
+	admission    fleet.Admission // of the next or latest attempt
+	pendingMove  *moveResult     // where the next attempt continues the run; nil unless it was moved
 }
 
 // Serve answers a request on w. It returns an error if the answer was broken off after it had begun; the caller's
@@ -322,7 +323,7 @@
 	case r.mayHaveRun && (!r.route.MayRepeat() || r.runs >= r.route.MaxAttempts):
 		return errMayHaveRun
 	}
-	return nil
+	return r.checkPaused()
 }
 
 // AcquireRetry implements attempt.Steps.
@@ -340,6 +341,10 @@
 	var refusal *Refusal
 	switch {
 	case !errors.As(cause, &refusal):
+		if r.mayHaveRun || r.stream.started || ctx.Err() != nil || !errors.As(r.checkPaused(), &refusal) {
+			return r.finish(ctx, *last)
+		}
+	case (r.mayHaveRun || r.stream.started) && *last != nil && (*last).answer != nil:
 		return r.finish(ctx, *last)
 	case r.mayHaveRun || r.stream.started:
 		return r.finish(ctx, &outcome{err: refusal.Err})
--- a/forward/relocate.go
+++ b/forward/relocate.go
@@ -34,8 +34,18 @@
 
 // moveResult says where a moved run continues.
 type moveResult struct {
-	to  *fleet.Endpoint
-	ref string // see Mover.Move
+	from *fleet.Endpoint
+	to   *fleet.Endpoint
+	ref  string // see Mover.Move
+}
+
+// endpoint returns where the run continues at a time. The endpoint that has stopped it keeps its memory, and gets it back
+// if the other one wants no requests.
+func (m *moveResult) endpoint(now time.Time) *fleet.Endpoint {
+	if !m.to.PausedUntil(now).IsZero() && m.from.PausedUntil(now).IsZero() {
+		return m.from
+	}
+	return m.to
 }
 
 // relocation moves a run away from an endpoint that leaves.
@@ -92,6 +102,10 @@
 		case <-time.After(max(0, wait)):
 		}
 		wait = moveRetryDelay
+		if until := from.PausedUntil(time.Now()); !until.IsZero() {
+			wait = time.Until(until)
+			continue
+		}
 		if l.moveOnce(ctx, r, from) {
 			return
 		}
@@ -130,13 +144,13 @@
 	ref := ""
 	for range maxMoveTargets {
 		to := r.f.pickMoveTarget(r, tried)
-		if to == nil {
+		if to == nil || ref != "" && !from.PausedUntil(time.Now()).IsZero() {
 			break
 		}
 		tried = append(tried, to)
 		got, err := l.callMover(ctx, r, from, to)
 		if err == nil {
-			l.setResult(&moveResult{to: to, ref: got})
+			l.setResult(&moveResult{from: from, to: to, ref: got})
 			return true
 		}
 		if ref = got; ref == "" {
@@ -146,7 +160,7 @@
 	if ref == "" {
 		return false
 	}
-	l.setResult(&moveResult{to: from, ref: ref})
+	l.setResult(&moveResult{from: from, to: from, ref: ref})
 	return true
 }
 
@@ -181,12 +195,20 @@
 
 // pickMoveTarget picks the endpoint that a run is moved to. tried[0] is the endpoint that runs it.
 func (f *Forwarder) pickMoveTarget(r *exchange, tried []*fleet.Endpoint) *fleet.Endpoint {
-	var others []*fleet.Endpoint
+	now := time.Now()
+	var others, ramping []*fleet.Endpoint
 	for _, e := range f.cfg.Fleet.Service(r.service.Name) {
-		if !slices.Contains(tried, e) && e.Version == tried[0].Version {
+		switch {
+		case slices.Contains(tried, e) || e.Version != tried[0].Version || e.AcceptsAt(now).After(now):
+		case e.IsRamping():
+			ramping = append(ramping, e)
+		default:
 			others = append(others, e)
 		}
 	}
+	if len(others) == 0 {
+		others = ramping
+	}
 	p := r.prompt()
 	p.Blocks = nil // the KV cache moves with the run, so prompts cached elsewhere don't matter
 	return f.bestOf(p, others, nil)
--- a/node/signals.go
+++ b/node/signals.go
@@ -16,6 +16,12 @@
 			log.Info("endpoint answers that it is leaving")
 		}
 	}
+	if s.Pause > 0 {
+		scope.Counter("pauses").Inc(1)
+		if isNew {
+			log.WithField("ms", s.Pause.Milliseconds()).Info("endpoint is full and wants no requests")
+		}
+	}
 	if s.Invalid != nil {
 		scope.Counter("invalid_signals").Inc(1)
 		log.WithError(s.Invalid).Warn("endpoint answered with an invalid header")
