node: peers learn of an endpoint that answers that it is leaving

An instance to which a leaving worker had not answered yet went on sending to it until the list said so; without the store, until it was answered too.

Cause: only lists lead to notices, and only in fleets above 16 instances, where watches are paced.

Change: the first such answer of a lifetime is announced in fleets of any size, since no watch brings it: one fact of 40 bytes an endpoint. In large fleets the eight quick watchers announce it at once; the others wait up to 2 s at random and drop their notice if a peer has published it. Notices say whether the endpoint itself has said it (answer or state draining), which ends the lifetime for good, or was only removed from the list, which doesn't.

Failed before: TestPath_PeersLearnOfLeavingByAnswer without the call of announceDeparture (the second instance got 200 from the leaving worker).

Measured: go test -race of node, and of that test twice, passes. The bytes in a large fleet were not measured.

--- a/node/notices_test.go
+++ b/node/notices_test.go
@@ -51,3 +51,35 @@
 		must.True(t, e.LeavesAt().IsZero())
 	}
 }
+
+// Guards against hundreds of instances that all publish a notice of the same endpoint, against a notice that is never
+// published, and against a later lifetime that is not announced.
+func TestNotices_DelayedUntilAPeerPublishes(t *testing.T) {
+	now := time.Unix(1000, 0)
+	n := &Node{fleet: fleet.NewTable(func(address string) *upstream.Pool { return upstream.NewPool(address, upstream.Settings{}) })}
+	for _, id := range []string{"a", "b", "c"} {
+		n.fleet.Put(fleet.Entry{ID: id, Service: "s", StartedMs: 2, Slots: 1})
+	}
+	for _, e := range n.fleet.Service("s") {
+		n.notices.addDelayed(e, now.Add(time.Second))
+	}
+	text, err := cbor.Marshal([]leavingNotice{{ID: "a", StartedMs: 2, Departed: true}, {ID: "b", StartedMs: 1, Departed: true}, {ID: "c", StartedMs: 2}})
+	must.NoError(t, err)
+	n.receiveNotices(peer.Fact{Value: text})
+	n.notices.queueDue(now)
+	batch, _ := n.notices.next()
+	must.Len(t, 0, batch)
+	n.notices.queueDue(now.Add(time.Second))
+	batch, _ = n.notices.next()
+	must.Eq(t, []leavingNotice{{ID: "b", StartedMs: 2, Departed: true}, {ID: "c", StartedMs: 2, Departed: true}}, batch)
+	must.Len(t, 0, n.notices.delayed)
+	for _, id := range []string{"a", "c"} {
+		n.fleet.Remove(id, true, now)
+		n.fleet.Put(fleet.Entry{ID: id, Service: "s", StartedMs: 2, Slots: 1})
+	}
+	var left []string
+	for _, e := range n.fleet.Service("s") {
+		left = append(left, e.ID)
+	}
+	must.Eq(t, []string{"b", "c"}, left) // a has said that it is leaving, c was only removed from the list
+}
--- a/node/signals.go
+++ b/node/signals.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"time"
+
 	"github.com/sirupsen/logrus"
 
 	"github.com/trefoillug/trefoillug/fleet"
@@ -14,6 +16,7 @@
 		scope.Counter("leaving_answers").Inc(1)
 		if isNew {
 			log.Info("endpoint answers that it is leaving")
+			n.announceDeparture(e, time.Now())
 		}
 	}
 	if s.Pause > 0 {
