fleet: a departure is news although a list has stopped new work

Peers were not told of an endpoint's statement that it is leaving if this instance had stopped new work for it for another reason, such as an entry that had only expired: they took it up again when it was listed anew.

Cause: whether a statement is news depended on the state of the row, not on what is known of the lifetime.

Failed before: TestTable_SignalsAreNewOnce ("notice of a removal": 0 instead of 1).

Measured: go test -race ./fleet passes three times.

--- a/fleet/departures.go
+++ b/fleet/departures.go
@@ -16,11 +16,12 @@
 	number    uint64
 }
 
-// add records a lifetime. Of an ID only the latest lifetime is kept; beyond maxDeparted the oldest record is dropped.
-func (d *departures) add(id string, startedMs int64, address string) {
+// add records a lifetime and reports whether it was not known. Of an ID only the latest lifetime is kept; beyond
+// maxDeparted the oldest record is dropped.
+func (d *departures) add(id string, startedMs int64, address string) bool {
 	old, known := d.byID[id]
-	if known && (old.startedMs > startedMs || old.startedMs == startedMs && (address == "" || old.address == address)) {
-		return
+	if known && (old.startedMs > startedMs || old.startedMs == startedMs && (old.address == "" || address == "" || old.address == address)) {
+		return false
 	}
 	if d.byID == nil {
 		d.byID = map[string]departure{}
@@ -30,6 +31,7 @@
 	}
 	d.byID[id] = departure{startedMs, address, d.next}
 	d.next++
+	return true
 }
 
 func (d *departures) dropOldest() {
--- a/fleet/signals.go
+++ b/fleet/signals.go
@@ -38,9 +38,9 @@
 func (t *Table) recordLeaving(e *Endpoint) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.departed.add(e.ID, e.StartedMs, e.Address)
+	isNew := t.departed.add(e.ID, e.StartedMs, e.Address)
 	if e.IsLeaving() {
-		return false
+		return isNew
 	}
 	e.leavingSince.Store(max(1, e.answeredAt.Load()))
 	e.leave(time.Time{})
--- a/fleet/signals_test.go
+++ b/fleet/signals_test.go
@@ -40,6 +40,34 @@
 	must.Len(t, 3, table.Service("s"))
 }
 
+// Guards against a statement of an endpoint that is not passed on, because a list or a notice has already stopped new work
+// for it for the time being, and against one that is passed on with each answer.
+func TestTable_SignalsAreNewOnce(t *testing.T) {
+	for name, c := range map[string]struct {
+		before func(table *fleet.Table)
+		isNew  int
+	}{
+		"listed as ready":       {func(*fleet.Table) {}, 1},
+		"notice of a removal":   {func(table *fleet.Table) { table.MarkLeaving("a", 1, time.Time{}) }, 1},
+		"removed from the list": {func(table *fleet.Table) { table.Remove("a", true, now) }, 1},
+		"peer knows it":         {func(table *fleet.Table) { table.MarkDeparted("a", 1, time.Time{}) }, 0},
+	} {
+		table, news := newTable(), 0
+		table.OnSignal(func(_ *fleet.Endpoint, _ fleet.Signals, isNew bool) {
+			if isNew {
+				news++
+			}
+		})
+		table.Put(entry("a", "x:1", 1))
+		a := table.Service("s")[0]
+		c.before(table)
+		for range 3 {
+			a.RecordSignals(leavingSignal, now)
+		}
+		must.Eq(t, c.isNew, news, must.Sprint(name))
+	}
+}
+
 // Guards against departures that take memory without bound, and against dropping others than the oldest.
 func TestTable_DeparturesAreBounded(t *testing.T) {
 	table := newTable()
