fleet: instances come back to a full endpoint at different moments

All instances that a full endpoint had told to come back at the same moment did so: one request each, 195 at once in a large fleet, most of which it would turn away again with the same time.

Change: a pause is extended by a random time of up to a tenth.

--- a/fleet/signals.go
+++ b/fleet/signals.go
@@ -1,6 +1,13 @@
 package fleet
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// pauseJitter divides a pause to get the random time by which it is extended: many instances may be told to come back at
+// the same moment.
+const pauseJitter = 10
 
 // Signals is what an endpoint says of itself with an answer.
 type Signals struct {
@@ -26,7 +33,7 @@
 	if s.Leaving {
 		isNew = e.table.recordLeaving(e)
 	}
-	if s.Pause > 0 && e.gate.pause(now.Add(s.Pause), now) {
+	if s.Pause > 0 && e.gate.pause(now.Add(s.Pause+rand.N(s.Pause/pauseJitter+1)), now) {
 		isNew = true
 	}
 	if e.table.onSignal != nil {
