--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -118,10 +118,12 @@
 	}
 	reply, err := e.Pool.Do(ctx, call)
 	stopTimer()
+	e.EndAdmission(r.admission, err == nil && !r.f.cfg.Wire.IsNotRun(reply.Status, reply.Header))
 	if err != nil {
 		return r.classifyError(ctx, err)
 	}
 	defer reply.Finish()
+	e.RecordSignals(r.f.cfg.Wire.Signals(reply.Status, reply.Header), time.Now())
 	if load, ok := r.f.cfg.Wire.Load(reply.Header); ok {
 		e.Stats.RecordLoad(load, time.Now())
 	}
@@ -171,7 +173,8 @@
 // has been acquired from the retry budget.
 func (r *exchange) mayAbandon() bool {
 	return r.successor.Acquire(func() bool {
-		return r.route.MayRepeat() && r.runs+1 < r.route.MaxAttempts && r.best() != nil && r.f.cfg.RetryBudget.AcquireRetry(r.service.Name)
+		return r.route.MayRepeat() && r.runs+1 < r.route.MaxAttempts && r.hasAccepting(time.Now()) &&
+			r.f.cfg.RetryBudget.AcquireRetry(r.service.Name)
 	})
 }
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -66,6 +66,8 @@
 	IsNotRun(status int, h http.Header) bool
 	// Load returns the load that an endpoint reports with an answer.
 	Load(h http.Header) (fleet.Load, bool)
+	// Signals returns what an endpoint says of itself with an answer.
+	Signals(status int, h http.Header) fleet.Signals
 }
 
 // Quotas limits what workspaces may use over all instances.
@@ -196,6 +198,7 @@
 	mayHaveRun   bool          // an endpoint may have run the request, or may still run it
 	startCounted bool          // Config.OnStarted was called
 	stream       streamState
+	admission    fleet.Admission   // of the next or latest attempt
 	pendingMove  *moveResult       // where the next attempt continues the run; nil unless it was moved
 	successor    attempt.Successor // of a stalled attempt
 }
@@ -326,7 +329,7 @@
 	case r.mayHaveRun && (!r.route.MayRepeat() || r.runs >= r.route.MaxAttempts):
 		return errMayHaveRun
 	}
-	return nil
+	return r.checkPaused()
 }
 
 // AcquireRetry implements attempt.Steps.
@@ -347,7 +350,11 @@
 	var refusal *Refusal
 	switch {
 	case !errors.As(cause, &refusal):
-		return r.finish(ctx, *last, cause)
+		if r.mayHaveRun || r.stream.started || ctx.Err() != nil || !errors.As(r.checkPaused(), &refusal) {
+			return r.finish(ctx, *last, cause)
+		}
+	case (r.mayHaveRun || r.stream.started) && *last != nil && (*last).answer != nil:
+		return r.finish(ctx, *last, errNoEndpoint)
 	case r.mayHaveRun || r.stream.started:
 		return r.finish(ctx, &outcome{err: refusal.Err}, errNoEndpoint)
 	}
