forward, node: the line of a crash says what had begun and how often it crashed

What operators saw: "endpoint crashed; the requests on it are suspected" with a number of requests, crash after crash, and no sign that none of them was the same request twice. Change: the line also has the service, the requests without a first event and the highest count of crashes of one request; a counter of crashes. Measured: go test -race of forward, node and platform passes.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -95,13 +95,19 @@
 	Any() bool
 	// IsRefused reports whether requests with a fingerprint must not run again.
 	IsRefused(fp quarantine.Fingerprint) bool
-	// RecordLost records that the connection to an endpoint broke while it ran a request. sent is when the request was
-	// sent.
-	RecordLost(e *fleet.Endpoint, fp quarantine.Fingerprint, sent time.Time)
+	// RecordLost records that the connection to an endpoint broke while it ran a request.
+	RecordLost(e *fleet.Endpoint, loss Loss)
 	// RecordAnswered records that an endpoint has answered a request.
 	RecordAnswered(fp quarantine.Fingerprint)
 }
 
+// Loss describes a request whose connection to an endpoint broke.
+type Loss struct {
+	Fingerprint quarantine.Fingerprint
+	Sent        time.Time // when the request was sent
+	Begun       bool      // an endpoint had begun to generate the answer
+}
+
 // Versions splits the traffic of services whose version is being moved.
 type Versions interface {
 	// Version returns the new version of a service that is being moved, and whether a request goes to it. moving is
@@ -186,6 +192,7 @@
 	timeToFirst  time.Duration // of the latest attempt, until the answer or the first event
 	sentAt       time.Time     // start of the latest attempt
 	measured     float64       // prompt tokens that show the speed of the engine of the latest attempt; 0: none do
+	begun        bool          // an endpoint has generated at least one event or an answer
 	workCounted  bool          // an engine has begun to work on the request, which OnWork was told
 	load         int           // this instance's other requests at the endpoint when the latest attempt was sent
 	arrivals     int           // attempts that may have reached an endpoint
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -55,7 +55,7 @@
 			received += n
 			buf = append(buf, chunk[:n]...)
 			complete := eventsEnd(buf)
-			recordProgress(watch, buf[:complete])
+			r.begun = recordProgress(watch, buf[:complete]) || r.begun
 			last = r.recordTokens(buf[:complete], last)
 			if werr := r.forwardEvents(reply, buf[:complete]); werr != nil {
 				return outcome{end: ended, reached: true, err: werr}
@@ -141,8 +141,9 @@
 	})
 }
 
-// recordProgress records complete events, some of which may be comments only, with a watch.
-func recordProgress(watch *progress.Watch, events []byte) {
+// recordProgress records complete events, some of which may be comments only, with a watch. It reports whether one of
+// them is more than a comment.
+func recordProgress(watch *progress.Watch, events []byte) bool {
 	hasField, hasComment := false, false
 	for line := range bytes.Lines(events) {
 		switch line[0] {
@@ -159,6 +160,7 @@
 	case hasComment:
 		watch.RecordComment()
 	}
+	return hasField
 }
 
 // eventsEnd returns the length of the complete events at the start of b.
--- a/forward/suspect.go
+++ b/forward/suspect.go
@@ -25,7 +25,7 @@
 	switch {
 	case s == nil || r.pendingMove != nil || e.IsLeaving():
 	case out.end == lost && !errors.Is(out.err, progress.ErrStalled) && !errors.Is(out.err, progress.ErrTooLong):
-		s.RecordLost(e, r.fingerprint(), r.sentAt)
+		s.RecordLost(e, Loss{Fingerprint: r.fingerprint(), Sent: r.sentAt, Begun: r.begun})
 	case out.end == answered && s.Any():
 		s.RecordAnswered(r.fingerprint())
 	}
--- a/node/suspects.go
+++ b/node/suspects.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/trefoillug/trefoillug/fleet"
+	"github.com/trefoillug/trefoillug/forward"
 	"github.com/trefoillug/trefoillug/peer"
 	"github.com/trefoillug/trefoillug/quarantine"
 	"github.com/trefoillug/trefoillug/upstream"
@@ -33,8 +34,8 @@
 }
 
 type lostRequest struct {
-	fingerprint quarantine.Fingerprint
-	sent, ended time.Time
+	forward.Loss
+	ended time.Time
 }
 
 // crashReport reports how often a request has crashed its endpoint, or that an endpoint has answered it.
@@ -54,10 +55,10 @@
 
 // RecordLost implements forward.Suspects. A broken connection alone does not prove a crash, so a new connection is
 // tried.
-func (s *suspects) RecordLost(e *fleet.Endpoint, fp quarantine.Fingerprint, sent time.Time) {
+func (s *suspects) RecordLost(e *fleet.Endpoint, loss forward.Loss) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.lost[e] = append(s.lost[e], lostRequest{fp, sent, time.Now()}); len(s.lost[e]) == 1 {
+	if s.lost[e] = append(s.lost[e], lostRequest{loss, time.Now()}); len(s.lost[e]) == 1 {
 		time.AfterFunc(confirmDelay, func() { s.confirmCrash(e) })
 	}
 }
@@ -76,10 +77,19 @@
 	if err == nil || e.IsLeaving() {
 		return
 	}
-	s.n.log.WithError(err).WithFields(logrus.Fields{"endpoint": e.ID, "requests": len(lost)}).Info("endpoint crashed; the requests on it are suspected")
+	notBegun, highest := 0, 0
 	for _, r := range lost {
-		s.publish(crashReport{Fingerprint: r.fingerprint, Crashes: s.Crashed(r.fingerprint, r.sent, r.ended)})
+		count := s.Crashed(r.Fingerprint, r.Sent, r.ended)
+		s.publish(crashReport{Fingerprint: r.Fingerprint, Crashes: count})
+		highest = max(highest, count)
+		if !r.Begun {
+			notBegun++
+		}
 	}
+	s.n.metrics.scope.Counter("endpoint_crashes").Inc(1)
+	s.n.log.WithError(err).WithFields(logrus.Fields{
+		"endpoint": e.ID, "service": e.Service, "requests": len(lost), "not_begun": notBegun, "highest": highest,
+	}).Info("endpoint crashed; the requests on it are suspected")
 }
 
 // RecordAnswered implements forward.Suspects.
