quarantine, node, forward: prompt blocks that crash endpoints are refused

Cause: crashes were counted by the content of the whole request. No two of these requests are alike, so each count stayed at one. Change: quarantine.Blocks. A crash accuses the prompt blocks, without the last, of the requests on the endpoint that had not begun; a request that begins at any instance clears its blocks; after three crashes requests with the block are refused at all instances. The facts go under a prefix of their own, which earlier versions ignore. Requests whose block is refused are not repeated either. quarantine.Crashes is as it was.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -282,6 +282,9 @@
 	if reply.Status >= http.StatusInternalServerError {
 		return outcome{end: answered, reached: true, answer: a, err: errors.New("the endpoint answered " + http.StatusText(reply.Status))}
 	}
+	if len(body) > 0 {
+		r.recordBegun()
+	}
 	if err := r.deliver(a); err != nil {
 		return outcome{end: ended, reached: true, err: err}
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -99,6 +99,11 @@
 	RecordLost(e *fleet.Endpoint, loss Loss)
 	// RecordAnswered records that an endpoint has answered a request.
 	RecordAnswered(fp quarantine.Fingerprint)
+	// RefusedBlock returns the ID of the block because of which a request to a service with the given shared blocks must
+	// not run, and false if there is none.
+	RefusedBlock(service string, shared []placement.Block) (id string, refused bool)
+	// RecordBegun records that an endpoint has begun to generate the answer to a request with the given shared blocks.
+	RecordBegun(service string, shared []placement.Block)
 }
 
 // Loss describes a request whose connection to an endpoint broke.
@@ -106,6 +111,7 @@
 	Fingerprint quarantine.Fingerprint
 	Sent        time.Time // when the request was sent
 	Begun       bool      // an endpoint had begun to generate the answer
+	Shared      []placement.Block
 }
 
 // Versions splits the traffic of services whose version is being moved.
@@ -210,8 +216,8 @@
 	if refusal := r.identify(); refusal != nil {
 		return r.refuse(refusal)
 	}
-	if r.isQuarantined() {
-		return r.refuse(&Refusal{Err: problem.New(problem.Quarantined, "the request has crashed the endpoints that ran it")})
+	if err := r.checkQuarantine(); err != nil {
+		return r.refuse(&Refusal{Err: err})
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline())
 	defer cancel()
@@ -327,7 +333,7 @@
 	case r.mayHaveRun && (!r.route.MayRepeat() || r.runs >= r.route.MaxAttempts):
 		return errMayHaveRun
 	}
-	return nil
+	return r.checkQuarantine()
 }
 
 // AcquireRetry implements attempt.Steps.
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -55,7 +55,9 @@
 			received += n
 			buf = append(buf, chunk[:n]...)
 			complete := eventsEnd(buf)
-			r.begun = recordProgress(watch, buf[:complete]) || r.begun
+			if recordProgress(watch, buf[:complete]) {
+				r.recordBegun()
+			}
 			last = r.recordTokens(buf[:complete], last)
 			if werr := r.forwardEvents(reply, buf[:complete]); werr != nil {
 				return outcome{end: ended, reached: true, err: werr}
--- /dev/null
+++ b/node/blocks.go
@@ -0,0 +1,122 @@
+package node
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/trefoillug/trefoillug/fleet"
+	"github.com/trefoillug/trefoillug/peer"
+	"github.com/trefoillug/trefoillug/placement"
+	"github.com/trefoillug/trefoillug/quarantine"
+)
+
+const (
+	// factBlocks is the key prefix of facts about the prompt blocks of crashed endpoints. It must not begin with
+	// factCrash, whose facts earlier versions decode differently.
+	factBlocks = "blocks/"
+	// evidenceKeys and refusedKeys bound the facts about blocks that the peers store for each instance. New facts
+	// replace the oldest.
+	evidenceKeys = 128
+	refusedKeys  = 32
+	// evidenceTTL is how long peers keep the evidence of a crash for instances that start; their own records last longer.
+	evidenceTTL = 10 * time.Minute
+	// refusedTTL is how long peers keep the crashes of a block that is refused.
+	refusedTTL = 24 * time.Hour
+	// clearDelay is how long cleared blocks are gathered before they are reported together.
+	clearDelay = 100 * time.Millisecond
+	// maxReportFacts bounds the facts about cleared blocks in a report to 8 KiB.
+	maxReportFacts = 64
+)
+
+func fingerprints(service string, blocks []placement.Block) []quarantine.Fingerprint {
+	all := make([]quarantine.Fingerprint, len(blocks))
+	for i, b := range blocks {
+		all[i] = quarantine.BlockFingerprint(service, b.ID)
+	}
+	return all
+}
+
+// recordCrash records the crash of an endpoint with the shared blocks of the requests on it that had not begun. The
+// caller must hold s.mu.
+func (s *suspects) recordCrash(e *fleet.Endpoint, blocks []quarantine.Fingerprint, at time.Time) {
+	wall := s.n.wall.Now().Add(-time.Since(at))
+	if f, ok := s.blocks.Crashed(e.Service, e.ID, blocks, wall, time.Now()); ok {
+		s.publishEvidence([]quarantine.BlockFact{f})
+	}
+}
+
+// publishEvidence reports to the peers. The caller must hold s.mu.
+func (s *suspects) publishEvidence(facts []quarantine.BlockFact) {
+	s.n.publishFor(fmt.Sprintf("%s%d", factBlocks, s.evidenceCount%evidenceKeys), facts, evidenceTTL)
+	s.evidenceCount++
+}
+
+// RecordBegun implements forward.Suspects.
+func (s *suspects) RecordBegun(service string, shared []placement.Block) {
+	if !s.blocks.Any() {
+		return
+	}
+	facts := s.blocks.Begun(service, fingerprints(service, shared), time.Now())
+	if len(facts) == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.cleared) == 0 {
+		time.AfterFunc(clearDelay, s.publishCleared)
+	}
+	s.cleared = append(s.cleared, facts...)
+}
+
+func (s *suspects) publishCleared() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for facts := range slices.Chunk(s.cleared, maxReportFacts) {
+		s.publishEvidence(facts)
+	}
+	s.cleared = nil
+}
+
+// RefusedBlock implements forward.Suspects.
+func (s *suspects) RefusedBlock(service string, shared []placement.Block) (string, bool) {
+	if !s.blocks.Any() {
+		return "", false
+	}
+	i, facts := s.blocks.Refused(fingerprints(service, shared), time.Now())
+	if i < 0 {
+		return "", false
+	}
+	if len(facts) > 0 {
+		s.reportRefused(service, shared[i].ID, facts)
+	}
+	return shared[i].ID, true
+}
+
+// reportRefused logs that requests with a block are refused from now on, and reports it to the peers.
+func (s *suspects) reportRefused(service, block string, facts []quarantine.BlockFact) {
+	var endpoints []string
+	for _, f := range facts {
+		endpoints = append(endpoints, f.Crash.Endpoint)
+	}
+	s.n.log.WithFields(logrus.Fields{"service": service, "block": block, "endpoints": endpoints}).
+		Warn("prompt block crashes endpoints; requests with it are refused")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.n.publishFor(fmt.Sprintf("%srefused/%d", factBlocks, s.refusedCount%refusedKeys), facts[:min(len(facts), maxReportFacts)], refusedTTL)
+	s.refusedCount++
+}
+
+func (s *suspects) receiveBlocks(f peer.Fact) {
+	var facts []quarantine.BlockFact
+	if err := cbor.Unmarshal(f.Value, &facts); err != nil {
+		s.n.log.WithError(err).WithField("peer", f.Origin).Warn("report about prompt blocks from peer could not be decoded")
+		return
+	}
+	for _, fact := range facts {
+		s.blocks.Merge(fact, time.Now())
+	}
+}
--- a/node/peers.go
+++ b/node/peers.go
@@ -71,6 +71,7 @@
 	n.mesh.Subscribe(factUsage, n.receiveUsage)
 	n.mesh.Subscribe(factLeaving, n.receiveNotices)
 	n.mesh.Subscribe(factCrash, n.suspects.receive)
+	n.mesh.Subscribe(factBlocks, n.suspects.receiveBlocks)
 	n.mesh.Subscribe(move.FactPrefix, n.rollouts.receive)
 	handleCalls(n, callCopy, n.handleCopy)
 	handleCalls(n, callUsage, n.handleUsage)
--- a/node/suspects.go
+++ b/node/suspects.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -27,10 +29,14 @@
 // suspects implements forward.Suspects: it counts crashes, including those that peers report.
 type suspects struct {
 	*quarantine.Crashes
-	n *Node
+	n      *Node
+	blocks *quarantine.Blocks
 
-	mu   sync.Mutex
-	lost map[*fleet.Endpoint][]lostRequest // by endpoint that is being checked for a crash
+	mu            sync.Mutex
+	lost          map[*fleet.Endpoint][]lostRequest // by endpoint that is being checked for a crash
+	cleared       []quarantine.BlockFact            // to be reported
+	evidenceCount int                               // reports published
+	refusedCount  int
 }
 
 type lostRequest struct {
@@ -45,7 +51,7 @@
 }
 
 func newSuspects(n *Node) *suspects {
-	return &suspects{Crashes: quarantine.NewCrashes(), n: n, lost: map[*fleet.Endpoint][]lostRequest{}}
+	return &suspects{Crashes: quarantine.NewCrashes(), n: n, blocks: quarantine.NewBlocks(), lost: map[*fleet.Endpoint][]lostRequest{}}
 }
 
 // IsRefused implements forward.Suspects.
@@ -78,14 +84,20 @@
 		return
 	}
 	notBegun, highest := 0, 0
+	var blocks []quarantine.Fingerprint
 	for _, r := range lost {
 		count := s.Crashed(r.Fingerprint, r.Sent, r.ended)
 		s.publish(crashReport{Fingerprint: r.Fingerprint, Crashes: count})
 		highest = max(highest, count)
 		if !r.Begun {
 			notBegun++
+			blocks = append(blocks, fingerprints(e.Service, r.Shared)...)
 		}
 	}
+	// A refused connection shows that the machine is up and the process is not. Without one, the path may be cut.
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		s.recordCrash(e, blocks, lost[0].ended)
+	}
 	s.n.metrics.scope.Counter("endpoint_crashes").Inc(1)
 	s.n.log.WithError(err).WithFields(logrus.Fields{
 		"endpoint": e.ID, "service": e.Service, "requests": len(lost), "not_begun": notBegun, "highest": highest,
