node, quarantine: refused prompt blocks are stored

Cause: the evidence was held in memory and by the peers only. Change: the instance that first refuses a block stores its crashes in one of 32 slots; instances read them when they start. Facts about a refused block also name the other faulty blocks of its crashes; without them an instance that started later could refuse a block that had only come together with the faulty one. One instance logs the refusal, not each.

--- a/node/node.go
+++ b/node/node.go
@@ -162,6 +162,7 @@
 	group.Go(func() error { return every(serveCtx, watchTick, func(context.Context) { n.updateWatches(time.Now()) }) })
 	group.Go(func() error { return every(serveCtx, rolloutTick, n.rollouts.tick) })
 	group.Go(func() error { n.maintainRegister(serveCtx); return nil })
+	group.Go(func() error { n.suspects.maintainRecords(serveCtx); return nil })
 	dutiesCtx, endDuties := context.WithCancel(serveCtx)
 	defer endDuties()
 	var dutiesDone sync.WaitGroup
--- a/node/suspects.go
+++ b/node/suspects.go
@@ -37,6 +37,8 @@
 	cleared       []quarantine.BlockFact            // to be reported
 	evidenceCount int                               // reports published
 	refusedCount  int
+
+	toStore chan blockRecord
 }
 
 type lostRequest struct {
@@ -51,7 +53,7 @@
 }
 
 func newSuspects(n *Node) *suspects {
-	return &suspects{Crashes: quarantine.NewCrashes(), n: n, blocks: quarantine.NewBlocks(), lost: map[*fleet.Endpoint][]lostRequest{}}
+	return &suspects{Crashes: quarantine.NewCrashes(), n: n, blocks: quarantine.NewBlocks(), lost: map[*fleet.Endpoint][]lostRequest{}, toStore: make(chan blockRecord, refusedKeys)}
 }
 
 // IsRefused implements forward.Suspects.
--- a/quarantine/blocks.go
+++ b/quarantine/blocks.go
@@ -37,7 +37,8 @@
 	At      int64         `cbor:"3,keyasint"` // Unix milliseconds
 	Blocks  []Fingerprint `cbor:"4,keyasint,omitempty"`
 	Cleared []Fingerprint `cbor:"5,keyasint,omitempty"` // blocks of requests that have begun since
-	// Refused states that the origin refuses requests with the blocks.
+	// Refused states that the origin refuses requests because of the first of Blocks. The others may explain the crash
+	// to requests without it.
 	Refused bool `cbor:"6,keyasint,omitempty"`
 }
 
@@ -57,7 +58,7 @@
 	order   []CrashID                 // by the time of recording
 	latest  map[string]CrashID        // by endpoint
 	accused map[Fingerprint][]CrashID // crashes that no beginning has cleared the block of
-	faulty  map[Fingerprint]bool      // blocks with maxBlockCrashes crashes; true: refused before
+	faulty  map[Fingerprint]bool      // blocks with maxBlockCrashes crashes; true: the refusal was reported
 	begun   map[string]time.Time      // by service: when a request last began
 }
 
@@ -112,13 +113,16 @@
 	return f, true
 }
 
-// Begun records that a request with the given shared blocks has begun, and returns the facts to publish that clear them.
-func (b *Blocks) Begun(service string, blocks []Fingerprint, now time.Time) []BlockFact {
+// Begun records that a request with the given shared blocks has begun. It returns the facts to publish that clear the
+// blocks, and those blocks whose refusal was reported.
+func (b *Blocks) Begun(service string, blocks []Fingerprint, now time.Time) (facts []BlockFact, wereRefused []Fingerprint) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.begun[service] = now
-	var facts []BlockFact
 	for _, fp := range blocks {
+		if b.faulty[fp] {
+			wereRefused = append(wereRefused, fp)
+		}
 		for _, id := range b.accused[fp] {
 			c := b.crashes[id]
 			c.blocks[fp] = true
@@ -127,7 +131,7 @@
 		delete(b.accused, fp)
 		delete(b.faulty, fp)
 	}
-	return facts
+	return facts, wereRefused
 }
 
 // Merge merges a fact of another instance.
@@ -138,6 +142,11 @@
 	if f.Refused || len(f.Cleared) > 0 {
 		b.begun[f.Service] = now
 	}
+	if f.Refused && len(f.Blocks) > 0 {
+		if _, faulty := b.faulty[f.Blocks[0]]; faulty {
+			b.faulty[f.Blocks[0]] = true
+		}
+	}
 }
 
 func (b *Blocks) merge(f BlockFact, now time.Time) {
@@ -212,7 +221,7 @@
 }
 
 // Refused returns the index of the block because of which a request with the given shared blocks is refused, the one
-// with the most crashes, and -1 if it is not. It also returns the crashes of the block, as facts to publish, when it is the first such request here.
+// with the most crashes, and -1 if it is not. It also returns the crashes of the block, as facts to publish, when no instance is known to have done so.
 func (b *Blocks) Refused(blocks []Fingerprint, now time.Time) (int, []BlockFact) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -257,12 +266,18 @@
 	return false
 }
 
-// facts returns the crashes that a block is refused for.
+// facts returns the crashes that a block is refused for, with the other faulty blocks that may have caused them.
 func (b *Blocks) facts(fp Fingerprint) []BlockFact {
 	var facts []BlockFact
 	for _, id := range b.accused[fp] {
 		c := b.crashes[id]
-		facts = append(facts, BlockFact{Crash: id, Service: c.service, At: c.at.UnixMilli(), Blocks: []Fingerprint{fp}, Refused: true})
+		f := BlockFact{Crash: id, Service: c.service, At: c.at.UnixMilli(), Blocks: []Fingerprint{fp}, Refused: true}
+		for other := range b.faulty {
+			if cleared, found := c.blocks[other]; other != fp && found && !cleared {
+				f.Blocks = append(f.Blocks, other)
+			}
+		}
+		facts = append(facts, f)
 	}
 	return facts
 }
--- a/quarantine/blocks_test.go
+++ b/quarantine/blocks_test.go
@@ -205,7 +205,8 @@
 			f.crash(r, now)
 			continue
 		}
-		for _, fact := range f.instances[r.instance].Begun("s", r.blocks, start.Add(now)) {
+		facts, _ := f.instances[r.instance].Begun("s", r.blocks, start.Add(now))
+		for _, fact := range facts {
 			f.publish(r.instance, fact, now)
 		}
 	}
