--- a/forward/forward.go
+++ b/forward/forward.go
@@ -99,11 +99,23 @@
 	Any() bool
 	// IsRefused reports whether requests with a fingerprint must not run again.
 	IsRefused(fp quarantine.Fingerprint) bool
-	// RecordLost records that the connection to an endpoint broke while it ran a request. sent is when the request was
-	// sent.
-	RecordLost(e *fleet.Endpoint, fp quarantine.Fingerprint, sent time.Time)
+	// RecordLost records that the connection to an endpoint broke while it ran a request.
+	RecordLost(e *fleet.Endpoint, loss Loss)
 	// RecordAnswered records that an endpoint has answered a request.
 	RecordAnswered(fp quarantine.Fingerprint)
+	// RefusedBlock returns the ID of the block because of which a request to a service with the given shared blocks must
+	// not run, and false if there is none.
+	RefusedBlock(service string, shared []placement.Block) (id string, refused bool)
+	// RecordBegun records that an endpoint has begun to generate the answer to a request with the given shared blocks.
+	RecordBegun(service string, shared []placement.Block)
+}
+
+// Loss describes a request whose connection to an endpoint broke.
+type Loss struct {
+	Fingerprint quarantine.Fingerprint
+	Sent        time.Time // when the request was sent
+	Begun       bool      // an endpoint had begun to generate the answer
+	Shared      []placement.Block
 }
 
 // Versions splits the traffic of services whose version is being moved.
@@ -191,6 +203,7 @@
 	timeToFirst  time.Duration // of the latest attempt, until the answer or the first event
 	sentAt       time.Time     // start of the latest attempt
 	measured     float64       // prompt tokens that show the speed of the engine of the latest attempt; 0: none do
+	begun        bool          // an endpoint has generated at least one event or an answer
 	workCounted  bool          // an engine has begun to work on the request, which OnWork was told
 	load         int           // this instance's other requests at the endpoint when the latest attempt was sent
 	arrivals     int           // attempts that may have reached an endpoint
@@ -210,8 +223,8 @@
 	if refusal := r.identify(); refusal != nil {
 		return r.refuse(refusal)
 	}
-	if r.isQuarantined() {
-		return r.refuse(&Refusal{Err: problem.New(problem.Quarantined, "the request has crashed the endpoints that ran it")})
+	if err := r.checkQuarantine(); err != nil {
+		return r.refuse(&Refusal{Err: err})
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline())
 	defer cancel()
@@ -329,6 +342,9 @@
 	case r.mayHaveRun && (!r.route.MayRepeat() || r.runs >= r.route.MaxAttempts):
 		return errMayHaveRun
 	}
+	if err := r.checkQuarantine(); err != nil {
+		return err
+	}
 	return r.checkPaused()
 }
 
@@ -403,6 +419,9 @@
 	case errBudget:
 		return "budget"
 	}
+	if problem.KindOf(cause) == problem.Quarantined {
+		return "quarantined"
+	}
 	return "no_endpoint"
 }
 
