standin: silence, unframed answers, copies of refusals, deadly blocks, leaving, Retry-After, odd entries

Change: a worker pauses all its answers, answers without a length (sound, or ending inside an event), sends a refusal once more before the next answer, crashes at prompts with a certain block, says that it leaves in each answer, and asks for a time when it is full. The store answers specs that encoding/json rejects. Plain answers now have a length and are flushed at once.

--- a/standin/platformsite.go
+++ b/standin/platformsite.go
@@ -127,6 +127,7 @@
 	Prompt   int // tokens; only for streams
 	Output   int // tokens; only for streams
 	Deadline time.Duration
+	Block    string // ID of a prompt block between the first one, which all streams share, and the last one; empty: none
 }
 
 // Request returns the call as a request to an instance at host:port.
@@ -145,11 +146,20 @@
 	req.Header.Set("X-Trefoillug-Deadline-Ms", fmt.Sprint(c.Deadline.Milliseconds()))
 	if c.Stream {
 		req.Header.Set("X-Trefoillug-Token-Count", fmt.Sprintf("%d,%d", c.Prompt, c.Output))
-		req.Header.Set("X-Trefoillug-Prompt-Prefix", fmt.Sprintf("aa:%d,%s:%d", c.Prompt/2, c.ID, c.Prompt-c.Prompt/2))
+		req.Header.Set("X-Trefoillug-Prompt-Prefix", c.blocks())
 	}
 	return req, nil
 }
 
+// blocks returns the blocks of the prompt as the header lists them.
+func (c PlatformCall) blocks() string {
+	rest := c.Prompt - c.Prompt/2
+	if c.Block == "" {
+		return fmt.Sprintf("aa:%d,%s:%d", c.Prompt/2, c.ID, rest)
+	}
+	return fmt.Sprintf("aa:%d,%s:%d,%s:%d", c.Prompt/2, c.Block, rest/2, c.ID, rest-rest/2)
+}
+
 func (c PlatformCall) path() string { return "/" + c.Route + "/" + c.ID }
 
 // IsComplete reports whether a body is the complete answer to the call from a worker that sends a number of events.
--- a/standin/platformstore.go
+++ b/standin/platformstore.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -27,6 +28,7 @@
 	loseAnswers bool // some writes get no answer
 	writes      int  // since loseAnswers was set
 	calls       int
+	rawSpecs    sync.Map // text of specs that encoding/json can't handle; by placeholder
 }
 
 // platformObject is an object as the store encodes it.
@@ -159,6 +161,29 @@
 	s.remove(kind, name)
 }
 
+// PutRaw creates an object or replaces its spec by a JSON text that the store answers unchanged, even if encoding/json
+// rejects it.
+func (s *PlatformStore) PutRaw(kind, name, text string) {
+	placeholder := fmt.Sprintf("raw spec %s/%s", kind, name)
+	s.rawSpecs.Store(placeholder, text)
+	s.Put(kind, name, placeholder)
+}
+
+// answer writes an answer with raw specs in the place of their placeholders.
+func (s *PlatformStore) answer(w http.ResponseWriter, body any) {
+	text, err := json.Marshal(body)
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	s.rawSpecs.Range(func(placeholder, raw any) bool {
+		text = bytes.ReplaceAll(text, []byte(strconv.Quote(placeholder.(string))), []byte(raw.(string)))
+		return true
+	})
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(text) // a write error means that the caller has disconnected
+}
+
 // Spec returns the spec of an object, nil if the object doesn't exist.
 func (s *PlatformStore) Spec(kind, name string) json.RawMessage {
 	s.mu.Lock()
@@ -269,7 +294,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	writeJSONStatus(w, http.StatusOK, o)
+	s.answer(w, o)
 }
 
 func (s *PlatformStore) serveList(w http.ResponseWriter, kind, after string) {
@@ -283,7 +308,7 @@
 	}
 	slices.SortFunc(items, func(a, b *platformObject) int { return strings.Compare(a.Metadata.Name, b.Metadata.Name) })
 	truncated := len(items) > pageSize
-	writeJSONStatus(w, http.StatusOK, map[string]any{
+	s.answer(w, map[string]any{
 		"items": items[:min(len(items), pageSize)], "truncated": truncated, "currentRev": s.revision,
 	})
 }
@@ -315,7 +340,7 @@
 			w.WriteHeader(http.StatusGone)
 			return
 		case len(events) > 0 || ctx.Err() != nil:
-			writeJSONStatus(w, http.StatusOK, map[string]any{"events": events, "currentRev": revision})
+			s.answer(w, map[string]any{"events": events, "currentRev": revision})
 			return
 		}
 		select {
--- a/standin/platformstore_test.go
+++ b/standin/platformstore_test.go
@@ -1,6 +1,7 @@
 package standin_test
 
 import (
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -41,3 +42,21 @@
 		must.NoError(t, create(name))
 	}
 }
+
+// Guards against specs that encoding/json can't handle and that break the store instead of its callers.
+func TestPlatformStore_RawSpecs(t *testing.T) {
+	store := standin.NewPlatformStore()
+	server := httptest.NewServer(store)
+	defer server.Close()
+	for _, text := range standin.OddPlatformEntries("127.0.0.1:1") {
+		store.PutRaw("things", "odd", text)
+		for _, path := range []string{"", "/odd", "?watch=1&waitMs=100"} {
+			resp, err := http.Get(server.URL + "/trefoillug/objects/things" + path)
+			must.NoError(t, err)
+			body, err := io.ReadAll(resp.Body)
+			must.NoError(t, err)
+			must.NoError(t, resp.Body.Close())
+			must.True(t, strings.Contains(string(body), `"spec":`+text), must.Sprint(path, text[:min(len(text), 100)]))
+		}
+	}
+}
--- a/standin/platformworker.go
+++ b/standin/platformworker.go
@@ -2,8 +2,11 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"maps"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -25,18 +28,26 @@
 	// CrashPath, if not empty, is a substring of the path of requests that crash the worker. OnCrash is called for them.
 	CrashPath string
 	OnCrash   func()
+	// DeadlyBlocks, if not empty, begins the IDs of prompt blocks that crash the worker before the first event of a
+	// stream. The last block of a prompt never does. OnDeadlyBlock is called with the ID of the block for each crash.
+	DeadlyBlocks  string
+	OnDeadlyBlock func(id string)
 	// NameRequests makes each event of a stream name its request.
 	NameRequests bool
 
 	draining atomic.Bool
+	leaving  atomic.Bool
 	full     atomic.Bool // rejects each request without running it
 	failing  atomic.Bool // answers with status 500
 
+	retryAfter  atomic.Value // string: the Retry-After of rejections; empty: none
 	answerFault atomic.Value // an AnswerFault
+	pausedUntil atomic.Int64 // Unix nanoseconds
 
-	mu     sync.Mutex
-	runs   []PlatformRun
-	active map[string]*workerStream
+	mu       sync.Mutex
+	runs     []PlatformRun
+	refusals []PlatformRefusal
+	active   map[string]*workerStream
 }
 
 // PlatformRun is a request that a worker ran.
@@ -47,6 +58,25 @@
 	Header http.Header
 	URI    string
 	Body   string
+	// Leaving is set if the header of the answer says that the worker leaves.
+	Leaving bool
+}
+
+// PlatformRefusal is a request that a worker rejected without running it, because it was full.
+type PlatformRefusal struct {
+	ID         string
+	Worker     string
+	At         time.Time
+	RetryAfter string // value of the header Retry-After; empty: none
+}
+
+// Wait returns the time that RetryAfter asks for. It is 0 if the value isn't a number of seconds.
+func (r PlatformRefusal) Wait() time.Duration {
+	seconds, err := strconv.ParseFloat(r.RetryAfter, 64)
+	if err != nil || !(seconds > 0) || math.IsInf(seconds, 0) {
+		return 0
+	}
+	return time.Duration(seconds * float64(time.Second))
 }
 
 // workerStream is a stream in progress.
@@ -58,6 +88,12 @@
 // SetDraining sets whether the worker closes the connection after each answer, as a leaving endpoint does.
 func (u *PlatformWorker) SetDraining(on bool) { u.draining.Store(on) }
 
+// SetLeaving sets whether each answer says that the worker leaves.
+func (u *PlatformWorker) SetLeaving(on bool) { u.leaving.Store(on) }
+
+// SetRetryAfter sets the Retry-After of rejections. An empty value leaves the header out.
+func (u *PlatformWorker) SetRetryAfter(value string) { u.retryAfter.Store(value) }
+
 // SetFull sets whether the worker rejects requests without running them.
 func (u *PlatformWorker) SetFull(on bool) { u.full.Store(on) }
 
@@ -71,18 +107,32 @@
 	return append([]PlatformRun(nil), u.runs...)
 }
 
+// Refusals returns the requests that the worker has rejected so far because it was full.
+func (u *PlatformWorker) Refusals() []PlatformRefusal {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return append([]PlatformRefusal(nil), u.refusals...)
+}
+
 // ServeHTTP implements http.Handler.
 func (u *PlatformWorker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
 	}
+	if u.pausesBeforeHead(r) {
+		u.awaitPause()
+	}
+	leaving := u.leaving.Load()
 	h := w.Header()
 	h.Set("X-Trefoillug-Instance-Id", u.ID)
 	h.Set("X-Trefoillug-Worker-Load", "1,0,8")
 	if u.draining.Load() {
 		h.Set("Connection", "close")
 	}
+	if leaving {
+		h.Set("Server-Leaving", "1")
+	}
 	if r.URL.Path == "/trefoillug/kv-move" {
 		u.serveMove(w, body)
 		return
@@ -93,12 +143,13 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	case u.full.Load():
-		h.Set("X-Trefoillug-Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		u.refuse(w, r)
+		return
+	case u.currentAnswerFault() == RefusalCopies && u.serveRefusalCopies(w, r):
 		return
 	}
 	h.Set("X-Trefoillug-Response-Seal", "seal."+u.ID)
-	u.recordRequest(r, body)
+	u.recordRequest(r, body, leaving)
 	if u.serveFault(w, r) {
 		return
 	}
@@ -112,7 +163,36 @@
 		u.serveStream(w, r)
 	default:
 		time.Sleep(u.Work * u.slowness())
-		_, _ = io.WriteString(w, u.plainAnswer(r, len(body))) // the caller may have gone
+		text := u.plainAnswer(r, len(body))
+		h.Set("Content-Length", strconv.Itoa(len(text)))
+		_ = u.writePausing(text, flushingWriter(w)) // the caller may have gone
+	}
+}
+
+// refuse rejects a request because the worker is full.
+func (u *PlatformWorker) refuse(w http.ResponseWriter, r *http.Request) {
+	value, _ := u.retryAfter.Load().(string)
+	if value != "" {
+		w.Header().Set("Retry-After", value)
+	}
+	u.recordRefusal(r, value)
+	w.Header().Set("X-Trefoillug-Not-Executed", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func (u *PlatformWorker) recordRefusal(r *http.Request, retryAfter string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.refusals = append(u.refusals, PlatformRefusal{ID: r.Header.Get("X-Trefoillug-Attempt-Id"), Worker: u.ID, At: time.Now(), RetryAfter: retryAfter})
+}
+
+// flushingWriter returns a function that writes text to w and flushes it.
+func flushingWriter(w http.ResponseWriter) func(text string) error {
+	return func(text string) error {
+		if _, err := io.WriteString(w, text); err != nil {
+			return err
+		}
+		return http.NewResponseController(w).Flush()
 	}
 }
 
@@ -120,14 +200,31 @@
 	return fmt.Sprintf("%s %s %d", u.ID, r.RequestURI, bodyBytes)
 }
 
-func (u *PlatformWorker) recordRequest(r *http.Request, body []byte) {
-	run := PlatformRun{ID: r.Header.Get("X-Trefoillug-Attempt-Id"), Worker: u.ID, At: time.Now(), Header: r.Header.Clone(), URI: r.RequestURI, Body: string(body)}
+func (u *PlatformWorker) recordRequest(r *http.Request, body []byte, leaving bool) {
+	run := PlatformRun{
+		ID: r.Header.Get("X-Trefoillug-Attempt-Id"), Worker: u.ID, At: time.Now(), Header: r.Header.Clone(), URI: r.RequestURI, Body: string(body),
+		Leaving: leaving,
+	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.runs = append(u.runs, run)
 }
 
 func (u *PlatformWorker) serveStream(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	if err := u.writeEvents(r, flushingWriter(w)); err != nil {
+		panic(http.ErrAbortHandler) // closes the stream before its end
+	}
+}
+
+// errCrash and errMoved are the reasons for which a worker ends a stream early.
+var (
+	errCrash = errors.New("worker crashed")
+	errMoved = errors.New("stream moved to another worker")
+)
+
+// writeEvents writes the events of a request's stream that are left. It returns an error if the stream ended early.
+func (u *PlatformWorker) writeEvents(r *http.Request, write func(text string) error) error {
 	sent, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0 without one
 	id := r.Header.Get("X-Trefoillug-Attempt-Id")
 	s := &workerStream{sent: sent, stop: make(chan struct{})}
@@ -142,22 +239,55 @@
 		delete(u.active, id)
 		u.mu.Unlock()
 	}()
-	w.Header().Set("Content-Type", "text/event-stream")
-	for sent < u.Events {
+	for first := true; sent < u.Events; first = false {
 		select {
 		case <-s.stop:
-			panic(http.ErrAbortHandler) // closes the stream before its end
+			return errMoved
 		case <-r.Context().Done():
-			return
+			return r.Context().Err()
 		case <-time.After(u.EventTime * u.slowness()):
 		}
+		if block := u.deadlyBlock(r); first && block != "" {
+			u.OnDeadlyBlock(block)
+			return errCrash
+		}
 		sent++
 		u.mu.Lock()
 		s.sent = sent
 		u.mu.Unlock()
-		fmt.Fprintf(w, "id: %d\ndata: token %d%s\n\n", sent, sent, u.requestSuffix(id))
-		_ = http.NewResponseController(w).Flush()
+		if err := u.writePausing(u.event(sent, id), write); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (u *PlatformWorker) event(n int, request string) string {
+	return fmt.Sprintf("id: %d\ndata: token %d%s\n\n", n, n, u.requestSuffix(request))
+}
+
+// deadlyBlock returns the ID of the block, other than the last one, of the prompt that crashes the worker; empty: none.
+func (u *PlatformWorker) deadlyBlock(r *http.Request) string {
+	blocks := PromptBlocks(r.Header)
+	if u.DeadlyBlocks == "" || len(blocks) == 0 {
+		return ""
+	}
+	for _, id := range blocks[:len(blocks)-1] {
+		if strings.HasPrefix(id, u.DeadlyBlocks) {
+			return id
+		}
+	}
+	return ""
+}
+
+// PromptBlocks returns the IDs of the blocks of a request's prompt in order.
+func PromptBlocks(h http.Header) []string {
+	var ids []string
+	for block := range strings.SplitSeq(h.Get("X-Trefoillug-Prompt-Prefix"), ",") {
+		id, _, _ := strings.Cut(block, ":")
+		ids = append(ids, id)
 	}
+	return ids
 }
 
 func (u *PlatformWorker) requestSuffix(request string) string {
@@ -277,3 +407,30 @@
 		"seq": 1, "born": startedMs, "spot": strings.HasSuffix(zone, "-spot"),
 	}
 }
+
+// oddEntryDepth is deeper than what encoding/json decodes.
+const oddEntryDepth = 20_000
+
+// OddPlatformEntries returns entries of the endpoint list as another writer may leave them there. None names an
+// endpoint to use, though address is one.
+func OddPlatformEntries(address string) []string {
+	entry := func(change map[string]any) string {
+		e := PlatformEntry(PlatformOrders, address, "a", "ready", time.Now().UnixMilli())
+		maps.Copy(e, change)
+		text, err := json.Marshal(e)
+		if err != nil {
+			panic(err) // can't happen, as all values are plain
+		}
+		return string(text)
+	}
+	nested := strings.Repeat("[", oddEntryDepth) + strings.Repeat("]", oddEntryDepth)
+	return []string{
+		`{"service":"orders","address":` + nested + `}`,
+		strings.Replace(entry(nil), `"slots":8`, `"slots":1e999`, 1),
+		entry(map[string]any{"address": "127.0.0.1:70000"}),
+		entry(map[string]any{"service": 7, "born": "soon", "state": []any{"ready"}}),
+		entry(map[string]any{"address": map[string]any{"host": address}}),
+		"{\"service\":\"orders\",\"address\":\"\xff\xfe\"}",
+		nested, "7", "null", `"` + address + `"`,
+	}
+}
