soak: newer disruptions of endpoints and lists, deadly requests, series of signals, pipelining callers

What callers saw: nothing yet; the soak drew none of these disruptions and had no check for them. Change: kinds for endpoints that pause, answer without a length, break inside an event, refuse twice, say first in their answers that they leave, and reject with a time; requests with a block that crashes endpoints; odd entries in the list; SIGHUP and SIGTERM in series with changes of the configuration; one caller in twelve sends pairs of requests in one segment. Checks: no work for endpoints that said they leave, deadly requests are kept away, sound requests beside deadly ones, full endpoints are left alone, new endpoints are used. A row for each run and totals end the output of several runs. Evidence: each check finds its breach in TestCheck_FindsEachBreach, and allows the cases of TestCheck_AllowedCases.

--- a/cmd/trefoillug-soak/main.go
+++ b/cmd/trefoillug-soak/main.go
@@ -58,37 +58,37 @@
 					return fmt.Errorf("build trefoillug: %w\n%s", err, out)
 				}
 			}
-			failedRuns := 0
+			var results []soak.Result
 			for n := range runs {
-				failed, err := runPlan(ctx, soak.Options{
-					Plan: soak.NewPlan(seed+uint64(n), length, instances), Binary: binary, Dir: filepath.Join(dir, fmt.Sprint(seed+uint64(n))),
-				})
-				if err != nil {
-					return err
+				o := soak.Options{Plan: soak.NewPlan(seed+uint64(n), length, instances), Binary: binary, Dir: filepath.Join(dir, fmt.Sprint(seed+uint64(n)))}
+				results = append(results, runPlan(ctx, o))
+				if ctx.Err() != nil {
+					break
 				}
-				failedRuns += failed
 			}
-			if failedRuns > 0 {
-				return fmt.Errorf("%d of %d runs violated a guarantee; logs are in %s", failedRuns, runs, dir)
+			failed, err := soak.WriteSummary(os.Stdout, results)
+			if err != nil {
+				return err
+			}
+			if failed > 0 {
+				return fmt.Errorf("%d of %d runs failed; logs are in %s", failed, len(results), dir)
 			}
 			return os.RemoveAll(dir)
 		},
 	}
 }
 
-// runPlan runs one plan and returns 1 if a guarantee was violated, else 0.
-func runPlan(ctx context.Context, o soak.Options) (int, error) {
+// runPlan runs one plan and reports it.
+func runPlan(ctx context.Context, o soak.Options) soak.Result {
 	fmt.Print(o.Plan)
-	if err := os.MkdirAll(o.Dir, 0o700); err != nil {
-		return 0, err
-	}
-	evidence, err := soak.Run(ctx, o)
-	if err != nil {
-		return 0, err
+	r := soak.Result{Plan: o.Plan}
+	if r.Err = os.MkdirAll(o.Dir, 0o700); r.Err != nil {
+		return r
 	}
-	breaches := evidence.Check()
-	if err := soak.Report(os.Stdout, o, evidence, breaches); err != nil {
-		return 0, err
+	if r.Evidence, r.Err = soak.Run(ctx, o); r.Err != nil {
+		return r
 	}
-	return min(1, len(breaches)), nil
+	r.Breaches = r.Evidence.Check()
+	r.Err = soak.Report(os.Stdout, o, r.Evidence, r.Breaches)
+	return r
 }
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -16,6 +16,8 @@
 const (
 	// callersPerInstance is the number of callers for each instance. One in five uses the workspace with a tight quota.
 	callersPerInstance = 12
+	// pipeliningCaller is the one among the callers of an instance that sends its requests in pairs.
+	pipeliningCaller = 5
 	// callDeadline is how long callers wait for an answer.
 	callDeadline = 5 * time.Second
 	// meanPause is the mean time between the requests of a caller.
@@ -100,7 +102,7 @@
 		}
 		a := c.attempt(context.WithoutCancel(ctx), c.call())
 		c.env.evidence.addAttempt(a)
-		if !a.Complete || a.isRefusal() && a.Status != http.StatusTooManyRequests {
+		if a.endsVisit() {
 			c.target = nil // pick a new instance for the next request
 		}
 		sleep(ctx, time.Duration(c.rng.ExpFloat64()*float64(meanPause)))
@@ -108,6 +110,11 @@
 	c.http.CloseIdleConnections()
 }
 
+// endsVisit reports whether a caller picks a new instance after an attempt.
+func (a *Attempt) endsVisit() bool {
+	return !a.Complete || a.isRefusal() && a.Status != http.StatusTooManyRequests
+}
+
 // call returns the next request, drawn at random.
 func (c *caller) call() standin.PlatformCall {
 	c.calls++
--- a/soak/checks.go
+++ b/soak/checks.go
@@ -57,7 +57,12 @@
 		all = append(all, e.checkConfiguration(a)...)
 		all = append(all, e.checkPlannedStop(a, runs[a.Call.ID])...)
 	}
-	all = append(all, e.checkLeaving()...)
+	attempts := e.attemptsByID()
+	all = append(all, e.checkLeaving(attempts)...)
+	all = append(all, e.checkAnnouncedLeaving(attempts, runs)...)
+	all = append(all, e.checkDeadlyBlocks(attempts, runs)...)
+	all = append(all, e.checkFull(attempts)...)
+	all = append(all, e.checkNewEndpoints(attempts)...)
 	all = append(all, e.checkQuota()...)
 	all = append(all, e.checkBudget()...)
 	all = append(all, e.checkEnd()...)
@@ -126,10 +131,12 @@
 }
 
 // checkPlannedStop finds requests that were interrupted during planned work, without any fault from settleTime before
-// them to their end. A request that was sent while its connection was being closed, and that didn't run, doesn't count.
+// them to their end. A request that was sent while its connection was being closed, and that didn't run, doesn't count, nor
+// does one behind a response that ended its connection.
 func (e *Evidence) checkPlannedStop(a *Attempt, runs []standin.PlatformRun) []Breach {
 	closeRace := a.Status == 0 && len(runs) == 0 && a.Ended.Sub(a.Sent) <= closeRaceTime
-	if a.Complete || closeRace {
+	unowed := a.Unowed && len(runs) == 0
+	if a.Complete || closeRace || unowed {
 		return nil
 	}
 	unplanned := func(s FaultSpan) bool { return !s.Planned }
@@ -142,12 +149,8 @@
 
 // checkLeaving finds requests that settled instances sent to an endpoint more than drainBound after it announced that
 // it leaves.
-func (e *Evidence) checkLeaving() []Breach {
+func (e *Evidence) checkLeaving(attempts map[string]*Attempt) []Breach {
 	var found []Breach
-	attempts := map[string]*Attempt{}
-	for i := range e.Attempts {
-		attempts[e.Attempts[i].Call.ID] = &e.Attempts[i]
-	}
 	for _, r := range e.Runs {
 		at, leaving := e.Leaving[r.Worker]
 		a := attempts[r.ID]
@@ -265,5 +268,24 @@
 		lines = append(lines, fmt.Sprintf("%6d  %s", n, end))
 	}
 	slices.SortFunc(lines, func(a, b string) int { return cmp.Compare(b, a) })
-	return fmt.Sprintf("%d requests, %d runs, %d usage windows reported\n%s\n", len(e.Attempts), len(e.Runs), e.Windows, strings.Join(lines, "\n"))
+	return fmt.Sprintf("%d requests, %d runs, %d usage windows reported\n%s\n%s\n", len(e.Attempts), len(e.Runs), e.Windows, strings.Join(lines, "\n"), e.countEndpointEvidence())
+}
+
+// countEndpointEvidence returns a line with the numbers of what the checks of endpoints rest on.
+func (e *Evidence) countEndpointEvidence() string {
+	waits, leaving, crashes := 0, 0, 0
+	for _, r := range e.Refusals {
+		if r.Wait() > fullBound {
+			waits++
+		}
+	}
+	for _, r := range e.Runs {
+		if r.Leaving {
+			leaving++
+		}
+	}
+	for _, d := range e.Deadly {
+		crashes += len(d.Crashes)
+	}
+	return fmt.Sprintf("%d refusals with a time to wait, %d answers of leaving endpoints, %d deadly blocks with %d crashes, %d endpoints started", waits, leaving, len(e.Deadly), crashes, len(e.Lifetimes))
 }
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -35,6 +35,41 @@
 	return e
 }
 
+// addDeadlyBlock adds a block that crashed five endpoints until 20 s, and that later reached others.
+func addDeadlyBlock(e *Evidence, later int) {
+	d := DeadlyBlock{ID: "dead1", Route: "notes", From: at(10), To: at(30)}
+	for i := range 5 {
+		d.Crashes = append(d.Crashes, at(16+float64(i)))
+	}
+	e.Deadly = append(e.Deadly, d)
+	for i := range later {
+		id := fmt.Sprint("d", i)
+		e.addAttempt(Attempt{Call: standin.PlatformCall{ID: id, Route: "notes", Block: d.ID}, Instance: "n01", Sent: at(24), Ended: at(24.1), Status: 502, Complete: true})
+		e.Runs = append(e.Runs, runOf(id, "i-1", at(24)))
+	}
+}
+
+// addFull adds a rejection with a Retry-After at 30 s, and requests from the same instance 1 s later.
+func addFull(e *Evidence, retryAfter string, later int) {
+	e.addAttempt(Attempt{Call: standin.PlatformCall{ID: "f", Route: "book"}, Instance: "n01", Sent: at(30), Ended: at(30), Status: 503, Complete: true})
+	e.Refusals = append(e.Refusals, standin.PlatformRefusal{ID: "f", Worker: "i-1", At: at(30), RetryAfter: retryAfter})
+	for i := range later {
+		id := fmt.Sprint("l", i)
+		e.addAttempt(servedAttempt(id, "book", at(31)))
+		e.Runs = append(e.Runs, runOf(id, "i-1", at(31)))
+	}
+}
+
+// addNewEndpoint adds a new endpoint i-2, and requests that an endpoint of its service got afterwards.
+func addNewEndpoint(e *Evidence, endpoint string) {
+	e.startLifetime("i-2", standin.PlatformOrders, at(20))
+	for i := range minNewRequests {
+		id := fmt.Sprint("n", i)
+		e.addAttempt(servedAttempt(id, "book", at(23)))
+		e.Runs = append(e.Runs, runOf(id, endpoint, at(23)))
+	}
+}
+
 // Guards against checks that miss their breach, or that find one in a run without any.
 func TestCheck_FindsEachBreach(t *testing.T) {
 	must.Len(t, 0, cleanEvidence().Check())
@@ -83,6 +118,25 @@
 				e.Runs = append(e.Runs, runOf(id, "i-1", at(20+float64(i)/100)), runOf(id, "i-2", at(20.5+float64(i)/100)))
 			}
 		},
+		"no work for endpoints that said they leave": func(e *Evidence) {
+			e.addAttempt(servedAttempt("b", "book", at(47)))
+			leaving := runOf("b", "i-1", at(47))
+			leaving.Leaving = true
+			e.Runs = append(e.Runs, leaving)
+		},
+		"deadly requests are kept away": func(e *Evidence) { addDeadlyBlock(e, 4) },
+		"sound requests beside deadly ones": func(e *Evidence) {
+			addDeadlyBlock(e, 3)
+			for i := range 8 {
+				a := servedAttempt(fmt.Sprint("s", i), "notes", at(25))
+				a.Status = 503
+				e.addAttempt(a)
+			}
+		},
+		"full endpoints are left alone": func(e *Evidence) { addFull(e, "2", 3) },
+		"new endpoints are used": func(e *Evidence) {
+			addNewEndpoint(e, "i-1")
+		},
 		"one holder of a duty": func(e *Evidence) { e.APIViolations = []string{"two reports of a window differ"} },
 		"no leak":              func(e *Evidence) { e.Leaks = []string{"n01 has 5000 descriptors open"} },
 		"service recovers":     func(e *Evidence) { e.Attempts[0].Status = 502; e.Attempts[0].Call.Route = "look" },
@@ -118,6 +172,25 @@
 			}
 			e.addAttempt(Attempt{Call: standin.PlatformCall{ID: "b", Route: "book"}, Instance: "n01", Sent: at(31), Ended: at(31.5)})
 		},
+		"a request behind an answer that ended its connection": func(e *Evidence) {
+			e.Spans = []FaultSpan{{From: at(30), To: at(35), Kind: InstanceStop, Instance: "n01", Planned: true}}
+			e.addAttempt(Attempt{Call: standin.PlatformCall{ID: "b", Route: "book"}, Instance: "n01", Sent: at(31), Ended: at(32), Unowed: true})
+		},
+		"a leaving endpoint whose answer a restarted instance had passed on": func(e *Evidence) {
+			e.Spans = []FaultSpan{{From: at(48), To: at(49), Kind: InstanceStop, Instance: "n01"}}
+			e.addAttempt(servedAttempt("b", "book", at(47)))
+			leaving := runOf("b", "i-1", at(47))
+			leaving.Leaving = true
+			e.Runs = append(e.Runs, leaving)
+		},
+		"three deadly requests":           func(e *Evidence) { addDeadlyBlock(e, 3) },
+		"two requests to a full endpoint": func(e *Evidence) { addFull(e, "2", 2) },
+		"an odd time to come back":        func(e *Evidence) { addFull(e, "Wed, 21 Oct 2099 07:28:00 GMT", 3) },
+		"a new endpoint that is used":     func(e *Evidence) { addNewEndpoint(e, "i-2") },
+		"a new endpoint with a fault of its own": func(e *Evidence) {
+			addNewEndpoint(e, "i-1")
+			e.Spans = []FaultSpan{{From: at(21), To: at(22), Kind: EndpointStalled, Endpoint: "i-2"}}
+		},
 		"a request sent while its connection was being closed": func(e *Evidence) {
 			e.Spans = []FaultSpan{{From: at(30), To: at(35), Kind: InstanceStop, Instance: "n01", Planned: true}}
 			e.addAttempt(Attempt{Call: standin.PlatformCall{ID: "b", Route: "book"}, Instance: "n01", Sent: at(31), Ended: at(31.1)})
@@ -132,16 +205,18 @@
 // Guards against plans that differ for the same seed, have no calm time, or never contain some kind.
 func TestNewPlan_Cases(t *testing.T) {
 	must.Eq(t, NewPlan(7, time.Minute, 4).String(), NewPlan(7, time.Minute, 4).String())
-	seen := map[Kind]bool{}
+	seen, hasDeadly := map[Kind]bool{}, false
 	for seed := range uint64(50) {
 		p := NewPlan(seed, time.Minute, 4)
 		must.Positive(t, len(p.Faults))
 		for _, f := range p.Faults {
 			seen[f.Kind] = true
 			must.Between(t, calmStart, f.At, time.Minute)
+			hasDeadly = hasDeadly || f.Kind == RequestDeadly
 			must.True(t, f.Kind.isPlanned() || f.At+f.For <= time.Minute-CalmEnd, must.Sprint(f))
 		}
 	}
+	must.True(t, hasDeadly)
 	for _, k := range kinds {
 		must.True(t, seen[k], must.Sprint(k))
 	}
--- a/soak/environment.go
+++ b/soak/environment.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -43,7 +44,7 @@
 	instances []*instance
 	endpoints []*endpoint
 	lifetimes int
-	endedRuns func() []standin.PlatformRun // requests run by endpoints that have ended
+	ended     []*standin.PlatformWorker // endpoints that have ended
 	closing   bool
 }
 
@@ -68,11 +69,28 @@
 	server  *http.Server
 	proxy   *standin.Forwarder
 	busy    bool // a fault is in progress
+	ending  bool // the current lifetime is being ended
+}
+
+// claimEnd reports whether the calling goroutine is the one that ends a lifetime.
+func (e *endpoint) claimEnd(worker *standin.PlatformWorker) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.worker != worker || e.ending {
+		return false
+	}
+	e.ending = true
+	return true
+}
+
+func (e *endpoint) hasEnded(worker *standin.PlatformWorker) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.worker != worker || e.ending
 }
 
 func newEnvironment(binary, dir string) (*environment, error) {
 	env := &environment{dir: dir, binary: binary, evidence: newEvidence(streamEvents), store: standin.NewPlatformStore(), api: standin.NewPlatformAPI()}
-	env.endedRuns = func() []standin.PlatformRun { return nil }
 	var err error
 	if env.storeAddress, err = env.serve(env.store); err != nil {
 		return nil, err
@@ -87,7 +105,7 @@
 			e.service = standin.PlatformOrders
 		}
 		env.endpoints = append(env.endpoints, e)
-		if err := env.startEndpoint(e); err != nil {
+		if err := env.startEndpoint(e, anyAddress); err != nil {
 			return nil, err
 		}
 	}
@@ -95,7 +113,7 @@
 }
 
 func (env *environment) serve(h http.Handler) (address string, err error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", anyAddress)
 	if err != nil {
 		return "", err
 	}
@@ -115,27 +133,34 @@
 	return time.Now()
 }
 
-// startEndpoint starts the next lifetime of an endpoint and adds it to the endpoint list.
-func (env *environment) startEndpoint(e *endpoint) error {
+// anyAddress is the address of a listener whose port the system chooses.
+const anyAddress = "127.0.0.1:0"
+
+// startEndpoint starts the next lifetime of an endpoint at an address and adds it to the endpoint list.
+func (env *environment) startEndpoint(e *endpoint, address string) error {
 	env.mu.Lock()
 	env.lifetimes++
 	id := fmt.Sprintf("i-%04d", env.lifetimes)
 	env.mu.Unlock()
-	worker := &standin.PlatformWorker{ID: id, Events: streamEvents, EventTime: eventInterval, Work: plainTime, NameRequests: true}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	worker := &standin.PlatformWorker{
+		ID: id, Events: streamEvents, EventTime: eventInterval, Work: plainTime, NameRequests: true, DeadlyBlocks: deadlyBlocks,
+	}
+	worker.OnDeadlyBlock = func(block string) { env.crashByBlock(e, worker, block) }
+	l, err := net.Listen("tcp", anyAddress)
 	if err != nil {
 		return err
 	}
 	server := &http.Server{Handler: worker, ReadHeaderTimeout: settleTime}
 	go func() { _ = server.Serve(l) }() // ends when the server is closed
-	proxy, err := standin.NewForwarder(l.Addr().String())
+	proxy, err := standin.NewForwarderAt(address, l.Addr().String())
 	if err != nil {
 		return err
 	}
 	e.mu.Lock()
-	e.worker, e.server, e.proxy = worker, server, proxy
+	e.worker, e.server, e.proxy, e.ending = worker, server, proxy, false
 	e.mu.Unlock()
 	env.store.Put(platform.KindEndpoints, id, standin.PlatformEntry(e.service, proxy.Address(), "a", "ready", time.Now().UnixMilli()))
+	env.evidence.startLifetime(id, e.service, time.Now())
 	return nil
 }
 
@@ -146,23 +171,28 @@
 	e.mu.Unlock()
 	proxy.Close()
 	_ = server.Close() // simulates a crash, so errors don't matter
+	env.evidence.endLifetime(worker.ID, time.Now())
 	env.mu.Lock()
 	defer env.mu.Unlock()
-	earlier := env.endedRuns
-	env.endedRuns = func() []standin.PlatformRun { return append(earlier(), worker.Runs()...) }
+	env.ended = append(env.ended, worker)
 }
 
-// allRuns returns the requests that all endpoints have run.
-func (env *environment) allRuns() []standin.PlatformRun {
+// allRequests returns the requests that all endpoints have run and those that they have rejected because they were full.
+func (env *environment) allRequests() (runs []standin.PlatformRun, refusals []standin.PlatformRefusal) {
 	env.mu.Lock()
-	runs := env.endedRuns()
+	workers := slices.Clone(env.ended)
 	env.mu.Unlock()
 	for _, e := range env.endpoints {
 		e.mu.Lock()
-		runs = append(runs, e.worker.Runs()...)
+		if !slices.Contains(workers, e.worker) {
+			workers = append(workers, e.worker)
+		}
 		e.mu.Unlock()
 	}
-	return runs
+	for _, w := range workers {
+		runs, refusals = append(runs, w.Runs()...), append(refusals, w.Refusals()...)
+	}
+	return runs, refusals
 }
 
 // startInstance adds an instance. Its process is restarted whenever it ends.
--- a/soak/evidence.go
+++ b/soak/evidence.go
@@ -16,6 +16,7 @@
 	Status   int    // 0: no response header arrived
 	Body     string // possibly incomplete
 	Complete bool   // the response body was received to its end
+	Unowed   bool   // the response before it on its connection said that the connection ends
 }
 
 func (a *Attempt) isRepeatable() bool { return a.Call.Route != "book" && a.Call.Route != "chat" }
@@ -30,9 +31,24 @@
 	From, To time.Time // zero To: still in progress
 	Kind     Kind
 	Instance string // instance that it affects; empty: all
+	Endpoint string // ID of the endpoint that it affects; empty: none or several
 	Planned  bool
 }
 
+// DeadlyBlock is a prompt block that crashes the endpoints that run it.
+type DeadlyBlock struct {
+	ID       string
+	Route    string
+	From, To time.Time   // requests with the block were sent in this time
+	Crashes  []time.Time // in order
+}
+
+// Lifetime is the time from the entry of an endpoint in the list to its end.
+type Lifetime struct {
+	Endpoint, Service string
+	From, To          time.Time // zero To: until the end of the run
+}
+
 // ConfigChange is the time of a configuration change and the name of the route or key that it added or revoked.
 type ConfigChange struct {
 	At   time.Time
@@ -45,6 +61,9 @@
 	mu            sync.Mutex
 	Attempts      []Attempt
 	Runs          []standin.PlatformRun
+	Refusals      []standin.PlatformRefusal
+	Deadly        []DeadlyBlock
+	Lifetimes     []Lifetime
 	Spans         []FaultSpan
 	Leaving       map[string]time.Time // when an endpoint announced that it leaves, or was removed; by endpoint ID
 	Added         []ConfigChange       // routes, by first part of the path
@@ -74,6 +93,39 @@
 	fn()
 }
 
+// addDeadlyBlock adds a block that crashes endpoints, and returns the function that sets the end of the requests with it.
+func (e *Evidence) addDeadlyBlock(d DeadlyBlock) (end func(now time.Time)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	i := len(e.Deadly)
+	e.Deadly = append(e.Deadly, d)
+	return func(now time.Time) { e.update(func() { e.Deadly[i].To = now }) }
+}
+
+func (e *Evidence) addCrash(block string, now time.Time) {
+	e.update(func() {
+		for i := range e.Deadly {
+			if e.Deadly[i].ID == block {
+				e.Deadly[i].Crashes = append(e.Deadly[i].Crashes, now)
+			}
+		}
+	})
+}
+
+func (e *Evidence) startLifetime(endpoint, service string, now time.Time) {
+	e.update(func() { e.Lifetimes = append(e.Lifetimes, Lifetime{Endpoint: endpoint, Service: service, From: now}) })
+}
+
+func (e *Evidence) endLifetime(endpoint string, now time.Time) {
+	e.update(func() {
+		for i := range e.Lifetimes {
+			if e.Lifetimes[i].Endpoint == endpoint {
+				e.Lifetimes[i].To = now
+			}
+		}
+	})
+}
+
 // openSpan starts a span and returns the function that ends it.
 func (e *Evidence) openSpan(s FaultSpan) (end func(now time.Time)) {
 	e.mu.Lock()
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -19,13 +19,26 @@
 	crashRemovalDelay = 1200 * time.Millisecond
 )
 
+const (
+	// minPause and maxPause bound how long the answers of an endpoint pause.
+	minPause = 700 * time.Millisecond
+	maxPause = 1200 * time.Millisecond
+)
+
+// retryAfterValues are the values with which full endpoints say when to come back. The last ones name no time.
+var retryAfterValues = []string{"1", "2", "3", "1.5", "0.8", "2.25", "-1", "soon", "Wed, 21 Oct 2099 07:28:00 GMT"}
+
 // inject executes a fault or planned work and returns when it has ended.
 func (env *environment) inject(f Fault) {
 	switch {
 	case f.Kind.onInstance():
 		env.injectInstanceFault(f, env.instances[f.Target%len(env.instances)])
-	case strings.HasPrefix(string(f.Kind), "endpoint-"):
+	case f.Kind.onEndpoint():
 		env.injectEndpointFault(f, env.endpoints[f.Target%len(env.endpoints)])
+	case f.Kind == RequestDeadly:
+		env.sendDeadlyRequests(f)
+	case f.Kind == ListOddEntry:
+		env.addOddEntry(f)
 	case f.Kind.onStore():
 		env.injectStoreFault(f)
 	default:
@@ -33,13 +46,13 @@
 	}
 }
 
-func (env *environment) openSpan(f Fault, instance string) (end func()) {
-	finish := env.evidence.openSpan(FaultSpan{From: time.Now(), Kind: f.Kind, Instance: instance, Planned: f.Kind.isPlanned()})
+func (env *environment) openSpan(f Fault, instance, endpoint string) (end func()) {
+	finish := env.evidence.openSpan(FaultSpan{From: time.Now(), Kind: f.Kind, Instance: instance, Endpoint: endpoint, Planned: f.Kind.isPlanned()})
 	return func() { finish(time.Now()) }
 }
 
 func (env *environment) injectInstanceFault(f Fault, i *instance) {
-	defer env.openSpan(f, i.machine.Name)()
+	defer env.openSpan(f, i.machine.Name, "")()
 	switch f.Kind {
 	case InstanceKill:
 		i.signal(syscall.SIGKILL)
@@ -53,6 +66,8 @@
 	case InstanceReload:
 		i.signal(syscall.SIGHUP)
 		time.Sleep(f.For)
+	case InstanceSignals:
+		env.sendSignals(i, f.For)
 	case InstanceStalledStore:
 		i.store.Stall(true, true)
 		time.Sleep(f.For)
@@ -73,19 +88,16 @@
 		return
 	}
 	defer func() { e.mu.Lock(); e.busy = false; e.mu.Unlock() }()
-	defer env.openSpan(f, "")()
+	defer env.openSpan(f, "", worker.ID)()
 	switch f.Kind {
 	case EndpointCrash:
-		env.stopEndpoint(e)
-		time.Sleep(min(f.For, crashRemovalDelay))
-		env.removeEntry(worker.ID)
-		env.restartEndpoint(e)
+		env.crashEndpoint(e, worker, min(f.For, crashRemovalDelay))
 	case EndpointLeave:
-		env.drainEndpoint(e, worker)
-		time.Sleep(drainTime)
-		env.store.Remove(platform.KindEndpoints, worker.ID)
-		env.stopEndpoint(e)
-		env.restartEndpoint(e)
+		env.leaveEndpoint(e, worker, anyAddress)
+	case EndpointLeavesEarly:
+		worker.SetLeaving(true)
+		time.Sleep(f.For)
+		env.leaveEndpoint(e, worker, proxy.Address())
 	case EndpointReset:
 		proxy.CloseConnections()
 	case EndpointStalled:
@@ -96,6 +108,15 @@
 		worker.SetFull(true)
 		time.Sleep(f.For)
 		worker.SetFull(false)
+	case EndpointFullFor:
+		worker.SetRetryAfter(retryAfterValues[f.Target%len(retryAfterValues)])
+		worker.SetFull(true)
+		time.Sleep(f.For)
+		worker.SetFull(false)
+		worker.SetRetryAfter("")
+	case EndpointPauses:
+		worker.Pause(min(max(f.For, minPause), maxPause))
+		time.Sleep(maxPause)
 	case EndpointFails:
 		worker.SetFailing(true)
 		time.Sleep(f.For)
@@ -107,6 +128,44 @@
 	}
 }
 
+// sendSignals sends signals to an instance in a series with changes of the configuration in between. Some arrive while
+// the instance shuts down, or starts again.
+func (env *environment) sendSignals(i *instance, total time.Duration) {
+	series := []syscall.Signal{syscall.SIGHUP, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP}
+	for _, s := range series {
+		i.signal(s)
+		env.publish(func(*standin.PlatformConfig) {})
+		time.Sleep(total / time.Duration(len(series)))
+	}
+}
+
+// crashEndpoint ends the current lifetime of an endpoint and starts the next one. The entry of the old one stays on the
+// list for a time.
+func (env *environment) crashEndpoint(e *endpoint, worker *standin.PlatformWorker, listed time.Duration) {
+	if !e.claimEnd(worker) {
+		return
+	}
+	env.stopEndpoint(e)
+	time.Sleep(listed)
+	env.removeEntry(worker.ID)
+	env.restartEndpoint(e, anyAddress)
+}
+
+// leaveEndpoint makes an endpoint leave as planned and starts the next lifetime at an address.
+func (env *environment) leaveEndpoint(e *endpoint, worker *standin.PlatformWorker, next string) {
+	if e.hasEnded(worker) {
+		return
+	}
+	env.drainEndpoint(e, worker)
+	time.Sleep(drainTime)
+	if !e.claimEnd(worker) {
+		return
+	}
+	env.store.Remove(platform.KindEndpoints, worker.ID)
+	env.stopEndpoint(e)
+	env.restartEndpoint(e, next)
+}
+
 // drainEndpoint makes an endpoint announce that it is draining.
 func (env *environment) drainEndpoint(e *endpoint, worker *standin.PlatformWorker) {
 	entry := standin.PlatformEntry(e.service, e.proxy.Address(), "a", "draining", 0)
@@ -114,6 +173,7 @@
 	entry["leaves_ms"] = drainTime.Milliseconds()
 	env.store.Put(platform.KindEndpoints, worker.ID, entry)
 	worker.SetDraining(true)
+	worker.SetLeaving(true)
 	env.evidence.update(func() { env.evidence.Leaving[worker.ID] = time.Now() })
 }
 
@@ -130,14 +190,19 @@
 	env.evidence.update(func() { env.evidence.Leaving[id] = time.Now() })
 }
 
-func (env *environment) restartEndpoint(e *endpoint) {
-	if err := env.startEndpoint(e); err != nil {
+// restartEndpoint starts the next lifetime of an endpoint at an address, or at another one if that is in use by now.
+func (env *environment) restartEndpoint(e *endpoint, address string) {
+	err := env.startEndpoint(e, address)
+	if err != nil && address != anyAddress {
+		err = env.startEndpoint(e, anyAddress)
+	}
+	if err != nil {
 		env.evidence.update(func() { env.evidence.Leaks = append(env.evidence.Leaks, "endpoint not restarted: "+err.Error()) })
 	}
 }
 
 func (env *environment) injectStoreFault(f Fault) {
-	defer env.openSpan(f, "")()
+	defer env.openSpan(f, "", "")()
 	switch f.Kind {
 	case StoreDown:
 		env.store.FailCalls(http.StatusServiceUnavailable)
@@ -155,8 +220,21 @@
 	}
 }
 
+// addOddEntry puts an entry of another writer into the endpoint list for the time of the fault.
+func (env *environment) addOddEntry(f Fault) {
+	defer env.openSpan(f, "", "")()
+	e := env.endpoints[f.Target%len(env.endpoints)]
+	e.mu.Lock()
+	entries := standin.OddPlatformEntries(e.proxy.Address())
+	e.mu.Unlock()
+	name := fmt.Sprintf("odd-%d-%d", f.Target, f.At.Milliseconds())
+	env.store.PutRaw(platform.KindEndpoints, name, entries[f.Target%len(entries)])
+	time.Sleep(f.For)
+	env.store.Remove(platform.KindEndpoints, name)
+}
+
 func (env *environment) changeConfig(f Fault) {
-	defer env.openSpan(f, "")()
+	defer env.openSpan(f, "", "")()
 	name := fmt.Sprintf("%s-%d-%d", strings.TrimPrefix(string(f.Kind), "config-"), f.Target, f.At.Milliseconds())
 	if f.Kind == ConfigRoute {
 		at := env.publish(func(c *standin.PlatformConfig) { c.ExtraRoutes = append(slices.Clone(c.ExtraRoutes), name) })
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -39,6 +39,15 @@
 	EndpointResetsBodies      Kind = "endpoint-reset-body"   // it breaks its answers off
 	EndpointSlow              Kind = "endpoint-slow"         // its sound answers take long
 	EndpointLateCopies        Kind = "endpoint-late-copy"    // it sends its plain answers twice
+	InstanceSignals           Kind = "instance-signals"      // SIGHUP and SIGTERM in a series, with changes of the configuration
+	EndpointPauses            Kind = "endpoint-pause"        // all its answers pause and go on
+	EndpointUnframed          Kind = "endpoint-unframed"     // its sound answers end with their connection
+	EndpointBreaksEvents      Kind = "endpoint-break-event"  // its streams end inside an event with their connection
+	EndpointRefusalCopies     Kind = "endpoint-refusal-copy" // it refuses, and sends the refusal again before the next answer
+	EndpointLeavesEarly       Kind = "endpoint-leave-early"  // its answers say that it leaves before the list does; its address is used again
+	EndpointFullFor           Kind = "endpoint-full-for"     // it rejects each request and says when to come back
+	RequestDeadly             Kind = "request-deadly"        // requests with one block crash the endpoints that run them
+	ListOddEntry              Kind = "list-odd-entry"        // another writer's entry is in the endpoint list
 	ConfigRoute               Kind = "config-route"          // a route is added
 	ConfigKey                 Kind = "config-key"            // a key is added, and revoked at the end
 )
@@ -48,24 +57,31 @@
 	InstanceKill, InstanceFreeze, InstanceStop, InstanceStop, InstanceReload, InstanceStalledStore, InstanceStalledStoreReads, StoreDown,
 	StoreLosesAnswers, StoreCompacts, EndpointCrash, EndpointLeave, EndpointLeave, EndpointReset, EndpointStalled, EndpointFull, EndpointFails,
 	EndpointEndlessHeads, EndpointEndlessBodies, EndpointTrickles, EndpointResetsBodies, EndpointSlow, EndpointLateCopies,
-	ConfigRoute, ConfigKey, ConfigKey,
+	InstanceSignals, InstanceSignals, EndpointPauses, EndpointPauses, EndpointUnframed, EndpointBreaksEvents, EndpointRefusalCopies, EndpointRefusalCopies,
+	EndpointLeavesEarly, EndpointLeavesEarly, EndpointFullFor, EndpointFullFor, ListOddEntry, ListOddEntry, ConfigRoute, ConfigKey, ConfigKey,
 }
 
 // answerFaults are the kinds that set how an endpoint answers.
 var answerFaults = map[Kind]standin.AnswerFault{
 	EndpointEndlessHeads: standin.EndlessHeads, EndpointEndlessBodies: standin.EndlessBodies, EndpointTrickles: standin.Trickles,
 	EndpointResetsBodies: standin.ResetsBodies, EndpointSlow: standin.SlowAnswers, EndpointLateCopies: standin.LateCopies,
+	EndpointUnframed: standin.Unframed, EndpointBreaksEvents: standin.BreaksEvents, EndpointRefusalCopies: standin.RefusalCopies,
 }
 
 // isPlanned reports whether a kind is planned work, or slow but sound work, which must not interrupt any request.
 func (k Kind) isPlanned() bool {
-	return slices.Contains([]Kind{InstanceStop, InstanceReload, EndpointLeave, EndpointSlow, ConfigRoute, ConfigKey}, k)
+	return slices.Contains([]Kind{
+		InstanceStop, InstanceReload, InstanceSignals, EndpointLeave, EndpointLeavesEarly, EndpointSlow, EndpointPauses, EndpointUnframed,
+		ListOddEntry, ConfigRoute, ConfigKey,
+	}, k)
 }
 
 func (k Kind) onInstance() bool { return strings.HasPrefix(string(k), "instance-") }
 
 func (k Kind) onStore() bool { return strings.HasPrefix(string(k), "store-") }
 
+func (k Kind) onEndpoint() bool { return strings.HasPrefix(string(k), "endpoint-") }
+
 // Fault is an entry of a plan.
 type Fault struct {
 	At     time.Duration // from the start of the load
@@ -85,13 +101,15 @@
 	minFor    = 300 * time.Millisecond
 	maxSeries = 3
 	// plannedStart and plannedInterval place planned work into the calm end, where nothing else can interrupt a request.
-	plannedStart    = 4 * time.Second
-	plannedInterval = 1500 * time.Millisecond
+	plannedStart    = 3500 * time.Millisecond
+	plannedInterval = 700 * time.Millisecond
 	plannedDuration = 6 * time.Second // longer than a planned stop
 )
 
-// plannedWork is the planned work in the calm end, in order.
-var plannedWork = []Kind{InstanceStop, EndpointLeave, ConfigRoute}
+// plannedWork is the planned work in the calm end, in order. It overlaps.
+var plannedWork = []Kind{
+	ListOddEntry, EndpointLeave, EndpointLeavesEarly, InstanceReload, InstanceStop, InstanceReload, EndpointPauses, ConfigRoute, EndpointUnframed,
+}
 
 // Plan is the schedule of a run.
 type Plan struct {
@@ -118,12 +136,35 @@
 			}
 		}
 	}
+	if last := length - CalmEnd - deadlyTime; last > calmStart && rng.Float64() < deadlyShare {
+		at := calmStart + time.Duration(rng.Int64N(int64(last-calmStart)))
+		p.Faults = append(p.Faults, Fault{At: at, For: deadlyTime, Kind: RequestDeadly, Target: rng.IntN(1000)})
+	}
 	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return int(a.At - b.At) })
+	p.Faults = append(p.Faults, plannedFaults(rng, length-CalmEnd+plannedStart)...)
+	return p
+}
+
+// plannedFaults returns the planned work of the calm end. One instance gets all signals, a plain service leaves as usual,
+// and a model engine says so first in its answers.
+func plannedFaults(rng *rand.Rand, start time.Duration) []Fault {
+	instance, target := rng.IntN(1000), rng.IntN(1000)
+	faults := make([]Fault, len(plannedWork))
 	for i, kind := range plannedWork {
-		at := length - CalmEnd + plannedStart + time.Duration(i)*plannedInterval
-		p.Faults = append(p.Faults, Fault{At: at, For: plannedDuration, Kind: kind, Target: rng.IntN(1000)})
+		f := Fault{At: start + time.Duration(i)*plannedInterval, For: plannedDuration, Kind: kind, Target: target + i}
+		switch {
+		case kind.onInstance():
+			f.Target = instance
+		case kind == EndpointLeave:
+			f.Target = modelEndpoints + target%orderEndpoints
+		case kind == EndpointLeavesEarly:
+			f.Target = target % modelEndpoints
+		case kind == ListOddEntry:
+			f.For = CalmEnd - plannedStart // a new endpoint comes meanwhile
+		}
+		faults[i] = f
 	}
-	return p
+	return faults
 }
 
 // String returns a header line and a line for each fault.
--- a/soak/run.go
+++ b/soak/run.go
@@ -28,6 +28,8 @@
 	maxMemoryKB    = 284 << 10
 	// logLines is how many of an instance's last log lines before the first breach a report shows.
 	logLines = 12
+	// maxPrinted is how many breaches of each guarantee a report lists.
+	maxPrinted = 12
 )
 
 // Run starts the instances, injects the faults of the plan under load, and returns the evidence. It returns an error if
@@ -73,6 +75,10 @@
 	group.Go(func() { b.run(ctx, env.instances) })
 	for n := range callersPerInstance * p.Instances {
 		c := newCaller(env, n, p.Seed)
+		if n%callersPerInstance == pipeliningCaller {
+			group.Go(func() { (&pipeline{caller: c}).run(ctx, b) })
+			continue
+		}
 		group.Go(func() { c.run(ctx, b) })
 	}
 	start := time.Now()
@@ -91,10 +97,11 @@
 // collectFinalState adds the state of the endpoints, the platform and the processes at the end to the evidence.
 func (env *environment) collectFinalState() {
 	e := env.evidence
+	runs, refusals := env.allRequests()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.End = time.Now()
-	e.Runs = env.allRuns()
+	e.Runs, e.Refusals = runs, refusals
 	e.Windows, e.APIViolations = env.api.Reports()
 	for _, i := range env.instances {
 		if !i.isReady() {
@@ -133,7 +140,11 @@
 	if _, err := fmt.Fprintf(out, "%s%d faults injected, %d breaches\n", e.Counts(), len(o.Plan.Faults), len(breaches)); err != nil {
 		return err
 	}
+	printed := map[string]int{}
 	for _, b := range breaches {
+		if printed[b.Guarantee]++; printed[b.Guarantee] > maxPrinted {
+			continue
+		}
 		if _, err := fmt.Fprintf(out, "BREACH %s at %s: %s\n", b.Guarantee, b.At.Format(time.RFC3339Nano), b.Text); err != nil {
 			return err
 		}
@@ -141,6 +152,9 @@
 	if len(breaches) == 0 {
 		return nil
 	}
+	if _, err := fmt.Fprintf(out, "BREACHES %s (the first %d of each are above)\n", countByGuarantee(breaches), maxPrinted); err != nil {
+		return err
+	}
 	for n := range o.Plan.Instances {
 		name := fmt.Sprintf("n%02d", n+1)
 		if err := logBefore(out, filepath.Join(o.Dir, name+".log"), breaches[0].At); err != nil {
--- a/standin/forwarder.go
+++ b/standin/forwarder.go
@@ -23,8 +23,11 @@
 }
 
 // NewForwarder returns a forwarder to target that listens on a loopback address.
-func NewForwarder(target string) (*Forwarder, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func NewForwarder(target string) (*Forwarder, error) { return NewForwarderAt("127.0.0.1:0", target) }
+
+// NewForwarderAt returns a forwarder to target that listens on address.
+func NewForwarderAt(address, target string) (*Forwarder, error) {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
