--- a/soak/checks.go
+++ b/soak/checks.go
@@ -227,6 +227,9 @@
 	for _, text := range e.Leaks {
 		found = append(found, breach("no leak", e.End, "%s", text)...)
 	}
+	for _, text := range e.Exits {
+		found = append(found, breach("processes live", e.End, "%s", text)...)
+	}
 	if len(e.NotReady) > 0 {
 		found = append(found, breach("service recovers", e.End, "not ready: %s", strings.Join(e.NotReady, ", "))...)
 	}
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -138,6 +138,7 @@
 			addNewEndpoint(e, "i-1")
 		},
 		"one holder of a duty": func(e *Evidence) { e.APIViolations = []string{"two reports of a window differ"} },
+		"processes live":       func(e *Evidence) { e.Exits = []string{"n01: exit status 2"} },
 		"no leak":              func(e *Evidence) { e.Leaks = []string{"n01 has 5000 descriptors open"} },
 		"service recovers":     func(e *Evidence) { e.Attempts[0].Status = 502; e.Attempts[0].Call.Route = "look" },
 	} {
--- a/soak/environment.go
+++ b/soak/environment.go
@@ -239,6 +239,9 @@
 			close(i.done)
 			return
 		}
+		if exit := (*exec.ExitError)(nil); errors.As(err, &exit) && exit.Exited() {
+			env.evidence.update(func() { env.evidence.Exits = append(env.evidence.Exits, i.machine.Name+": "+err.Error()) })
+		}
 		end := env.evidence.openSpan(FaultSpan{From: time.Now(), Kind: InstanceStop, Instance: i.machine.Name, Planned: err == nil})
 		time.Sleep(restartDelay)
 		if err := env.spawn(i); err != nil {
--- a/soak/evidence.go
+++ b/soak/evidence.go
@@ -72,6 +72,7 @@
 	FaultEnd      time.Time            // after it there is only planned work
 	End           time.Time
 	NotReady      []string // instances not ready at the end
+	Exits         []string // processes that ended by themselves with an error
 	APIViolations []string // violations of guarantees that the platform's API observed
 	Windows       int      // number of usage windows reported
 	Leaks         []string // exceeded resource limits, and instances and endpoints that could not be restarted
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -104,6 +104,7 @@
 	plannedStart    = 3500 * time.Millisecond
 	plannedInterval = 700 * time.Millisecond
 	plannedDuration = 6 * time.Second // longer than a planned stop
+	plannedLag      = 2 * time.Second // of the list behind an endpoint that leaves
 )
 
 // plannedWork is the planned work in the calm end, in order. It overlaps.
@@ -158,7 +159,7 @@
 		case kind == EndpointLeave:
 			f.Target = modelEndpoints + target%orderEndpoints
 		case kind == EndpointLeavesEarly:
-			f.Target = target % modelEndpoints
+			f.Target, f.For = target%modelEndpoints, plannedLag
 		case kind == ListOddEntry:
 			f.For = CalmEnd - plannedStart // a new endpoint comes meanwhile
 		}
--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -18,7 +18,7 @@
 	binary := filepath.Join(dir, "trefoillug")
 	out, err := exec.Command("go", "build", "-o", binary, "../cmd/trefoillug").CombinedOutput()
 	must.NoError(t, err, must.Sprint(string(out)))
-	o := soak.Options{Plan: soak.NewPlan(1, 30*time.Second, 3), Binary: binary, Dir: dir}
+	o := soak.Options{Plan: soak.NewPlan(9, 45*time.Second, 3), Binary: binary, Dir: dir}
 	t.Log(o.Plan)
 	evidence, err := soak.Run(t.Context(), o)
 	must.NoError(t, err)
