--- a/soak/checks.go
+++ b/soak/checks.go
@@ -276,7 +276,12 @@
 
 // countEndpointEvidence returns a line with the numbers of what the checks of endpoints rest on.
 func (e *Evidence) countEndpointEvidence() string {
-	waits, leaving, crashes := 0, 0, 0
+	waits, leaving, crashes, unowed := 0, 0, 0, 0
+	for i := range e.Attempts {
+		if e.Attempts[i].Unowed {
+			unowed++
+		}
+	}
 	for _, r := range e.Refusals {
 		if r.Wait() > fullBound {
 			waits++
@@ -290,5 +295,7 @@
 	for _, d := range e.Deadly {
 		crashes += len(d.Crashes)
 	}
-	return fmt.Sprintf("%d refusals with a time to wait, %d answers of leaving endpoints, %d deadly blocks with %d crashes, %d endpoints started", waits, leaving, len(e.Deadly), crashes, len(e.Lifetimes))
+	return fmt.Sprintf(
+		"%d refusals with a time to wait, %d answers of leaving endpoints, %d deadly blocks with %d crashes, %d endpoints started, %d requests behind the end of a connection",
+		waits, leaving, len(e.Deadly), crashes, len(e.Lifetimes), unowed)
 }
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -102,14 +102,15 @@
 	maxSeries = 3
 	// plannedStart and plannedInterval place planned work into the calm end, where nothing else can interrupt a request.
 	plannedStart    = 3500 * time.Millisecond
-	plannedInterval = 700 * time.Millisecond
+	plannedInterval = 600 * time.Millisecond
 	plannedDuration = 6 * time.Second // longer than a planned stop
 	plannedLag      = 2 * time.Second // of the list behind an endpoint that leaves
 )
 
 // plannedWork is the planned work in the calm end, in order. It overlaps.
 var plannedWork = []Kind{
-	ListOddEntry, EndpointLeave, EndpointLeavesEarly, InstanceReload, InstanceStop, InstanceReload, EndpointPauses, ConfigRoute, EndpointUnframed,
+	ListOddEntry, EndpointLeave, EndpointLeavesEarly, InstanceReload, InstanceStop, InstanceReload, EndpointPauses, EndpointPauses, ConfigRoute,
+	EndpointUnframed, EndpointUnframed,
 }
 
 // Plan is the schedule of a run.
@@ -146,22 +147,34 @@
 	return p
 }
 
-// plannedFaults returns the planned work of the calm end. One instance gets all signals, a plain service leaves as usual,
-// and a model engine says so first in its answers.
+// plannedFaults returns the planned work of the calm end. One instance gets all signals. An endpoint of the plain service
+// leaves as usual, and a model engine says so first in its answers. Both services have endpoints that pause and that
+// answer without a length, and new endpoints without any of that.
 func plannedFaults(rng *rand.Rand, start time.Duration) []Fault {
 	instance, target := rng.IntN(1000), rng.IntN(1000)
+	plain := func(n int) int { return modelEndpoints + (target+n)%orderEndpoints }
+	model := func(n int) int { return (target + n) % modelEndpoints }
 	faults := make([]Fault, len(plannedWork))
 	for i, kind := range plannedWork {
 		f := Fault{At: start + time.Duration(i)*plannedInterval, For: plannedDuration, Kind: kind, Target: target + i}
+		onPlain := slices.Contains(plannedWork[:i], kind)
 		switch {
 		case kind.onInstance():
 			f.Target = instance
 		case kind == EndpointLeave:
-			f.Target = modelEndpoints + target%orderEndpoints
+			f.Target = plain(0)
 		case kind == EndpointLeavesEarly:
-			f.Target, f.For = target%modelEndpoints, plannedLag
+			f.Target, f.For = model(0), plannedLag
 		case kind == ListOddEntry:
 			f.For = CalmEnd - plannedStart // a new endpoint comes meanwhile
+		case kind == EndpointPauses && onPlain:
+			f.Target = plain(1)
+		case kind == EndpointPauses:
+			f.Target = model(1)
+		case kind == EndpointUnframed && onPlain:
+			f.Target = plain(2)
+		case kind == EndpointUnframed:
+			f.Target = model(2)
 		}
 		faults[i] = f
 	}
