graceful: a planned stop closes no connection whose caller still receives an answer

Callers saw: an answer reset in the middle on a planned stop, when they sent their next request before they had received all of it. Cause: a connection counted as idle once its answer was in the kernel's buffer. The kernel drops what it has not yet sent when bytes arrive on a closed connection. Change: such a connection is idle only when the kernel has sent all bytes, or none for 2 s. The next request on it is answered.

--- a/graceful/conn.go
+++ b/graceful/conn.go
@@ -85,6 +85,7 @@
 	bufferSize  int           // of net/http's reader
 	waiting     bool          // the server waits for the first byte of a request
 	closed      bool          // closed because it was idle
+	progress    sendProgress  // used during a shutdown
 }
 
 // Read implements net.Conn.
@@ -225,6 +226,7 @@
 	switch c.phase {
 	case phaseAnswered:
 		c.phase, c.phaseBegan, c.idleTimeout = phaseIdle, time.Now(), c.server.idleTimeout()
+		c.progress = sendProgress{}
 	case phaseIdle:
 		c.beginHeader()
 	}
@@ -251,11 +253,10 @@
 	}
 }
 
-// tryClose closes the connection if it is idle. A new one counts as idle only after firstByteTimeout, because its
-// caller opened it for a request.
+// tryClose closes the connection if it is idle.
 func (c *conn) tryClose(now time.Time) bool {
 	c.mu.Lock()
-	if !c.waiting || c.phase == phaseNew && now.Sub(c.acceptedAt) < firstByteTimeout || !sockets.IsQuiet(c.Conn) {
+	if !c.isIdle(now) {
 		c.mu.Unlock()
 		return false
 	}
@@ -266,6 +267,18 @@
 	return true
 }
 
+// isIdle reports whether no request is arriving or being answered. A new connection counts as idle only after
+// firstByteTimeout, because its caller opened it for a request. c.mu must be held.
+func (c *conn) isIdle(now time.Time) bool {
+	if !c.waiting || c.phase == phaseNew && now.Sub(c.acceptedAt) < firstByteTimeout {
+		return false
+	}
+	if n := c.unsent(); n > 0 && c.progress.stalledFor(n, now) < stallTimeout {
+		return false // the caller still receives the last answer
+	}
+	return sockets.IsQuiet(c.Conn)
+}
+
 // Close implements net.Conn. It lets the caller receive the last answer first, unless the whole server is closed.
 func (c *conn) Close() error {
 	if !c.isHijacked() {
--- a/graceful/linger.go
+++ b/graceful/linger.go
@@ -31,9 +31,9 @@
 		switch {
 		case err != nil || s.broken:
 			return
-		case !s.unread && (s.unsent == 0 || s.callerDone):
+		case !s.unread && (s.unconfirmed == 0 || s.callerDone):
 			return
-		case progress.stalledFor(s.unsent, now) >= s.patience():
+		case progress.stalledFor(s.unconfirmed, now) >= s.patience():
 			return
 		}
 		time.Sleep(interval)
@@ -48,39 +48,48 @@
 	return errors.ErrUnsupported
 }
 
-// sendProgress tells how long the amount of unsent bytes has been the same.
+// sendProgress tells how long the number of bytes that are left has been the same.
 type sendProgress struct {
-	unsent int
-	since  time.Time
+	bytes int
+	since time.Time
 }
 
-func (p *sendProgress) stalledFor(unsent int, now time.Time) time.Duration {
-	if p.since.IsZero() || unsent != p.unsent {
-		p.unsent, p.since = unsent, now
+func (p *sendProgress) stalledFor(bytes int, now time.Time) time.Duration {
+	if p.since.IsZero() || bytes != p.bytes {
+		p.bytes, p.since = bytes, now
 	}
 	return now.Sub(p.since)
 }
 
 // socketState is what the kernel knows about a connection.
 type socketState struct {
-	unsent     int  // bytes that the caller's side has not confirmed
-	unread     bool // bytes of the caller wait to be read
-	callerDone bool // the caller has closed its sending side
-	broken     bool
+	unconfirmed int  // bytes that the caller's side has not confirmed
+	unread      bool // bytes of the caller wait to be read
+	callerDone  bool // the caller has closed its sending side
+	broken      bool
 }
 
 // patience is how long to wait without progress.
 func (s socketState) patience() time.Duration {
-	if s.unsent > 0 {
+	if s.unconfirmed > 0 {
 		return stallTimeout
 	}
 	return callerCloseTimeout
 }
 
+// unsent returns the number of bytes that the kernel has yet to send; 0 if it does not tell. Those that the caller has
+// only to confirm don't count: it confirms the end of an answer with its next request.
+func (c *conn) unsent() int {
+	n := 0
+	// Errors mean that the kernel does not tell, or that the connection is closed.
+	_ = c.raw.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQNSD) })
+	return n
+}
+
 func (c *conn) socketState() (s socketState, err error) {
 	controlErr := c.raw.Control(func(fd uintptr) {
 		var unread int
-		s.unsent, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+		s.unconfirmed, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
 		if err != nil {
 			return
 		}
--- a/graceful/server_test.go
+++ b/graceful/server_test.go
@@ -162,7 +162,7 @@
 }
 
 // Guards against requests on kept-alive connections that get neither an answer nor a closed connection, or an answer
-// that is cut off, while the server stops.
+// that is cut off, while the server stops, and against a stop that takes busy connections for stalled ones.
 func TestShutdown_UnderLoad(t *testing.T) {
 	s, address := start(t, time.Millisecond)
 	results := make(chan error, 32)
@@ -171,7 +171,9 @@
 		go func() { results <- requestUntilClosed(c) }()
 	}
 	time.Sleep(50 * time.Millisecond)
+	begin := time.Now()
 	must.NoError(t, <-shutdown(t, s))
+	must.Less(t, stallTimeout, time.Since(begin))
 	for range cap(results) {
 		must.NoError(t, <-results)
 	}
@@ -360,6 +362,9 @@
 	}
 }
 
+// stallTimeout is how long the server waits for a caller that does not read.
+const stallTimeout = 2 * time.Second
+
 const lateness = 100 * time.Millisecond
 
 // lateListener accepts connections whose reads begin or return late, as on an instance without processor time.
@@ -589,3 +594,42 @@
 		}
 	}
 }
+
+// startAnswering starts a server with large answers, and returns it with a connection whose caller has yet to read the
+// first one.
+func startAnswering(t *testing.T, answer string) (*graceful.Server, net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	s := graceful.New(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, answer)
+	})})
+	serve(t, s, l)
+	c := dial(t, l.Addr().String())
+	must.NoError(t, c.(*net.TCPConn).SetReadBuffer(32<<10))
+	_, _ = fmt.Fprintf(c, head, "/first")
+	time.Sleep(50 * time.Millisecond)
+	return s, c
+}
+
+// Guards against a planned stop that takes a connection for idle whose caller still receives an answer, and cuts that
+// answer when the caller sends its next request.
+func TestShutdown_AnswerIsOnItsWay(t *testing.T) {
+	answer := strings.Repeat("answer  ", 32<<10)
+	s, c := startAnswering(t, answer)
+	done := shutdown(t, s)
+	time.Sleep(50 * time.Millisecond)
+	_, _ = fmt.Fprintf(c, head, "/second")
+	time.Sleep(50 * time.Millisecond)
+	r := bufio.NewReader(c)
+	receiveFrom(t, r, answer)
+	receiveFrom(t, r, answer)
+	must.NoError(t, <-done)
+}
+
+// Guards against a planned stop that waits to its end for a caller that does not read.
+func TestShutdown_CallerDoesNotRead(t *testing.T) {
+	t.Parallel()
+	s, _ := startAnswering(t, strings.Repeat("answer  ", 32<<10))
+	must.NoError(t, <-shutdown(t, s))
+}
