graceful: a planned stop looks once more for connections before it closes the listener

Callers saw: a request on a connection that was opened in the last moment of a planned stop was reset, at worst after 0.1 s in which the instance had no processor time. Cause: the listener was closed after Accept had found no connection, without a look at those that came since. Change: the listener is polled right before it is closed. A connection that the kernel accepts between that call and the next is still reset; nothing of it was read.

--- a/graceful/conn.go
+++ b/graceful/conn.go
@@ -37,13 +37,29 @@
 			return l.wrap(nc)
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			return nil, err
-		case draining && time.Since(start) >= acceptWindow:
-			// Accept has waited, so no connection was left. A deadline that passes before the call fails without a look.
+		case draining && time.Since(start) >= acceptWindow && !l.hasWaiting():
+			// Accept has waited. A deadline that passes before the call fails without a look.
 			return nil, errors.Join(net.ErrClosed, l.Close())
 		}
 	}
 }
 
+// hasWaiting reports whether a connection waits to be accepted, such as one opened while the instance had no processor
+// time.
+func (l *listener) hasWaiting() bool {
+	sc, ok := l.deadlineListener.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) { n, _ = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0) })
+	return err == nil && n > 0
+}
+
 func (l *listener) wrap(nc net.Conn) (net.Conn, error) {
 	sc, ok := nc.(syscall.Conn)
 	if !ok {
--- a/graceful/server_test.go
+++ b/graceful/server_test.go
@@ -633,3 +633,29 @@
 	s, _ := startAnswering(t, strings.Repeat("answer  ", 32<<10))
 	must.NoError(t, <-shutdown(t, s))
 }
+
+// tardyListener returns late from the calls of Accept that found no connection.
+type tardyListener struct{ *net.TCPListener }
+
+func (l tardyListener) Accept() (net.Conn, error) {
+	c, err := l.TCPListener.Accept()
+	if err != nil {
+		time.Sleep(lateness)
+	}
+	return c, err
+}
+
+// Guards against a request that is cut off because its connection was opened just before the listener was closed.
+func TestShutdown_ConnectionAtLastMoment(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	s := graceful.New(&http.Server{Handler: echo(0)})
+	serve(t, s, tardyListener{l.(*net.TCPListener)})
+	time.Sleep(20 * time.Millisecond)
+	done := shutdown(t, s)
+	time.Sleep(lateness * 3 / 2) // Accept has looked for the last time
+	c := dial(t, l.Addr().String())
+	_, _ = fmt.Fprintf(c, head, "/x")
+	receive(t, c, "/x")
+	must.NoError(t, <-done)
+}
