forward: an empty stream without a length may be a crash

What callers saw: a stream that has neither a length nor chunks and whose worker crashes before the first event came out as a complete answer without events, and the crash accused no prompt block. Change: such an end is reported like a broken connection; whether the endpoint still runs decides. What the caller gets is unchanged. Evidence: TestServe_ReportsToSuspects/empty_and_unframed failed ("expected equality": no loss reported) and passes; its other cases and TestServe_RefusedBlock pass with and without the change. forward passes with -race.

--- a/forward/suspect.go
+++ b/forward/suspect.go
@@ -57,9 +57,18 @@
 	s := r.f.cfg.Suspects
 	switch {
 	case s == nil || r.pendingMove != nil || e.IsLeaving():
-	case out.end == lost && !errors.Is(out.err, progress.ErrStalled) && !errors.Is(out.err, progress.ErrTooLong):
+	case r.mayHaveCrashed(out):
 		s.RecordLost(e, Loss{Fingerprint: r.fingerprint(), Sent: r.sentAt, Begun: r.begun, Shared: r.sharedBlocks()})
 	case out.end == answered && s.Any():
 		s.RecordAnswered(r.fingerprint())
 	}
 }
+
+// mayHaveCrashed reports whether an attempt ended as it does when its endpoint crashes. A stream that has neither a length
+// nor chunks seems complete when its endpoint crashes before the first event.
+func (r *exchange) mayHaveCrashed(out *outcome) bool {
+	if out.end == lost {
+		return !errors.Is(out.err, progress.ErrStalled) && !errors.Is(out.err, progress.ErrTooLong)
+	}
+	return out.end == answered && out.delivered && r.req.Prompt != nil && !r.begun
+}
