graceful: a lowered header timeout holds for the headers that begin afterwards

Callers saw: a request whose header was on its way when the configuration lowered its limit was cut by the new limit. Cause: the limit was looked up at each read of a header. Change: it is never less than the one in force when the header began, as that of idle connections. The rest of a header is now sent in two pieces in all cases.

--- a/graceful/conn.go
+++ b/graceful/conn.go
@@ -93,15 +93,15 @@
 	server     *Server
 	acceptedAt time.Time
 
-	mu          sync.Mutex
-	state       http.ConnState
-	phase       phase
-	phaseBegan  time.Time     // set for phaseHeader and phaseIdle
-	idleTimeout time.Duration // in force when phaseIdle began
-	bufferSize  int           // of net/http's reader
-	waiting     bool          // the server waits for the first byte of a request
-	closed      bool          // closed because it was idle
-	progress    sendProgress  // used during a shutdown
+	mu         sync.Mutex
+	state      http.ConnState
+	phase      phase
+	phaseBegan time.Time     // set for phaseHeader and phaseIdle
+	timeout    time.Duration // in force when that phase began
+	bufferSize int           // of net/http's reader
+	waiting    bool          // the server waits for the first byte of a request
+	closed     bool          // closed because it was idle
+	progress   sendProgress  // used during a shutdown
 }
 
 // Read implements net.Conn.
@@ -177,22 +177,22 @@
 	return n, err, true
 }
 
-// readLimit returns when the bytes that the server waits for have to arrive, and the zero time if there is no limit. The
-// limit of an idle connection is never less than the one in force when its caller got the last answer.
+// readLimit returns when the bytes that the server waits for have to arrive, and the zero time if there is no limit. A
+// timeout is never less than the one in force when the wait began.
 func (c *conn) readLimit() time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	switch idle := c.server.idleTimeout(); c.phase {
-	case phaseNew:
-		return limitAfter(c.acceptedAt, max(idle, c.server.http.ReadHeaderTimeout))
-	case phaseIdle:
-		if idle <= 0 || c.idleTimeout <= 0 {
-			return time.Time{}
-		}
-		return limitAfter(c.phaseBegan, max(idle, c.idleTimeout))
-	default:
-		return limitAfter(c.phaseBegan, c.server.headerTimeout())
+	timeout := c.server.headerTimeout()
+	if c.phase != phaseHeader {
+		timeout = c.server.idleTimeout()
 	}
+	if c.phase == phaseNew {
+		return limitAfter(c.acceptedAt, max(timeout, c.server.http.ReadHeaderTimeout))
+	}
+	if timeout <= 0 || c.timeout <= 0 {
+		return time.Time{}
+	}
+	return limitAfter(c.phaseBegan, max(timeout, c.timeout))
 }
 
 // limitAfter returns the time at which a timeout passes, and the zero time for no timeout.
@@ -241,7 +241,7 @@
 	c.mu.Lock()
 	switch c.phase {
 	case phaseAnswered:
-		c.phase, c.phaseBegan, c.idleTimeout = phaseIdle, time.Now(), c.server.idleTimeout()
+		c.begin(phaseIdle, c.server.idleTimeout())
 		c.progress = sendProgress{}
 	case phaseIdle:
 		c.beginHeader()
@@ -254,7 +254,11 @@
 }
 
 // beginHeader records that a request has begun. c.mu must be held.
-func (c *conn) beginHeader() { c.phase, c.phaseBegan = phaseHeader, time.Now() }
+func (c *conn) beginHeader() { c.begin(phaseHeader, c.server.headerTimeout()) }
+
+func (c *conn) begin(p phase, timeout time.Duration) {
+	c.phase, c.phaseBegan, c.timeout = p, time.Now(), timeout
+}
 
 // recordState records a state that net/http reports.
 func (c *conn) recordState(state http.ConnState) {
--- a/graceful/server.go
+++ b/graceful/server.go
@@ -25,7 +25,8 @@
 // Server is an HTTP server. Use New.
 type Server struct {
 	// HeaderTimeout returns the time in which the header of a request has to arrive once its first byte has; 0: no limit;
-	// nil: the ReadHeaderTimeout of the http.Server. It may change while the server runs.
+	// nil: the ReadHeaderTimeout of the http.Server. It may change while the server runs; a lower value holds for
+	// the headers that begin afterwards.
 	HeaderTimeout func() time.Duration
 	// IdleTimeout returns the time after which a connection without a request is closed; 0: no limit; nil: the
 	// IdleTimeout of the http.Server. It may change while the server runs; a lower value holds from the next answer on
--- a/graceful/server_test.go
+++ b/graceful/server_test.go
@@ -482,20 +482,21 @@
 }
 
 // Guards against a header timeout that closes a connection whose header has arrived, because the server was late in
-// reading it, or because the limit was raised meanwhile, and against one that spares a header in the reader's buffer.
+// reading it, or because the limit was changed meanwhile, and against one that spares a header in the reader's buffer.
 func TestServe_HeaderAtItsTimeout(t *testing.T) {
 	request := fmt.Sprintf(head, "/x")
 	for name, test := range map[string]struct {
-		first, rest string // the rest follows after half of lateness
+		first, rest string // the rest follows in two pieces after half of lateness
 		late        bool   // reads return late
 		timeout     time.Duration
-		raised      time.Duration // later limit
+		changed     time.Duration // limit after a fifth of lateness
 		want        int           // answers
 		stays       bool          // the connection stays open
 	}{
 		"complete, read late":     {first: request, late: true, timeout: lateness / 2, want: 1, stays: true},
 		"rest waits, read late":   {first: request[:9], rest: request[9:], late: true, timeout: lateness * 3 / 4, want: 1, stays: true},
-		"limit raised":            {first: request[:9], rest: request[9:], timeout: lateness * 2 / 5, raised: time.Second, want: 1, stays: true},
+		"limit raised":            {first: request[:9], rest: request[9:], timeout: lateness * 2 / 5, changed: time.Second, want: 1, stays: true},
+		"limit lowered":           {first: request[:9], rest: request[9:], timeout: time.Minute, changed: 1, want: 1, stays: true},
 		"too late":                {first: request[:9], rest: request[9:], timeout: lateness / 4},
 		"behind another":          {first: request + request[:9], timeout: lateness / 2, want: 1},
 		"byte behind another":     {first: request + request[:1], timeout: lateness / 2, want: 1},
@@ -521,11 +522,13 @@
 			begin := time.Now()
 			_, _ = io.WriteString(c, test.first)
 			time.Sleep(lateness / 5)
-			if test.raised > 0 {
-				timeout.Store(int64(test.raised))
+			if test.changed > 0 {
+				timeout.Store(int64(test.changed))
 			}
 			time.Sleep(lateness/2 - time.Since(begin))
-			_, _ = io.WriteString(c, test.rest)
+			_, _ = io.WriteString(c, test.rest[:len(test.rest)/2])
+			time.Sleep(lateness / 5)
+			_, _ = io.WriteString(c, test.rest[len(test.rest)/2:])
 			r := bufio.NewReader(c)
 			for range test.want {
 				receiveFrom(t, r, "/x")
