--- a/graceful/server_test.go
+++ b/graceful/server_test.go
@@ -40,15 +40,31 @@
 }
 
 func startGated(t *testing.T, work time.Duration, gate <-chan struct{}, change ...func(*graceful.Server)) (*graceful.Server, string) {
+	t.Helper()
+	wrap := func(l *net.TCPListener) net.Listener { return &gatedListener{l, gate} }
+	return startServer(t, &http.Server{Handler: echo(work)}, wrap, change...)
+}
+
+// startServer starts a server on a listener that wrap may change, unless it is nil.
+func startServer(t *testing.T, hs *http.Server, wrap func(*net.TCPListener) net.Listener, change ...func(*graceful.Server)) (*graceful.Server, string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
-	s := graceful.New(&http.Server{Handler: echo(work)})
+	address := l.Addr().String()
+	if wrap != nil {
+		l = wrap(l.(*net.TCPListener))
+	}
+	s := graceful.New(hs)
 	for _, c := range change {
 		c(s)
 	}
-	serve(t, s, &gatedListener{l.(*net.TCPListener), gate})
-	return s, l.Addr().String()
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(l) }()
+	t.Cleanup(func() {
+		_ = s.Close()
+		must.NoError(t, <-done)
+	})
+	return s, address
 }
 
 // echo returns a handler that answers with the path of the request.
@@ -59,16 +75,6 @@
 	})
 }
 
-func serve(t *testing.T, s *graceful.Server, l net.Listener) {
-	t.Helper()
-	done := make(chan error, 1)
-	go func() { done <- s.Serve(l) }()
-	t.Cleanup(func() {
-		_ = s.Close()
-		must.NoError(t, <-done)
-	})
-}
-
 func shutdown(t *testing.T, s *graceful.Server) <-chan error {
 	t.Helper()
 	done := make(chan error, 1)
@@ -373,6 +379,10 @@
 	before, after time.Duration
 }
 
+func late(before, after time.Duration) func(*net.TCPListener) net.Listener {
+	return func(l *net.TCPListener) net.Listener { return lateListener{l, before, after} }
+}
+
 func (l lateListener) Accept() (net.Conn, error) {
 	c, err := l.AcceptTCP()
 	return lateConn{c, l}, err
@@ -410,11 +420,8 @@
 
 // Guards against a planned stop that takes a connection for idle when a request was read from its socket just before.
 func TestShutdown_RequestJustRead(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	s := graceful.New(&http.Server{Handler: echo(0)})
-	serve(t, s, lateListener{TCPListener: l.(*net.TCPListener), after: lateness})
-	c := dial(t, l.Addr().String())
+	s, address := startServer(t, &http.Server{Handler: echo(0)}, late(0, lateness))
+	c := dial(t, address)
 	_, _ = fmt.Fprintf(c, head, "/first")
 	receive(t, c, "/first")
 	time.Sleep(2 * lateness) // the server is ready for the next request
@@ -441,16 +448,13 @@
 			t.Run(fmt.Sprintf("%s, stopping %t", name, stopping), func(t *testing.T) {
 				t.Parallel()
 				var runs atomic.Int32
-				l, err := net.Listen("tcp", "127.0.0.1:0")
-				must.NoError(t, err)
-				s := graceful.New(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				s, address := startServer(t, &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 					runs.Add(1)
 					time.Sleep(50 * time.Millisecond)
 					w.Header().Set("Connection", "close")
 					_, _ = io.WriteString(w, answer)
-				})})
-				serve(t, s, l)
-				c := dial(t, l.Addr().String())
+				})}, nil)
+				c := dial(t, address)
 				must.NoError(t, c.(*net.TCPConn).SetReadBuffer(32<<10))
 				_, _ = fmt.Fprintf(c, head+"%s", "/first", test.with)
 				time.Sleep(20 * time.Millisecond)
@@ -486,15 +490,15 @@
 func TestServe_HeaderAtItsTimeout(t *testing.T) {
 	request := fmt.Sprintf(head, "/x")
 	for name, test := range map[string]struct {
-		first, rest string // the rest follows in two pieces after half of lateness
-		late        bool   // reads return late
+		first, rest string        // the rest follows in two pieces after half of lateness
+		late        time.Duration // reads return that late
 		timeout     time.Duration
 		changed     time.Duration // limit after a fifth of lateness
 		want        int           // answers
 		stays       bool          // the connection stays open
 	}{
-		"complete, read late":     {first: request, late: true, timeout: lateness / 2, want: 1, stays: true},
-		"rest waits, read late":   {first: request[:9], rest: request[9:], late: true, timeout: lateness * 3 / 4, want: 1, stays: true},
+		"complete, read late":     {first: request, late: lateness, timeout: lateness / 2, want: 1, stays: true},
+		"rest waits, read late":   {first: request[:9], rest: request[9:], late: lateness, timeout: lateness * 3 / 4, want: 1, stays: true},
 		"limit raised":            {first: request[:9], rest: request[9:], timeout: lateness * 2 / 5, changed: time.Second, want: 1, stays: true},
 		"limit lowered":           {first: request[:9], rest: request[9:], timeout: time.Minute, changed: 1, want: 1, stays: true},
 		"too late":                {first: request[:9], rest: request[9:], timeout: lateness / 4},
@@ -508,17 +512,12 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			must.NoError(t, err)
 			var timeout atomic.Int64
 			timeout.Store(int64(test.timeout))
-			s := graceful.New(&http.Server{Handler: echo(lateness)})
-			s.HeaderTimeout = func() time.Duration { return time.Duration(timeout.Load()) }
-			if test.late {
-				l = lateListener{TCPListener: l.(*net.TCPListener), after: lateness}
-			}
-			serve(t, s, l)
-			c := dial(t, l.Addr().String())
+			_, address := startServer(t, &http.Server{Handler: echo(lateness)}, late(0, test.late), func(s *graceful.Server) {
+				s.HeaderTimeout = func() time.Duration { return time.Duration(timeout.Load()) }
+			})
+			c := dial(t, address)
 			begin := time.Now()
 			_, _ = io.WriteString(c, test.first)
 			time.Sleep(lateness / 5)
@@ -534,7 +533,7 @@
 				receiveFrom(t, r, "/x")
 			}
 			must.NoError(t, c.SetDeadline(time.Now().Add(2*lateness)))
-			_, err = r.ReadByte()
+			_, err := r.ReadByte()
 			must.Eq(t, test.stays, errors.Is(err, os.ErrDeadlineExceeded), must.Sprint(err))
 		})
 	}
@@ -542,11 +541,9 @@
 
 // Guards against a request that is lost because the server, which is late, looks at the time before it looks for bytes.
 func TestServe_RequestAtIdleTimeout(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	s := graceful.New(&http.Server{Handler: echo(0), IdleTimeout: lateness / 2, ReadHeaderTimeout: lateness / 2})
-	serve(t, s, lateListener{TCPListener: l.(*net.TCPListener), before: lateness})
-	c := dial(t, l.Addr().String())
+	hs := &http.Server{Handler: echo(0), IdleTimeout: lateness / 2, ReadHeaderTimeout: lateness / 2}
+	_, address := startServer(t, hs, late(lateness, 0))
+	c := dial(t, address)
 	for _, path := range []string{"/first", "/second"} {
 		_, _ = fmt.Fprintf(c, head, path)
 		receive(t, c, path)
@@ -602,13 +599,10 @@
 // first one.
 func startAnswering(t *testing.T, answer string) (*graceful.Server, net.Conn) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	s := graceful.New(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	s, address := startServer(t, &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = io.WriteString(w, answer)
-	})})
-	serve(t, s, l)
-	c := dial(t, l.Addr().String())
+	})}, nil)
+	c := dial(t, address)
 	must.NoError(t, c.(*net.TCPConn).SetReadBuffer(32<<10))
 	_, _ = fmt.Fprintf(c, head, "/first")
 	time.Sleep(50 * time.Millisecond)
@@ -650,14 +644,11 @@
 
 // Guards against a request that is cut off because its connection was opened just before the listener was closed.
 func TestShutdown_ConnectionAtLastMoment(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	s := graceful.New(&http.Server{Handler: echo(0)})
-	serve(t, s, tardyListener{l.(*net.TCPListener)})
+	s, address := startServer(t, &http.Server{Handler: echo(0)}, func(l *net.TCPListener) net.Listener { return tardyListener{l} })
 	time.Sleep(20 * time.Millisecond)
 	done := shutdown(t, s)
 	time.Sleep(lateness * 3 / 2) // Accept has looked for the last time
-	c := dial(t, l.Addr().String())
+	c := dial(t, address)
 	_, _ = fmt.Fprintf(c, head, "/x")
 	receive(t, c, "/x")
 	must.NoError(t, <-done)
