--- a/soak/checks.go
+++ b/soak/checks.go
@@ -63,7 +63,7 @@
 	all = append(all, e.checkDeadlyBlocks(attempts, runs)...)
 	all = append(all, e.checkFull(attempts)...)
 	all = append(all, e.checkNewEndpoints(attempts)...)
-	all = append(all, e.checkQuota()...)
+	all = append(all, e.checkQuota(attempts)...)
 	all = append(all, e.checkBudget()...)
 	all = append(all, e.checkEnd()...)
 	slices.SortStableFunc(all, func(a, b Breach) int { return a.At.Compare(b.At) })
@@ -132,11 +132,12 @@
 
 // checkPlannedStop finds requests that were interrupted during planned work, without any fault from settleTime before
 // them to their end. A request that was sent while its connection was being closed, and that didn't run, doesn't count, nor
-// does one behind a response that ended its connection.
+// does one behind a response that ended its connection, or one that has reached its route's timeout.
 func (e *Evidence) checkPlannedStop(a *Attempt, runs []standin.PlatformRun) []Breach {
 	closeRace := a.Status == 0 && len(runs) == 0 && a.Ended.Sub(a.Sent) <= closeRaceTime
 	unowed := a.Unowed && len(runs) == 0
-	if a.Complete || closeRace || unowed {
+	timedOut := a.duration() >= standin.PlatformRouteTimeout
+	if a.Complete || closeRace || unowed || timedOut {
 		return nil
 	}
 	unplanned := func(s FaultSpan) bool { return !s.Planned }
@@ -165,28 +166,32 @@
 }
 
 // checkQuota finds a window in which the workspace PlatformLimitedWorkspace used more than its quota plus the
-// tolerance.
-func (e *Evidence) checkQuota() []Breach {
+// tolerance. A request counts in a window in which it is both sent and arrives at an endpoint.
+func (e *Evidence) checkQuota(attempts map[string]*Attempt) []Breach {
 	var tight []standin.PlatformRun
-	for _, r := range e.Runs {
-		if r.Workspace() == standin.PlatformLimitedWorkspace && !r.Moved() && !r.Continues() {
+	seen := map[string]bool{} // by request ID; a repeat is not counted again
+	runs := slices.SortedFunc(slices.Values(e.Runs), func(a, b standin.PlatformRun) int { return a.At.Compare(b.At) })
+	for _, r := range runs {
+		if r.Workspace() == standin.PlatformLimitedWorkspace && !r.Moved() && !r.Continues() && !seen[r.ID] {
+			seen[r.ID] = true
 			tight = append(tight, r)
 		}
 	}
-	slices.SortFunc(tight, func(a, b standin.PlatformRun) int { return a.At.Compare(b.At) })
 	allowed := (standin.PlatformLimitedRate*quotaWindow.Seconds()+standin.PlatformLimitedRate)*1.1 + standin.PlatformQuotaSlack
-	seen := map[string]bool{} // by request ID; a repeat is not counted again
-	sum, first := 0.0, 0
-	for _, r := range tight {
-		if seen[r.ID] {
-			continue
+	first := 0
+	for i, last := range tight {
+		start := last.At.Add(-quotaWindow)
+		for tight[first].At.Before(start) {
+			first++
 		}
-		seen[r.ID] = true
-		for sum += r.Cost(); r.At.Sub(tight[first].At) > quotaWindow; first++ {
-			sum -= tight[first].Cost()
+		sum := 0.0
+		for _, r := range tight[first : i+1] {
+			if a := attempts[r.ID]; a == nil || !a.Sent.Before(start) {
+				sum += r.Cost()
+			}
 		}
 		if sum > allowed {
-			return breach("workspace quota", r.At, "workspace %s used %.0f of %.0f tokens in %s", standin.PlatformLimitedWorkspace, sum, allowed, quotaWindow)
+			return breach("workspace quota", last.At, "workspace %s used %.0f of %.0f tokens in %s", standin.PlatformLimitedWorkspace, sum, allowed, quotaWindow)
 		}
 	}
 	return nil
--- a/soak/evidence.go
+++ b/soak/evidence.go
@@ -16,11 +16,22 @@
 	Status   int    // 0: no response header arrived
 	Body     string // possibly incomplete
 	Complete bool   // the response body was received to its end
-	Unowed   bool   // the response before it on its connection said that the connection ends
+	// Turn is when the response before it on its connection ended; zero: it was sent after that.
+	Turn time.Time
+	// Unowed is set if the response before it on its connection broke off or said that the connection ends.
+	Unowed bool
 }
 
 func (a *Attempt) isRepeatable() bool { return a.Call.Route != "book" && a.Call.Route != "chat" }
 
+// duration returns the time that the request took, without the wait for its turn on its connection.
+func (a *Attempt) duration() time.Duration {
+	if a.Turn.After(a.Sent) {
+		return a.Ended.Sub(a.Turn)
+	}
+	return a.Ended.Sub(a.Sent)
+}
+
 // isRefusal reports whether the status guarantees that the request has not run and never will.
 func (a *Attempt) isRefusal() bool {
 	return a.Status == 408 || a.Status == 421 || a.Status == 429 || a.Status == 503
--- a/soak/pipeline.go
+++ b/soak/pipeline.go
@@ -62,15 +62,16 @@
 	sent := time.Now()
 	readable := p.send(segment.Bytes()) == nil
 	reusable, unowed := readable, false
+	var turn time.Time
 	for n, call := range calls {
-		a := Attempt{Call: call, Instance: p.target.machine.Name, Sent: sent, Unowed: unowed}
+		a := Attempt{Call: call, Instance: p.target.machine.Name, Sent: sent, Turn: turn, Unowed: unowed}
 		last := false
 		if readable {
 			last = p.readResponse(requests[n], &a)
-			unowed = a.Complete && last
 			readable = a.Complete && !last
 		}
 		a.Ended = time.Now()
+		turn, unowed = a.Ended, !a.Complete || last
 		p.env.evidence.addAttempt(a)
 		reusable = reusable && !last && !a.endsVisit()
 	}
