--- a/standin/platformfaults.go
+++ b/standin/platformfaults.go
@@ -164,7 +164,7 @@
 		if err != nil {
 			return true
 		}
-		u.recordRequest(next, body, u.leaving.Load())
+		u.recordRequest(next, body, time.Now(), u.leaving.Load())
 		if _, err := io.WriteString(conn, refusal); err != nil {
 			return true
 		}
@@ -272,7 +272,7 @@
 		if err != nil || isStream(next) {
 			return // the connection closes without an answer to a request of another kind
 		}
-		u.recordRequest(next, sent, u.leaving.Load())
+		u.recordRequest(next, sent, time.Now(), u.leaving.Load())
 		req, body = next, int64(len(sent))
 	}
 }
--- a/standin/platformworker.go
+++ b/standin/platformworker.go
@@ -120,6 +120,7 @@
 	if err != nil {
 		return
 	}
+	arrived := time.Now()
 	if u.pausesBeforeHead(r) {
 		u.awaitPause()
 	}
@@ -149,7 +150,7 @@
 		return
 	}
 	h.Set("X-Trefoillug-Response-Seal", "seal."+u.ID)
-	u.recordRequest(r, body, leaving)
+	u.recordRequest(r, body, arrived, leaving)
 	if u.serveFault(w, r) {
 		return
 	}
@@ -200,9 +201,9 @@
 	return fmt.Sprintf("%s %s %d", u.ID, r.RequestURI, bodyBytes)
 }
 
-func (u *PlatformWorker) recordRequest(r *http.Request, body []byte, leaving bool) {
+func (u *PlatformWorker) recordRequest(r *http.Request, body []byte, arrived time.Time, leaving bool) {
 	run := PlatformRun{
-		ID: r.Header.Get("X-Trefoillug-Attempt-Id"), Worker: u.ID, At: time.Now(), Header: r.Header.Clone(), URI: r.RequestURI, Body: string(body),
+		ID: r.Header.Get("X-Trefoillug-Attempt-Id"), Worker: u.ID, At: arrived, Header: r.Header.Clone(), URI: r.RequestURI, Body: string(body),
 		Leaving: leaving,
 	}
 	u.mu.Lock()
