forward: a moved run that its new endpoint rejects is offered again

Cause: the reference to the moved run was dropped before the answer to its continuation was known. Same class as the stalled attempts: what was held is released before its replacement is secured. Now a rejected or unreached continuation is offered again, by turns to the endpoint that stopped the run and to the new one, at most three times and within the retry budget.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -107,9 +107,14 @@
 	stopTimer := r.startAnswerTimer(cancel)
 	relocation, stop := r.relocate(ctx, e)
 	defer stop()
+	move := r.pendingMove
 	defer func() {
-		if !out.delivered {
-			r.pendingMove = relocation.result()
+		if out.delivered {
+			return
+		}
+		r.pendingMove = relocation.result()
+		if out.end == rejected || out.end == unreachable {
+			r.pendingMove = move.afterRejection()
 		}
 	}()
 	call := r.call(ctx, e)
@@ -277,7 +282,7 @@
 	r.reportToVersions(e, out)
 	r.reportToSuspects(e, out)
 	r.f.cfg.Metrics.countAttempt(out.end)
-	if r.pendingMove == nil && (out.end != answered || out.answer != nil) {
+	if (r.pendingMove == nil || r.pendingMove.rejections > 0) && (out.end != answered || out.answer != nil) {
 		r.log.WithError(out.err).WithFields(logrus.Fields{
 			"route": r.route.Name, "endpoint": e.ID, "end": out.end.String(), "arrivals": r.arrivals, "ms": time.Since(r.req.Arrived).Milliseconds(),
 		}).Info("attempt delivered no answer")
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -51,6 +51,9 @@
 // choose picks an endpoint. If none is available, it waits for one up to endpointWait.
 func (r *exchange) choose(ctx context.Context) (*fleet.Endpoint, *Refusal) {
 	if r.pendingMove != nil {
+		if r.pendingMove.rejections > 0 {
+			pause(ctx, moveRetryDelay)
+		}
 		r.admission = fleet.Admission{}
 		return r.pendingMove.endpoint(time.Now()), nil
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -353,7 +353,8 @@
 	if r.successor.Take() {
 		return nil
 	}
-	if r.pendingMove == nil && out.reached && !r.f.cfg.RetryBudget.AcquireRetry(r.service.Name) {
+	isMove := r.pendingMove != nil && r.pendingMove.rejections == 0 // which is not a repeat
+	if !isMove && out.reached && !r.f.cfg.RetryBudget.AcquireRetry(r.service.Name) {
 		r.log.WithField("service", r.service.Name).Info("no repeat: the retry budget is used up")
 		return errBudget
 	}
--- a/forward/relocate.go
+++ b/forward/relocate.go
@@ -30,18 +30,34 @@
 	// moveRetryDelay is the pause before another try to move a run that had not begun or for which no endpoint had
 	// capacity.
 	moveRetryDelay = 120 * time.Millisecond
+	// maxMoveRejections bounds the rejections after which a moved run is offered to an endpoint again.
+	maxMoveRejections = 3
 )
 
 // moveResult says where a moved run continues.
 type moveResult struct {
-	from *fleet.Endpoint
-	to   *fleet.Endpoint
-	ref  string // see Mover.Move
+	from       *fleet.Endpoint
+	to         *fleet.Endpoint
+	ref        string // see Mover.Move
+	rejections int    // attempts to continue the run that an endpoint has rejected, or that reached none
+}
+
+// afterRejection returns the move with one more rejection, and nil if the run is to be given up. m may be nil.
+func (m *moveResult) afterRejection() *moveResult {
+	if m == nil || m.rejections >= maxMoveRejections {
+		return nil
+	}
+	again := *m
+	again.rejections++
+	return &again
 }
 
 // endpoint returns where the run continues at a time. The endpoint that has stopped it keeps its memory, and gets it back
-// if the other one wants no requests.
+// if the other one has rejected it or wants no requests.
 func (m *moveResult) endpoint(now time.Time) *fleet.Endpoint {
+	if m.rejections%2 == 1 && m.from.PausedUntil(now).IsZero() {
+		return m.from
+	}
 	if !m.to.PausedUntil(now).IsZero() && m.from.PausedUntil(now).IsZero() {
 		return m.from
 	}
--- a/forward/serve_test.go
+++ b/forward/serve_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -188,10 +189,17 @@
 // Guards against a run that stops at a leaving endpoint and is not continued, also when no other endpoint has capacity
 // for it.
 func TestServe_StoppedRunGoesOn(t *testing.T) {
-	for name, moveErr := range map[string]error{"moved": nil, "no capacity anywhere": problem.New(problem.Overloaded, "no room")} {
+	for name, c := range map[string]struct {
+		moveErr    error
+		rejections int32 // of the moved run
+	}{
+		"moved": {}, "no capacity anywhere": {moveErr: problem.New(problem.Overloaded, "no room")},
+		"rejected once": {rejections: 1}, "rejected three times": {rejections: 3},
+	} {
 		t.Run(name, func(t *testing.T) {
 			stopped := make(chan struct{})
-			m := &mover{err: moveErr, ref: "ref"}
+			m := &mover{err: c.moveErr, ref: "ref"}
+			var rejected atomic.Int32
 			var once bool
 			m.stop = func() {
 				if !once {
@@ -201,6 +209,10 @@
 			}
 			began := make(chan string, 1)
 			w := newHarness(t, 3, func(a *arrival) {
+				if a.after != "" && rejected.Add(1) <= c.rejections {
+					a.reply(http.StatusServiceUnavailable, "", "Not-Run", "1")
+					return
+				}
 				a.stream()
 				if a.after == "" {
 					a.chunk(event(1))
