graceful: a caller who reads slowly keeps a connection that waits to be closed for 30 s at most

Cause: such a connection was kept as long as its caller confirmed a byte every 2 s. Change: a bound of 30 s, without a test of its own. The package comment names requests that net/http has buffered. Measured: go test -race -count=3 ./graceful passes.

--- a/graceful/conn.go
+++ b/graceful/conn.go
@@ -323,6 +323,7 @@
 // report tells the owner of the server that the connection is closed. c.mu must be held.
 func (c *conn) report(why Reason) {
 	if c.server.OnClose != nil {
-		c.server.OnClose(Closing{Reason: why, State: c.state, Begun: c.phase == phaseHeader || c.phase == phaseRequest, Caller: c.RemoteAddr().String()})
+		begun := c.phase == phaseHeader || c.phase == phaseRequest
+		c.server.OnClose(Closing{Reason: why, State: c.state, Begun: begun, Caller: c.RemoteAddr().String()})
 	}
 }
--- a/graceful/linger.go
+++ b/graceful/linger.go
@@ -16,6 +16,8 @@
 	callerCloseTimeout = 500 * time.Millisecond
 	// stallTimeout is the time without any progress after which a caller no longer counts as reading.
 	stallTimeout = 2 * time.Second
+	// maxLinger bounds the time that a caller who reads slowly keeps a connection that waits to be closed.
+	maxLinger = 30 * time.Second
 )
 
 // linger ends the sending side of the connection and returns when closing the rest loses no part of an answer. The
@@ -24,7 +26,7 @@
 	if err := c.CloseWrite(); err != nil {
 		return // closed by the caller
 	}
-	progress := sendProgress{}
+	begin, progress := time.Now(), sendProgress{}
 	for interval := minLingerInterval; !c.server.closing.Load(); interval = min(2*interval, maxLingerInterval) {
 		s, err := c.socketState()
 		now := time.Now()
@@ -33,7 +35,7 @@
 			return
 		case !s.unread && (s.unconfirmed == 0 || s.callerDone):
 			return
-		case progress.stalledFor(s.unconfirmed, now) >= s.patience():
+		case progress.stalledFor(s.unconfirmed, now) >= s.patience(), now.Sub(begin) >= maxLinger:
 			return
 		}
 		time.Sleep(interval)
--- a/graceful/server.go
+++ b/graceful/server.go
@@ -1,5 +1,6 @@
 // Package graceful runs HTTP servers that lose no request when they are shut down. In contrast to Server.Shutdown of
-// net/http, it serves connections that still wait to be accepted, and requests whose header has arrived in part.
+// net/http, it serves connections that still wait to be accepted, requests whose header has arrived in part, and those
+// that net/http has buffered behind another.
 package graceful
 
 import (
