forward: a stalled stream is no crash of its endpoint

The error of a stalled stream was that of our own close, so that the endpoint was suspected of a crash, the log said "stalled: false" and its idle connections were kept. Found in review; TestServe_StallIsNoCrash failed (one loss recorded). The error now names the stall.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -248,7 +248,11 @@
 	if out.reached {
 		r.mayHaveRun = true
 	}
-	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), progress.ErrStalled) {
+	switch {
+	case ctx.Err() == nil:
+	case errors.Is(context.Cause(ctx), progress.ErrStalled):
+		out.err = errors.Join(progress.ErrStalled, err)
+	default:
 		out.end = ended
 	}
 	return out
--- a/forward/silent_test.go
+++ b/forward/silent_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/trefoillug/trefoillug/forward"
 )
 
 // silence exceeds the time without progress after which another endpoint is tried.
@@ -100,3 +102,22 @@
 	must.NoError(t, got.broken)
 	must.Eq(t, event(1)+event(2), got.body.String())
 }
+
+// Guards against an endpoint that fell silent and is suspected to have crashed.
+func TestServe_StallIsNoCrash(t *testing.T) {
+	s := &suspects{}
+	w := newHarness(t, 2, func(a *arrival) {
+		a.stream()
+		if a.after == "" {
+			a.chunk(event(1))
+			<-a.connClosed
+			return
+		}
+		a.chunk(event(2))
+		a.end()
+	}, func(cfg *forward.Config) { cfg.Suspects = s })
+	w.table.Routes[3].Timeout = 3 * time.Second
+	got := w.sendPrompt(t.Context(), "resume", promptWith("shared"))
+	must.NoError(t, got.broken)
+	must.SliceEmpty(t, s.losses)
+}
