forward: a stalled attempt is not given up while its prompt is refused

The retry was granted, the attempt cancelled, and the check for refused prompt blocks then cut the stream. Found in review; TestServe_StalledThenQuarantined failed ("use of closed network connection"). The check now comes before the attempt is given up.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -178,7 +178,7 @@
 // has been acquired from the retry budget.
 func (r *exchange) mayAbandon() bool {
 	return r.successor.Acquire(func() bool {
-		return r.route.MayRepeat() && r.runs+1 < r.route.MaxAttempts && r.hasAccepting(time.Now()) &&
+		return r.route.MayRepeat() && r.runs+1 < r.route.MaxAttempts && r.checkQuarantine() == nil && r.hasAccepting(time.Now()) &&
 			r.f.cfg.RetryBudget.AcquireRetry(r.service.Name)
 	})
 }
--- a/forward/silent_test.go
+++ b/forward/silent_test.go
@@ -5,12 +5,14 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
 	"github.com/trefoillug/trefoillug/forward"
+	"github.com/trefoillug/trefoillug/placement"
 )
 
 // silence exceeds the time without progress after which another endpoint is tried.
@@ -121,3 +123,23 @@
 	must.NoError(t, got.broken)
 	must.SliceEmpty(t, s.losses)
 }
+
+// quarantineFlip refuses each prompt block once refused is set.
+type quarantineFlip struct {
+	suspects
+	refused atomic.Bool
+}
+
+func (s *quarantineFlip) RefusedBlock(string, []placement.Block) (string, bool) {
+	return "bad", s.refused.Load()
+}
+
+// Guards against a stream that is given up for silence although its prompt may not be sent to another endpoint.
+func TestServe_StalledThenQuarantined(t *testing.T) {
+	s := &quarantineFlip{}
+	w := newHarness(t, 2, func(a *arrival) { s.refused.Store(true); pausingStream(a) }, func(cfg *forward.Config) { cfg.Suspects = s })
+	w.table.Routes[3].Timeout = 3 * time.Second
+	got := w.sendPrompt(t.Context(), "resume", promptWith("shared"))
+	must.NoError(t, got.broken)
+	must.Eq(t, event(1)+event(2), got.body.String())
+}
