forward: requests of a new version stay with it when the old one has gone

The old endpoints stop when a rollout completes, and the list shows it before the rollout does. A request of the new version that had failed there once, or found it busy for a moment, was sent to the old one, which had no endpoints, and was refused or cut. Found in review; both cases of TestServe_OldVersionHasGone failed.

--- a/forward/choose.go
+++ b/forward/choose.go
@@ -196,7 +196,7 @@
 		}
 	}
 	accepts := func(e *fleet.Endpoint) bool { return !e.AcceptsAt(now).After(now) }
-	if isTarget && !r.targetFailed && slices.ContainsFunc(target, accepts) {
+	if isTarget && (len(old) == 0 || !r.targetFailed && slices.ContainsFunc(target, accepts)) {
 		return target
 	}
 	return old
--- a/forward/silent_test.go
+++ b/forward/silent_test.go
@@ -5,12 +5,14 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/trefoillug/trefoillug/fleet"
 	"github.com/trefoillug/trefoillug/forward"
 	"github.com/trefoillug/trefoillug/placement"
 )
@@ -143,3 +145,43 @@
 	must.NoError(t, got.broken)
 	must.Eq(t, event(1)+event(2), got.body.String())
 }
+
+// newVersionOnly moves all requests to version v2.
+type newVersionOnly struct{}
+
+func (newVersionOnly) Version(string, string) (string, bool, bool) { return "v2", true, true }
+func (newVersionOnly) Observe(forward.Observation)                 {}
+
+// Guards against requests that fail because the old version has no endpoints left, and the new one has failed them once
+// or takes no more requests for a moment.
+func TestServe_OldVersionHasGone(t *testing.T) {
+	newOnly := func(t *testing.T, ids []string, script func(a *arrival)) *harness {
+		w := newHarness(t, 0, script, func(cfg *forward.Config) { cfg.Versions = newVersionOnly{} })
+		for _, id := range ids {
+			w.fleet.Put(fleet.Entry{ID: id, Service: service, Version: "v2", Address: w.listen(id, script), Slots: 8})
+		}
+		return w
+	}
+	t.Run("stalled", func(t *testing.T) {
+		w := newOnly(t, []string{"a", "b"}, pausingStream)
+		w.table.Routes[3].Timeout = 3 * time.Second
+		got := w.send(t.Context(), "resume")
+		must.NoError(t, got.broken)
+		must.Eq(t, event(1)+event(2), got.body.String())
+	})
+	t.Run("after a pause", func(t *testing.T) {
+		w := newOnly(t, []string{"a"}, func(a *arrival) {
+			time.Sleep(60 * time.Millisecond)
+			a.reply(http.StatusOK, "ok")
+		})
+		w.table.Routes[1].TargetLatency = 2 * time.Second
+		w.fleet.Service(service)[0].RecordSignals(fleet.Signals{Pause: 5 * time.Millisecond}, time.Now())
+		time.Sleep(10 * time.Millisecond) // the pause has ended
+		var group sync.WaitGroup
+		for range 2 {
+			group.Go(func() { must.Eq(t, http.StatusOK, w.send(t.Context(), "safe").status) })
+			time.Sleep(20 * time.Millisecond) // the second request finds the one place taken
+		}
+		group.Wait()
+	})
+}
