forward: a stream that the caller has a part of waits for an endpoint

Callers lost streams whose endpoint had failed or fallen silent when the next endpoints were full for a moment, when the retry budget was used up at that moment, or, after two losses, at the first rejection, since the bound on rejections counted all arrivals. Now rejections are counted by themselves, and such a stream is offered again after 50 ms, then after twice as long each time, and waits for an endpoint and for the budget up to four target gaps; callers give up after eight. An attempt is given up for silence only if an endpoint that has not been tried accepts requests.

TestServe_StalledThenRejected (2 and 4 rejections) and TestServe_OneRejectionAfterTwoLosses failed before and pass.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -70,6 +70,17 @@
 // there is no other one.
 const unreachablePause = 50 * time.Millisecond
 
+// A stream that the caller has a part of is offered again after each rejection: the first time after minRejectedPause,
+// then after twice as long each time, up to maxRejectedPause.
+const (
+	minRejectedPause = 50 * time.Millisecond
+	maxRejectedPause = 800 * time.Millisecond
+)
+
+func rejectedPause(rejections int) time.Duration {
+	return min(maxRejectedPause, minRejectedPause<<min(rejections-1, 10))
+}
+
 // pause waits for d, or until ctx is done.
 func pause(ctx context.Context, d time.Duration) {
 	select {
@@ -178,7 +189,7 @@
 // has been acquired from the retry budget.
 func (r *exchange) mayAbandon() bool {
 	return r.successor.Acquire(func() bool {
-		return r.route.MayRepeat() && r.runs+1 < r.route.MaxAttempts && r.checkQuarantine() == nil && r.hasAccepting(time.Now()) &&
+		return r.route.MayRepeat() && r.runs+1 < r.route.MaxAttempts && r.checkQuarantine() == nil && r.hasOther(time.Now()) &&
 			r.f.cfg.RetryBudget.AcquireRetry(r.service.Name)
 	})
 }
@@ -264,6 +275,9 @@
 	if out.reached {
 		r.arrivals++
 	}
+	if out.end == rejected {
+		r.rejections++
+	}
 	if out.mayHaveRun() {
 		r.countStart()
 		if r.pendingMove == nil {
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -57,6 +57,9 @@
 		r.admission = fleet.Admission{}
 		return r.pendingMove.endpoint(time.Now()), nil
 	}
+	if r.stream.started && r.lastEnd == rejected {
+		pause(ctx, rejectedPause(r.rejections))
+	}
 	end := time.Now().Add(r.endpointWait())
 	timeout := time.NewTimer(r.endpointWait())
 	defer timeout.Stop()
@@ -88,7 +91,11 @@
 	}
 }
 
+// endpointWait returns the time for which the request may wait for an endpoint.
 func (r *exchange) endpointWait() time.Duration {
+	if r.stream.started {
+		return startedWaitGaps * r.targetGap()
+	}
 	if r.route.TargetLatency > 0 {
 		return r.route.TargetLatency / endpointWaitDivisor
 	}
@@ -170,10 +177,10 @@
 	return nil
 }
 
-// hasAccepting reports whether an endpoint accepts another attempt.
-func (r *exchange) hasAccepting(now time.Time) bool {
+// hasOther reports whether an endpoint that the request has not tried accepts it.
+func (r *exchange) hasOther(now time.Time) bool {
 	return slices.ContainsFunc(r.filterByVersion(r.f.cfg.Fleet.Service(r.service.Name), now), func(e *fleet.Endpoint) bool {
-		return !e.AcceptsAt(now).After(now)
+		return !r.tried[e] && !e.AcceptsAt(now).After(now)
 	})
 }
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -183,6 +183,11 @@
 	// endpointWaitDivisor divides the objective of a route to get the time for which a request may wait for an endpoint
 	// before it is refused.
 	endpointWaitDivisor = 8
+	// startedWaitGaps is the time, in target gaps, for which a stream that the caller has a part of may wait for an
+	// endpoint or for the retry budget. Callers give a stream up after eight gaps.
+	startedWaitGaps = 4
+	// budgetPollInterval is the time between checks of an exhausted retry budget.
+	budgetPollInterval = 50 * time.Millisecond
 	// defaultEndpointWait is the wait on a route without an objective.
 	defaultEndpointWait = 100 * time.Millisecond
 )
@@ -206,6 +211,7 @@
 	begun        bool          // an endpoint has generated at least one event or an answer
 	workCounted  bool          // an engine has begun to work on the request, which OnWork was told
 	load         int           // this instance's other requests at the endpoint when the latest attempt was sent
+	rejections   int           // attempts that an endpoint rejected
 	arrivals     int           // attempts that may have reached an endpoint
 	runs         int           // attempts that may have run the request; moves are not counted
 	mayHaveRun   bool          // an endpoint may have run the request, or may still run it
@@ -337,30 +343,53 @@
 		return errTimeUp
 	case out.partial:
 		return errPartial
-	case out.end == unreachable && len(r.tried) > maxUnreachable, out.end == rejected && r.arrivals > maxRejections:
+	case r.stream.started:
+		// The caller has a part of the answer: it is worth a wait for an endpoint.
+	case out.end == unreachable && len(r.tried) > maxUnreachable, out.end == rejected && r.rejections > maxRejections:
 		return errTooManyFailures
+	}
+	switch {
 	case r.mayHaveRun && (!r.route.MayRepeat() || r.runs >= r.route.MaxAttempts):
 		return errMayHaveRun
 	}
 	if err := r.checkQuarantine(); err != nil {
 		return err
 	}
+	if r.stream.started {
+		return nil
+	}
 	return r.checkPaused()
 }
 
 // AcquireRetry implements attempt.Steps.
-func (r *exchange) AcquireRetry(_ context.Context, _ *fleet.Endpoint, out *outcome) error {
+func (r *exchange) AcquireRetry(ctx context.Context, _ *fleet.Endpoint, out *outcome) error {
 	if r.successor.Take() {
 		return nil
 	}
 	isMove := r.pendingMove != nil && r.pendingMove.rejections == 0 // which is not a repeat
-	if !isMove && out.reached && !r.f.cfg.RetryBudget.AcquireRetry(r.service.Name) {
+	if !isMove && out.reached && !r.acquireRetry(ctx) {
 		r.log.WithField("service", r.service.Name).Info("no repeat: the retry budget is used up")
 		return errBudget
 	}
 	return nil
 }
 
+// acquireRetry acquires another attempt from the retry budget. While the caller has a part of a stream, it waits for
+// one.
+func (r *exchange) acquireRetry(ctx context.Context) bool {
+	end := time.Now()
+	if r.stream.started {
+		end = end.Add(r.endpointWait())
+	}
+	for !r.f.cfg.RetryBudget.AcquireRetry(r.service.Name) {
+		if ctx.Err() != nil || !time.Now().Before(end) {
+			return false
+		}
+		pause(ctx, budgetPollInterval)
+	}
+	return true
+}
+
 // GiveUp implements attempt.Steps.
 func (r *exchange) GiveUp(ctx context.Context, last **outcome, cause error) error {
 	r.recordUnserved()
--- a/forward/silent_test.go
+++ b/forward/silent_test.go
@@ -185,3 +185,66 @@
 		group.Wait()
 	})
 }
+
+// rejectLater returns a script that runs the first arrival, rejects the next ones, and runs all others.
+func rejectLater(rejections int32, first func(a *arrival)) func(a *arrival) {
+	var arrivals atomic.Int32
+	return func(a *arrival) {
+		switch n := arrivals.Add(1); {
+		case n == 1:
+			first(a)
+		case n <= 1+rejections:
+			a.reply(http.StatusServiceUnavailable, "", "Not-Run", "1")
+		default:
+			a.stream()
+			a.chunk(event(2))
+			a.end()
+		}
+	}
+}
+
+// Guards against a stream that is cut because the endpoint that should continue it is full for a moment.
+func TestServe_StalledThenRejected(t *testing.T) {
+	for _, rejections := range []int32{1, 2, 4} {
+		t.Run(fmt.Sprint(rejections), func(t *testing.T) {
+			w := newHarness(t, 3, rejectLater(rejections, pausingStream))
+			w.table.Routes[3].Timeout = 5 * time.Second
+			got := w.send(t.Context(), "resume")
+			must.NoError(t, got.broken)
+			must.Eq(t, event(1)+event(2), got.body.String())
+		})
+	}
+}
+
+// Guards against a stream that is given up for silence although every other endpoint turns it away.
+func TestServe_StalledThenAllReject(t *testing.T) {
+	w := newHarness(t, 3, rejectLater(1000, pausingStream))
+	w.table.Routes[3].Timeout = 3 * time.Second
+	got := w.send(t.Context(), "resume")
+	must.NoError(t, got.broken)
+	must.Eq(t, event(1)+event(2), got.body.String())
+}
+
+// Guards against a stream that is cut at its first rejection because it was lost twice before.
+func TestServe_OneRejectionAfterTwoLosses(t *testing.T) {
+	var arrivals atomic.Int32
+	w := newHarness(t, 4, func(a *arrival) {
+		switch n := int(arrivals.Add(1)); n {
+		case 1, 2:
+			a.stream()
+			a.chunk(event(n))
+			time.Sleep(30 * time.Millisecond) // the event is read before the connection ends
+			_ = a.conn.Close()
+		case 3:
+			a.reply(http.StatusServiceUnavailable, "", "Not-Run", "1")
+		default:
+			a.stream()
+			a.chunk(event(3))
+			a.end()
+		}
+	})
+	w.table.Routes[3].MaxAttempts = 4
+	got := w.send(t.Context(), "resume")
+	must.NoError(t, got.broken)
+	must.Eq(t, event(1)+event(2)+event(3), got.body.String())
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -130,14 +130,18 @@
 }
 
 func (r *exchange) stallTimeout() time.Duration {
-	gap := r.route.TargetGap
-	if gap == 0 {
-		gap = defaultGap
-	}
 	if r.route.Kind == routing.Streaming {
-		return streamStallGaps * gap
+		return streamStallGaps * r.targetGap()
+	}
+	return answerStallGaps * r.targetGap()
+}
+
+// targetGap returns the longest pause between events that is still on time.
+func (r *exchange) targetGap() time.Duration {
+	if r.route.TargetGap == 0 {
+		return defaultGap
 	}
-	return answerStallGaps * gap
+	return r.route.TargetGap
 }
 
 // watchProgress cancels an attempt of a resumable stream when its endpoint makes no progress for stallTimeout and another
