upstream: an idle connection keeps no request in memory

The callback that decides about the time limit of a head stayed set after the head, so that each idle connection kept its last request with its body. A late timer could also expire the next head on the connection. The callback ends with its head, and a timer belongs to one head.

--- a/upstream/faulty_test.go
+++ b/upstream/faulty_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -200,3 +201,28 @@
 	must.Less(t, time.Second, time.Since(start))
 	must.Less(t, maxSocketBytes, written.Load())
 }
+
+// largeRequest stands for what a request holds in memory.
+type largeRequest struct{ body [1 << 20]byte }
+
+func (r *largeRequest) mayTimeOut() bool { return r.body[0] == 0 }
+
+// Guards against an idle connection that keeps the last request in memory.
+func TestDo_IdleConnectionKeepsNoRequest(t *testing.T) {
+	p := serve(t, repeatEarlier(func(id string) string { return id })).pool()
+	var freed atomic.Bool
+	func() {
+		large := &largeRequest{}
+		runtime.SetFinalizer(large, func(*largeRequest) { freed.Store(true) })
+		c := call("a")
+		c.HeadTimeout, c.MayTimeOut = time.Second, large.mayTimeOut
+		_, err := do(t, p, c)
+		must.NoError(t, err)
+	}()
+	for end := time.Now().Add(2 * time.Second); !freed.Load() && time.Now().Before(end); {
+		runtime.GC()
+		time.Sleep(10 * time.Millisecond)
+	}
+	must.True(t, freed.Load())
+	runtime.KeepAlive(p)
+}
--- a/upstream/head.go
+++ b/upstream/head.go
@@ -21,17 +21,22 @@
 	inHead  bool
 	left    int // bytes that the head may still have
 	timeout time.Duration
+
+	mu sync.Mutex
 	// mayExpire decides whether the head has failed when timeout has passed; nil: it has.
 	mayExpire func() bool
-
-	mu      sync.Mutex
-	timer   *time.Timer // runs from the first byte of the head
-	expired bool
+	heads     int         // begun so far
+	timer     *time.Timer // runs from the first byte of the head
+	expired   bool
 }
 
 // beginHead starts the bounds of a head; timeout 0 means no limit of time. The returned function ends them.
 func (l *headLimiter) beginHead(timeout time.Duration, mayExpire func() bool) (end func()) {
-	l.inHead, l.left, l.timeout, l.mayExpire = true, progress.MaxHeadBytes, timeout, mayExpire
+	l.inHead, l.left, l.timeout = true, progress.MaxHeadBytes, timeout
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.heads++
+	l.mayExpire = mayExpire
 	return l.endHead
 }
 
@@ -43,6 +48,7 @@
 		l.timer.Stop()
 		l.timer = nil
 	}
+	l.mayExpire = nil // an idle connection must not keep the request in memory
 }
 
 // Read implements io.Reader.
@@ -67,17 +73,20 @@
 func (l *headLimiter) startTimer() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.timer == nil && l.timeout > 0 {
-		l.timer = time.AfterFunc(l.timeout, l.expire)
+	if l.timer != nil || l.timeout <= 0 {
+		return
 	}
+	head := l.heads
+	l.timer = time.AfterFunc(l.timeout, func() { l.expire(head) })
 }
 
-// expire ends the pending read. The connection is not used after a failed head.
-func (l *headLimiter) expire() {
+// expire ends the pending read when the time of a head, given by its number, has passed. The connection is not used after
+// a failed head.
+func (l *headLimiter) expire(head int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.timer == nil {
-		return // the head has ended in the meantime
+	if l.timer == nil || l.heads != head {
+		return // the head has ended in the meantime, and another one may have begun
 	}
 	if l.mayExpire != nil && !l.mayExpire() {
 		l.timer.Reset(l.timeout)
