forward: a rejected continuation goes to the new endpoint again

The memory is at the new endpoint, so the run is offered there again; it goes back only if that one was not reached or wants no requests.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -125,7 +125,7 @@
 		}
 		r.pendingMove = relocation.result()
 		if out.end == rejected || out.end == unreachable {
-			r.pendingMove = move.afterRejection()
+			r.pendingMove = move.afterRejection(out.end == unreachable)
 		}
 	}()
 	call := r.call(ctx, e)
--- a/forward/relocate.go
+++ b/forward/relocate.go
@@ -40,22 +40,25 @@
 	to         *fleet.Endpoint
 	ref        string // see Mover.Move
 	rejections int    // attempts to continue the run that an endpoint has rejected, or that reached none
+	unreached  bool   // to was not reached
 }
 
-// afterRejection returns the move with one more rejection, and nil if the run is to be given up. m may be nil.
-func (m *moveResult) afterRejection() *moveResult {
+// afterRejection returns the move with one more rejection, and nil if the run is to be given up. unreached means that the
+// endpoint was not reached. m may be nil.
+func (m *moveResult) afterRejection(unreached bool) *moveResult {
 	if m == nil || m.rejections >= maxMoveRejections {
 		return nil
 	}
 	again := *m
 	again.rejections++
+	again.unreached = again.unreached || unreached
 	return &again
 }
 
 // endpoint returns where the run continues at a time. The endpoint that has stopped it keeps its memory, and gets it back
-// if the other one has rejected it or wants no requests.
+// if the other one was not reached or wants no requests.
 func (m *moveResult) endpoint(now time.Time) *fleet.Endpoint {
-	if m.rejections%2 == 1 && m.from.PausedUntil(now).IsZero() {
+	if m.unreached {
 		return m.from
 	}
 	if !m.to.PausedUntil(now).IsZero() && m.from.PausedUntil(now).IsZero() {
