soak, standin: a continuation is no new work; a crash resets connections

The check still finds its breach in TestCheck_FindsEachBreach; the allowed case is in TestCheck_AllowedCases.

--- a/soak/checks.go
+++ b/soak/checks.go
@@ -155,7 +155,7 @@
 	for _, r := range e.Runs {
 		at, leaving := e.Leaving[r.Worker]
 		a := attempts[r.ID]
-		if !leaving || a == nil || r.At.Before(at.Add(drainBound)) {
+		if !leaving || a == nil || r.At.Before(at.Add(drainBound)) || e.isReturned(r) {
 			continue
 		}
 		if e.settled(a.Instance, r.At) && e.settled(a.Instance, at.Add(settleTime)) {
@@ -165,6 +165,13 @@
 	return found
 }
 
+// isReturned reports whether a run that its endpoint had stopped for a move goes on there, which is no new work.
+func (e *Evidence) isReturned(r standin.PlatformRun) bool {
+	return r.Moved() && slices.ContainsFunc(e.Runs, func(earlier standin.PlatformRun) bool {
+		return earlier.ID == r.ID && earlier.Worker == r.Worker && earlier.At.Before(r.At)
+	})
+}
+
 // checkQuota finds a window in which the workspace PlatformLimitedWorkspace used more than its quota plus the
 // tolerance. A request counts in a window in which it is both sent and arrives at an endpoint.
 func (e *Evidence) checkQuota(attempts map[string]*Attempt) []Breach {
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -182,6 +183,13 @@
 			}
 			e.addAttempt(Attempt{Call: standin.PlatformCall{ID: "b", Route: "book"}, Instance: "n01", Sent: at(31), Ended: at(31.5)})
 		},
+		"a moved run that goes on where it was stopped": func(e *Evidence) {
+			e.Leaving["i-2"] = at(47)
+			moved := servedAttempt("b", "book", at(46))
+			moved.Body = strings.Replace(moved.Body, "i-1", "i-2", 1)
+			e.addAttempt(moved)
+			e.Runs = append(e.Runs, runOf("b", "i-2", at(46)), standin.NewPlatformRun("b", "i-2", "open", at(50), true))
+		},
 		"a request behind an answer that ended its connection": func(e *Evidence) {
 			e.Spans = []FaultSpan{{From: at(30), To: at(35), Kind: InstanceStop, Instance: "n01", Planned: true}}
 			e.addAttempt(Attempt{Call: standin.PlatformCall{ID: "b", Route: "book"}, Instance: "n01", Sent: at(31), Ended: at(32), Unowed: true})
--- a/standin/forwarder.go
+++ b/standin/forwarder.go
@@ -98,11 +98,14 @@
 	}
 }
 
-// CloseConnections closes the established connections.
+// CloseConnections resets the established connections, as a crash does.
 func (f *Forwarder) CloseConnections() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, p := range f.pairs {
+		if c, ok := p.client.(*net.TCPConn); ok {
+			_ = c.SetLinger(0) // an answer without a length must not look complete
+		}
 		p.client.Close()
 		p.server.Close()
 	}
