--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -44,6 +44,7 @@
 	table        *Table
 	gate         gate
 	answeredAt   atomic.Int64 // latest answer that did not say that the endpoint is leaving, in Unix nanoseconds; 0: none
+	saidInvalid  atomic.Bool  // see FirstInvalid
 	leavingSince atomic.Int64 // see LeavingSince; Unix nanoseconds, 0: it has not said so
 }
 
--- a/fleet/signals.go
+++ b/fleet/signals.go
@@ -41,6 +41,9 @@
 	}
 }
 
+// FirstInvalid reports whether it is called for the first time for this endpoint, so that a faulty one is logged once.
+func (e *Endpoint) FirstInvalid() bool { return !e.saidInvalid.Swap(true) }
+
 // recordLeaving stops new work for an endpoint that says that it is leaving, and reports whether that is news.
 func (t *Table) recordLeaving(e *Endpoint) bool {
 	t.mu.Lock()
--- a/node/signals.go
+++ b/node/signals.go
@@ -27,6 +27,8 @@
 	}
 	if s.Invalid != nil {
 		scope.Counter("invalid_signals").Inc(1)
-		log.WithError(s.Invalid).Warn("endpoint answered with an invalid header")
+		if e.FirstInvalid() {
+			log.WithError(s.Invalid).Warn("endpoint answered with an invalid header")
+		}
 	}
 }
