quarantine, node: a refused prompt block is tried again with one request

One instance, by rendezvous, now lets one request through a minute after the latest crash, and after four times as long for each crash beyond the third. TestBlocks_Probe is new with the API.

--- a/node/blocks.go
+++ b/node/blocks.go
@@ -16,6 +16,7 @@
 	"github.com/trefoillug/trefoillug/peer"
 	"github.com/trefoillug/trefoillug/placement"
 	"github.com/trefoillug/trefoillug/quarantine"
+	"github.com/trefoillug/trefoillug/rendezvous"
 )
 
 const (
@@ -97,16 +98,27 @@
 	if !s.blocks.Any() {
 		return "", false
 	}
-	i, facts := s.blocks.Refused(fingerprints(service, shared), time.Now())
+	now, all := time.Now(), fingerprints(service, shared)
+	i, facts := s.blocks.Refused(all, now)
 	if i < 0 {
 		return "", false
 	}
+	if s.blocks.IsProbeDue(all[i], now) && s.ownsBlock(all[i]) && s.blocks.BeginProbe(all[i], now) {
+		s.n.log.WithFields(logrus.Fields{"service": service, "block": shared[i].ID}).Info("refused prompt block is tried with one request")
+		return "", false
+	}
 	if len(facts) > 0 {
 		s.reportRefused(service, shared[i].ID, facts)
 	}
 	return shared[i].ID, true
 }
 
+// ownsBlock reports whether this instance is the one that tries a refused block again.
+func (s *suspects) ownsBlock(fp quarantine.Fingerprint) bool {
+	owner := rendezvous.Top(fmt.Sprint(uint64(fp)), s.n.memberIDs(), 1)
+	return len(owner) == 1 && owner[0] == s.n.settings.Name
+}
+
 // reportRefused logs that requests with a block are refused from now on, and reports it to the peers.
 func (s *suspects) reportRefused(service, block string, facts []quarantine.BlockFact) {
 	var endpoints []string
--- a/quarantine/blocks.go
+++ b/quarantine/blocks.go
@@ -17,6 +17,11 @@
 	// restartTime is less than the time that an endpoint takes to restart: reports of its loss within it are about the
 	// same crash.
 	restartTime = time.Second
+	// firstProbeDelay is the time after the latest crash after which one request with a refused block may be let through:
+	// the block may have been on crashed endpoints only by chance. Each further crash makes the time probeBackoff times
+	// as long, up to blockRefusalTTL.
+	firstProbeDelay = time.Minute
+	probeBackoff    = 4
 	// blockRefusalTTL is how long a block is refused after its latest crash. Its crashes are kept twice as long, so that
 	// a block that still crashes endpoints costs one a day.
 	blockRefusalTTL = 24 * time.Hour
@@ -59,6 +64,7 @@
 	latest  map[string]CrashID        // by endpoint
 	accused map[Fingerprint][]CrashID // crashes that no beginning has cleared the block of
 	faulty  map[Fingerprint]bool      // blocks with maxBlockCrashes crashes; true: the refusal was reported
+	probed  map[Fingerprint]time.Time // by faulty block: when a request with it was last let through
 	begun   map[string]time.Time      // by service: when a request last began
 }
 
@@ -73,7 +79,7 @@
 func NewBlocks() *Blocks {
 	return &Blocks{
 		crashes: map[CrashID]*blockCrash{}, latest: map[string]CrashID{}, accused: map[Fingerprint][]CrashID{},
-		faulty: map[Fingerprint]bool{}, begun: map[string]time.Time{},
+		faulty: map[Fingerprint]bool{}, probed: map[Fingerprint]time.Time{}, begun: map[string]time.Time{},
 	}
 }
 
@@ -130,6 +136,7 @@
 		}
 		delete(b.accused, fp)
 		delete(b.faulty, fp)
+		delete(b.probed, fp)
 	}
 	return facts, wereRefused
 }
@@ -196,6 +203,7 @@
 func (b *Blocks) judge(fp Fingerprint) {
 	if b.count(b.accused[fp]) < maxBlockCrashes {
 		delete(b.faulty, fp)
+		delete(b.probed, fp)
 	} else if _, found := b.faulty[fp]; !found {
 		b.faulty[fp] = false
 	}
@@ -245,6 +253,39 @@
 	return cause, b.facts(blocks[cause])
 }
 
+// IsProbeDue reports whether a request with a refused block may be let through, as one that shows whether the block still
+// crashes endpoints. Of all instances, one should do so.
+func (b *Blocks) IsProbeDue(fp Fingerprint, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.isProbeDue(fp, now)
+}
+
+// BeginProbe records that a request with a refused block is let through, and returns false if none is due.
+func (b *Blocks) BeginProbe(fp Fingerprint, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.isProbeDue(fp, now) {
+		return false
+	}
+	b.probed[fp] = now
+	return true
+}
+
+func (b *Blocks) isProbeDue(fp Fingerprint, now time.Time) bool {
+	if _, faulty := b.faulty[fp]; !faulty {
+		return false
+	}
+	delay, last := firstProbeDelay, b.probed[fp]
+	for range b.count(b.accused[fp]) - maxBlockCrashes {
+		delay = min(blockRefusalTTL, probeBackoff*delay)
+	}
+	for _, id := range b.accused[fp] {
+		last = later(last, b.crashes[id].recordedAt)
+	}
+	return now.Sub(last) >= delay
+}
+
 // isCause reports whether a faulty block of a request with the given blocks has caused crashes that no other explains.
 func (b *Blocks) isCause(fp Fingerprint, blocks []Fingerprint, now time.Time) bool {
 	ids := b.accused[fp]
--- a/quarantine/blocks_test.go
+++ b/quarantine/blocks_test.go
@@ -330,3 +330,23 @@
 	}
 	b.ReportAllocs()
 }
+
+// Guards against a sound block that was on killed endpoints by chance and is refused for a day, and against a deadly one
+// that is tried again and again.
+func TestBlocks_Probe(t *testing.T) {
+	b := quarantine.NewBlocks()
+	for i, endpoint := range []string{"e1", "e2", "e3"} {
+		at := after(float64(i))
+		b.Crashed("s", endpoint, fingerprints{1}, at, at)
+	}
+	must.False(t, b.BeginProbe(1, after(60)))
+	must.False(t, b.BeginProbe(2, after(63))) // not refused
+	must.True(t, b.IsProbeDue(1, after(63)))
+	must.True(t, b.BeginProbe(1, after(63)))
+	must.False(t, b.BeginProbe(1, after(63)))
+	b.Crashed("s", "e4", fingerprints{1}, after(64), after(64)) // it still crashes endpoints
+	must.False(t, b.BeginProbe(1, after(300)))
+	must.True(t, b.BeginProbe(1, after(305)))
+	b.Begun("s", fingerprints{1}, after(306))
+	must.False(t, b.IsProbeDue(1, after(1e6)))
+}
