upstream: a canceled call is not sent

With an idle connection at hand, a call whose context was already done could still be written before the connection was closed.

--- a/quarantine/blocks.go
+++ b/quarantine/blocks.go
@@ -229,7 +229,8 @@
 }
 
 // Refused returns the index of the block because of which a request with the given shared blocks is refused, the one
-// with the most crashes, and -1 if it is not. It also returns the crashes of the block, as facts to publish, when no instance is known to have done so.
+// with the most crashes, and -1 if it is not. It also returns the crashes of the block, as facts to publish, when no
+// instance is known to have done so.
 func (b *Blocks) Refused(blocks []Fingerprint, now time.Time) (int, []BlockFact) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -83,6 +83,9 @@
 // Do sends a request and returns the answer once its header has arrived. If ctx ends before Finish, the connection is
 // closed at once. Errors are of type *Error.
 func (p *Pool) Do(ctx context.Context, call *Call) (*Reply, error) {
+	if ctx.Err() != nil {
+		return nil, &Error{Err: context.Cause(ctx)}
+	}
 	c, err := p.connFor(ctx, call)
 	if err != nil {
 		return nil, &Error{Err: err}
--- a/upstream/faulty_test.go
+++ b/upstream/faulty_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"context"
+	"errors"
 	"io"
 	"net"
 	"runtime"
@@ -11,6 +13,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/trefoillug/trefoillug/upstream"
 )
 
 // flood writes block to c until the connection is closed and returns the number of bytes written.
@@ -226,3 +230,20 @@
 	must.True(t, freed.Load())
 	runtime.KeepAlive(p)
 }
+
+// Guards against a request that reaches an endpoint after its caller has left.
+func TestDo_CanceledBefore(t *testing.T) {
+	e := serve(t, repeatEarlier(func(id string) string { return id }))
+	p := e.pool()
+	_, err := do(t, p, call("a"))
+	must.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	for range 200 {
+		_, err := p.Do(ctx, call("b"))
+		var failed *upstream.Error
+		must.True(t, errors.As(err, &failed))
+		must.False(t, failed.Sent)
+	}
+	must.Eq(t, 1, e.requests.Load())
+}
