--- a/cmd/trefoillug-soak/main.go
+++ b/cmd/trefoillug-soak/main.go
@@ -3,16 +3,21 @@
 package main
 
 import (
+	"bytes"
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
 
 	"github.com/urfave/cli/v3"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/trefoillug/trefoillug/soak"
 )
@@ -31,7 +36,7 @@
 
 func command() *cli.Command {
 	var seed uint64
-	var runs, instances int
+	var runs, parallel, instances int
 	var length time.Duration
 	var binary string
 	return &cli.Command{
@@ -40,13 +45,14 @@
 		Flags: []cli.Flag{
 			&cli.Uint64Flag{Name: "seed", Usage: "seed of the first run", Value: 1, Destination: &seed},
 			&cli.IntFlag{Name: "runs", Usage: "number of runs, with consecutive seeds", Value: 1, Destination: &runs},
+			&cli.IntFlag{Name: "parallel", Usage: "number of runs at the same time", Value: 1, Destination: &parallel},
 			&cli.DurationFlag{Name: "for", Usage: "length of the load of a run", Value: time.Minute, Destination: &length},
 			&cli.IntFlag{Name: "nodes", Usage: "number of instances", Value: 4, Destination: &instances},
 			&cli.StringFlag{Name: "binary", Usage: "path of the trefoillug binary; built if empty", Destination: &binary},
 		},
 		Action: func(ctx context.Context, _ *cli.Command) error {
-			if instances < 1 || instances > maxInstances {
-				return fmt.Errorf("--nodes is %d: must be 1 to %d", instances, maxInstances)
+			if parallel < 1 || instances < 1 || instances*parallel > maxInstances {
+				return fmt.Errorf("--nodes is %d and --parallel %d: both must be at least 1, and their product at most %d", instances, parallel, maxInstances)
 			}
 			dir, err := os.MkdirTemp("", "trefoillug-soak")
 			if err != nil {
@@ -58,14 +64,12 @@
 					return fmt.Errorf("build trefoillug: %w\n%s", err, out)
 				}
 			}
-			var results []soak.Result
-			for n := range runs {
-				o := soak.Options{Plan: soak.NewPlan(seed+uint64(n), length, instances), Binary: binary, Dir: filepath.Join(dir, fmt.Sprint(seed+uint64(n)))}
-				results = append(results, runPlan(ctx, o))
-				if ctx.Err() != nil {
-					break
-				}
+			plans := make([]soak.Options, runs)
+			for n := range plans {
+				s := seed + uint64(n)
+				plans[n] = soak.Options{Plan: soak.NewPlan(s, length, instances), Binary: binary, Dir: filepath.Join(dir, fmt.Sprint(s))}
 			}
+			results := runPlans(ctx, plans, parallel)
 			failed, err := soak.WriteSummary(os.Stdout, results)
 			if err != nil {
 				return err
@@ -78,10 +82,37 @@
 	}
 }
 
-// runPlan runs one plan and reports it.
-func runPlan(ctx context.Context, o soak.Options) soak.Result {
-	fmt.Print(o.Plan)
+// runPlans runs plans, some of them at the same time, and returns their results in the order of the plans. It starts none
+// once ctx is done.
+func runPlans(ctx context.Context, plans []soak.Options, parallel int) []soak.Result {
+	results := make([]soak.Result, len(plans))
+	var group errgroup.Group
+	group.SetLimit(parallel)
+	var output sync.Mutex
+	for n, o := range plans {
+		group.Go(func() error {
+			var report bytes.Buffer
+			results[n] = runPlan(ctx, &report, o)
+			output.Lock()
+			defer output.Unlock()
+			_, err := os.Stdout.Write(report.Bytes())
+			results[n].Err = errors.Join(results[n].Err, err)
+			return nil
+		})
+	}
+	_ = group.Wait() // errors are in the results
+	return results
+}
+
+// runPlan runs one plan and writes its plan and its report.
+func runPlan(ctx context.Context, out io.Writer, o soak.Options) soak.Result {
 	r := soak.Result{Plan: o.Plan}
+	if r.Err = ctx.Err(); r.Err != nil {
+		return r
+	}
+	if _, r.Err = fmt.Fprint(out, o.Plan); r.Err != nil {
+		return r
+	}
 	if r.Err = os.MkdirAll(o.Dir, 0o700); r.Err != nil {
 		return r
 	}
@@ -89,6 +120,6 @@
 		return r
 	}
 	r.Breaches = r.Evidence.Check()
-	r.Err = soak.Report(os.Stdout, o, r.Evidence, r.Breaches)
+	r.Err = soak.Report(out, o, r.Evidence, r.Breaches)
 	return r
 }
--- a/soak/summary.go
+++ b/soak/summary.go
@@ -22,7 +22,8 @@
 	const row = "%10v %8v %10v %10v %8v  %s\n"
 	var b strings.Builder
 	fmt.Fprintf(&b, row, "seed", "faults", "requests", "runs", "breaches", "guarantees violated")
-	faults, requests, runs, breaches := 0, 0, 0, 0
+	faults, requests, runs := 0, 0, 0
+	var breaches []Breach
 	for _, r := range results {
 		if r.Err != nil || len(r.Breaches) > 0 {
 			failed++
@@ -32,10 +33,11 @@
 			fmt.Fprintf(&b, row, r.Plan.Seed, len(r.Plan.Faults), "-", "-", "-", "error: "+r.Err.Error())
 			continue
 		}
-		requests, runs, breaches = requests+len(r.Evidence.Attempts), runs+len(r.Evidence.Runs), breaches+len(r.Breaches)
+		requests, runs, breaches = requests+len(r.Evidence.Attempts), runs+len(r.Evidence.Runs), append(breaches, r.Breaches...)
 		fmt.Fprintf(&b, row, r.Plan.Seed, len(r.Plan.Faults), len(r.Evidence.Attempts), len(r.Evidence.Runs), len(r.Breaches), countByGuarantee(r.Breaches))
 	}
-	fmt.Fprintf(&b, row, "total", faults, requests, runs, breaches, fmt.Sprintf("%d of %d runs failed", failed, len(results)))
+	fmt.Fprintf(&b, row, "total", faults, requests, runs, len(breaches), countByGuarantee(breaches))
+	fmt.Fprintf(&b, "%d of %d runs failed\n", failed, len(results))
 	_, err = io.WriteString(out, b.String())
 	return failed, err
 }
