forward: an empty stream without a length is no complete answer

Such a stream without any event now counts as lost: it is repeated where its route allows, else 502. A resumed stream that has nothing left is not affected. TestServe_EmptyUnframedStream failed (200 instead of 502).

--- a/forward/silent_test.go
+++ b/forward/silent_test.go
@@ -248,3 +248,15 @@
 	must.NoError(t, got.broken)
 	must.Eq(t, event(1)+event(2)+event(3), got.body.String())
 }
+
+// Guards against an empty stream that looks complete to its caller because its endpoint crashed before the first event,
+// and sent neither a length nor chunks.
+func TestServe_EmptyUnframedStream(t *testing.T) {
+	w := newHarness(t, 1, func(a *arrival) {
+		_, _ = fmt.Fprintf(a.conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n", a.id)
+		_ = a.conn.Close()
+	})
+	got := w.send(t.Context(), "stream")
+	must.Eq(t, http.StatusBadGateway, got.status)
+	must.NotNil(t, got.refusal)
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -33,7 +33,10 @@
 	defaultGap = 500 * time.Millisecond
 )
 
-var errPartialEvent = errors.New("the stream ended within an event")
+var (
+	errPartialEvent = errors.New("the stream ended within an event")
+	errEmptyStream  = errors.New("the connection ended before the first event")
+)
 
 func isStream(reply *upstream.Reply) bool {
 	return reply.Status == 200 && strings.HasPrefix(reply.Header.Get("Content-Type"), "text/event-stream")
@@ -73,6 +76,8 @@
 		case received > progress.MaxAnswerBytes:
 			return outcome{end: lost, reached: true, partial: true, err: progress.ErrTooLong}
 		case err == nil:
+		case err == io.EOF && received == 0 && !r.stream.started && reply.IsUnframed():
+			return outcome{end: lost, reached: true, err: errEmptyStream}
 		case err == io.EOF && len(buf) == 0 && move.result() == nil:
 			if !r.stream.started {
 				r.startStream(reply)
--- a/forward/suspect.go
+++ b/forward/suspect.go
@@ -64,11 +64,7 @@
 	}
 }
 
-// mayHaveCrashed reports whether an attempt ended as it does when its endpoint crashes. A stream that has neither a length
-// nor chunks seems complete when its endpoint crashes before the first event.
+// mayHaveCrashed reports whether an attempt ended as it does when its endpoint crashes.
 func (r *exchange) mayHaveCrashed(out *outcome) bool {
-	if out.end == lost {
-		return !errors.Is(out.err, progress.ErrStalled) && !errors.Is(out.err, progress.ErrTooLong)
-	}
-	return out.end == answered && out.delivered && r.req.Prompt != nil && !r.begun
+	return out.end == lost && !errors.Is(out.err, progress.ErrStalled) && !errors.Is(out.err, progress.ErrTooLong)
 }
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -192,8 +192,11 @@
 
 // endsConnection reports whether the answer is the last one on its connection, by its header or because only the end of
 // the connection marks its end.
-func (r *Reply) endsConnection() bool {
-	return r.resp.Close || r.resp.ContentLength < 0 && len(r.resp.TransferEncoding) == 0
+func (r *Reply) endsConnection() bool { return r.resp.Close || r.IsUnframed() }
+
+// IsUnframed reports whether only the end of the connection marks the end of the body.
+func (r *Reply) IsUnframed() bool {
+	return r.resp.ContentLength < 0 && len(r.resp.TransferEncoding) == 0
 }
 
 // bodyReader records that a body was read to its end.
