--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -66,8 +66,24 @@
 	defaultRepeatWait = time.Second
 )
 
+// unreachablePause is the pause before an endpoint that was not reached is tried again by the same request, because
+// there is no other one.
+const unreachablePause = 50 * time.Millisecond
+
+// pause waits for d, or until ctx is done.
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
 func (r *exchange) attempt(ctx context.Context, e *fleet.Endpoint) (out outcome) {
+	again := r.tried[e]
 	r.tried[e] = true
+	if again && r.lastEnd == unreachable {
+		pause(ctx, unreachablePause)
+	}
 	prefill := r.beginAttempt(e)
 	defer e.Stats.End()
 	r.successor.Begin()
@@ -96,12 +112,18 @@
 			r.pendingMove = relocation.result()
 		}
 	}()
-	reply, err := e.Pool.Do(ctx, r.call(ctx, e))
+	call := r.call(ctx, e)
+	if again {
+		call.UnusedSince = r.req.Arrived
+	}
+	reply, err := e.Pool.Do(ctx, call)
 	stopTimer()
+	e.EndAdmission(r.admission, err == nil && !r.f.cfg.Wire.IsNotRun(reply.Status, reply.Header))
 	if err != nil {
 		return r.classifyError(ctx, err)
 	}
 	defer reply.Finish()
+	e.RecordSignals(r.f.cfg.Wire.Signals(reply.Status, reply.Header), time.Now())
 	if load, ok := r.f.cfg.Wire.Load(reply.Header); ok {
 		e.Stats.RecordLoad(load, time.Now())
 	}
@@ -151,7 +173,8 @@
 // has been acquired from the retry budget.
 func (r *exchange) mayAbandon() bool {
 	return r.successor.Acquire(func() bool {
-		return r.route.MayRepeat() && r.runs+1 < r.route.MaxAttempts && r.f.cfg.RetryBudget.AcquireRetry(r.service.Name)
+		return r.route.MayRepeat() && r.runs+1 < r.route.MaxAttempts && r.hasAccepting(time.Now()) &&
+			r.f.cfg.RetryBudget.AcquireRetry(r.service.Name)
 	})
 }
 
@@ -200,11 +223,14 @@
 		a.MovedFrom = r.pendingMove.ref
 		r.pendingMove = nil
 	}
-	return &upstream.Call{
+	call := &upstream.Call{
 		Method: r.req.Method, URI: r.req.URI, Host: r.req.Host, Header: r.f.cfg.Wire.Outbound(a), Body: r.req.Body,
 		NonIdempotent: !r.route.MayRepeat(), HeadTimeout: headTimeout, MayTimeOut: r.mayAbandon,
-		MatchesAnswer: func(h http.Header) bool { return r.f.cfg.Wire.IsAnswerTo(h, r.req.ID) },
 	}
+	if r.req.ID != "" {
+		call.MatchesAnswer = func(h http.Header, reused bool) bool { return r.f.cfg.Wire.IsAnswerTo(h, r.req.ID, reused) }
+	}
+	return call
 }
 
 // classifyError returns the outcome of an attempt that failed with err.
@@ -297,6 +323,9 @@
 	if reply.Status >= http.StatusInternalServerError {
 		return outcome{end: answered, reached: true, answer: a, err: errors.New("the endpoint answered " + http.StatusText(reply.Status))}
 	}
+	if len(body) > 0 {
+		r.recordBegun()
+	}
 	if err := r.deliver(a); err != nil {
 		return outcome{end: ended, reached: true, err: err}
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -59,12 +59,15 @@
 type Wire interface {
 	// Outbound returns the headers of an attempt.
 	Outbound(a *Attempt) http.Header
-	// IsAnswerTo reports whether an endpoint's answer belongs to a request.
-	IsAnswerTo(h http.Header, requestID string) bool
+	// IsAnswerTo reports whether an endpoint's answer belongs to a request. reused means that the connection has carried
+	// another request, of whose answer this may be a late copy.
+	IsAnswerTo(h http.Header, requestID string, reused bool) bool
 	// IsNotRun reports whether an endpoint states that it did not run a request.
 	IsNotRun(status int, h http.Header) bool
 	// Load returns the load that an endpoint reports with an answer.
 	Load(h http.Header) (fleet.Load, bool)
+	// Signals returns what an endpoint says of itself with an answer.
+	Signals(status int, h http.Header) fleet.Signals
 }
 
 // Quotas limits what workspaces may use over all instances.
@@ -96,11 +99,23 @@
 	Any() bool
 	// IsRefused reports whether requests with a fingerprint must not run again.
 	IsRefused(fp quarantine.Fingerprint) bool
-	// RecordLost records that the connection to an endpoint broke while it ran a request. sent is when the request was
-	// sent.
-	RecordLost(e *fleet.Endpoint, fp quarantine.Fingerprint, sent time.Time)
+	// RecordLost records that the connection to an endpoint broke while it ran a request.
+	RecordLost(e *fleet.Endpoint, loss Loss)
 	// RecordAnswered records that an endpoint has answered a request.
 	RecordAnswered(fp quarantine.Fingerprint)
+	// RefusedBlock returns the ID of the block because of which a request to a service with the given shared blocks must
+	// not run, and false if there is none.
+	RefusedBlock(service string, shared []placement.Block) (id string, refused bool)
+	// RecordBegun records that an endpoint has begun to generate the answer to a request with the given shared blocks.
+	RecordBegun(service string, shared []placement.Block)
+}
+
+// Loss describes a request whose connection to an endpoint broke.
+type Loss struct {
+	Fingerprint quarantine.Fingerprint
+	Sent        time.Time // when the request was sent
+	Begun       bool      // an endpoint had begun to generate the answer
+	Shared      []placement.Block
 }
 
 // Versions splits the traffic of services whose version is being moved.
@@ -183,10 +198,12 @@
 	log       logrus.FieldLogger
 
 	tried        map[*fleet.Endpoint]bool
+	lastEnd      attemptEnd    // of the latest attempt
 	targetFailed bool          // the new version of a service that is being moved failed the request
 	timeToFirst  time.Duration // of the latest attempt, until the answer or the first event
 	sentAt       time.Time     // start of the latest attempt
 	measured     float64       // prompt tokens that show the speed of the engine of the latest attempt; 0: none do
+	begun        bool          // an endpoint has generated at least one event or an answer
 	workCounted  bool          // an engine has begun to work on the request, which OnWork was told
 	load         int           // this instance's other requests at the endpoint when the latest attempt was sent
 	arrivals     int           // attempts that may have reached an endpoint
@@ -194,6 +211,7 @@
 	mayHaveRun   bool          // an endpoint may have run the request, or may still run it
 	startCounted bool          // Config.OnStarted was called
 	stream       streamState
+	admission    fleet.Admission   // of the next or latest attempt
 	pendingMove  *moveResult       // where the next attempt continues the run; nil unless it was moved
 	successor    attempt.Successor // of a stalled attempt
 }
@@ -205,8 +223,8 @@
 	if refusal := r.identify(); refusal != nil {
 		return r.refuse(refusal)
 	}
-	if r.isQuarantined() {
-		return r.refuse(&Refusal{Err: problem.New(problem.Quarantined, "the request has crashed the endpoints that ran it")})
+	if err := r.checkQuarantine(); err != nil {
+		return r.refuse(&Refusal{Err: err})
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline())
 	defer cancel()
@@ -291,6 +309,7 @@
 // Try implements attempt.Steps.
 func (r *exchange) Try(ctx context.Context, e *fleet.Endpoint) *outcome {
 	out := r.attempt(ctx, e)
+	r.lastEnd = out.end
 	r.recordAttempt(e, &out)
 	return &out
 }
@@ -323,7 +342,10 @@
 	case r.mayHaveRun && (!r.route.MayRepeat() || r.runs >= r.route.MaxAttempts):
 		return errMayHaveRun
 	}
-	return nil
+	if err := r.checkQuarantine(); err != nil {
+		return err
+	}
+	return r.checkPaused()
 }
 
 // AcquireRetry implements attempt.Steps.
@@ -344,7 +366,11 @@
 	var refusal *Refusal
 	switch {
 	case !errors.As(cause, &refusal):
-		return r.finish(ctx, *last, cause)
+		if r.mayHaveRun || r.stream.started || ctx.Err() != nil || !errors.As(r.checkPaused(), &refusal) {
+			return r.finish(ctx, *last, cause)
+		}
+	case (r.mayHaveRun || r.stream.started) && *last != nil && (*last).answer != nil:
+		return r.finish(ctx, *last, errNoEndpoint)
 	case r.mayHaveRun || r.stream.started:
 		return r.finish(ctx, &outcome{err: refusal.Err}, errNoEndpoint)
 	}
@@ -393,6 +419,9 @@
 	case errBudget:
 		return "budget"
 	}
+	if problem.KindOf(cause) == problem.Quarantined {
+		return "quarantined"
+	}
 	return "no_endpoint"
 }
 
--- a/graceful/conn.go
+++ b/graceful/conn.go
@@ -2,12 +2,17 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/trefoillug/trefoillug/sockets"
 )
 
@@ -29,90 +34,291 @@
 		nc, err := l.deadlineListener.Accept()
 		switch {
 		case err == nil:
-			c := &conn{Conn: nc, acceptedAt: time.Now(), headerTimeout: l.server.HeaderTimeout}
-			l.server.add(c)
-			return c, nil
+			return l.wrap(nc)
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			return nil, err
-		case draining && time.Since(start) >= acceptWindow:
-			// Accept has waited, so no connection was left. A deadline that passes before the call fails without a look.
+		case draining && time.Since(start) >= acceptWindow && !l.hasWaiting():
+			// Accept has waited. A deadline that passes before the call fails without a look.
 			return nil, errors.Join(net.ErrClosed, l.Close())
 		}
 	}
 }
 
+// hasWaiting reports whether a connection waits to be accepted, such as one opened while the instance had no processor
+// time.
+func (l *listener) hasWaiting() bool {
+	sc, ok := l.deadlineListener.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) { n, _ = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0) })
+	return err == nil && n > 0
+}
+
+func (l *listener) wrap(nc net.Conn) (net.Conn, error) {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return nil, errors.Join(fmt.Errorf("connection %T is not a socket", nc), nc.Close())
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return nil, errors.Join(err, nc.Close())
+	}
+	c := &conn{Conn: nc, raw: raw, server: l.server, acceptedAt: time.Now()}
+	l.server.add(c)
+	return c, nil
+}
+
+// phase is what the server does with a connection. It follows the calls that net/http makes on the connection, since
+// reads alone do not show it: net/http buffers bytes of the next request along with the one before.
+type phase int
+
+const (
+	phaseNew      phase = iota // the first request has not begun
+	phaseHeader                // bytes of a request were read, and its header is not complete
+	phaseRequest               // a request is being answered, or the connection was hijacked
+	phaseAnswered              // an answer is complete, and the server has yet to look for the next request
+	phaseIdle                  // the server looks for the next request
+)
+
 // conn records whether a request is arriving or being answered on a connection.
 type conn struct {
 	net.Conn
-	acceptedAt    time.Time
-	headerTimeout func() time.Duration // nil: no limit
+	raw        syscall.RawConn
+	server     *Server
+	acceptedAt time.Time
 
-	mu        sync.Mutex
-	inRequest bool // bytes of a request have arrived, and its answer is not complete
-	served    bool // a request was answered
-	closed    bool // closed because it was idle
-	// headerTimer runs while the header of a request arrives.
-	headerTimer *time.Timer
+	mu          sync.Mutex
+	state       http.ConnState
+	phase       phase
+	phaseBegan  time.Time     // set for phaseHeader and phaseIdle
+	idleTimeout time.Duration // in force when phaseIdle began
+	bufferSize  int           // of net/http's reader
+	waiting     bool          // the server waits for the first byte of a request
+	closed      bool          // closed because it was idle
+	progress    sendProgress  // used during a shutdown
 }
 
 // Read implements net.Conn.
 func (c *conn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
+	if !c.beginRead(len(b)) {
+		return c.Conn.Read(b)
+	}
+	n, err := c.readHeader(b)
+	if err != nil && err != io.EOF {
+		err = &net.OpError{Op: "read", Net: c.LocalAddr().Network(), Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: err}
+	}
+	return n, err
+}
+
+// beginRead records that the server reads up to n bytes, and reports whether they belong to a header. The server reads
+// into the free part of its buffer, which is the whole buffer only if it holds no bytes of the next request.
+func (c *conn) beginRead(n int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed {
-		return 0, io.EOF // the bytes are lost, but the request has not begun
+	if c.bufferSize == 0 {
+		c.bufferSize = n
 	}
-	if n > 0 && !c.inRequest {
-		c.inRequest = true
+	if c.phase == phaseIdle && n < c.bufferSize {
 		c.beginHeader()
 	}
-	return n, err
+	c.waiting = c.phase == phaseNew || c.phase == phaseIdle
+	return c.waiting || c.phase == phaseHeader
 }
 
-// beginHeader starts the time limit of a header. c.mu must be held.
-func (c *conn) beginHeader() {
-	if c.headerTimeout == nil {
-		return
+// readHeader reads bytes of a header until its time limit. The limit ends only a wait for bytes: those that have
+// arrived are read however late the server is.
+func (c *conn) readHeader(b []byte) (n int, err error) {
+	read := func(fd uintptr) (done bool) {
+		n, err, done = c.tryRead(fd, b)
+		return done
 	}
-	if timeout := c.headerTimeout(); timeout > 0 {
-		c.headerTimer = time.AfterFunc(timeout, c.expireHeader)
+	for {
+		_ = c.Conn.SetReadDeadline(c.readLimit()) // fails only if the connection is closed
+		waitErr := c.raw.Read(read)
+		if waitErr == nil {
+			return n, err
+		}
+		done := false
+		if !errors.Is(waitErr, os.ErrDeadlineExceeded) || c.raw.Control(func(fd uintptr) { done = read(fd) }) != nil {
+			return 0, waitErr
+		}
+		if done {
+			return n, err
+		}
+		if c.expire() {
+			_ = c.Close() // net/http would answer 400 to a header in part
+			return 0, os.ErrDeadlineExceeded
+		}
 	}
 }
 
-func (c *conn) endHeader() {
+// tryRead reads bytes of a header without waiting. It holds c.mu while it reads and records that, so that tryClose never
+// takes a connection for idle whose bytes have left the socket.
+func (c *conn) tryRead(fd uintptr, b []byte) (n int, err error, done bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.headerTimer != nil {
-		c.headerTimer.Stop()
-		c.headerTimer = nil
+	if c.closed {
+		return 0, net.ErrClosed, true
+	}
+	n, err = readNow(fd, b)
+	if errors.Is(err, unix.EAGAIN) {
+		return 0, err, false
+	}
+	if c.waiting && n > 0 {
+		c.beginHeader()
+	}
+	c.waiting = false
+	return n, err, true
+}
+
+// readLimit returns when the bytes that the server waits for have to arrive, and the zero time if there is no limit. The
+// limit of an idle connection is never less than the one in force when its caller got the last answer.
+func (c *conn) readLimit() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch idle := c.server.idleTimeout(); c.phase {
+	case phaseNew:
+		return limitAfter(c.acceptedAt, max(idle, c.server.http.ReadHeaderTimeout))
+	case phaseIdle:
+		if idle <= 0 || c.idleTimeout <= 0 {
+			return time.Time{}
+		}
+		return limitAfter(c.phaseBegan, max(idle, c.idleTimeout))
+	default:
+		return limitAfter(c.phaseBegan, c.server.headerTimeout())
+	}
+}
+
+// limitAfter returns the time at which a timeout passes, and the zero time for no timeout.
+func limitAfter(begin time.Time, timeout time.Duration) time.Time {
+	if timeout <= 0 {
+		return time.Time{}
 	}
+	return begin.Add(timeout)
 }
 
-// expireHeader closes a connection on which a header has not arrived in time.
-func (c *conn) expireHeader() {
+// expire reports whether the time limit has passed, which may have changed since it was set.
+func (c *conn) expire() bool {
+	if limit := c.readLimit(); limit.IsZero() || limit.After(time.Now()) {
+		return false
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.headerTimer != nil {
-		_ = c.Conn.Close() // the request has not begun
+	c.waiting = false
+	if c.phase == phaseHeader {
+		c.report(ReasonHeaderTimeout)
+	} else {
+		c.report(ReasonIdleTimeout)
+	}
+	return true
+}
+
+// readNow reads from a socket that does not block.
+func readNow(fd uintptr, b []byte) (int, error) {
+	for {
+		n, err := unix.Read(int(fd), b)
+		switch {
+		case errors.Is(err, unix.EINTR):
+		case err != nil:
+			return 0, err
+		case n == 0:
+			return 0, io.EOF
+		default:
+			return n, nil
+		}
 	}
 }
 
-func (c *conn) endRequest() {
+// SetReadDeadline implements net.Conn. After an answer net/http sets the deadline for the first bytes of the next
+// request, looks for them in its buffer and on the connection, and sets the deadline for the header.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	switch c.phase {
+	case phaseAnswered:
+		c.phase, c.phaseBegan, c.idleTimeout = phaseIdle, time.Now(), c.server.idleTimeout()
+	case phaseIdle:
+		c.beginHeader()
+	}
+	if c.phase != phaseRequest {
+		t = time.Time{} // readHeader sets the deadline
+	}
+	c.mu.Unlock()
+	return c.Conn.SetReadDeadline(t)
+}
+
+// beginHeader records that a request has begun. c.mu must be held.
+func (c *conn) beginHeader() { c.phase, c.phaseBegan = phaseHeader, time.Now() }
+
+// recordState records a state that net/http reports.
+func (c *conn) recordState(state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.inRequest, c.served = false, true
+	c.state = state
+	switch state {
+	case http.StateActive:
+		c.phase = phaseRequest
+	case http.StateIdle:
+		c.phase = phaseAnswered
+	}
 }
 
-// tryClose closes the connection if it is idle. A new one counts as idle only after firstByteTimeout, because its
-// caller opened it for a request.
+// tryClose closes the connection if it is idle.
 func (c *conn) tryClose(now time.Time) bool {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.inRequest || !c.served && now.Sub(c.acceptedAt) < firstByteTimeout || !sockets.IsQuiet(c.Conn) {
+	if !c.isIdle(now) {
+		c.mu.Unlock()
 		return false
 	}
 	c.closed = true
+	c.report(ReasonIdleAtStop)
+	c.mu.Unlock()      // Close waits for tryRead, which takes c.mu
 	_ = c.Conn.Close() // nothing is pending on an idle connection
 	return true
 }
+
+// isIdle reports whether no request is arriving or being answered. A new connection counts as idle only after
+// firstByteTimeout, because its caller opened it for a request. c.mu must be held.
+func (c *conn) isIdle(now time.Time) bool {
+	if !c.waiting || c.phase == phaseNew && now.Sub(c.acceptedAt) < firstByteTimeout {
+		return false
+	}
+	s, err := c.socketState()
+	if err == nil && s.unsent > 0 && c.progress.stalledFor(s.unsent, now) < stallTimeout {
+		return false // the caller still receives the last answer
+	}
+	return sockets.IsQuiet(c.Conn)
+}
+
+// Close implements net.Conn. It lets the caller receive the last answer first, unless the whole server is closed.
+func (c *conn) Close() error {
+	if !c.isHijacked() {
+		c.linger()
+	}
+	return c.Conn.Close()
+}
+
+func (c *conn) isHijacked() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state == http.StateHijacked
+}
+
+// cut records that the connection is closed whatever its state.
+func (c *conn) cut() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.report(ReasonClose)
+}
+
+// report tells the owner of the server that the connection is closed. c.mu must be held.
+func (c *conn) report(why Reason) {
+	if c.server.OnClose != nil {
+		c.server.OnClose(Closing{Reason: why, State: c.state, Begun: c.phase == phaseHeader || c.phase == phaseRequest, Caller: c.RemoteAddr().String()})
+	}
+}
--- a/graceful/server.go
+++ b/graceful/server.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -23,11 +24,19 @@
 
 // Server is an HTTP server. Use New.
 type Server struct {
-	// HeaderTimeout returns the time in which the header of a request has to arrive once its first byte has; nil: no
-	// limit besides the one of the http.Server. It may change while the server runs.
+	// HeaderTimeout returns the time in which the header of a request has to arrive once its first byte has; 0: no limit;
+	// nil: the ReadHeaderTimeout of the http.Server. It may change while the server runs.
 	HeaderTimeout func() time.Duration
+	// IdleTimeout returns the time after which a connection without a request is closed; 0: no limit; nil: the
+	// IdleTimeout of the http.Server. It may change while the server runs; a lower value holds from the next answer on
+	// a connection. Connections without any request are kept for the ReadHeaderTimeout of the http.Server at least.
+	IdleTimeout func() time.Duration
+	// OnClose is told of each connection that the server closes by its own decision; nil: nobody is. It must not block
+	// or call the server.
+	OnClose func(Closing)
 
-	http *http.Server
+	http    *http.Server
+	closing atomic.Bool // Close was called
 
 	mu       sync.Mutex
 	listener deadlineListener // nil: closed or not yet serving
@@ -35,7 +44,7 @@
 	conns    map[*conn]struct{}
 }
 
-// New returns a server with the settings of s, whose ConnState must not be set.
+// New returns a server with the settings of s, whose ConnState and ReadTimeout must not be set.
 func New(s *http.Server) *Server {
 	g := &Server{http: s, conns: map[*conn]struct{}{}}
 	s.ConnState = g.recordState
@@ -89,7 +98,15 @@
 }
 
 // Close closes the listener and all connections at once.
-func (s *Server) Close() error { return s.http.Close() }
+func (s *Server) Close() error {
+	s.closing.Store(true)
+	s.mu.Lock()
+	for c := range s.conns {
+		c.cut()
+	}
+	s.mu.Unlock()
+	return s.http.Close()
+}
 
 // stopAccepting makes the listener accept only what already waits.
 func (s *Server) stopAccepting() {
@@ -101,6 +118,20 @@
 	}
 }
 
+func (s *Server) headerTimeout() time.Duration {
+	if s.HeaderTimeout != nil {
+		return s.HeaderTimeout()
+	}
+	return s.http.ReadHeaderTimeout
+}
+
+func (s *Server) idleTimeout() time.Duration {
+	if s.IdleTimeout != nil {
+		return s.IdleTimeout()
+	}
+	return s.http.IdleTimeout
+}
+
 func (s *Server) isDraining() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -143,12 +174,8 @@
 	if !ok {
 		return
 	}
-	switch state {
-	case http.StateActive:
-		c.endHeader()
-	case http.StateIdle:
-		c.endRequest()
-	case http.StateHijacked, http.StateClosed:
+	c.recordState(state)
+	if state == http.StateHijacked || state == http.StateClosed {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		delete(s.conns, c)
--- a/node/node.go
+++ b/node/node.go
@@ -33,8 +33,8 @@
 	memoryShare = 0.6
 	// readHeaderTimeout is used until the configuration sets another.
 	readHeaderTimeout = 3 * time.Second
-	// idleTimeout exceeds the idle time of callers' connections that any configuration is expected to allow.
-	idleTimeout = 2 * time.Minute
+	// minIdleTimeout is how long idle connections of callers are kept at least.
+	minIdleTimeout = 2 * time.Minute
 	// maxHeaderBytes exceeds the header limit of the deployments (16 KB).
 	maxHeaderBytes = 32 << 10
 	// defaultMaxBodyBytes limits request bodies until a configuration sets a limit.
@@ -93,6 +93,7 @@
 	}
 	debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryShare))
 	n.fleet = fleet.NewTable(func(address string) *upstream.Pool { return upstream.NewPool(address, upstream.Settings{}) })
+	n.fleet.OnSignal(n.receiveSignals)
 	n.quotas = quota.NewLedger(s.Name, s.QuotaTolerance, defaultInstances, n.started)
 	n.usage = usage.NewCounter(max(s.UsageWindow, time.Second))
 	n.retryBudgets = retryBudgets{limit: s.Repeats, instances: defaultInstances, byService: map[string]*limit.RepeatBudget{}}
@@ -119,7 +120,7 @@
 	})
 	n.feeds = map[string]*feed.Feed{}
 	n.addFeed(p.Kinds.Configuration, configHandler{n})
-	n.addFeed(p.Kinds.Endpoints, endpointHandler{n})
+	n.addFeed(p.Kinds.Endpoints, &endpointHandler{n: n})
 	n.addFeed(p.Kinds.Rollouts, n.rollouts)
 	n.subscribe()
 	return n, nil
@@ -146,7 +147,8 @@
 	peers := graceful.New(&http.Server{Handler: n.peerMux(), ReadHeaderTimeout: readHeaderTimeout})
 	ready := graceful.New(&http.Server{Handler: n.platform.Ready(n.IsReady), ReadHeaderTimeout: readHeaderTimeout})
 	callers := graceful.New(n.callerServer())
-	callers.HeaderTimeout = n.headerTimeout
+	callers.HeaderTimeout, callers.IdleTimeout = n.headerTimeout, n.idleTimeout
+	callers.OnClose = graceful.Report(n.log, n.metrics.scope)
 	for i, server := range []*graceful.Server{peers, ready, callers} {
 		group.Go(func() error { return server.Serve(listeners[i]) })
 	}
@@ -162,6 +164,7 @@
 	group.Go(func() error { return every(serveCtx, watchTick, func(context.Context) { n.updateWatches(time.Now()) }) })
 	group.Go(func() error { return every(serveCtx, rolloutTick, n.rollouts.tick) })
 	group.Go(func() error { n.maintainRegister(serveCtx); return nil })
+	group.Go(func() error { n.suspects.maintainRecords(serveCtx); return nil })
 	dutiesCtx, endDuties := context.WithCancel(serveCtx)
 	defer endDuties()
 	var dutiesDone sync.WaitGroup
@@ -211,13 +214,19 @@
 func (n *Node) callerServer() *http.Server {
 	return &http.Server{
 		Handler:        n.platform.Ingress(n.forwarder, n.maxBody, n.closing.Load),
-		IdleTimeout:    idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes,
-		// A connection without any request is closed like an idle one; graceful.Server bounds the headers.
-		ReadHeaderTimeout: idleTimeout,
 	}
 }
 
+// idleTimeout returns how long idle connections of callers are kept: longer than any caller that observes the
+// configuration reuses them.
+func (n *Node) idleTimeout() time.Duration {
+	if t := n.table.Load(); t != nil {
+		return max(minIdleTimeout, t.Limits.IdleTimeout)
+	}
+	return minIdleTimeout
+}
+
 // headerTimeout returns the time limit that the configuration sets for the header of a request.
 func (n *Node) headerTimeout() time.Duration {
 	if t := n.table.Load(); t != nil && t.Limits.HeaderTimeout > 0 {
--- a/node/suspects.go
+++ b/node/suspects.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/trefoillug/trefoillug/fleet"
+	"github.com/trefoillug/trefoillug/forward"
 	"github.com/trefoillug/trefoillug/peer"
 	"github.com/trefoillug/trefoillug/quarantine"
 	"github.com/trefoillug/trefoillug/upstream"
@@ -26,15 +29,21 @@
 // suspects implements forward.Suspects: it counts crashes, including those that peers report.
 type suspects struct {
 	*quarantine.Crashes
-	n *Node
+	n      *Node
+	blocks *quarantine.Blocks
 
-	mu   sync.Mutex
-	lost map[*fleet.Endpoint][]lostRequest // by endpoint that is being checked for a crash
+	mu            sync.Mutex
+	lost          map[*fleet.Endpoint][]lostRequest // by endpoint that is being checked for a crash
+	cleared       []quarantine.BlockFact            // to be reported
+	evidenceCount int                               // reports published
+	refusedCount  int
+
+	toStore chan blockRecord
 }
 
 type lostRequest struct {
-	fingerprint quarantine.Fingerprint
-	sent, ended time.Time
+	forward.Loss
+	ended time.Time
 }
 
 // crashReport reports how often a request has crashed its endpoint, or that an endpoint has answered it.
@@ -44,7 +53,7 @@
 }
 
 func newSuspects(n *Node) *suspects {
-	return &suspects{Crashes: quarantine.NewCrashes(), n: n, lost: map[*fleet.Endpoint][]lostRequest{}}
+	return &suspects{Crashes: quarantine.NewCrashes(), n: n, blocks: quarantine.NewBlocks(), lost: map[*fleet.Endpoint][]lostRequest{}, toStore: make(chan blockRecord, refusedKeys)}
 }
 
 // IsRefused implements forward.Suspects.
@@ -54,10 +63,10 @@
 
 // RecordLost implements forward.Suspects. A broken connection alone does not prove a crash, so a new connection is
 // tried.
-func (s *suspects) RecordLost(e *fleet.Endpoint, fp quarantine.Fingerprint, sent time.Time) {
+func (s *suspects) RecordLost(e *fleet.Endpoint, loss forward.Loss) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.lost[e] = append(s.lost[e], lostRequest{fp, sent, time.Now()}); len(s.lost[e]) == 1 {
+	if s.lost[e] = append(s.lost[e], lostRequest{loss, time.Now()}); len(s.lost[e]) == 1 {
 		time.AfterFunc(confirmDelay, func() { s.confirmCrash(e) })
 	}
 }
@@ -76,10 +85,25 @@
 	if err == nil || e.IsLeaving() {
 		return
 	}
-	s.n.log.WithError(err).WithFields(logrus.Fields{"endpoint": e.ID, "requests": len(lost)}).Info("endpoint crashed; the requests on it are suspected")
+	notBegun, highest := 0, 0
+	var blocks []quarantine.Fingerprint
 	for _, r := range lost {
-		s.publish(crashReport{Fingerprint: r.fingerprint, Crashes: s.Crashed(r.fingerprint, r.sent, r.ended)})
+		count := s.Crashed(r.Fingerprint, r.Sent, r.ended)
+		s.publish(crashReport{Fingerprint: r.Fingerprint, Crashes: count})
+		highest = max(highest, count)
+		if !r.Begun {
+			notBegun++
+			blocks = append(blocks, fingerprints(e.Service, r.Shared)...)
+		}
+	}
+	// A refused connection shows that the machine is up and the process is not. Without one, the path may be cut.
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		s.recordCrash(e, blocks, lost[0].ended)
 	}
+	s.n.metrics.scope.Counter("endpoint_crashes").Inc(1)
+	s.n.log.WithError(err).WithFields(logrus.Fields{
+		"endpoint": e.ID, "service": e.Service, "requests": len(lost), "not_begun": notBegun, "highest": highest,
+	}).Info("endpoint crashed; the requests on it are suspected")
 }
 
 // RecordAnswered implements forward.Suspects.
