--- a/forward/silent_test.go
+++ b/forward/silent_test.go
@@ -5,10 +5,16 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/trefoillug/trefoillug/fleet"
+	"github.com/trefoillug/trefoillug/forward"
+	"github.com/trefoillug/trefoillug/placement"
 )
 
 // silence exceeds the time without progress after which another endpoint is tried.
@@ -100,3 +106,145 @@
 	must.NoError(t, got.broken)
 	must.Eq(t, event(1)+event(2), got.body.String())
 }
+
+// Guards against an endpoint that fell silent and is suspected to have crashed.
+func TestServe_StallIsNoCrash(t *testing.T) {
+	s := &suspects{}
+	w := newHarness(t, 2, func(a *arrival) {
+		a.stream()
+		if a.after == "" {
+			a.chunk(event(1))
+			<-a.connClosed
+			return
+		}
+		a.chunk(event(2))
+		a.end()
+	}, func(cfg *forward.Config) { cfg.Suspects = s })
+	w.table.Routes[3].Timeout = 3 * time.Second
+	got := w.sendPrompt(t.Context(), "resume", promptWith("shared"))
+	must.NoError(t, got.broken)
+	must.SliceEmpty(t, s.losses)
+}
+
+// quarantineFlip refuses each prompt block once refused is set.
+type quarantineFlip struct {
+	suspects
+	refused atomic.Bool
+}
+
+func (s *quarantineFlip) RefusedBlock(string, []placement.Block) (string, bool) {
+	return "bad", s.refused.Load()
+}
+
+// Guards against a stream that is given up for silence although its prompt may not be sent to another endpoint.
+func TestServe_StalledThenQuarantined(t *testing.T) {
+	s := &quarantineFlip{}
+	w := newHarness(t, 2, func(a *arrival) { s.refused.Store(true); pausingStream(a) }, func(cfg *forward.Config) { cfg.Suspects = s })
+	w.table.Routes[3].Timeout = 3 * time.Second
+	got := w.sendPrompt(t.Context(), "resume", promptWith("shared"))
+	must.NoError(t, got.broken)
+	must.Eq(t, event(1)+event(2), got.body.String())
+}
+
+// newVersionOnly moves all requests to version v2.
+type newVersionOnly struct{}
+
+func (newVersionOnly) Version(string, string) (string, bool, bool) { return "v2", true, true }
+func (newVersionOnly) Observe(forward.Observation)                 {}
+
+// Guards against requests that fail because the old version has no endpoints left, and the new one has failed them once
+// or takes no more requests for a moment.
+func TestServe_OldVersionHasGone(t *testing.T) {
+	newOnly := func(t *testing.T, ids []string, script func(a *arrival)) *harness {
+		w := newHarness(t, 0, script, func(cfg *forward.Config) { cfg.Versions = newVersionOnly{} })
+		for _, id := range ids {
+			w.fleet.Put(fleet.Entry{ID: id, Service: service, Version: "v2", Address: w.listen(id, script), Slots: 8})
+		}
+		return w
+	}
+	t.Run("stalled", func(t *testing.T) {
+		w := newOnly(t, []string{"a", "b"}, pausingStream)
+		w.table.Routes[3].Timeout = 3 * time.Second
+		got := w.send(t.Context(), "resume")
+		must.NoError(t, got.broken)
+		must.Eq(t, event(1)+event(2), got.body.String())
+	})
+	t.Run("after a pause", func(t *testing.T) {
+		w := newOnly(t, []string{"a"}, func(a *arrival) {
+			time.Sleep(60 * time.Millisecond)
+			a.reply(http.StatusOK, "ok")
+		})
+		w.table.Routes[1].TargetLatency = 2 * time.Second
+		w.fleet.Service(service)[0].RecordSignals(fleet.Signals{Pause: 5 * time.Millisecond}, time.Now())
+		time.Sleep(10 * time.Millisecond) // the pause has ended
+		var group sync.WaitGroup
+		for range 2 {
+			group.Go(func() { must.Eq(t, http.StatusOK, w.send(t.Context(), "safe").status) })
+			time.Sleep(20 * time.Millisecond) // the second request finds the one place taken
+		}
+		group.Wait()
+	})
+}
+
+// rejectLater returns a script that runs the first arrival, rejects the next ones, and runs all others.
+func rejectLater(rejections int32, first func(a *arrival)) func(a *arrival) {
+	var arrivals atomic.Int32
+	return func(a *arrival) {
+		switch n := arrivals.Add(1); {
+		case n == 1:
+			first(a)
+		case n <= 1+rejections:
+			a.reply(http.StatusServiceUnavailable, "", "Not-Run", "1")
+		default:
+			a.stream()
+			a.chunk(event(2))
+			a.end()
+		}
+	}
+}
+
+// Guards against a stream that is cut because the endpoint that should continue it is full for a moment.
+func TestServe_StalledThenRejected(t *testing.T) {
+	for _, rejections := range []int32{1, 2, 4} {
+		t.Run(fmt.Sprint(rejections), func(t *testing.T) {
+			w := newHarness(t, 3, rejectLater(rejections, pausingStream))
+			w.table.Routes[3].Timeout = 5 * time.Second
+			got := w.send(t.Context(), "resume")
+			must.NoError(t, got.broken)
+			must.Eq(t, event(1)+event(2), got.body.String())
+		})
+	}
+}
+
+// Guards against a stream that is given up for silence although every other endpoint turns it away.
+func TestServe_StalledThenAllReject(t *testing.T) {
+	w := newHarness(t, 3, rejectLater(1000, pausingStream))
+	w.table.Routes[3].Timeout = 3 * time.Second
+	got := w.send(t.Context(), "resume")
+	must.NoError(t, got.broken)
+	must.Eq(t, event(1)+event(2), got.body.String())
+}
+
+// Guards against a stream that is cut at its first rejection because it was lost twice before.
+func TestServe_OneRejectionAfterTwoLosses(t *testing.T) {
+	var arrivals atomic.Int32
+	w := newHarness(t, 4, func(a *arrival) {
+		switch n := int(arrivals.Add(1)); n {
+		case 1, 2:
+			a.stream()
+			a.chunk(event(n))
+			time.Sleep(30 * time.Millisecond) // the event is read before the connection ends
+			_ = a.conn.Close()
+		case 3:
+			a.reply(http.StatusServiceUnavailable, "", "Not-Run", "1")
+		default:
+			a.stream()
+			a.chunk(event(3))
+			a.end()
+		}
+	})
+	w.table.Routes[3].MaxAttempts = 4
+	got := w.send(t.Context(), "resume")
+	must.NoError(t, got.broken)
+	must.Eq(t, event(1)+event(2)+event(3), got.body.String())
+}
