--- a/soak/pipeline_test.go
+++ b/soak/pipeline_test.go
@@ -33,8 +33,7 @@
 			if c.announce {
 				w.Header().Set("Connection", "close")
 			}
-			r.Header.Set("X-Trefoillug-Expect-Instance", "i-1")
-			worker.ServeHTTP(w, r)
+			worker.ServeHTTP(w, worker.Addressed(r))
 		}))
 		env := &environment{evidence: newEvidence(streamEvents)}
 		p := &pipeline{caller: newCaller(env, 0, 1)}
--- a/standin/platformworker.go
+++ b/standin/platformworker.go
@@ -114,6 +114,13 @@
 	return append([]PlatformRefusal(nil), u.refusals...)
 }
 
+// Addressed returns a copy of a caller's request as an instance sends it to this worker.
+func (u *PlatformWorker) Addressed(r *http.Request) *http.Request {
+	r = r.Clone(r.Context())
+	r.Header.Set("X-Trefoillug-Expect-Instance", u.ID)
+	return r
+}
+
 // ServeHTTP implements http.Handler.
 func (u *PlatformWorker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
