--- a/review/cmd/case/secondrollout.go
+++ b/review/cmd/case/secondrollout.go
@@ -154,7 +154,7 @@
 		target, st  string
 		at, written time.Time
 	)
-	for _, target = range []string{"v3", "v4", "v5"} {
+	for _, target = range []string{"v3", "v4", "v5", "v6", "v7", "v8"} {
 		bad := []*versionWorker{start("i-"+target+"-1", target, 1), start("i-"+target+"-2", target, 1)}
 		at = time.Now()
 		st, written = roll(target, old, bad)
