--- a/review/kit/worker.go
+++ b/review/kit/worker.go
@@ -22,6 +22,8 @@
 	Work time.Duration
 	// Fail is called for each request that the worker runs; nil: none fails. It returns true if it has answered.
 	Fail func(w http.ResponseWriter, r *http.Request) bool
+	// Full reports whether the worker has no place for another request; nil: it always has.
+	Full func() bool
 
 	mu   sync.Mutex
 	runs map[string]*Run
@@ -64,6 +66,12 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if u.Full != nil && u.Full() {
+		u.Site.Log("worker %s is full and does not run %s", u.ID, id)
+		h.Set("X-Trefoillug-Not-Executed", "full")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	run := &Run{Begun: time.Now(), Target: r.RequestURI, Body: string(body)}
 	u.mu.Lock()
 	if u.runs == nil {
@@ -93,6 +101,13 @@
 	u.mu.Unlock()
 }
 
+// SetComplete records that an answer which Fail has given was sent to its end.
+func (u *Worker) SetComplete(id string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.runs[id].Complete = true
+}
+
 func (u *Worker) plain(w http.ResponseWriter, r *http.Request, n int) bool {
 	select {
 	case <-time.After(u.Work):
