--- a/review/cmd/case/keptconnection.go
+++ b/review/cmd/case/keptconnection.go
@@ -16,7 +16,7 @@
 // keptConnection: callers send one stream after the other on a connection that they keep. An instance gets SIGTERM.
 func keptConnection(dir string) {
 	const (
-		callers    = 24
+		callers    = 48
 		roundTrip  = 2 * time.Millisecond // the sheet has 1 ms one way to requesters
 		sentWithin = 3 * time.Second      // of the SIGTERM: a request sent later has no excuse
 	)
@@ -45,7 +45,7 @@
 	)
 	for i := range callers {
 		wg.Go(func() {
-			time.Sleep(time.Duration(i) * 200 * time.Millisecond) // so that the streams end at different times
+			time.Sleep(time.Duration(i) * 100 * time.Millisecond) // so that the streams end at different times
 			// The platform sends all connections of these callers to the instance while it is in rotation. A caller that
 			// has to open another connection goes elsewhere and is not looked at.
 			c, err := kit.Dial(target.Front)
@@ -59,7 +59,7 @@
 					return
 				default:
 				}
-				r := &kit.Request{ID: kit.NewID(), Method: http.MethodPost, Target: "/review/" + string(rune('a'+i)), Body: "prompt", Header: http.Header{
+				r := &kit.Request{ID: kit.NewID(), Method: http.MethodPost, Target: "/review/1", Body: "prompt", Header: http.Header{
 					"X-Trefoillug-Token-Count": {"1200,384"}, "X-Trefoillug-Deadline-Ms": {"15000"}, "X-Trefoillug-Model": {"m"},
 				}}
 				s.Log("caller %d sends %s on its connection", i, r.ID)
--- a/review/cmd/case/silentburst.go
+++ b/review/cmd/case/silentburst.go
@@ -29,7 +29,6 @@
 	s.Publish(kit.Manifest(3, kit.Route("notes", "/notes/", "streaming", kit.Models, map[string]any{"resumable": true, "maxAttempts": 2, "timeoutMs": 10000, "targetGapMs": 400, "targetLatencyMs": 500})))
 	var fullUntil, silentUntil atomic.Int64
 	left := func(until *atomic.Int64) time.Duration { return time.Until(time.Unix(0, until.Load())) }
-	var workers []*kit.Worker
 	for _, id := range []string{"i-w1", "i-w2", "i-w3"} {
 		u := &kit.Worker{ID: id, Site: s, EventTime: 100 * time.Millisecond}
 		u.Fail = func(w http.ResponseWriter, r *http.Request) bool {
@@ -51,7 +50,6 @@
 		u.Events = events
 		u.Full = func() bool { return left(&fullUntil) > 0 }
 		s.AddWorker(id, kit.Models, u)
-		workers = append(workers, u)
 	}
 	nodes := s.StartNodes("edge-1", "edge-2", "edge-3")
 	target := nodes[0]
