forward: an answer that does not follow the stream is not relayed

Callers saw a stream that looked whole though pieces were missing, doubled or of another run: after events 1, 2 and a broken connection, an answer with events 5, 6 and an end was appended, and so was one that began again at event 1 or 2, or whose events had no IDs. The same held for the answer of a moved run and of an accepted offer.

Cause: a continuation only had to be later than what the caller had, and events up to that position were dropped, though an endpoint that sends them has not taken the position and generates another run.

The package continuation states the rule: an answer is relayed once its first event is known to be the successor of the caller's last one. The step of the IDs is learned from what the caller has, else from up to three events of the answer, which are held back meanwhile. Any other answer ends its attempt as a failure of the endpoint, which is no sign of a crash. It is logged with position and offered event, and counted by cause (continuations_refused).

--- a/forward/answer.go
+++ b/forward/answer.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/trefoillug/trefoillug/continuation"
 	"github.com/trefoillug/trefoillug/problem"
 )
 
@@ -80,3 +81,8 @@
 func (m *Metrics) countBrokenStream(cause string) {
 	m.scope.Tagged(map[string]string{"cause": cause}).Counter("streams_broken").Inc(1)
 }
+
+// countContinuation counts an answer that was not relayed because it does not continue a stream.
+func (m *Metrics) countContinuation(cause continuation.Cause) {
+	m.scope.Tagged(map[string]string{"cause": string(cause)}).Counter("continuations_refused").Inc(1)
+}
--- a/forward/offer.go
+++ b/forward/offer.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync"
@@ -235,7 +236,8 @@
 // offer sends the request to an endpoint that is to continue the stream, and reports whether it does.
 func (r *exchange) offer(ctx context.Context, e *fleet.Endpoint, admission fleet.Admission) bool {
 	a := &acceptedOffer{endpoint: e, sent: time.Now(), prefill: r.beginPrefill(e)}
-	call := r.newCall(ctx, e, r.offers.lastID(), "")
+	lastID := r.offers.lastID()
+	call := r.newCall(ctx, e, lastID, "")
 	if r.tried[e] {
 		call.UnusedSince = r.req.Arrived
 	}
@@ -253,12 +255,12 @@
 	}
 	e.Stats.RecordPrefilled(a.prefill)
 	e.Stats.End()
-	r.offers.recordEnded(endedOffer{e, a.sent, r.offerOutcome(ctx, e, reply, err)})
+	r.offers.recordEnded(endedOffer{e, a.sent, r.offerOutcome(ctx, e, reply, cmp.Or(lastID, r.req.LastEventID), err)})
 	return false
 }
 
-// offerOutcome returns the outcome of an offer that was not accepted.
-func (r *exchange) offerOutcome(ctx context.Context, e *fleet.Endpoint, reply *upstream.Reply, err error) outcome {
+// offerOutcome returns the outcome of an offer that was not accepted. position is that of noContinuation.
+func (r *exchange) offerOutcome(ctx context.Context, e *fleet.Endpoint, reply *upstream.Reply, position string, err error) outcome {
 	if err != nil {
 		return failedOutcome(ctx, err)
 	}
@@ -267,7 +269,7 @@
 	if r.f.cfg.Wire.IsNotRun(reply.Status, reply.Header) {
 		return notRun(reply)
 	}
-	return noContinuation(reply)
+	return noContinuation(reply, position)
 }
 
 // recordOffer records the outcome of an offer that was not accepted like that of an attempt.
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/trefoillug/trefoillug/continuation"
 	"github.com/trefoillug/trefoillug/progress"
 	"github.com/trefoillug/trefoillug/routing"
 	"github.com/trefoillug/trefoillug/upstream"
@@ -18,10 +19,10 @@
 
 // streamState records how much of a stream was relayed to the caller.
 type streamState struct {
-	started   bool        // the head of an answer was relayed
-	lastID    string      // ID of the last event that was relayed
-	resumed   bool        // the current attempt continues the stream, and nothing of it was relayed yet
-	unordered atomic.Bool // an event was relayed whose ID does not tell its position
+	started   bool                  // the head of an answer was relayed
+	lastID    string                // ID of the last event that was relayed
+	position  continuation.Position // of the last event that the caller has, also from an earlier request
+	unordered atomic.Bool           // an event was relayed whose ID does not tell its position
 }
 
 // canContinue reports whether another attempt can continue what the caller has: each event has an ID, and the IDs
@@ -55,7 +56,7 @@
 	defer context.AfterFunc(ctx, func() { reply.Abort() })()
 	watch := progress.Start(r.stallTimeout(), onStall)
 	defer watch.Stop()
-	r.stream.resumed = r.stream.started
+	joint := newJoint(&r.stream)
 	var buf []byte
 	received := 0
 	last := time.Time{} // of the latest event
@@ -68,16 +69,16 @@
 			received += n
 			buf = append(buf, chunk[:n]...)
 			complete := eventsEnd(buf)
-			hasField := recordProgress(watch, buf[:complete])
-			if hasField {
+			if recordProgress(watch, buf[:complete]) {
 				r.recordBegun()
 			}
 			last = r.recordTokens(buf[:complete], last)
-			if werr := r.forwardEvents(reply, buf[:complete]); werr != nil {
-				return outcome{end: ended, reached: true, err: werr}
+			events, jerr := joint.add(buf[:complete])
+			if jerr != nil {
+				return outcome{end: lost, reached: true, err: jerr}
 			}
-			if hasField {
-				r.offers.record(r.stream.lastID)
+			if out := r.relayEvents(reply, events); out != nil {
+				return *out
 			}
 			buf = append(buf[:0], buf[complete:]...)
 		}
@@ -90,6 +91,13 @@
 		case err == io.EOF && received == 0 && reply.IsUnframed():
 			return outcome{end: lost, reached: true, err: errEmptyStream}
 		case err == io.EOF && len(buf) == 0 && move.result() == nil:
+			events, jerr := joint.end()
+			if jerr != nil {
+				return outcome{end: lost, reached: true, err: jerr}
+			}
+			if out := r.relayEvents(reply, events); out != nil {
+				return *out
+			}
 			if !r.stream.started {
 				r.startStream(reply)
 			}
@@ -111,7 +119,18 @@
 	r.w.WriteHead(reply.Status, reply.Header, -1)
 }
 
-// forwardEvents writes complete events, except those that the caller already has from an earlier endpoint.
+// relayEvents relays complete events. It returns an outcome if the attempt has ended.
+func (r *exchange) relayEvents(reply *upstream.Reply, events []byte) *outcome {
+	if err := r.forwardEvents(reply, events); err != nil {
+		return &outcome{end: ended, reached: true, err: err}
+	}
+	if hasField(events) {
+		r.offers.record(r.stream.lastID)
+	}
+	return nil
+}
+
+// forwardEvents writes complete events.
 func (r *exchange) forwardEvents(reply *upstream.Reply, events []byte) error {
 	if len(events) == 0 {
 		return nil
@@ -125,9 +144,6 @@
 		events = events[n:]
 		id := eventID(event)
 		later := r.stream.lastID == "" || isLater(id, r.stream.lastID)
-		if id != "" && !later && r.stream.resumed {
-			continue
-		}
 		if hasData(event) && (id == "" || !later || !isPosition(id)) {
 			r.stream.unordered.Store(true)
 		}
@@ -135,12 +151,27 @@
 			return err
 		}
 		if id != "" {
-			r.stream.lastID, r.stream.resumed = id, false
+			if id != r.stream.position.String() {
+				r.stream.position.Record(id)
+			}
+			r.stream.lastID = id
 		}
 	}
 	return r.w.Flush()
 }
 
+// hasField reports whether one of the events is more than a comment.
+func hasField(events []byte) bool {
+	for line := range bytes.Lines(events) {
+		switch line[0] {
+		case ':', '\r', '\n':
+		default:
+			return true
+		}
+	}
+	return false
+}
+
 // isPosition reports whether an event ID is a number, which tells the position of the event.
 func isPosition(id string) bool {
 	_, err := strconv.ParseInt(id, 10, 64)
@@ -182,23 +213,14 @@
 // recordProgress records complete events, some of which may be comments only, with a watch. It reports whether one of
 // them is more than a comment.
 func recordProgress(watch *progress.Watch, events []byte) bool {
-	hasField, hasComment := false, false
-	for line := range bytes.Lines(events) {
-		switch line[0] {
-		case ':':
-			hasComment = true
-		case '\r', '\n':
-		default:
-			hasField = true
-		}
-	}
 	switch {
-	case hasField:
+	case hasField(events):
 		watch.RecordEvent()
-	case hasComment:
+		return true
+	case len(bytes.TrimSpace(events)) > 0:
 		watch.RecordComment()
 	}
-	return hasField
+	return false
 }
 
 // eventsEnd returns the length of the complete events at the start of b.
--- a/forward/suspect.go
+++ b/forward/suspect.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 
+	"github.com/trefoillug/trefoillug/continuation"
 	"github.com/trefoillug/trefoillug/fleet"
 	"github.com/trefoillug/trefoillug/placement"
 	"github.com/trefoillug/trefoillug/problem"
@@ -52,7 +53,7 @@
 }
 
 // reportToSuspects tells Config.Suspects that the request lost its connection or was answered. It reports no loss from
-// an endpoint that stalled, sent too much or is leaving, because the request did not crash it.
+// an endpoint that stalled, sent too much or something else than asked for, or is leaving, because the request did not crash it.
 func (r *exchange) reportToSuspects(e *fleet.Endpoint, out *outcome) {
 	s := r.f.cfg.Suspects
 	switch {
@@ -66,5 +67,6 @@
 
 // mayHaveCrashed reports whether an attempt ended as it does when its endpoint crashes.
 func (r *exchange) mayHaveCrashed(out *outcome) bool {
-	return out.end == lost && !errors.Is(out.err, progress.ErrStalled) && !errors.Is(out.err, progress.ErrTooLong)
+	var refused *continuation.Error
+	return out.end == lost && !errors.Is(out.err, progress.ErrStalled) && !errors.Is(out.err, progress.ErrTooLong) && !errors.As(out.err, &refused)
 }
