forward: a caller's own resume is judged like a continued stream

A caller that resumed after event 2 at a fresh instance got events 1, 2, 3 or 5, 6 as its answer: the position was sent on, but nothing checked that the endpoint took it.

The position that a caller sends on a resumable route is where its stream stands, so that an endpoint's first answer is judged by the same rule. No head is sent before, so that another endpoint can answer with its own head; if none does, the caller gets 502, since the request has run. A position that is no number can't be compared and means what the endpoint says. On a route that is not resumable it has no meaning.

Evidence: without this change TestServe_CallersOwnResume failed in 8 of 13 cases (each one that is not sound). It passes now; TestServe_PositionWithoutMeaning passes before and after. On the code before the rule, TestServe_CallersResumeIsContinued failed too.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/trefoillug/trefoillug/attempt"
+	"github.com/trefoillug/trefoillug/continuation"
 	"github.com/trefoillug/trefoillug/fleet"
 	"github.com/trefoillug/trefoillug/placement"
 	"github.com/trefoillug/trefoillug/problem"
@@ -243,6 +244,9 @@
 	if err := r.checkQuarantine(); err != nil {
 		return r.refuse(&Refusal{Err: err})
 	}
+	if r.route.Resumable {
+		r.stream.position = continuation.After(req.LastEventID)
+	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline())
 	defer cancel()
 	releaseQuota := func() {}
--- a/forward/joint_test.go
+++ b/forward/joint_test.go
@@ -1,6 +1,7 @@
 package forward_test
 
 import (
+	"net/http"
 	"strconv"
 	"strings"
 	"sync"
@@ -14,6 +15,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/trefoillug/trefoillug/forward"
+	"github.com/trefoillug/trefoillug/problem"
 )
 
 // eventsOf returns events with the given IDs, separated by commas; "-" is an event without ID, and ":" a comment.
@@ -49,6 +51,17 @@
 	a.end()
 }
 
+// sendAfter makes a request on the resumable route that goes on after the event with an ID.
+func (w *harness) sendAfter(t *testing.T, after string) *caller {
+	now := time.Now()
+	c := &caller{}
+	c.broken = w.forwarder.Serve(t.Context(), c, &forward.Request{
+		ID: "resumed", Method: http.MethodPost, Host: "h", Path: "/resume/x", URI: "/resume/x", Key: "k",
+		Header: http.Header{}, Arrived: now, Deadline: now.Add(3 * time.Second), LastEventID: after,
+	})
+	return c
+}
+
 // continuations are answers to an attempt that continues the first events.
 var continuations = []struct {
 	name, first, second string
@@ -139,6 +152,86 @@
 	}
 }
 
+// Guards against a caller that resumes a stream and gets pieces twice, or misses some, because the endpoint does not go on
+// at its position. Nothing is sent before that is known, so that another endpoint can still answer.
+func TestServe_CallersOwnResume(t *testing.T) {
+	for _, c := range []struct {
+		name, second string
+		sound        bool
+	}{
+		{"next events", "3,4", true},
+		{"next events after a comment", ":,3,4", true},
+		{"nothing left", "", true},
+		{"steps of two", "4,6", true},
+		{"uneven steps", "5,7,10", true},
+		{"from the start", "1,2,3", false},
+		{"last event again", "2,3", false},
+		{"hole", "5,6", false},
+		{"hole, long", "5,6,7", false},
+		{"hole before the last event", "5", false},
+		{"no IDs", "-,-", false},
+		{"no numbers", "x", false},
+		{"from the start after a comment", ":,1,2,3", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			w := newHarness(t, 3, func(a *arrival) { a.sendEvents(c.second, false) })
+			got := w.sendAfter(t, "2")
+			if c.sound {
+				must.NoError(t, got.broken)
+				must.Eq(t, eventsOf(c.second), got.body.String())
+				must.Eq(t, 1, w.arrivalCount())
+				return
+			}
+			must.NotNil(t, got.refusal)
+			must.Eq(t, problem.EndpointFailed, problem.KindOf(got.refusal.Err))
+			must.Eq(t, http.StatusBadGateway, got.status)
+			must.Eq(t, "", got.body.String())
+			must.Eq(t, 2, w.arrivalCount())
+
+			var first sync.Once
+			w = newHarness(t, 3, func(a *arrival) {
+				ids := "3,4"
+				first.Do(func() { ids = c.second })
+				a.sendEvents(ids, false)
+			})
+			got = w.sendAfter(t, "2")
+			must.NoError(t, got.broken)
+			must.Eq(t, http.StatusOK, got.status)
+			must.Eq(t, eventsOf("3,4"), got.body.String())
+		})
+	}
+}
+
+// Guards against a position of the caller that is no number and is held against the endpoint, which may use such IDs, and
+// against a route that is not resumable, on which the position means nothing.
+func TestServe_PositionWithoutMeaning(t *testing.T) {
+	w := newHarness(t, 3, func(a *arrival) { a.sendEvents("d,e", false) })
+	got := w.sendAfter(t, "c")
+	must.NoError(t, got.broken)
+	must.Eq(t, eventsOf("d,e"), got.body.String())
+
+	w = newHarness(t, 3, func(a *arrival) { a.sendEvents("1,2,3", false) })
+	w.table.Routes[3].Resumable = false
+	got = w.sendAfter(t, "2")
+	must.NoError(t, got.broken)
+	must.Eq(t, eventsOf("1,2,3"), got.body.String())
+}
+
+// Guards against pieces of two runs in a stream whose caller resumes it, and which then breaks off and goes on elsewhere.
+func TestServe_CallersResumeIsContinued(t *testing.T) {
+	w := newHarness(t, 3, func(a *arrival) {
+		if a.after == "2" {
+			a.sendEvents("3,4", true)
+			return
+		}
+		a.sendEvents("6,7", false)
+	})
+	got := w.sendAfter(t, "2")
+	must.Error(t, got.broken)
+	must.Eq(t, eventsOf("3,4"), got.body.String())
+}
+
 // Guards against events that are lost because they are held back when their endpoint breaks off.
 func TestServe_BrokenOffBeforeDecision(t *testing.T) {
 	var resumes atomic.Int32
@@ -223,7 +316,7 @@
 		"gap":         {func(a *arrival) { a.sendEvents("5,6", false) }, "gap", "5"},
 		"step back":   {func(a *arrival) { a.sendEvents("1,2", false) }, "step_back", "1"},
 		"no position": {func(a *arrival) { a.sendEvents("-", false) }, "no_position", ""},
-		"no stream":   {func(a *arrival) { a.reply(404, "") }, "not_a_stream", "404"},
+		"no stream":   {func(a *arrival) { a.reply(http.StatusNotFound, "") }, "not_a_stream", "404"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			log, hook := logtest.NewNullLogger()
