forward: a stalled stream does not move on once its offer is asked for

Callers could get pieces of two runs: while an event of the stalled endpoint was being written, the stream was offered after the event before it, and the accepted answer went on there. Its first event was dropped as one that the caller has, so that event 2 of one run was followed by event 3 of another that had generated an event 2 of its own.

Cause: the position of an offer was moved on after the write, and an event could still be relayed after another endpoint had accepted the stream.

The position is claimed before the write, under the lock of the offers: an offer in progress is withdrawn by it, and a later one asks for the new position. Once an endpoint has accepted, nothing of the stalled one is relayed any more. So an accepted answer always goes on at the position that it was asked for.

--- a/forward/offer.go
+++ b/forward/offer.go
@@ -53,12 +53,19 @@
 	o.open = true
 }
 
-// record records that the caller has events up to one with the given ID, and withdraws the offer in progress.
-func (o *offers) record(lastID string) {
+// claim records that the caller gets events up to one with the given ID, "" for none with an ID, and withdraws the offer in
+// progress. It returns false if an endpoint has accepted the stream, to which nothing may be added any more.
+func (o *offers) claim(lastID string) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.position = lastID
+	if o.accepted != nil {
+		return false
+	}
+	if lastID != "" {
+		o.position = lastID
+	}
 	o.withdraw()
+	return true
 }
 
 // withdraw cancels the search in progress, unless an endpoint has accepted. o.mu must be held.
--- a/forward/offer_test.go
+++ b/forward/offer_test.go
@@ -219,3 +219,55 @@
 		must.Zero(t, e.Stats.Snapshot(time.Now()).Running)
 	}
 }
+
+// blockingCaller holds the write of the second event until another endpoint has got the stream.
+type blockingCaller struct {
+	caller
+	offered <-chan struct{}
+}
+
+func (c *blockingCaller) Write(b []byte) (int, error) {
+	if string(b) == event(2) {
+		select {
+		case <-c.offered:
+		case <-time.After(3 * time.Second):
+		}
+	}
+	return c.body.Write(b)
+}
+
+// Guards against pieces of two runs: an endpoint accepts a stream after a position that the caller has already passed,
+// because an event of the stalled endpoint is still being written.
+func TestServe_OfferWhileEventIsWritten(t *testing.T) {
+	offered := make(chan struct{})
+	var after string
+	w := newHarness(t, 2, func(a *arrival) {
+		a.stream()
+		if a.after == "" {
+			a.chunk(event(1))
+			time.Sleep(20 * time.Millisecond)
+			a.chunk(event(2))
+			<-a.connClosed
+			return
+		}
+		after = a.after
+		time.Sleep(20 * time.Millisecond)
+		close(offered)
+		<-time.After(100 * time.Millisecond)
+		if a.after == "1" {
+			a.chunk(event(2))
+		}
+		a.chunk(event(3))
+		a.end()
+	})
+	w.table.Routes[3].Timeout = 4 * time.Second
+	now := time.Now()
+	got := &blockingCaller{offered: offered}
+	got.broken = w.forwarder.Serve(t.Context(), got, &forward.Request{
+		ID: "r", Method: http.MethodPost, Host: "h", Path: "/resume/x", URI: "/resume/x", Key: "k",
+		Header: http.Header{}, Arrived: now, Deadline: now.Add(4 * time.Second),
+	})
+	must.NoError(t, got.broken)
+	must.Eq(t, "2", after)
+	must.Eq(t, event(1)+event(2)+event(3), got.body.String())
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -119,14 +119,15 @@
 	r.w.WriteHead(reply.Status, reply.Header, -1)
 }
 
-// relayEvents relays complete events. It returns an outcome if the attempt has ended.
+// relayEvents relays complete events, unless another endpoint has accepted the stream meanwhile: its answer goes on at the
+// position for which it was asked. It returns an outcome if the attempt has ended.
 func (r *exchange) relayEvents(reply *upstream.Reply, events []byte) *outcome {
+	if hasField(events) && !r.offers.claim(lastEventID(events)) {
+		return &outcome{end: lost, reached: true, err: progress.ErrStalled}
+	}
 	if err := r.forwardEvents(reply, events); err != nil {
 		return &outcome{end: ended, reached: true, err: err}
 	}
-	if hasField(events) {
-		r.offers.record(r.stream.lastID)
-	}
 	return nil
 }
 
@@ -172,6 +173,18 @@
 	return false
 }
 
+// lastEventID returns the ID of the last of the events that has one.
+func lastEventID(events []byte) (last string) {
+	for len(events) > 0 {
+		n := firstEventEnd(events)
+		if id := eventID(events[:n]); id != "" {
+			last = id
+		}
+		events = events[n:]
+	}
+	return last
+}
+
 // isPosition reports whether an event ID is a number, which tells the position of the event.
 func isPosition(id string) bool {
 	_, err := strconv.ParseInt(id, 10, 64)
