dispatch, relay: a stream is continued by the rule of the other path

On our own interface, an endpoint that was to go on after the caller's events and began at the first one, or at the last one again, had its earlier events dropped and the rest relayed: pieces of two runs. A gap already ended the attempt.

Each event of an attempt is now judged by the package continuation: the first one must be the next one of the caller's stream. Events of abandoned attempts, and duplicates after the first event, are dropped as before. The attempt's log line names position and offered event; trefoillug_continuations_refused_total counts by cause.

--- a/core/events.go
+++ b/core/events.go
@@ -5,6 +5,7 @@
 
 	"github.com/trefoillug/trefoillug/cloud"
 	"github.com/trefoillug/trefoillug/config"
+	"github.com/trefoillug/trefoillug/continuation"
 	"github.com/trefoillug/trefoillug/move"
 	"github.com/trefoillug/trefoillug/peer"
 	"github.com/trefoillug/trefoillug/problem"
@@ -61,6 +62,8 @@
 	Fingerprint uint64 // fingerprint of the request content
 	Tokens      int    // tokens generated
 	Recomputed  int    // prefix tokens computed again because of a resume
+	// Refused is the cause for which the answer was not relayed as the continuation of a stream; empty: it was.
+	Refused continuation.Cause
 }
 
 // EndpointCrashed reports that an endpoint's connections broke while it ran requests.
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -9,8 +9,10 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
+	"github.com/trefoillug/trefoillug/continuation"
 	"github.com/trefoillug/trefoillug/engine"
 	"github.com/trefoillug/trefoillug/progress"
 	"github.com/trefoillug/trefoillug/table"
@@ -85,7 +87,6 @@
 // Reasons for which a stream is ended.
 var (
 	errOtherRequest = errors.New("answer to another request")
-	errGap          = errors.New("gap in the stream")
 	errSink         = errors.New("receiver ended the stream")
 )
 
@@ -93,6 +94,7 @@
 type stream struct {
 	call         *StreamCall
 	nextSeq      int
+	follows      bool  // the first event continued what the caller has
 	firstEventAt int64 // Unix nanoseconds of the first accepted event
 	sink         func(*engine.StreamEvent) error
 	attempt      *attempt
@@ -140,13 +142,15 @@
 	switch {
 	case e.RequestID != s.call.RequestID:
 		return InvalidStream, errOtherRequest
-	case e.AttemptID != s.call.AttemptID || e.Seq < s.nextSeq:
+	case e.AttemptID != s.call.AttemptID || s.follows && e.Seq < s.nextSeq:
 		// Late events of an abandoned attempt and duplicates are dropped. They are no progress, so that
 		// a stream that carries nothing else times out.
 		return Lost, nil
-	case e.Seq > s.nextSeq:
-		return InvalidStream, errGap
 	}
+	if _, err := continuation.NewJudge(continuation.AfterNumber(s.nextSeq - 1)).Add(strconv.Itoa(e.Seq)); err != nil {
+		return InvalidStream, err
+	}
+	s.follows = true
 	s.attempt.recordReceive()
 	s.watch.RecordEvent()
 	if s.firstEventAt == 0 {
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -47,5 +47,8 @@
 		s.Counter("tokens_total").Inc(int64(e.Tokens))
 		s.Counter("recomputed_tokens_total").Inc(int64(e.Recomputed))
 		s.Timer("attempt_first_token").Record(e.FirstToken)
+		if e.Refused != "" {
+			m.scope.Tagged(map[string]string{"cause": string(e.Refused)}).Counter("continuations_refused_total").Inc(1)
+		}
 	}
 }
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/trefoillug/trefoillug/attempt"
+	"github.com/trefoillug/trefoillug/continuation"
 	"github.com/trefoillug/trefoillug/core"
 	"github.com/trefoillug/trefoillug/dispatch"
 	"github.com/trefoillug/trefoillug/engine"
@@ -271,6 +272,10 @@
 	if stats.tokens > 1 {
 		done.PerToken = (total - stats.firstToken) / time.Duration(stats.tokens-1)
 	}
+	var refused *continuation.Error
+	if errors.As(result.Err, &refused) {
+		done.Refused = refused.Cause
+	}
 	if result.FirstEvent > 0 || result.End == dispatch.Complete || result.End == dispatch.ErrorStatus {
 		r.tracker.recordAnswer(acquired.endpoint.ID, stats.started)
 	}
@@ -282,16 +287,21 @@
 	}
 	r.cfg.Post(done)
 	if done.Result != core.Succeeded {
-		r.logFailedAttempt(call, acquired, result)
+		r.logFailedAttempt(call, acquired, result, refused)
 	}
 }
 
-// logFailedAttempt logs an attempt that ended without a complete answer.
-func (r *Relay) logFailedAttempt(call *Call, acquired *slot, result dispatch.Result) {
-	r.cfg.Log.WithError(result.Err).WithFields(logrus.Fields{
+// logFailedAttempt logs an attempt that ended without a complete answer. refused is not nil if the answer did not
+// continue the stream.
+func (r *Relay) logFailedAttempt(call *Call, acquired *slot, result dispatch.Result, refused *continuation.Error) {
+	log := r.cfg.Log.WithError(result.Err).WithFields(logrus.Fields{
 		"request": call.RequestID, "attempt": acquired.attempt, "workspace": call.Workspace, "service": call.Service.Name,
 		"version": acquired.endpoint.Version, "endpoint": acquired.endpoint.ID, "end": result.End,
-	}).Info("attempt ended without a complete answer")
+	})
+	if refused != nil {
+		log = log.WithFields(logrus.Fields{"cause": refused.Cause, "position": refused.Position, "offered": refused.Offered})
+	}
+	log.Info("attempt ended without a complete answer")
 }
 
 // awaitCrashVisible waits until the snapshot no longer shows a lost endpoint as ready. In the same step the core counts
