--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -204,15 +204,19 @@
 // caller records an answer; it implements forward.ResponseWriter.
 type caller struct {
 	status  int
+	header  http.Header
+	length  int64
 	body    strings.Builder
 	refusal *forward.Refusal
 	took    time.Duration
 	broken  error
 }
 
-func (c *caller) WriteHead(status int, _ http.Header, _ int64) { c.status = status }
-func (c *caller) Write(b []byte) (int, error)                  { return c.body.Write(b) }
-func (c *caller) Flush() error                                 { return nil }
+func (c *caller) WriteHead(status int, header http.Header, length int64) {
+	c.status, c.header, c.length = status, header.Clone(), length
+}
+func (c *caller) Write(b []byte) (int, error) { return c.body.Write(b) }
+func (c *caller) Flush() error                { return nil }
 
 func (c *caller) Refuse(r *forward.Refusal) {
 	c.refusal, c.status = r, problem.AnswerFor(problem.KindOf(r.Err)).Status
@@ -225,12 +229,22 @@
 
 // sendPrompt makes a request for a model engine on a route.
 func (w *harness) sendPrompt(ctx context.Context, route string, p *forward.Prompt) *caller {
+	return w.sendRequest(ctx, route, &forward.Request{Prompt: p})
+}
+
+// sendAfter makes a request on a route that resumes a stream after an event.
+func (w *harness) sendAfter(ctx context.Context, route, lastEventID string) *caller {
+	return w.sendRequest(ctx, route, &forward.Request{LastEventID: lastEventID})
+}
+
+// sendRequest makes a request on a route and sets the fields that all requests have.
+func (w *harness) sendRequest(ctx context.Context, route string, req *forward.Request) *caller {
 	now := time.Now()
+	req.ID, req.Method, req.Host, req.Key = "r"+now.Format("150405.000000000"), http.MethodPost, "h", "k"
+	req.Path, req.URI, req.Header = "/"+route+"/x", "/"+route+"/x", http.Header{}
+	req.Arrived, req.Deadline = now, now.Add(3*time.Second)
 	c := &caller{}
-	c.broken = w.forwarder.Serve(ctx, c, &forward.Request{
-		ID: "r" + now.Format("150405.000000000"), Method: http.MethodPost, Host: "h", Path: "/" + route + "/x", URI: "/" + route + "/x", Key: "k",
-		Header: http.Header{}, Arrived: now, Deadline: now.Add(3 * time.Second), Prompt: p,
-	})
+	c.broken = w.forwarder.Serve(ctx, c, req)
 	c.took = time.Since(now)
 	return c
 }
