relay: a malformed request is not called not run after an engine was lost

Callers got 400 with the outcome not_run although an engine that was lost before may have run the request. incompleteError left out the kind invalid_request because the engine that gave the 400 counted as one that may have run it. Such an answer no longer counts, and after any other one the outcome is unknown.

TestOutcome_BadRequestAfterLostEngine failed in 1 of 2 cases before and passes.

--- a/relay/generate.go
+++ b/relay/generate.go
@@ -78,7 +78,7 @@
 	g.successor.Begin()
 	result := g.attempt(acquired, g.mayAbandon)
 	g.successor.End()
-	if result.Sent != dispatch.SentNothing {
+	if result.Sent != dispatch.SentNothing && !isBadRequest(result) {
 		g.maybeSent.Store(true)
 	}
 	switch result.End {
@@ -102,7 +102,7 @@
 	switch {
 	case ctx.Err() != nil:
 		return g.abortError(problem.New(problem.EndpointFailed, "the deadline passed while an endpoint held the request"))
-	case result.End == dispatch.ErrorStatus && isBadRequest(result.Status):
+	case isBadRequest(result):
 		return g.incompleteError(problem.InvalidRequest, "%v", result.Err)
 	case g.errorAnswers >= maxErrorAnswers && g.stalled == 0:
 		return g.incompleteError(problem.EndpointFailed, "%d endpoints failed: %v",
@@ -239,10 +239,17 @@
 	s.appendToken(from, e.Content)
 }
 
-// isBadRequest reports whether an engine's status means that the request is invalid, so that every engine rejects it.
-func isBadRequest(status int) bool {
-	return status == http.StatusBadRequest || status == http.StatusRequestEntityTooLarge ||
-		status == http.StatusUnprocessableEntity
+// isBadRequest reports whether an engine has answered that the request is invalid, so that it did not run it and every
+// other engine rejects it too.
+func isBadRequest(result dispatch.Result) bool {
+	if result.End != dispatch.ErrorStatus {
+		return false
+	}
+	switch result.Status {
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
+		return true
+	}
+	return false
 }
 
 // awaitBudget waits until the budget allows a retry: an exhausted budget delays retries instead of refusing the
--- a/relay/outcome_test.go
+++ b/relay/outcome_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"net/http"
+	"sync/atomic"
 	"testing"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/trefoillug/trefoillug/cloud"
 	"github.com/trefoillug/trefoillug/problem"
 	"github.com/trefoillug/trefoillug/table"
 )
@@ -34,6 +37,33 @@
 	must.Eq(t, problem.EndpointFailed, problem.KindOf(s.incompleteError(problem.NoEndpoint, "none ready")))
 }
 
+// Guards against the outcome not_run of a request that an engine rejects as malformed after another one, which was lost,
+// may have run it.
+func TestOutcome_BadRequestAfterLostEngine(t *testing.T) {
+	for name, c := range map[string]struct {
+		lost    bool
+		outcome problem.Outcome
+	}{"no other engine": {false, problem.NotRun}, "an engine was lost": {true, problem.Unknown}} {
+		t.Run(name, func(t *testing.T) {
+			env := newTestEnv(t)
+			var arrivals atomic.Int32
+			engine := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if c.lost && arrivals.Add(1) == 1 {
+					panic(http.ErrAbortHandler)
+				}
+				w.WriteHeader(http.StatusBadRequest)
+			})
+			for _, id := range []string{"a", "b"} {
+				env.addInstance(cloud.Instance{ID: id, Address: env.serve(engine), FailureDomain: "fd1", Service: "wording"})
+			}
+			_, url := env.startRelay(Config{})
+			got := chat(url, "p", 3)
+			must.Eq(t, http.StatusBadRequest, got.status)
+			must.StrContains(t, got.body, `"kind":"invalid_request","outcome":"`+string(c.outcome))
+		})
+	}
+}
+
 // Guards against an instance without a configuration that reports every service as unknown.
 func TestOutcome_NoConfigurationYet(t *testing.T) {
 	env := newTestEnv(t)
--- a/relay/session.go
+++ b/relay/session.go
@@ -26,7 +26,7 @@
 	ctx       context.Context
 	cancel    context.CancelCauseFunc
 	search    endpointSearch
-	maybeSent atomic.Bool // whether an endpoint may have received the request
+	maybeSent atomic.Bool // whether an endpoint may have run the request
 
 	mu            sync.Mutex
 	text          []byte
@@ -227,9 +227,14 @@
 
 // incompleteError returns the error for a session that ended before its answer was complete.
 func (s *session) incompleteError(kind problem.Kind, format string, args ...any) error {
-	if n, _ := s.emitted(); n > 0 {
+	n, _ := s.emitted()
+	switch mayHaveRun := s.maybeSent.Load() && problem.AnswerFor(kind).Outcome == problem.NotRun; {
+	case n > 0:
 		kind = problem.StreamBroken
-	} else if s.maybeSent.Load() && kind != problem.InvalidRequest && problem.AnswerFor(kind).Outcome == problem.NotRun {
+	case mayHaveRun && kind == problem.InvalidRequest:
+		// The kind tells the caller not to repeat the request.
+		return problem.WithUnknownOutcome(problem.New(kind, format, args...))
+	case mayHaveRun:
 		// An earlier endpoint, now lost, may have run the request, so the error must not claim that it was not run.
 		kind = problem.EndpointFailed
 	}
