dispatch: an engine that is lost within an event is lost, not invalid

A stream that broke off within an event ended as an invalid one, since the rest of its last line is no JSON. The engine then did not count as crashed, so that a request that crashes engines within an event was never quarantined, and a stream that stalled within an event did not count as stalled.

A last line without an end that can't be decoded is now left to the error of the read. forward classifies these ends as lost already.

--- a/dispatch/faulty_test.go
+++ b/dispatch/faulty_test.go
@@ -243,3 +243,27 @@
 	_, err = client.ExportKV(t.Context(), endpoint(address), engine.AttemptRef{RequestID: "b"})
 	must.Error(t, err)
 }
+
+// Guards against an engine that is lost within an event and does not count as crashed, so that a request that crashes its
+// engines is never quarantined.
+func TestStream_LostWithinEvent(t *testing.T) {
+	const event = `data: {"request_id":"r","attempt_id":"r-1","seq":0,"content":"x"}` + "\n\n"
+	for name, end := range map[string]func(c net.Conn){
+		"closed": func(c net.Conn) { _ = c.Close() },
+		"reset":  func(c net.Conn) { _ = c.(*net.TCPConn).SetLinger(0); _ = c.Close() },
+	} {
+		for _, length := range []int{0, 1, len("data: "), 30, len(event) - 3, len(event) - 2, len(event) - 1, len(event)} {
+			t.Run(fmt.Sprintf("%s after %d bytes", name, length), func(t *testing.T) {
+				address := serveRaw(t, func(c net.Conn, _ *http.Request) {
+					startStream(c)
+					_, _ = io.WriteString(c, event[:length])
+					time.Sleep(20 * time.Millisecond) // lets the bytes arrive before the reset
+					end(c)
+				})
+				r := dispatch.New(dispatch.Settings{}).Stream(t.Context(), streamCall(endpoint(address), "r", 10), func(*engine.StreamEvent) error { return nil })
+				must.Eq(t, dispatch.Lost, r.End, must.Sprint(r.Err))
+				must.Eq(t, http.StatusOK, r.Status)
+			})
+		}
+	}
+}
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -97,12 +97,17 @@
 	sink         func(*engine.StreamEvent) error
 	attempt      *attempt
 	watch        *progress.Watch
+	cutOff       bool // the current line has no end, because the body has ended within it
 }
 
 // read passes the events of body to sink until the stream ends. The End is Lost when body ends before the last event.
 func (s *stream) read(body io.Reader) Result {
 	lines := bufio.NewScanner(body)
 	lines.Buffer(make([]byte, 0, 1024), progress.MaxEventBytes)
+	lines.Split(func(data []byte, atEOF bool) (int, []byte, error) {
+		s.cutOff = atEOF && !bytes.Contains(data, []byte("\n"))
+		return bufio.ScanLines(data, atEOF)
+	})
 	for lines.Scan() {
 		line := lines.Bytes()
 		data, ok := bytes.CutPrefix(line, []byte("data: "))
@@ -134,7 +139,10 @@
 // handleEvent validates one event and passes it to sink. It returns Lost while the stream continues.
 func (s *stream) handleEvent(data []byte) (End, error) {
 	var e engine.StreamEvent
-	if err := json.Unmarshal(data, &e); err != nil {
+	switch err := json.Unmarshal(data, &e); {
+	case err != nil && s.cutOff:
+		return Lost, nil // which is the end of the body too
+	case err != nil:
 		return InvalidStream, fmt.Errorf("decode stream event: %w", err)
 	}
 	switch {
