--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -232,11 +232,6 @@
 	return w.sendRequest(ctx, route, &forward.Request{Prompt: p})
 }
 
-// sendAfter makes a request on a route that resumes a stream after an event.
-func (w *harness) sendAfter(ctx context.Context, route, lastEventID string) *caller {
-	return w.sendRequest(ctx, route, &forward.Request{LastEventID: lastEventID})
-}
-
 // sendRequest makes a request on a route and sets the fields that all requests have.
 func (w *harness) sendRequest(ctx context.Context, route string, req *forward.Request) *caller {
 	now := time.Now()
--- a/forward/table_test.go
+++ b/forward/table_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/trefoillug/trefoillug/forward"
 )
 
 // ending is how an endpoint's answer ends.
@@ -265,7 +267,7 @@
 		r := &w.table.Routes[i]
 		r.MaxAttempts, r.Timeout = rules.maxAttempts, 6*time.Second
 	}
-	got := w.sendAfter(t.Context(), rules.name, c.after)
+	got := w.sendRequest(t.Context(), rules.name, &forward.Request{LastEventID: c.after})
 	v := view{
 		refused: got.refusal != nil, status: got.status, seal: got.header.Get("Seal"), length: got.length, body: got.body.String(),
 		broken: got.broken != nil,
