relay: a handed-over request that may have run is not called not run

A stream that was handed over before its first token could be refused by the next instance with the outcome not_run, although an engine had the request, or was lost with it: the handover did not say so. It now carries whether an endpoint may have run the request.

TestOutcome_HandedOverBeforeFirstToken failed in 2 of 3 cases before and passes.

--- a/relay/handover.go
+++ b/relay/handover.go
@@ -58,6 +58,7 @@
 	TimeLeft   time.Duration `cbor:"8,keyasint"` // time until the deadline
 	Resumes    int           `cbor:"9,keyasint"`
 	Recomputed int           `cbor:"10,keyasint"`
+	MayHaveRun bool          `cbor:"11,keyasint"` // an endpoint may have run the request
 }
 
 // Drain completes or hands over the open work of a leaving instance. It returns nil once no stream or call is open.
@@ -165,6 +166,7 @@
 		RequestID: s.call.RequestID, Service: s.call.Service.Name, Workspace: s.call.Workspace, Body: s.call.Body,
 		Tokens: seg.tokens, Endpoint: seg.delivery.endpoint, Version: seg.delivery.version,
 		TimeLeft: s.call.Deadline.Sub(now), Resumes: seg.delivery.resumes, Recomputed: seg.delivery.recomputed,
+		MayHaveRun: s.mayHaveRun(),
 	}
 }
 
@@ -236,6 +238,7 @@
 	}
 	s.origins = []origin{{endpoint: h.Endpoint, version: h.Version}}
 	s.search.preferred = h.Endpoint
+	s.maybeSent.Store(h.MayHaveRun)
 	s.delivery = delivery{endpoint: h.Endpoint, version: h.Version, resumes: h.Resumes + 1, recomputed: h.Recomputed}
 	s.mu.Unlock()
 	if !r.retain(s) {
--- a/relay/outcome_test.go
+++ b/relay/outcome_test.go
@@ -5,7 +5,9 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/shoenig/test/must"
 
 	"github.com/trefoillug/trefoillug/cloud"
@@ -37,6 +39,39 @@
 	must.Eq(t, problem.EndpointFailed, problem.KindOf(s.incompleteError(problem.NoEndpoint, "none ready")))
 }
 
+// Guards against a refusal with the outcome not_run of a request that was handed over before its first token, while an
+// engine was working on it or after one was lost.
+func TestOutcome_HandedOverBeforeFirstToken(t *testing.T) {
+	env := newTestEnv(t)
+	from, _ := env.startRelay(Config{})
+	to, _ := env.startRelay(Config{Instance: "e2", FailureDomain: "fd2"})
+	for name, c := range map[string]struct {
+		set  func(s *session)
+		kind problem.Kind
+	}{
+		"not sent":    {func(*session) {}, problem.NoEndpoint},
+		"engine lost": {func(s *session) { s.maybeSent.Store(true) }, problem.EndpointFailed},
+		"in progress": {func(s *session) { s.setRun(&engineRun{}) }, problem.EndpointFailed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := handover{RequestID: name, Service: "wording", Body: []byte(chatBody("p", 3, true)), TimeLeft: time.Minute}
+			call, err := from.handoverCall(&h)
+			must.NoError(t, err)
+			s := from.newSession(call)
+			defer s.cancel(nil)
+			c.set(s)
+			body, err := cbor.Marshal(s.newHandover(time.Now()))
+			must.NoError(t, err)
+			var received handover
+			must.NoError(t, cbor.Unmarshal(body, &received))
+			held, _, err := to.holdSession(call, &received)
+			must.NoError(t, err)
+			defer held.cancel(nil)
+			must.Eq(t, c.kind, problem.KindOf(held.incompleteError(problem.NoEndpoint, "none ready")))
+		})
+	}
+}
+
 // Guards against the outcome not_run of a request that an engine rejects as malformed after another one, which was lost,
 // may have run it.
 func TestOutcome_BadRequestAfterLostEngine(t *testing.T) {
--- a/relay/session.go
+++ b/relay/session.go
@@ -225,6 +225,13 @@
 	}
 }
 
+// mayHaveRun reports whether an endpoint may have run the request or is running it.
+func (s *session) mayHaveRun() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.maybeSent.Load() || s.currentRun != nil
+}
+
 // incompleteError returns the error for a session that ended before its answer was complete.
 func (s *session) incompleteError(kind problem.Kind, format string, args ...any) error {
 	n, _ := s.emitted()
