graceful: a broken answer to an HTTP/1.0 caller resets its connection

What callers saw: a caller before HTTP/1.1 gets an answer without a length up to the end of its connection. If the answer was broken off, or the server closed at the end of its grace time, the connection ended with FIN, so that the part looked whole. This concerned both request paths, which share this server: streams and answers larger than their buffer.

Cause: http.ErrAbortHandler only closes the connection, and closing it here ends the sending side first. Chunked answers and those with a length show the break by themselves; nothing shows it to callers that know no chunks.

Change: while a request before HTTP/1.1 is answered, the socket lingers for 0 s, so that the kernel resets the connection also if the process ends. A whole answer clears this before the connection is closed. An answer that is broken off waits until the caller's side has confirmed what was sent, since a reset drops the rest.

--- a/graceful/conn.go
+++ b/graceful/conn.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -102,6 +103,9 @@
 	waiting    bool          // the server waits for the first byte of a request
 	closed     bool          // closed because it was idle
 	progress   sendProgress  // used during a shutdown
+
+	unframed atomic.Bool // the end of the connection may mark the end of the answer in progress
+	aborted  atomic.Bool // the handler has broken off such an answer
 }
 
 // Read implements net.Conn.
@@ -285,6 +289,9 @@
 		c.phase = phaseRequest
 	case http.StateIdle:
 		c.phase = phaseAnswered
+		c.setUnframed(false)
+	case http.StateHijacked:
+		c.setUnframed(false)
 	}
 }
 
@@ -314,9 +321,15 @@
 	return sockets.IsQuiet(c.Conn)
 }
 
-// Close implements net.Conn. It lets the caller receive the last answer first, unless the whole server is closed.
+// Close implements net.Conn. It lets the caller receive the last answer first, unless the whole server is closed. It
+// resets the connection within an answer whose end the connection marks.
 func (c *conn) Close() error {
-	if !c.isHijacked() {
+	switch {
+	case c.isHijacked():
+	case c.isBrokenOff():
+		c.awaitConfirmed()
+	default:
+		c.setUnframed(false)
 		c.linger()
 	}
 	return c.Conn.Close()
--- a/graceful/server.go
+++ b/graceful/server.go
@@ -46,10 +46,13 @@
 	conns    map[*conn]struct{}
 }
 
-// New returns a server with the settings of s, whose ConnState and ReadTimeout must not be set.
+// New returns a server with the settings of s, whose Handler must be set and whose ConnState and ReadTimeout must not. It
+// changes the Handler and the ConnContext of s.
 func New(s *http.Server) *Server {
 	g := &Server{http: s, conns: map[*conn]struct{}{}}
 	s.ConnState = g.recordState
+	s.ConnContext = withConn(s.ConnContext)
+	s.Handler = resetAborted(s.Handler)
 	return g
 }
 
