entry: a call whose answer is not retained is not repeated as empty

What callers saw: a call with an Idempotency-Key whose answer was relayed as it arrived (an event stream, or more than 256 KiB) or had more than 4 KiB ran once as it should. A repeat with its key got the status of that answer with an empty body, framed as whole, instead of answer_not_retained.

Cause: relay leaves the body out of the record and says so in RecordedAnswer.Retained. The adapter to package claim dropped that field, and claim.Service.Complete took the missing body for a retained empty one. The fake of the tests in relay behaved in the same way, which hid it.

Change: the adapter records such a call with CompleteWithoutBody. The fake respects Retained.

Evidence: TestClaimer_RepeatsOfCompletedCall failed before in the case "not retained": the repeat was answered 200 with an empty body. It passes with -race, and so do the packages claim and entry.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -50,10 +50,11 @@
 	Status      int
 	ContentType string
 	Body        []byte
-	Retained    bool // false when the body exceeded MaxRecordedBody and was left out
+	Retained    bool // false when the body was left out
 }
 
-// Attempt is the right to dispatch one call once. Exactly one of Complete, MarkUnknown and Release ends it.
+// Attempt is the right to dispatch one call once. Exactly one of Complete, CompleteWithoutBody, MarkUnknown and Release
+// ends it.
 type Attempt struct {
 	id       Digest
 	key      Digest
@@ -142,6 +143,11 @@
 	s.background(a, a.operation(opComplete, &r))
 }
 
+// CompleteWithoutBody records that an attempt has a response whose body is not retained for repeats.
+func (s *Service) CompleteWithoutBody(a *Attempt, status int) {
+	s.background(a, a.operation(opComplete, &Response{Status: status}))
+}
+
 // MarkUnknown records that an attempt was sent, in whole or in part, and has no complete response.
 func (s *Service) MarkUnknown(a *Attempt) { s.background(a, a.operation(opUnknown, nil)) }
 
--- a/claim/submit.go
+++ b/claim/submit.go
@@ -76,7 +76,7 @@
 	switch a.Verdict {
 	case verdictDone:
 		if a.Response == nil || !a.Response.Retained {
-			return Result{}, problem.New(problem.AnswerNotRetained, "the response had a body over %d bytes or a Content-Type over %d", MaxRecordedBody, maxContentType)
+			return Result{}, problem.New(problem.AnswerNotRetained, "the call has run, and its response is too large for repeats")
 		}
 		return Result{Response: a.Response}, nil
 	case verdictReused:
--- a/entry/adapters.go
+++ b/entry/adapters.go
@@ -45,6 +45,10 @@
 // Complete implements relay.Claimer.
 func (c *claimer) Complete(call *relay.Call, a relay.RecordedAnswer) {
 	c.finishAttempt(call, func(attempt *claim.Attempt) {
+		if !a.Retained {
+			c.service.CompleteWithoutBody(attempt, a.Status)
+			return
+		}
 		c.service.Complete(attempt, claim.Response{Status: a.Status, ContentType: a.ContentType, Body: a.Body})
 	})
 }
--- a/relay/fakes_test.go
+++ b/relay/fakes_test.go
@@ -107,6 +107,10 @@
 }
 
 func (m *memoryClaims) Complete(call *Call, answer RecordedAnswer) {
+	if !answer.Retained {
+		m.set(call, Claim{State: ClaimAnswerNotRetained})
+		return
+	}
 	m.set(call, Claim{State: ClaimRecorded, Answer: &answer})
 }
 
