forward, relay: an event stream that its connection ends inside looks broken

What callers saw: an event stream without a length that its endpoint closed before the first event was answered 200 with an empty body, framed as whole: by forward on routes that are not streaming, and by relay for plain services. Closed within an event, the part was relayed as whole there as well. On streaming routes a stream closed after a comment counted as a whole one. Idempotent calls were not repeated.

Cause: the rule that the end of such a stream must not lie inside an event stood in relayStream only, which serves streaming routes, and took any byte for an event.

Change: progress.EventReader reports such an end as an error. Both request paths read event streams without a length through it, so that the answer counts as lost: it is repeated where the route allows and the caller has none of it, else refused as failed or broken off.

--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/trefoillug/trefoillug/engine"
@@ -97,6 +96,9 @@
 		p.replaceGeneration(a.gen)
 		return nil, Result{End: InvalidStream, Sent: SentSome, Status: resp.StatusCode, Err: err}
 	}
+	if isUnframed(resp) && progress.IsEventStream(resp.Header) {
+		resp.Body = &eventBody{EventReader: progress.EventReader{Reader: resp.Body}, Closer: resp.Body}
+	}
 	body, err := readStart(resp, a, call.BufferBytes)
 	if err != nil {
 		resp.Body.Close()
@@ -133,6 +135,17 @@
 	return nil
 }
 
+// isUnframed reports whether only the end of the connection marks the end of the body.
+func isUnframed(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+}
+
+// eventBody is the body of an event stream that ends with its connection.
+type eventBody struct {
+	progress.EventReader
+	io.Closer
+}
+
 // startOfBody is the buffered start of a body.
 type startOfBody struct {
 	buffered []byte
@@ -142,7 +155,7 @@
 // readStart reads the start of a body, up to one byte above limit. The start of an event stream is not buffered, since
 // its caller waits for each event.
 func readStart(resp *http.Response, a *attempt, limit int) (startOfBody, error) {
-	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+	if progress.IsEventStream(resp.Header) {
 		limit = 0
 	}
 	var source io.Reader = resp.Body
--- a/dispatch/faulty_test.go
+++ b/dispatch/faulty_test.go
@@ -243,3 +243,13 @@
 	_, err = client.ExportKV(t.Context(), endpoint(address), engine.AttemptRef{RequestID: "b"})
 	must.Error(t, err)
 }
+
+// Guards against the answer to a HEAD request, which has no body, that is taken for an event stream which ended early.
+func TestCall_HeadOfEventStream(t *testing.T) {
+	address := serveRaw(t, func(c net.Conn, _ *http.Request) { startStream(c) })
+	answer, r := dispatch.New(dispatch.Settings{}).Call(t.Context(), &dispatch.PlainCall{
+		Endpoint: endpoint(address), Method: http.MethodHead, Path: "/", Header: http.Header{}, BufferBytes: 1 << 10,
+	})
+	must.Eq(t, dispatch.Complete, r.End, must.Sprint(r.Err))
+	must.Eq(t, 0, len(answer.Body))
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -40,13 +39,10 @@
 	defaultGap = 500 * time.Millisecond
 )
 
-var (
-	errPartialEvent = errors.New("the stream ended within an event")
-	errEmptyStream  = errors.New("the connection ended before the first event")
-)
+var errPartialEvent = errors.New("the stream ended within an event")
 
 func isStream(reply *upstream.Reply) bool {
-	return reply.Status == 200 && strings.HasPrefix(reply.Header.Get("Content-Type"), "text/event-stream")
+	return reply.Status == 200 && progress.IsEventStream(reply.Header)
 }
 
 // relayStream relays the complete events of a stream. onStall is called when its endpoint makes no progress for
@@ -87,8 +83,6 @@
 		case received > progress.MaxAnswerBytes:
 			return outcome{end: lost, reached: true, partial: true, err: progress.ErrTooLong}
 		case err == nil:
-		case err == io.EOF && received == 0 && reply.IsUnframed():
-			return outcome{end: lost, reached: true, err: errEmptyStream}
 		case err == io.EOF && len(buf) == 0 && move.result() == nil:
 			if !r.stream.started {
 				r.startStream(reply)
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"github.com/trefoillug/trefoillug/progress"
 )
 
 const (
@@ -102,6 +104,9 @@
 				conn: c, resp: resp, written: written, stopCancel: stop, single: call.MatchesAnswer == nil,
 			}
 			r.Body = &bodyReader{reply: r}
+			if r.isUnframed() && progress.IsEventStream(r.Header) {
+				r.Body = &progress.EventReader{Reader: r.Body}
+			}
 			return r, nil
 		}
 		sent = true
@@ -179,11 +184,11 @@
 
 // endsConnection reports whether the answer is the last one on its connection, by its header or because only the end of
 // the connection marks its end.
-func (r *Reply) endsConnection() bool { return r.resp.Close || r.IsUnframed() }
+func (r *Reply) endsConnection() bool { return r.resp.Close || r.isUnframed() }
 
-// IsUnframed reports whether only the end of the connection marks the end of the body.
-func (r *Reply) IsUnframed() bool {
-	return r.resp.ContentLength < 0 && len(r.resp.TransferEncoding) == 0
+// isUnframed reports whether only the end of the connection marks the end of the body.
+func (r *Reply) isUnframed() bool {
+	return r.resp.ContentLength < 0 && len(r.resp.TransferEncoding) == 0 && r.resp.Body != http.NoBody
 }
 
 // bodyReader records that a body was read to its end.
--- a/upstream/exchange_test.go
+++ b/upstream/exchange_test.go
@@ -351,3 +351,16 @@
 	must.NoError(t, err)
 	must.Eq(t, 2, e.conns.Load())
 }
+
+// Guards against the answer to a HEAD request, which has no body, that is taken for an event stream which ended early.
+func TestDo_HeadOfEventStream(t *testing.T) {
+	e := serve(t, func(e *endpoint, _ int, c net.Conn) {
+		e.read(bufio.NewReader(c))
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: a\r\nContent-Type: text/event-stream\r\n\r\n")
+	})
+	head := call("a")
+	head.Method = http.MethodHead
+	body, err := do(t, e.pool(), head)
+	must.NoError(t, err)
+	must.Eq(t, "", body)
+}
