dispatch: an engine lost within an event counts as lost

What callers saw: nothing at once, since the stream was continued by another engine. But an engine that crashed within an event counted as one that sent an invalid stream, so that the crash was not counted against the requests that ran on it: a request that crashes engines went on to further ones.

Cause: bufio.ScanLines returns the part of a line that remains at the end of a stream. It is no valid JSON, which ends the attempt as InvalidStream.

Change: a part of a line at the end of a stream is dropped, so that the attempt ends as Lost. The last event counts only with its line end.

Evidence: TestGenerate_HalfAnswers cuts the answers of engines after each byte, closed and reset. 12 of 15 cases failed before, each at the first cut within an event: no crash was reported. All pass with -race. No cut answer looked whole to a caller before either, and each was continued.

--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -103,6 +103,7 @@
 func (s *stream) read(body io.Reader) Result {
 	lines := bufio.NewScanner(body)
 	lines.Buffer(make([]byte, 0, 1024), progress.MaxEventBytes)
+	lines.Split(scanWholeLines)
 	for lines.Scan() {
 		line := lines.Bytes()
 		data, ok := bytes.CutPrefix(line, []byte("data: "))
@@ -124,6 +125,14 @@
 	return Result{End: Lost, Status: http.StatusOK, Err: err}
 }
 
+// scanWholeLines is bufio.ScanLines without the part of a line within which the stream has ended.
+func scanWholeLines(data []byte, atEOF bool) (advance int, token []byte, err error) {
+	if atEOF && bytes.IndexByte(data, '\n') < 0 {
+		return len(data), nil, nil
+	}
+	return bufio.ScanLines(data, atEOF)
+}
+
 func sentFor(end End) Sent {
 	if end == Complete {
 		return SentAll
--- a/relay/halfanswer_test.go
+++ b/relay/halfanswer_test.go
@@ -45,7 +45,8 @@
 		_, _ = io.WriteString(c, h.whole(req).Text)
 		return
 	}
-	_, _ = io.WriteString(c, h.bytes(req).Text[:cut])
+	text := h.bytes(req).Text
+	_, _ = io.WriteString(c, text[:min(cut, len(text))]) // a continuation is shorter
 	standin.CloseConn(c, h.reset)
 }
 
