--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -99,17 +99,13 @@
 	sink         func(*engine.StreamEvent) error
 	attempt      *attempt
 	watch        *progress.Watch
-	cutOff       bool // the current line has no end, because the body has ended within it
 }
 
 // read passes the events of body to sink until the stream ends. The End is Lost when body ends before the last event.
 func (s *stream) read(body io.Reader) Result {
 	lines := bufio.NewScanner(body)
 	lines.Buffer(make([]byte, 0, 1024), progress.MaxEventBytes)
-	lines.Split(func(data []byte, atEOF bool) (int, []byte, error) {
-		s.cutOff = atEOF && !bytes.Contains(data, []byte("\n"))
-		return bufio.ScanLines(data, atEOF)
-	})
+	lines.Split(scanWholeLines)
 	for lines.Scan() {
 		line := lines.Bytes()
 		data, ok := bytes.CutPrefix(line, []byte("data: "))
@@ -131,6 +127,14 @@
 	return Result{End: Lost, Status: http.StatusOK, Err: err}
 }
 
+// scanWholeLines is bufio.ScanLines without the part of a line within which the stream has ended.
+func scanWholeLines(data []byte, atEOF bool) (advance int, token []byte, err error) {
+	if atEOF && bytes.IndexByte(data, '\n') < 0 {
+		return len(data), nil, nil
+	}
+	return bufio.ScanLines(data, atEOF)
+}
+
 func sentFor(end End) Sent {
 	if end == Complete {
 		return SentAll
@@ -141,10 +145,7 @@
 // handleEvent validates one event and passes it to sink. It returns Lost while the stream continues.
 func (s *stream) handleEvent(data []byte) (End, error) {
 	var e engine.StreamEvent
-	switch err := json.Unmarshal(data, &e); {
-	case err != nil && s.cutOff:
-		return Lost, nil // which is the end of the body too
-	case err != nil:
+	if err := json.Unmarshal(data, &e); err != nil {
 		return InvalidStream, fmt.Errorf("decode stream event: %w", err)
 	}
 	switch {
