relay: a stalled stream is kept until another engine has accepted it

A stream of our own interface was given up after one gap of silence once the retry budget had granted another attempt. Callers of an engine that only paused saw a resume and waited for text that was computed again, and a stream without any engine that accepts had nothing to go back to.

The stalled attempt is now kept while the stream is offered to another engine, at most one at a time, each from the retry budget. An offer is accepted with the event that is due; the stalled attempt is then canceled. If the stalled one goes on first, the offer is withdrawn. An offer that fails changes nothing. If the stalled attempt breaks, the offer in progress becomes the next attempt. Requests that are suspected of crashing engines are given up as before, since they must not run at two engines.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -79,6 +79,9 @@
 	Err        error
 }
 
+// IsEngineError reports whether the endpoint answered with an error or with an invalid stream.
+func (r Result) IsEngineError() bool { return r.End == ErrorStatus || r.End == InvalidStream }
+
 // Client makes attempts at endpoints. It keeps a pool of connections for each endpoint and is safe for concurrent use.
 type Client struct {
 	settings Settings
--- a/relay/env_test.go
+++ b/relay/env_test.go
@@ -225,3 +225,15 @@
 	}
 	return body, ""
 }
+
+// lostAttempts returns the attempts at an endpoint that the relays have reported as lost.
+func (env *testEnv) lostAttempts(endpoint string) (lost []core.AttemptDone) {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	for _, e := range env.events {
+		if d, ok := e.(core.AttemptDone); ok && d.Endpoint == endpoint && d.Result == core.EndpointLost {
+			lost = append(lost, d)
+		}
+	}
+	return lost
+}
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -18,8 +18,8 @@
 
 const (
 	// maxErrorAnswers bounds the attempts of a request that endpoints answer with an error. It does not apply once an
-	// attempt was given up for silence: its endpoint may have been sound, so the request goes on until its deadline, with
-	// pauses that double from minErrorPause up to maxErrorPause.
+	// attempt has stalled: its endpoint may be sound, so the request goes on until its deadline, with pauses that double
+	// from minErrorPause up to maxErrorPause.
 	maxErrorAnswers = 4
 	minErrorPause   = 50 * time.Millisecond
 	maxErrorPause   = 800 * time.Millisecond
@@ -32,13 +32,6 @@
 	crashVisiblePollInterval = 2 * time.Millisecond
 )
 
-// engineRun is an attempt of a session in progress at an engine.
-type engineRun struct {
-	slot   *slot
-	cancel context.CancelCauseFunc
-	move   *streamMove // set when the stream is being moved to another endpoint
-}
-
 // generate runs attempts until the answer is complete, the deadline passes or the session is canceled.
 func (s *session) generate() {
 	p := &generation{session: s}
@@ -46,6 +39,7 @@
 	defer s.cancel(nil)
 	s.relay.cfg.RetryBudget.CountRequest(s.call.Service.Name)
 	err := attempt.Run(s.ctx, p)
+	s.endRuns()
 	p.moveTarget.release()
 	s.finish(err)
 }
@@ -56,7 +50,6 @@
 	moveTarget   *slot // slot to which the stream was moved; nil if it was not moved
 	moved        bool
 	errorAnswers int // attempts that endpoints answered with an error
-	stalled      int // attempts that were given up for silence
 	successor    attempt.Successor
 }
 
@@ -66,6 +59,9 @@
 		g.moveTarget = nil
 		return target, nil
 	}
+	if accepted := g.adopt(); accepted != nil {
+		return accepted, nil
+	}
 	acquired, err := g.relay.acquire(ctx, &g.search)
 	if err != nil {
 		return nil, g.abortError(err)
@@ -76,18 +72,18 @@
 // Try implements attempt.Steps.
 func (g *generation) Try(ctx context.Context, acquired *slot) dispatch.Result {
 	g.successor.Begin()
-	result := g.attempt(acquired, g.mayAbandon)
+	run := g.begin(acquired)
+	<-run.done
 	g.successor.End()
+	result := run.result
+	g.endSearch(result.End != dispatch.Complete && ctx.Err() == nil)
 	if result.Sent != dispatch.SentNothing {
 		g.maybeSent.Store(true)
 	}
-	switch result.End {
-	case dispatch.ErrorStatus:
+	if result.End == dispatch.ErrorStatus {
 		g.errorAnswers++
-	case dispatch.Stalled:
-		g.stalled++
 	}
-	g.moveTarget, g.moved = g.closeRun()
+	g.moveTarget, g.moved = g.closeRun(run)
 	if result.End == dispatch.Lost {
 		g.relay.awaitCrashVisible(ctx, g.call, acquired.endpoint.ID)
 	}
@@ -104,7 +100,7 @@
 		return g.abortError(problem.New(problem.EndpointFailed, "the deadline passed while an endpoint held the request"))
 	case result.End == dispatch.ErrorStatus && isBadRequest(result.Status):
 		return g.incompleteError(problem.InvalidRequest, "%v", result.Err)
-	case g.errorAnswers >= maxErrorAnswers && g.stalled == 0:
+	case g.errorAnswers >= maxErrorAnswers && !g.hasStalled():
 		return g.incompleteError(problem.EndpointFailed, "%d endpoints failed: %v",
 			g.errorAnswers, result.Err)
 	case g.relay.cfg.Quarantine.IsQuarantined(g.call.Fingerprint):
@@ -125,10 +121,14 @@
 		// The attempt made progress, so endpoints that failed before it may be tried again.
 		clear(g.search.failedEndpoints)
 	}
-	if g.stalled > 0 && result.End == dispatch.ErrorStatus {
+	if g.hasNext() {
+		g.search.recordFailure(acquired.endpoint, result.IsEngineError())
+		return nil
+	}
+	if g.hasStalled() && result.End == dispatch.ErrorStatus {
 		pause(ctx, errorPause(g.errorAnswers))
 	}
-	g.search.recordFailure(acquired.endpoint, result.End == dispatch.ErrorStatus || result.End == dispatch.InvalidStream)
+	g.search.recordFailure(acquired.endpoint, result.IsEngineError())
 	if g.successor.Take() {
 		return nil
 	}
@@ -148,9 +148,11 @@
 	}
 }
 
-// mayAbandon reports whether the current attempt, which has stalled, may be given up for another one.
-func (g *generation) mayAbandon() bool {
-	return g.successor.Acquire(func() bool { return g.relay.cfg.RetryBudget.AcquireRetry(g.call.Service.Name) })
+// hasStalled reports whether an attempt was silent for a gap.
+func (s *session) hasStalled() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs.stalls > 0
 }
 
 // GiveUp implements attempt.Steps.
@@ -166,12 +168,10 @@
 
 // attempt runs one attempt at an endpoint, reports its end and releases the slot. mayAbandon is that of
 // dispatch.StreamCall.
-func (s *session) attempt(acquired *slot, mayAbandon func() bool) dispatch.Result {
+func (s *session) attempt(run *engineRun, mayAbandon func() bool) dispatch.Result {
+	acquired := run.slot
 	defer acquired.release()
 	offset, text := s.emitted()
-	ctx, cancel := context.WithCancelCause(s.ctx)
-	defer cancel(nil)
-	s.setRun(&engineRun{slot: acquired, cancel: cancel})
 	body, err := s.requestBody(offset, text)
 	if err != nil {
 		return dispatch.Result{End: dispatch.Cancelled, Err: err}
@@ -179,10 +179,10 @@
 	stats := attemptStats{started: s.relay.cfg.Now(), promptTokens: int64(len(s.call.Body) / bytesPerToken)}
 	acquired.endpoint.Live.PrefillTokens.Add(stats.promptTokens)
 	defer stats.recordPrefilled(acquired.endpoint)
-	result := s.relay.cfg.Dispatch.Stream(ctx, &dispatch.StreamCall{
+	result := s.relay.cfg.Dispatch.Stream(run.ctx, &dispatch.StreamCall{
 		Endpoint: acquired.endpoint, RequestID: s.call.RequestID, AttemptID: acquired.attempt, Body: body, First: offset,
 		MayAbandon: mayAbandon,
-	}, func(e *engine.StreamEvent) error { s.receive(acquired.endpoint, e, &stats, offset > 0); return nil })
+	}, func(e *engine.StreamEvent) error { return s.receive(run, e, &stats, offset > 0) })
 	s.relay.reportEnd(s.call, acquired, &stats, result)
 	if result.End == dispatch.Cancelled || result.End == dispatch.InvalidStream || result.End == dispatch.Stalled {
 		go s.relay.cfg.Dispatch.Cancel(acquired.endpoint,
@@ -199,12 +199,6 @@
 	return s.call.Chat.engineBody(s.call, resume)
 }
 
-func (s *session) setRun(run *engineRun) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.currentRun = run
-}
-
 // attemptStats holds the measurements of an attempt.
 type attemptStats struct {
 	started      time.Time
@@ -221,24 +215,6 @@
 	s.promptTokens = 0
 }
 
-func (s *session) receive(from *table.Endpoint, e *engine.StreamEvent, stats *attemptStats, resumed bool) {
-	if e.Usage != nil && resumed {
-		stats.recomputed = e.Usage.RecomputedTokens
-		s.mu.Lock()
-		s.delivery.recomputed += e.Usage.RecomputedTokens
-		s.mu.Unlock()
-	}
-	if e.FinishReason != "" {
-		return
-	}
-	if stats.tokens == 0 {
-		stats.recordPrefilled(from)
-		stats.firstToken = s.relay.cfg.Now().Sub(stats.started)
-	}
-	stats.tokens++
-	s.appendToken(from, e.Content)
-}
-
 // isBadRequest reports whether an engine's status means that the request is invalid, so that every engine rejects it.
 func isBadRequest(status int) bool {
 	return status == http.StatusBadRequest || status == http.StatusRequestEntityTooLarge ||
--- a/relay/reclaim.go
+++ b/relay/reclaim.go
@@ -185,36 +185,39 @@
 func (s *session) isCurrent(run *engineRun) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.currentRun == run
+	return s.runs.current == run
 }
 
 func (s *session) movableRun() *engineRun {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.currentRun == nil || s.currentRun.move != nil {
+	if s.runs.current == nil || s.runs.current.move != nil {
 		return nil
 	}
-	return s.currentRun
+	return s.runs.current
 }
 
 // setMove attaches a move to an attempt. It returns false if the attempt has ended or already has a move.
 func (s *session) setMove(run *engineRun, m *streamMove) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.currentRun != run || run.move != nil {
+	if s.runs.current != run || run.move != nil {
 		return false
 	}
+	s.withdraw()
 	run.move = m
 	return true
 }
 
-// closeRun clears the current attempt, so that no move can start, and returns the target slot if a move had started.
-func (s *session) closeRun() (to *slot, moved bool) {
+// closeRun clears an attempt that has ended, so that no move can start, and returns the target slot if a move had
+// started.
+func (s *session) closeRun(run *engineRun) (to *slot, moved bool) {
 	s.mu.Lock()
-	run := s.currentRun
-	s.currentRun = nil
+	if s.runs.current == run {
+		s.runs.current = nil
+	}
 	s.mu.Unlock()
-	if run == nil || run.move == nil {
+	if run.move == nil {
 		return nil, false
 	}
 	return run.move.awaitTarget(), true
--- a/relay/session.go
+++ b/relay/session.go
@@ -39,7 +39,7 @@
 	origins       []origin // which endpoint generated which tokens, in order
 	retainedBytes int      // bytes counted while the session is retained for re-attach; 0 if it is not
 	callers       int      // attached callers
-	currentRun    *engineRun
+	runs          runs
 }
 
 // delivery describes how an answer was produced.
@@ -126,10 +126,8 @@
 	return s.finished || s.handedOver
 }
 
-// appendToken appends a token that an endpoint generated.
+// appendToken appends a token that an endpoint generated. s.mu must be held.
 func (s *session) appendToken(e *table.Endpoint, token string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	if len(s.origins) == 0 || s.delivery.endpoint != e.ID {
 		s.origins = append(s.origins, origin{from: len(s.tokenEnds), endpoint: e.ID, version: e.Version})
 		s.delivery.endpoint, s.delivery.version = e.ID, e.Version
