forward: a stalled answer is kept until another endpoint has answered

An idempotent request was given up for silence once an endpoint seemed to accept requests and the retry budget granted one more attempt. Neither shows that the other endpoint takes the request: callers got 502, 503 or 504 although the first endpoint was sound and went on.

Such a request is now offered as stalled streams are: its attempt ends when another endpoint has answered with a head that is neither a rejection nor a 5xx, and an offer is withdrawn when the first answers. An offer that is silent too ends only if the request may go to a further endpoint. A refusal no longer promises that the request was not run if an offer may have run it.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -101,8 +101,6 @@
 		prefill = r.beginAttempt(e)
 	}
 	defer e.Stats.End()
-	r.successor.Begin()
-	defer r.successor.End()
 	r.sentAt = sent
 	r.timeToFirst, r.load = 0, e.Stats.Snapshot(sent).Running-1
 	onData := func() {
@@ -131,7 +129,12 @@
 			r.pendingMove = move.afterRejection(out.end == unreachable)
 		}
 	}()
-	reply, err := r.answerOf(ctx, e, accepted, again, cancel)
+	onStall := func() {
+		if !relocation.isCalling() {
+			r.offerElsewhere(request, e, func() { cancel(progress.ErrStalled) })
+		}
+	}
+	reply, err := r.answerOf(ctx, e, accepted, again, onStall)
 	if err != nil {
 		return r.classifyError(ctx, err)
 	}
@@ -142,11 +145,6 @@
 	}
 	r.mayHaveRun = true
 	if isStream(reply) && r.route.Kind == routing.Streaming {
-		onStall := func() {
-			if !relocation.isCalling() {
-				r.offerElsewhere(request, e, func() { cancel(progress.ErrStalled) })
-			}
-		}
 		return r.relayStream(ctx, reply, relocation, onData, onStall)
 	}
 	if r.stream.started {
@@ -155,23 +153,26 @@
 	r.timeToFirst = time.Since(sent)
 	r.speed().RecordAnswer(r.timeToFirst)
 	r.recordWork(r.timeToFirst / time.Duration(max(1, e.Slots)))
-	return r.relayWhole(ctx, reply)
+	return r.relayWhole(ctx, reply, onStall)
 }
 
 // answerOf sends the request and returns the answer once its head has arrived. accepted, unless nil, has the answer already.
-// again means that the request was sent to the endpoint before. cancel ends the attempt.
+// again means that the request was sent to the endpoint before. onStall is called while no answer arrives in time.
 func (r *exchange) answerOf(
-	ctx context.Context, e *fleet.Endpoint, accepted *acceptedOffer, again bool, cancel context.CancelCauseFunc) (*upstream.Reply, error) {
+	ctx context.Context, e *fleet.Endpoint, accepted *acceptedOffer, again bool, onStall func()) (*upstream.Reply, error) {
 	if accepted != nil {
 		return accepted.reply, nil
 	}
-	stopTimer := r.startAnswerTimer(cancel)
-	call := r.call(ctx, e)
+	stopTimer := r.startAnswerTimer(onStall)
+	call := r.call(ctx, e, onStall)
 	if again {
 		call.UnusedSince = r.req.Arrived
 	}
 	reply, err := e.Pool.Do(ctx, call)
 	stopTimer()
+	if err == nil && r.isUsable(reply) {
+		r.offers.withdrawInProgress()
+	}
 	e.EndAdmission(r.admission, err == nil && !r.f.cfg.Wire.IsNotRun(reply.Status, reply.Header))
 	return reply, err
 }
@@ -213,28 +214,25 @@
 	_, _ = io.Copy(io.Discard, io.LimitReader(reply.Body, maxSkippedBytes))
 }
 
-// startAnswerTimer starts the watch that cancels an attempt without an answer. stop must be called once the head of the
-// answer has arrived; another watch takes over.
-func (r *exchange) startAnswerTimer(cancel context.CancelCauseFunc) (stop func()) {
+// isUsable reports whether an answer, whose head has arrived, is the one that the caller is to get.
+func (r *exchange) isUsable(reply *upstream.Reply) bool {
+	switch {
+	case r.f.cfg.Wire.IsNotRun(reply.Status, reply.Header):
+		return false
+	case r.route.Kind == routing.Streaming:
+		return isStream(reply)
+	}
+	return reply.Status < http.StatusInternalServerError
+}
+
+// startAnswerTimer starts the watch over an attempt without an answer. stop must be called once the head of the answer has
+// arrived; another watch takes over.
+func (r *exchange) startAnswerTimer(onStall func()) (stop func()) {
 	timeout := r.answerTimeout()
 	if timeout <= 0 {
 		return func() {}
 	}
-	watch := progress.Start(timeout, func() {
-		if r.mayAbandon() {
-			cancel(progress.ErrStalled)
-		}
-	})
-	return watch.Stop
-}
-
-// mayAbandon reports whether the current attempt, which has stalled, may be given up for another one. If so, the other one
-// has been acquired from the retry budget.
-func (r *exchange) mayAbandon() bool {
-	return r.successor.Acquire(func() bool {
-		return r.stream.canContinue() && r.route.MayRepeat() && r.runs+1 < r.route.MaxAttempts && r.checkQuarantine() == nil && r.hasOther(time.Now()) &&
-			r.f.cfg.RetryBudget.AcquireRetry(r.service.Name)
-	})
+	return progress.Start(timeout, onStall).Stop
 }
 
 // beginAttempt counts the request at the endpoint and returns the prompt tokens that the endpoint has to process.
@@ -274,13 +272,16 @@
 	return max(wait, time.Duration(slowFactor*float64(r.speed().Speed().SlowAnswer)))
 }
 
-func (r *exchange) call(ctx context.Context, e *fleet.Endpoint) *upstream.Call {
+// call returns the call of the current attempt. onStall is called while the rest of the head does not arrive in time.
+func (r *exchange) call(ctx context.Context, e *fleet.Endpoint, onStall func()) *upstream.Call {
 	movedFrom := ""
 	if r.pendingMove != nil {
 		movedFrom = r.pendingMove.ref
 		r.pendingMove = nil
 	}
-	return r.newCall(ctx, e, r.stream.lastID, movedFrom)
+	call := r.newCall(ctx, e, r.stream.lastID, movedFrom)
+	call.MayTimeOut = func() bool { go onStall(); return false }
+	return call
 }
 
 // newCall returns the call of an attempt that goes on after the event with the ID lastID, "" if the caller has none yet.
@@ -303,7 +304,7 @@
 	}
 	call := &upstream.Call{
 		Method: r.req.Method, URI: r.req.URI, Host: r.req.Host, Header: r.f.cfg.Wire.Outbound(a), Body: r.req.Body,
-		NonIdempotent: !r.route.MayRepeat(), HeadTimeout: headTimeout, MayTimeOut: r.mayAbandon,
+		NonIdempotent: !r.route.MayRepeat(), HeadTimeout: headTimeout,
 	}
 	if r.req.ID != "" {
 		call.MatchesAnswer = func(h http.Header, reused bool) bool { return r.f.cfg.Wire.IsAnswerTo(h, r.req.ID, reused) }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -223,11 +223,10 @@
 	mayHaveRun   bool          // an endpoint may have run the request, or may still run it
 	startCounted bool          // Config.OnStarted was called
 	stream       streamState
-	admission    fleet.Admission   // of the next or latest attempt
-	pendingMove  *moveResult       // where the next attempt continues the run; nil unless it was moved
-	successor    attempt.Successor // of an attempt that has stalled before its answer, or within one that is no stream
-	offers       offers            // of a stalled stream to other endpoints
-	accepted     *acceptedOffer    // the next attempt; nil unless an endpoint has accepted a stalled stream
+	admission    fleet.Admission // of the next or latest attempt
+	pendingMove  *moveResult     // where the next attempt continues the run; nil unless it was moved
+	offers       offers          // of a stalled request to other endpoints
+	accepted     *acceptedOffer  // the next attempt; nil unless an endpoint has accepted a stalled request
 }
 
 // Serve answers a request on w. It returns an error if the answer was broken off after it had begun; the caller's
@@ -328,7 +327,7 @@
 	r.offers.begin()
 	out := r.attempt(ctx, e)
 	r.lastEnd = out.end
-	for _, o := range r.offers.end(out.end != answered && out.end != ended && r.pendingMove == nil) {
+	for _, o := range r.offers.end(!out.delivered && out.end != ended && r.pendingMove == nil) {
 		r.recordOffer(o)
 	}
 	if out.delivered {
@@ -375,7 +374,7 @@
 	if err := r.checkQuarantine(); err != nil {
 		return err
 	}
-	if r.stream.started {
+	if r.stream.started || r.offers.isAccepted() {
 		return nil
 	}
 	return r.checkPaused()
@@ -383,7 +382,7 @@
 
 // AcquireRetry implements attempt.Steps.
 func (r *exchange) AcquireRetry(ctx context.Context, _ *fleet.Endpoint, out *outcome) error {
-	if r.successor.Take() || r.offers.isAccepted() {
+	if r.offers.isAccepted() {
 		return nil
 	}
 	isMove := r.pendingMove != nil && r.pendingMove.rejections == 0 // which is not a repeat
--- a/forward/offer.go
+++ b/forward/offer.go
@@ -3,19 +3,22 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
 	"github.com/trefoillug/trefoillug/fleet"
+	"github.com/trefoillug/trefoillug/progress"
+	"github.com/trefoillug/trefoillug/routing"
 	"github.com/trefoillug/trefoillug/upstream"
 )
 
-// offers searches for an endpoint that continues a stalled stream. A sound endpoint may fall silent and go on, so its
-// attempt is kept until another endpoint has accepted the request. Whichever goes on first is kept, and the other one is
-// canceled.
+// offers searches for an endpoint that takes over a stalled request, or continues its stream. A sound endpoint may fall
+// silent and go on, so its attempt is kept until another endpoint has accepted the request with the head of an answer.
+// Whichever goes on first is kept, and the other one is canceled.
 //
-// The search runs in the goroutine of a timer while the request's own goroutine reads the stalled stream. The zero value
-// is ready to use.
+// The search runs in a goroutine of its own while that of the request reads the stalled answer. The zero value is ready
+// to use.
 type offers struct {
 	mu       sync.Mutex
 	open     bool               // an attempt is in progress
@@ -27,9 +30,9 @@
 	ended    []endedOffer       // not recorded yet
 }
 
-var errWithdrawn = errors.New("the stream goes on elsewhere")
+var errWithdrawn = errors.New("the request goes on elsewhere")
 
-// acceptedOffer is an exchange with an endpoint that continues the stream.
+// acceptedOffer is an exchange with an endpoint that has answered the request, or continues its stream.
 type acceptedOffer struct {
 	endpoint *fleet.Endpoint
 	reply    *upstream.Reply
@@ -60,6 +63,13 @@
 	o.withdraw()
 }
 
+// withdrawInProgress withdraws the offer in progress.
+func (o *offers) withdrawInProgress() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.withdraw()
+}
+
 // withdraw cancels the search in progress, unless an endpoint has accepted. o.mu must be held.
 func (o *offers) withdraw() {
 	if o.cancel != nil && o.accepted == nil {
@@ -115,6 +125,15 @@
 	return a
 }
 
+// cancelUnlessAccepted cancels an offer that has stalled, unless its endpoint has accepted.
+func (o *offers) cancelUnlessAccepted(cancel context.CancelCauseFunc) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.accepted == nil {
+		cancel(progress.ErrStalled)
+	}
+}
+
 func (o *offers) isAccepted() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -163,16 +182,19 @@
 	o.ended = append(o.ended, e)
 }
 
-// runs returns the number of the offers that may have run and are not recorded yet.
-func (o *offers) runs() (n int) {
+// count returns the number of the offers not recorded yet that may have run, and of those that were rejected.
+func (o *offers) count() (runs, rejections int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for i := range o.ended {
-		if o.ended[i].out.mayHaveRun() {
-			n++
+		switch out := &o.ended[i].out; {
+		case out.mayHaveRun():
+			runs++
+		case out.end == rejected:
+			rejections++
 		}
 	}
-	return n
+	return runs, rejections
 }
 
 func (o *offers) lastID() string {
@@ -189,8 +211,8 @@
 	a.endpoint.Stats.End()
 }
 
-// offerElsewhere offers a stalled stream to other endpoints, with a pause of one target gap after each that does not
-// accept it. It returns when the stream goes on, no other attempt is allowed, or an endpoint has accepted; it then calls
+// offerElsewhere offers a stalled request to other endpoints, with a pause of one target gap after each that does not
+// accept it. It returns when the answer goes on, no other attempt is allowed, or an endpoint has accepted; it then calls
 // release, which ends the stalled attempt.
 func (r *exchange) offerElsewhere(ctx context.Context, stalled *fleet.Endpoint, release func()) {
 	ctx, last, ok := r.offers.startSearch(ctx)
@@ -218,9 +240,13 @@
 
 // acquireOther acquires another endpoint and an attempt from the retry budget while the current attempt is in progress.
 func (r *exchange) acquireOther(current *fleet.Endpoint) (e *fleet.Endpoint, admission fleet.Admission, ok bool) {
-	if !r.stream.canContinue() || !r.route.MayRepeat() || r.runs+r.offers.runs()+1 >= r.route.MaxAttempts || r.checkQuarantine() != nil {
+	runs, rejections := r.offers.count()
+	if !r.stream.canContinue() || !r.route.MayRepeat() || r.runs+runs+1 >= r.route.MaxAttempts || r.checkQuarantine() != nil {
 		return nil, fleet.Admission{}, false
 	}
+	if r.offers.lastID() == "" && (r.rejections+rejections >= maxRejections || !r.hasOther(time.Now())) {
+		return nil, fleet.Admission{}, false // the caller has nothing yet that would be lost
+	}
 	e, admission, _ = r.best(time.Now(), current)
 	if e == nil {
 		return nil, fleet.Admission{}, false
@@ -232,18 +258,20 @@
 	return e, admission, true
 }
 
-// offer sends the request to an endpoint that is to continue the stream, and reports whether it does.
+// offer sends the request to an endpoint that is to answer it or continue its stream, and reports whether it does.
 func (r *exchange) offer(ctx context.Context, e *fleet.Endpoint, admission fleet.Admission) bool {
 	a := &acceptedOffer{endpoint: e, sent: time.Now(), prefill: r.beginPrefill(e)}
 	call := r.newCall(ctx, e, r.offers.lastID(), "")
 	if r.tried[e] {
 		call.UnusedSince = r.req.Arrived
 	}
-	call.MayTimeOut = nil
 	r.tried[e] = true
+	ctx, cancel := context.WithCancelCause(ctx)
+	stopTimer := r.startOfferTimer(cancel)
 	reply, err := e.Pool.Do(ctx, call)
+	stopTimer()
 	e.EndAdmission(admission, err == nil && !r.f.cfg.Wire.IsNotRun(reply.Status, reply.Header))
-	if err == nil && isStream(reply) && !r.f.cfg.Wire.IsNotRun(reply.Status, reply.Header) {
+	if err == nil && r.isUsable(reply) {
 		a.reply = reply
 		if r.offers.accept(ctx, a) {
 			return true
@@ -251,12 +279,24 @@
 		err = &upstream.Error{Sent: true, Err: context.Cause(ctx)}
 		reply.Finish()
 	}
+	defer cancel(nil)
 	e.Stats.RecordPrefilled(a.prefill)
 	e.Stats.End()
 	r.offers.recordEnded(endedOffer{e, a.sent, r.offerOutcome(ctx, e, reply, err)})
 	return false
 }
 
+// startOfferTimer starts the watch over an offer without an answer. While the caller has nothing, the offer ends if the
+// request may go to a further endpoint. stop must be called once the head of the answer has arrived.
+func (r *exchange) startOfferTimer(cancel context.CancelCauseFunc) (stop func()) {
+	timeout := r.answerTimeout()
+	runs, _ := r.offers.count()
+	if timeout <= 0 || r.offers.lastID() != "" || r.runs+runs+2 >= r.route.MaxAttempts || !r.hasOther(time.Now()) {
+		return func() {}
+	}
+	return progress.Start(timeout, func() { r.offers.cancelUnlessAccepted(cancel) }).Stop
+}
+
 // offerOutcome returns the outcome of an offer that was not accepted.
 func (r *exchange) offerOutcome(ctx context.Context, e *fleet.Endpoint, reply *upstream.Reply, err error) outcome {
 	if err != nil {
@@ -267,6 +307,13 @@
 	if r.f.cfg.Wire.IsNotRun(reply.Status, reply.Header) {
 		return notRun(reply)
 	}
+	if r.route.Kind != routing.Streaming {
+		skipBody(reply)
+		return outcome{
+			end: answered, reached: true, answer: &answer{status: reply.Status, header: reply.Header},
+			err: fmt.Errorf("the endpoint answered %d while another one had the request", reply.Status),
+		}
+	}
 	return noContinuation(reply)
 }
 
@@ -275,5 +322,6 @@
 	sent, timeToFirst := r.sentAt, r.timeToFirst
 	defer func() { r.sentAt, r.timeToFirst = sent, timeToFirst }()
 	r.sentAt, r.timeToFirst = o.sent, 0
+	r.mayHaveRun = r.mayHaveRun || o.out.mayHaveRun()
 	r.recordAttempt(o.endpoint, &o.out)
 }
--- a/forward/whole.go
+++ b/forward/whole.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/trefoillug/trefoillug/progress"
@@ -18,8 +17,9 @@
 const maxBuffered = 256 << 10
 
 // relayWhole reads an answer completely before relaying it, so that the request can be repeated if the answer breaks
-// off.
-func (r *exchange) relayWhole(ctx context.Context, reply *upstream.Reply) outcome {
+// off. onStall is called while the answer to a request that may be repeated makes no progress.
+func (r *exchange) relayWhole(ctx context.Context, reply *upstream.Reply, onStall func()) outcome {
+	defer context.AfterFunc(ctx, reply.Abort)()
 	if reply.Length > progress.MaxAnswerBytes {
 		return outcome{end: lost, reached: true, err: fmt.Errorf("%w: it has %d bytes", progress.ErrTooLong, reply.Length)}
 	}
@@ -27,7 +27,7 @@
 	if isStream(reply) {
 		whole = 0 // its events are relayed as they arrive
 	}
-	body, err := r.readStart(ctx, reply, whole+1)
+	body, err := r.readStart(reply, whole+1, onStall)
 	if err != nil {
 		return r.classifyError(ctx, &upstream.Error{Sent: true, Err: err})
 	}
@@ -47,24 +47,14 @@
 	return outcome{end: answered, reached: true, delivered: true}
 }
 
-// readStart reads up to n bytes of an answer. The answer to a request that may be repeated must make progress.
-func (r *exchange) readStart(ctx context.Context, reply *upstream.Reply, n int) ([]byte, error) {
+// readStart reads up to n bytes of an answer. onStall is that of relayWhole.
+func (r *exchange) readStart(reply *upstream.Reply, n int, onStall func()) ([]byte, error) {
 	if !r.route.MayRepeat() {
 		return io.ReadAll(io.LimitReader(reply.Body, int64(n)))
 	}
-	var stalled atomic.Bool
-	watch := progress.Start(r.stallTimeout(), func() {
-		if r.mayAbandon() {
-			stalled.Store(true)
-			reply.Abort()
-		}
-	})
+	watch := progress.Start(r.stallTimeout(), onStall)
 	defer watch.Stop()
-	body, err := io.ReadAll(io.LimitReader(&progress.Reader{Reader: reply.Body, Watch: watch}, int64(n)))
-	if err != nil && stalled.Load() && ctx.Err() == nil {
-		err = progress.ErrStalled
-	}
-	return body, err
+	return io.ReadAll(io.LimitReader(&progress.Reader{Reader: reply.Body, Watch: watch}, int64(n)))
 }
 
 // relayLong relays an answer as it arrives: one that is larger than maxBuffered, or a stream of events on a route of
