--- a/relay/outcome_test.go
+++ b/relay/outcome_test.go
@@ -51,7 +51,7 @@
 	}{
 		"not sent":    {func(*session) {}, problem.NoEndpoint},
 		"engine lost": {func(s *session) { s.maybeSent.Store(true) }, problem.EndpointFailed},
-		"in progress": {func(s *session) { s.setRun(&engineRun{}) }, problem.EndpointFailed},
+		"in progress": {func(s *session) { s.runs.current = &engineRun{} }, problem.EndpointFailed},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := handover{RequestID: name, Service: "wording", Body: []byte(chatBody("p", 3, true)), TimeLeft: time.Minute}
