relay: a malformed request is not called not run while an offer may run it

Callers got 400 with the outcome not_run although another engine, to which the request was offered because the first one was silent, may have been running it. Only attempts that had been the current one counted as having been sent.

An offer counts once it has ended or is withdrawn, and while it is in progress.

--- a/relay/generate.go
+++ b/relay/generate.go
@@ -78,9 +78,7 @@
 	g.successor.End()
 	result := run.result
 	g.endSearch(result.End != dispatch.Complete && ctx.Err() == nil)
-	if result.Sent != dispatch.SentNothing && !isBadRequest(result) {
-		g.maybeSent.Store(true)
-	}
+	g.recordSent(result)
 	if result.End == dispatch.ErrorStatus {
 		g.errorAnswers++
 	}
@@ -94,6 +92,13 @@
 // IsAnswered implements attempt.Steps.
 func (g *generation) IsAnswered(result dispatch.Result) bool { return result.End == dispatch.Complete }
 
+// recordSent records whether an attempt that has ended may have run the request.
+func (s *session) recordSent(result dispatch.Result) {
+	if result.Sent != dispatch.SentNothing && !isBadRequest(result) {
+		s.maybeSent.Store(true)
+	}
+}
+
 // CheckRetry implements attempt.Steps.
 func (g *generation) CheckRetry(ctx context.Context, _ *slot, result dispatch.Result) error {
 	switch {
--- a/relay/offer.go
+++ b/relay/offer.go
@@ -57,6 +57,7 @@
 		g.mu.Lock()
 		if g.runs.offered == run {
 			g.runs.offered = nil
+			g.recordSent(run.result)
 			g.runs.failed = append(g.runs.failed, failedOffer{run.slot.endpoint, run.result.IsEngineError()})
 		}
 		g.mu.Unlock()
@@ -103,6 +104,7 @@
 	if s.runs.offered != nil {
 		s.runs.offered.cancel(errSuperseded)
 		s.runs.offered = nil
+		s.maybeSent.Store(true)
 	}
 }
 
--- a/relay/outcome_test.go
+++ b/relay/outcome_test.go
@@ -99,6 +99,32 @@
 	}
 }
 
+// Guards against the outcome not_run of a request that an engine rejects as malformed while another one, to which it was
+// offered because the first one was silent, may be running it.
+func TestOutcome_BadRequestDuringOffer(t *testing.T) {
+	env := newTestEnv(t)
+	env.streamGap = 200 * time.Millisecond
+	reached, reject := make(chan struct{}), make(chan struct{})
+	a := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(reached)
+		<-reject
+		w.WriteHeader(http.StatusBadRequest)
+	})
+	env.addInstance(cloud.Instance{ID: "a", Address: env.serve(a), FailureDomain: "fd1", Service: "wording"})
+	_, url := env.startRelay(Config{})
+	done := make(chan reply, 1)
+	go func() { done <- chat(url, "p", 3) }()
+	<-reached
+	b := newPausingEngine("b")
+	b.pauseAt = 0
+	env.addInstance(cloud.Instance{ID: "b", Address: env.serve(b), FailureDomain: "fd2", Service: "wording"})
+	<-b.paused
+	close(reject)
+	got := <-done
+	must.Eq(t, http.StatusBadRequest, got.status)
+	must.StrContains(t, got.body, `"kind":"invalid_request","outcome":"`+string(problem.Unknown))
+}
+
 // Guards against an instance without a configuration that reports every service as unknown.
 func TestOutcome_NoConfigurationYet(t *testing.T) {
 	env := newTestEnv(t)
--- a/relay/session.go
+++ b/relay/session.go
@@ -233,7 +233,7 @@
 // incompleteError returns the error for a session that ended before its answer was complete.
 func (s *session) incompleteError(kind problem.Kind, format string, args ...any) error {
 	n, _ := s.emitted()
-	switch mayHaveRun := s.maybeSent.Load() && problem.AnswerFor(kind).Outcome == problem.NotRun; {
+	switch mayHaveRun := s.mayHaveRun() && problem.AnswerFor(kind).Outcome == problem.NotRun; {
 	case n > 0:
 		kind = problem.StreamBroken
 	case mayHaveRun && kind == problem.InvalidRequest:
