--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -42,6 +42,7 @@
 	endpoint   string
 	id         string
 	after      string // the ID of the event after which to resume a stream
+	from       string // reference to the memory of the moved run to continue
 	conn       net.Conn
 	connClosed <-chan struct{} // closed when the forwarder has closed the connection
 }
@@ -69,6 +70,7 @@
 // harness runs a forwarder with scripted endpoints, and implements its quotas and retry budget.
 type harness struct {
 	t         *testing.T
+	config    forward.Config
 	forwarder *forward.Forwarder
 	fleet     *fleet.Table
 	table     *routing.Table
@@ -106,7 +108,7 @@
 	for _, c := range change {
 		c(&cfg)
 	}
-	w.forwarder = forward.New(cfg)
+	w.config, w.forwarder = cfg, forward.New(cfg)
 	return w
 }
 
@@ -196,7 +198,9 @@
 			_, _ = r.Peek(1)
 			close(connClosed)
 		}()
-		script(&arrival{endpoint: id, id: req.Header.Get("Id"), after: req.Header.Get("After"), conn: c, connClosed: connClosed})
+		script(&arrival{
+			endpoint: id, id: req.Header.Get("Id"), after: req.Header.Get("After"), from: req.Header.Get("From"), conn: c, connClosed: connClosed,
+		})
 		<-connClosed
 	}
 }
@@ -234,12 +238,17 @@
 
 // sendRequest makes a request on a route and sets the fields that all requests have.
 func (w *harness) sendRequest(ctx context.Context, route string, req *forward.Request) *caller {
+	return w.sendTo(ctx, w.forwarder, route, req)
+}
+
+// sendTo is sendRequest at a forwarder, which may be one of another instance.
+func (w *harness) sendTo(ctx context.Context, f *forward.Forwarder, route string, req *forward.Request) *caller {
 	now := time.Now()
 	req.ID, req.Method, req.Host, req.Key = "r"+now.Format("150405.000000000"), http.MethodPost, "h", "k"
 	req.Path, req.URI, req.Header = "/"+route+"/x", "/"+route+"/x", http.Header{}
 	req.Arrived, req.Deadline = now, now.Add(3*time.Second)
 	c := &caller{}
-	c.broken = w.forwarder.Serve(ctx, c, req)
+	c.broken = f.Serve(ctx, c, req)
 	c.took = time.Since(now)
 	return c
 }
