upstream, dispatch: a reset is seen while the request is being written

What callers saw: an endpoint answered without a length before it had read a long request, and its connection was reset within that answer. The part was relayed as a whole answer, on both request paths.

Cause: the kernel reports a reset once, to the call that asks first. If that is the write of the request's body, the read of the answer gets the plain end of the connection, which marks the end of such an answer.

Change: sockets.Conn records a reset that a write got. At the end of the connection its Read ends a write in progress, so that a reset that this write got is known, and returns the reset. A connection that the endpoint closed first and reset later still ends whole: the write gets EPIPE then.

TestDo_AnswerEndsWhileRequestIsWritten shows that whole answers are still relayed.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/trefoillug/trefoillug/progress"
+	"github.com/trefoillug/trefoillug/sockets"
 	"github.com/trefoillug/trefoillug/table"
 )
 
@@ -154,5 +155,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return &countingConn{Conn: conn}, nil
+	return &countingConn{Conn: sockets.NewConn(conn)}, nil
 }
--- a/sockets/sockets.go
+++ b/sockets/sockets.go
@@ -1,4 +1,4 @@
-// Package sockets inspects open TCP connections.
+// Package sockets inspects open TCP connections and reports their resets.
 package sockets
 
 import (
@@ -18,7 +18,7 @@
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return errors.Is(err, errors.ErrUnsupported)
 	}
 	quiet := false
 	// Control does not wait for a read in progress, as Read would.
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -132,8 +132,7 @@
 	}
 	go func() {
 		// A failed write shows in the answer, or in a missing answer.
-		body := net.Buffers{head, call.Body}
-		_, err := body.WriteTo(c.Conn)
+		_, err := c.Conn.WriteBuffers(net.Buffers{head, call.Body})
 		written.Store(err == nil)
 	}()
 	return true, nil
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -14,6 +14,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/trefoillug/trefoillug/sockets"
 )
 
 const (
@@ -59,7 +61,7 @@
 
 // conn is a connection to the endpoint.
 type conn struct {
-	net.Conn
+	*sockets.Conn
 	pool        *Pool
 	incoming    *headLimiter
 	reader      *bufio.Reader // reads from incoming
@@ -171,8 +173,9 @@
 		p.unreserve()
 		return nil, fmt.Errorf("connect to %s: %w", p.address, err)
 	}
-	incoming := &headLimiter{conn: nc}
-	return &conn{Conn: nc, pool: p, incoming: incoming, reader: bufio.NewReaderSize(incoming, readBuffer), idleTimeout: defaultIdleTimeout}, nil
+	sc := sockets.NewConn(nc)
+	incoming := &headLimiter{conn: sc}
+	return &conn{Conn: sc, pool: p, incoming: incoming, reader: bufio.NewReaderSize(incoming, readBuffer), idleTimeout: defaultIdleTimeout}, nil
 }
 
 func (p *Pool) reserve() bool {
