graceful: an answer of which a write failed resets its HTTP/1.0 connection

What callers saw: a caller before HTTP/1.1 that read too slowly got the part of an answer that had been written before the time limit of a write, and then the plain end of the connection, as after a whole answer. On our own interface the handler of plain calls ignores such an error.

Cause: only a handler that panics counted as one that breaks its answer off.

Change: a failed write of the connection counts as well.

Evidence: TestServe_FailedWriteIsVisible failed before: the caller read the part and io.EOF.

--- a/graceful/abort.go
+++ b/graceful/abort.go
@@ -61,6 +61,15 @@
 	_ = c.raw.Control(func(fd uintptr) { _ = unix.SetsockoptLinger(int(fd), unix.SOL_SOCKET, unix.SO_LINGER, &l) })
 }
 
+// Write implements net.Conn. An answer of which a write has failed is broken off, whatever its handler does.
+func (c *conn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	if err != nil {
+		c.aborted.Store(true)
+	}
+	return n, err
+}
+
 // isBrokenOff reports whether the connection is closed within an answer whose end it marks.
 func (c *conn) isBrokenOff() bool {
 	c.mu.Lock()
--- a/graceful/abort_test.go
+++ b/graceful/abort_test.go
@@ -107,3 +107,20 @@
 	must.ErrorIs(t, err, syscall.ECONNRESET)
 	must.StrHasSuffix(t, start, got)
 }
+
+// Guards against an answer that looks whole to its caller although a write of it has failed, such as one that took too
+// long, which its handler ignores.
+func TestServe_FailedWriteIsVisible(t *testing.T) {
+	failed := make(chan error, 1)
+	answer := strings.Repeat("x", 64<<20) // more than both sockets hold
+	_, address := startServer(t, &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		must.NoError(t, http.NewResponseController(w).SetWriteDeadline(time.Now().Add(200*time.Millisecond)))
+		_, err := io.WriteString(w, answer)
+		failed <- err
+	})}, nil)
+	receive := exchange(t, address, requestHTTP10)
+	must.Error(t, <-failed)
+	got, err := receive()
+	must.ErrorIs(t, err, syscall.ECONNRESET)
+	must.StrContains(t, got, "xxx")
+}
--- a/graceful/conn.go
+++ b/graceful/conn.go
@@ -105,7 +105,7 @@
 	progress   sendProgress  // used during a shutdown
 
 	unframed atomic.Bool // the end of the connection may mark the end of the answer in progress
-	aborted  atomic.Bool // the handler has broken off such an answer
+	aborted  atomic.Bool // the handler has broken an answer off, or a write has failed
 }
 
 // Read implements net.Conn.
