relay: broken answers of plain services to HTTP/1.0 callers are checked

TestPlain_BrokenAnswerToHTTP10Caller guards the reset of such connections (package graceful) on our own interface, for event streams and for answers larger than the buffer.

--- a/relay/halfanswer_test.go
+++ b/relay/halfanswer_test.go
@@ -7,12 +7,15 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
 	"github.com/trefoillug/trefoillug/cloud"
 	"github.com/trefoillug/trefoillug/engine"
+	"github.com/trefoillug/trefoillug/graceful"
 	"github.com/trefoillug/trefoillug/standin"
 )
 
@@ -140,3 +143,33 @@
 		}
 	})
 }
+
+// Guards against an answer that is broken off and looks whole to a caller whose protocol has no chunks.
+func TestPlain_BrokenAnswerToHTTP10Caller(t *testing.T) {
+	for name, answer := range map[string]string{
+		"events": "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 100\r\n\r\ndata: 1\n\n",
+		"long":   fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", 2*bufferBytes, strings.Repeat("x", bufferBytes+1)),
+	} {
+		t.Run(name, func(t *testing.T) {
+			env := newTestEnv(t)
+			e, err := standin.StartRawEndpoint(func(c net.Conn, _ *http.Request) { _, _ = io.WriteString(c, answer) })
+			must.NoError(t, err)
+			t.Cleanup(e.Close)
+			env.addInstance(cloud.Instance{ID: "s", Address: e.Address(), FailureDomain: "fd1", Service: "orders"})
+			r, _ := env.startRelay(Config{})
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			must.NoError(t, err)
+			server := graceful.New(NewServer(r))
+			go func() { _ = server.Serve(l) }()
+			t.Cleanup(func() { _ = server.Close() })
+			c, err := net.Dial("tcp", l.Addr().String())
+			must.NoError(t, err)
+			defer c.Close()
+			must.NoError(t, c.SetDeadline(time.Now().Add(10*time.Second)))
+			_, err = io.WriteString(c, "GET /services/orders/list HTTP/1.0\r\n\r\n")
+			must.NoError(t, err)
+			got, err := io.ReadAll(c)
+			must.ErrorIs(t, err, syscall.ECONNRESET, must.Sprintf("%d bytes", len(got)))
+		})
+	}
+}
