standin: runs name their events, streams break off and go on oddly

Each event of a stream may name the run that generated it and the position at which that run began; a run that is moved keeps its name. Workers record the events of each run. Oddities break streams off, at an event or inside one, end answers inside their head, and answer requests for the rest of a stream from a table: from event 1, with events skipped or repeated, another content type, no events, 204, 302, 404, 429 and 503 with and without the proof, 500, half a head. Plain answers may be streams with or without IDs.

--- a/standin/platformfaults.go
+++ b/standin/platformfaults.go
@@ -55,14 +55,12 @@
 	return 1
 }
 
-func isStream(r *http.Request) bool { return r.Header.Get("X-Trefoillug-Token-Count") != "" }
-
 // serveFault answers a request with a fault on the connection itself. It returns false if the current fault needs none
 // of that.
 func (u *PlatformWorker) serveFault(w http.ResponseWriter, r *http.Request) bool {
 	fault := u.currentAnswerFault()
 	switch {
-	case fault == NoAnswerFault, fault == SlowAnswers, fault == RefusalCopies, fault == LateCopies && isStream(r), fault == BreaksEvents && !isStream(r):
+	case fault == NoAnswerFault, fault == SlowAnswers, fault == RefusalCopies, fault == LateCopies && hasEvents(r), fault == BreaksEvents && !isStream(r):
 		return false
 	}
 	conn, rw, err := http.NewResponseController(w).Hijack()
@@ -72,7 +70,7 @@
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(maxFaultTime))
 	head := u.rawHead(r)
-	if isStream(r) {
+	if hasEvents(r) {
 		head += "Content-Type: text/event-stream\r\n"
 	}
 	block := strings.Repeat("x", floodBlock)
@@ -120,7 +118,7 @@
 // writeAnswer runs a request and writes its answer to a connection. headEnd ends the header, and write writes the body.
 func (u *PlatformWorker) writeAnswer(c net.Conn, r *http.Request, bodyBytes int, headEnd string, write func(text string) error) error {
 	head := u.rawHead(r)
-	if isStream(r) {
+	if hasEvents(r) {
 		if _, err := io.WriteString(c, head+"Content-Type: text/event-stream\r\n"+headEnd); err != nil {
 			return err
 		}
@@ -272,7 +270,7 @@
 		}
 		late = answer
 		next, sent, err := nextRequest(r)
-		if err != nil || isStream(next) {
+		if err != nil || hasEvents(next) {
 			return // the connection closes without an answer to a request of another kind
 		}
 		u.recordRequest(next, sent, time.Now(), u.leaving.Load())
--- a/standin/platformsite.go
+++ b/standin/platformsite.go
@@ -135,6 +135,8 @@
 	Output   int // tokens; only for streams
 	Deadline time.Duration
 	Block    string // ID of a prompt block between the first one, which all streams share, and the last one; empty: none
+	After    int    // number of the last event that the caller has; 0: none
+	Form     string // EventAnswer or UnnumberedAnswer for plain requests whose answers are events; empty: others
 }
 
 // Request returns the call as a request to an instance at host:port.
@@ -151,6 +153,9 @@
 	req.Header.Set("Authorization", "Bearer "+c.Key)
 	req.Header.Set("X-Trefoillug-Attempt-Id", c.ID)
 	req.Header.Set("X-Trefoillug-Deadline-Ms", fmt.Sprint(c.Deadline.Milliseconds()))
+	if c.After > 0 {
+		req.Header.Set("Last-Event-Id", fmt.Sprint(c.After))
+	}
 	if c.Stream {
 		req.Header.Set("X-Trefoillug-Token-Count", fmt.Sprintf("%d,%d", c.Prompt, c.Output))
 		req.Header.Set("X-Trefoillug-Prompt-Prefix", c.blocks())
@@ -175,7 +180,18 @@
 	return PlatformRouteTimeout
 }
 
-func (c PlatformCall) path() string { return "/" + c.Route + "/" + c.ID }
+func (c PlatformCall) path() string {
+	if c.Form != "" {
+		return "/" + c.Route + "/" + c.ID + "/" + c.Form
+	}
+	return "/" + c.Route + "/" + c.ID
+}
+
+// HasEvents reports whether the answer to the call is a stream of events.
+func (c PlatformCall) HasEvents() bool { return c.Stream || c.Form != "" }
+
+// Resumable reports whether the rest of the answer may come from another run.
+func (c PlatformCall) Resumable() bool { return c.Route == "notes" }
 
 // IsComplete reports whether a body is the complete answer to the call from a worker that sends a number of events.
 func (c PlatformCall) IsComplete(body string, events int) bool {
--- a/standin/platformworker.go
+++ b/standin/platformworker.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -35,8 +34,11 @@
 	// stream. The last block of a prompt never does. OnDeadlyBlock is called with the ID of the block for each crash.
 	DeadlyBlocks  string
 	OnDeadlyBlock func(id string)
-	// NameRequests makes each event of a stream name its request.
+	// NameRequests makes each event of a stream name its request, and NameRuns also the run that generated it.
 	NameRequests bool
+	NameRuns     bool
+	// Oddities, if not nil, draws the requests that are answered oddly.
+	Oddities *Oddities
 
 	draining atomic.Bool
 	leaving  atomic.Bool
@@ -46,10 +48,12 @@
 	retryAfter  atomic.Value // string: the Retry-After of rejections; empty: none
 	answerFault atomic.Value // an AnswerFault
 	pausedUntil atomic.Int64 // Unix nanoseconds
+	weights     atomic.Int64 // version
 
 	mu       sync.Mutex
 	runs     []PlatformRun
 	refusals []PlatformRefusal
+	streams  []*PlatformStream
 	active   map[string]*workerStream
 }
 
@@ -82,12 +86,6 @@
 	return time.Duration(seconds * float64(time.Second))
 }
 
-// workerStream is a stream in progress.
-type workerStream struct {
-	sent int
-	stop chan struct{}
-}
-
 // SetDraining sets whether the worker closes the connection after each answer, as a leaving endpoint does.
 func (u *PlatformWorker) SetDraining(on bool) { u.draining.Store(on) }
 
@@ -138,6 +136,9 @@
 	h := w.Header()
 	h.Set("X-Trefoillug-Instance-Id", u.ID)
 	h.Set("X-Trefoillug-Worker-Load", "1,0,8")
+	if weights := u.weights.Load(); weights > 0 {
+		h.Set("X-Trefoillug-Weight-Versions", strconv.FormatInt(weights, 10))
+	}
 	if u.draining.Load() {
 		h.Set("Connection", "close")
 	}
@@ -158,6 +159,8 @@
 		return
 	case u.currentAnswerFault() == RefusalCopies && u.serveRefusalCopies(w, r):
 		return
+	case u.Oddities != nil && u.serveOddity(w, r, body, arrived, leaving):
+		return
 	}
 	h.Set("X-Trefoillug-Response-Seal", "seal."+u.ID)
 	u.recordRequest(r, body, arrived, leaving)
@@ -170,7 +173,7 @@
 		panic(http.ErrAbortHandler)
 	case u.failing.Load():
 		w.WriteHeader(http.StatusInternalServerError)
-	case r.Header.Get("X-Trefoillug-Token-Count") != "":
+	case hasEvents(r):
 		u.serveStream(w, r)
 	default:
 		time.Sleep(u.Work * u.slowness())
@@ -221,72 +224,6 @@
 	u.runs = append(u.runs, run)
 }
 
-func (u *PlatformWorker) serveStream(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set("Content-Type", "text/event-stream")
-	if err := u.writeEvents(r, flushingWriter(w)); err != nil {
-		panic(http.ErrAbortHandler) // closes the stream before its end
-	}
-}
-
-// errCrash and errMoved are the reasons for which a worker ends a stream early.
-var (
-	errCrash = errors.New("worker crashed")
-	errMoved = errors.New("stream moved to another worker")
-)
-
-// writeEvents writes the events of a request's stream that are left. It returns an error if the stream ended early.
-func (u *PlatformWorker) writeEvents(r *http.Request, write func(text string) error) error {
-	sent, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0 without one
-	id := r.Header.Get("X-Trefoillug-Attempt-Id")
-	s := &workerStream{sent: sent, stop: make(chan struct{})}
-	u.mu.Lock()
-	if u.active == nil {
-		u.active = map[string]*workerStream{}
-	}
-	u.active[id] = s
-	u.mu.Unlock()
-	defer func() {
-		u.mu.Lock()
-		delete(u.active, id)
-		u.mu.Unlock()
-	}()
-	for first, events := true, u.eventCount(r); sent < events; first = false {
-		select {
-		case <-s.stop:
-			return errMoved
-		case <-r.Context().Done():
-			return r.Context().Err()
-		case <-time.After(u.EventTime * u.slowness()):
-		}
-		if block := u.deadlyBlock(r); first && block != "" {
-			u.OnDeadlyBlock(block)
-			return errCrash
-		}
-		sent++
-		u.mu.Lock()
-		s.sent = sent
-		u.mu.Unlock()
-		if err := u.writePausing(u.event(sent, id), write); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// eventCount returns the number of events of a request's whole stream.
-func (u *PlatformWorker) eventCount(r *http.Request) int {
-	_, output, _ := strings.Cut(r.Header.Get("X-Trefoillug-Token-Count"), ",")
-	tokens, err := strconv.Atoi(output)
-	if u.EventTokens == 0 || err != nil {
-		return u.Events
-	}
-	return (tokens + u.EventTokens - 1) / u.EventTokens
-}
-
-func (u *PlatformWorker) event(n int, request string) string {
-	return fmt.Sprintf("id: %d\ndata: token %d%s\n\n", n, n, u.requestSuffix(request))
-}
-
 // deadlyBlock returns the ID of the block, other than the last one, of the prompt that crashes the worker; empty: none.
 func (u *PlatformWorker) deadlyBlock(r *http.Request) string {
 	blocks := PromptBlocks(r.Header)
@@ -311,40 +248,6 @@
 	return ids
 }
 
-func (u *PlatformWorker) requestSuffix(request string) string {
-	if !u.NameRequests {
-		return ""
-	}
-	return " of " + request
-}
-
-// serveMove answers a call that moves a stream to another endpoint. The last call for a stream also ends it.
-func (u *PlatformWorker) serveMove(w http.ResponseWriter, body []byte) {
-	var call struct {
-		ID   string `json:"id"`
-		Last bool   `json:"last"`
-	}
-	if err := json.Unmarshal(body, &call); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	u.mu.Lock()
-	s := u.active[call.ID]
-	if s == nil {
-		u.mu.Unlock()
-		w.WriteHeader(http.StatusNotFound)
-		return
-	}
-	delete(u.active, call.ID)
-	sent := s.sent
-	u.mu.Unlock()
-	if call.Last {
-		close(s.stop)
-	}
-	time.Sleep(5 * time.Millisecond) // so that the stream ends before the copy is complete
-	writeJSONStatus(w, http.StatusOK, map[string]any{"handle": "h-" + call.ID, "createRevision": sent})
-}
-
 // PlatformAPI is the API of the users' platform that holders of duties call: usage reports and scaling orders.
 type PlatformAPI struct {
 	mu         sync.Mutex
