soak: each stream is compared with the events that its runs generated

Two sites in the shape of small installations join the standard one: their callers resume broken streams at the same and at another instance, without a pause, repeatedly, and while the old connection is open.

--- a/cmd/trefoillug-soak/main.go
+++ b/cmd/trefoillug-soak/main.go
@@ -8,10 +8,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -38,7 +41,7 @@
 	var seed uint64
 	var runs, parallel, instances int
 	var length time.Duration
-	var binary string
+	var program, site string
 	var planned bool
 	return &cli.Command{
 		Name:  "trefoillug-soak",
@@ -48,11 +51,16 @@
 			&cli.IntFlag{Name: "runs", Usage: "number of runs, with consecutive seeds", Value: 1, Destination: &runs},
 			&cli.IntFlag{Name: "parallel", Usage: "number of runs at the same time", Value: 1, Destination: &parallel},
 			&cli.DurationFlag{Name: "for", Usage: "length of the load of a run", Value: time.Minute, Destination: &length},
-			&cli.IntFlag{Name: "nodes", Usage: "number of instances", Value: 4, Destination: &instances},
+			&cli.IntFlag{Name: "nodes", Usage: "number of instances; that of the site if 0", Destination: &instances},
 			&cli.BoolFlag{Name: "planned", Usage: "planned work only, by which no request may be interrupted", Destination: &planned},
-			&cli.StringFlag{Name: "binary", Usage: "path of the trefoillug binary; built if empty", Destination: &binary},
+			&cli.StringFlag{Name: "program", Aliases: []string{"binary"}, Usage: "path of the program to run as an instance; built if empty", Destination: &program},
+			&cli.StringFlag{Name: "site", Usage: "shape of the installation: " + strings.Join(siteNames(), ", "), Value: "standard", Destination: &site},
 		},
 		Action: func(ctx context.Context, _ *cli.Command) error {
+			newPlan, instances, err := planner(site, instances, planned)
+			if err != nil {
+				return err
+			}
 			if parallel < 1 || instances < 1 || instances*parallel > maxInstances {
 				return fmt.Errorf("--nodes is %d and --parallel %d: both must be at least 1, and their product at most %d", instances, parallel, maxInstances)
 			}
@@ -60,20 +68,16 @@
 			if err != nil {
 				return err
 			}
-			if binary == "" {
-				binary = filepath.Join(dir, "trefoillug")
-				if out, err := exec.CommandContext(ctx, "go", "build", "-o", binary, "./cmd/trefoillug").CombinedOutput(); err != nil {
+			if program == "" {
+				program = filepath.Join(dir, "trefoillug")
+				if out, err := exec.CommandContext(ctx, "go", "build", "-o", program, "./cmd/trefoillug").CombinedOutput(); err != nil {
 					return fmt.Errorf("build trefoillug: %w\n%s", err, out)
 				}
 			}
-			newPlan := soak.NewPlan
-			if planned {
-				newPlan = soak.NewPlannedWork
-			}
 			plans := make([]soak.Options, runs)
 			for n := range plans {
 				s := seed + uint64(n)
-				plans[n] = soak.Options{Plan: newPlan(s, length, instances), Binary: binary, Dir: filepath.Join(dir, fmt.Sprint(s))}
+				plans[n] = soak.Options{Plan: newPlan(s, length, instances), Program: program, Dir: filepath.Join(dir, fmt.Sprint(s))}
 			}
 			results := runPlans(ctx, plans, parallel)
 			failed, err := soak.WriteSummary(os.Stdout, results)
@@ -88,6 +92,40 @@
 	}
 }
 
+// anySite is the site that stands for one drawn by the seed of each run.
+const anySite = "any"
+
+func siteNames() []string {
+	return append(slices.Sorted(maps.Keys(soak.Sites)), anySite)
+}
+
+// planner returns the function that makes plans of a site, and the number of instances, by default that of the site.
+func planner(name string, instances int, planned bool) (newPlan func(uint64, time.Duration, int) soak.Plan, n int, err error) {
+	site, ok := soak.Sites[name]
+	switch {
+	case !ok && name != anySite:
+		return nil, 0, fmt.Errorf("--site is %q: must be one of %s", name, strings.Join(siteNames(), ", "))
+	case planned && name != "standard":
+		return nil, 0, errors.New("--planned is for the site standard only")
+	case instances == 0 && name == anySite:
+		return nil, 0, fmt.Errorf("--site %s needs --nodes", anySite)
+	case instances == 0:
+		instances = site.Instances
+	}
+	switch {
+	case planned:
+		return soak.NewPlannedWork, instances, nil
+	case name == anySite:
+		return soak.NewDrawnSitePlan, instances, nil
+	case site.Resumes:
+		return func(seed uint64, length time.Duration, instances int) soak.Plan {
+			return soak.NewSitePlan(seed, length, instances, site)
+		}, instances, nil
+	default:
+		return soak.NewPlan, instances, nil
+	}
+}
+
 // runPlans runs plans, some of them at the same time, and returns their results in the order of the plans. It starts none
 // once ctx is done.
 func runPlans(ctx context.Context, plans []soak.Options, parallel int) []soak.Result {
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -111,6 +111,10 @@
 		}
 		a := c.attempt(context.WithoutCancel(ctx), c.call())
 		c.env.evidence.addAttempt(a)
+		if c.env.site.Resumes && a.mayResume() {
+			c.target = a.target
+			c.resume(ctx, b, a)
+		}
 		if a.endsVisit() {
 			c.target = nil // pick a new instance for the next request
 		}
@@ -136,18 +140,24 @@
 		call.Prompt, call.Output = 50+c.rng.IntN(400), minDraftTokens+c.rng.IntN(maxDraftTokens-minDraftTokens)
 		return call
 	}
+	s := c.env.site
 	switch draw := c.rng.Float64(); {
-	case draw < 0.15:
-		call.Route, call.Stream = "chat", true
-	case draw < 0.4:
-		call.Route, call.Stream = "notes", true
-	case draw < 0.7:
+	case draw < s.Chat:
+		call.Route, call.Stream, call.Output = "chat", true, s.output(s.ChatEvents)
+	case draw < s.Chat+s.Notes:
+		call.Route, call.Stream, call.Output = "notes", true, s.output(s.NotesEvents)
+	case draw < s.Chat+s.Notes+s.Book:
 		call.Route = "book"
+	case draw < s.Chat+s.Notes+s.Book+s.Draft:
+		call.Route, call.Stream, call.Output, call.Deadline = standin.PlatformDraftRoute, true, s.output(s.DraftEvents), draftDeadline
 	default:
 		call.Route = "look"
+		if c.rng.Float64() < s.EventAnswers {
+			call.Form = []string{standin.EventAnswer, standin.UnnumberedAnswer}[c.rng.IntN(2)]
+		}
 	}
 	if call.Stream {
-		call.Prompt, call.Output = 50+c.rng.IntN(400), streamTokens
+		call.Prompt = 50 + c.rng.IntN(400)
 	}
 	if c.key == standin.PlatformOpenKey && c.rng.Float64() < changedConfigShare {
 		c.useChangedConfig(&call)
@@ -162,7 +172,7 @@
 	defer e.mu.Unlock()
 	switch {
 	case len(e.Added) > 0 && c.rng.IntN(2) == 0:
-		call.Route, call.Stream = e.Added[len(e.Added)-1].Name, false
+		call.Route, call.Stream, call.Form = e.Added[len(e.Added)-1].Name, false, ""
 	case len(e.Revoked) > 0:
 		call.Key = e.Revoked[len(e.Revoked)-1].Name
 	}
@@ -185,9 +195,14 @@
 
 func (c *caller) attempt(ctx context.Context, call standin.PlatformCall) (a Attempt) {
 	a = Attempt{Call: call, Instance: c.target.machine.Name, Sent: time.Now()}
+	a.target = c.target
 	ctx, cancel := context.WithTimeout(ctx, call.Deadline+time.Second)
-	defer cancel()
-	defer func() { a.Ended = time.Now() }()
+	defer func() {
+		a.Ended = time.Now()
+		if !a.Abandoned {
+			cancel()
+		}
+	}()
 	req, err := call.Request(ctx, c.target.machine.Front)
 	if err != nil {
 		return a
@@ -196,11 +211,22 @@
 	if err != nil {
 		return a
 	}
-	defer resp.Body.Close()
-	body, err := readBody(resp.Body)
-	a.Status, a.Body, a.Complete = resp.StatusCode, string(body), err == nil
+	a.setHead(resp)
 	if slices.Contains(resp.Header.Values("Connection"), "close") {
 		c.target = nil
 	}
+	if events := c.drawAbandon(call); events > 0 && a.Status == http.StatusOK {
+		if a.Body, a.Abandoned = readSome(resp, events, cancel); a.Abandoned {
+			return a
+		}
+	}
+	defer resp.Body.Close()
+	body, err := readBody(resp.Body)
+	a.Body, a.Complete = a.Body+string(body), err == nil
 	return a
 }
+
+// setHead takes over what the head of a response says.
+func (a *Attempt) setHead(resp *http.Response) {
+	a.Status, a.Type, a.Seal = resp.StatusCode, resp.Header.Get("Content-Type"), resp.Header.Get("X-Trefoillug-Response-Seal")
+}
--- a/soak/checks.go
+++ b/soak/checks.go
@@ -50,9 +50,14 @@
 		runs[r.ID] = append(runs[r.ID], r)
 	}
 	var all []Breach
+	streams := map[string][]standin.PlatformStream{}
+	for _, s := range e.Streams {
+		streams[s.Request] = append(streams[s.Request], s)
+	}
 	for i := range e.Attempts {
 		a := &e.Attempts[i]
-		all = append(all, e.checkAnswer(a)...)
+		all = append(all, checkAnswer(a, runs[a.Call.ID])...)
+		all = append(all, e.checkEvents(a, streams[a.Call.ID])...)
 		all = append(all, e.checkRuns(a, runs[a.Call.ID])...)
 		all = append(all, e.checkConfiguration(a)...)
 		all = append(all, e.checkPlannedStop(a, runs[a.Call.ID])...)
@@ -74,11 +79,19 @@
 	return []Breach{{Guarantee: guarantee, At: at, Text: fmt.Sprintf(format, args...)}}
 }
 
-// checkAnswer finds successful answers that are incomplete or belong to another request.
-func (e *Evidence) checkAnswer(a *Attempt) []Breach {
-	if a.Status == 200 && a.Complete && !a.Call.IsComplete(a.Body, (a.Call.Output+e.EventTokens-1)/e.EventTokens) {
+// checkAnswer finds successful answers that are incomplete or belong to another request, or that bear the mark of an
+// endpoint that didn't run the request.
+func checkAnswer(a *Attempt, runs []standin.PlatformRun) []Breach {
+	if a.Status != 200 || !a.Complete {
+		return nil
+	}
+	if !a.Call.HasEvents() && !a.Call.IsComplete(a.Body, 0) {
 		return breach("complete answer to its own request", a.Ended, "%s at %s got %q", a.Call.ID, a.Instance, shorten(a.Body))
 	}
+	ran := slices.ContainsFunc(runs, func(r standin.PlatformRun) bool { return a.Seal == sealOf(r.Worker) })
+	if !ran || !a.Call.HasEvents() && !strings.HasPrefix(a.Body, strings.TrimPrefix(a.Seal, sealOf(""))+" ") {
+		return breach(wholeAnswer, a.Ended, "%s at %s got the mark %q with %q", a.Call.ID, a.Instance, a.Seal, shorten(a.Body))
+	}
 	return nil
 }
 
@@ -137,7 +150,7 @@
 	closeRace := a.Status == 0 && len(runs) == 0 && a.Ended.Sub(a.Sent) <= closeRaceTime
 	unowed := a.Unowed && len(runs) == 0
 	timedOut := a.duration() >= a.Call.Timeout()
-	if a.Complete || closeRace || unowed || timedOut {
+	if a.Complete || a.Abandoned || closeRace || unowed || timedOut {
 		return nil
 	}
 	unplanned := func(s FaultSpan) bool { return !s.Planned }
@@ -248,7 +261,7 @@
 	requests, served := 0, 0
 	for i := range e.Attempts {
 		a := &e.Attempts[i]
-		if a.Sent.Before(e.FaultEnd.Add(recoverTime)) || a.Call.Key != standin.PlatformOpenKey {
+		if a.Abandoned || a.Sent.Before(e.FaultEnd.Add(recoverTime)) || a.Call.Key != standin.PlatformOpenKey {
 			continue
 		}
 		requests++
@@ -283,7 +296,7 @@
 		lines = append(lines, fmt.Sprintf("%6d  %s", n, end))
 	}
 	slices.SortFunc(lines, func(a, b string) int { return cmp.Compare(b, a) })
-	return fmt.Sprintf("%d requests, %d runs, %d usage windows reported\n%s\n%s\n", len(e.Attempts), len(e.Runs), e.Windows, strings.Join(lines, "\n"), e.countEndpointEvidence())
+	return fmt.Sprintf("%d requests, %d runs, %d usage windows reported\n%s\n%s\n%s\n", len(e.Attempts), len(e.Runs), e.Windows, strings.Join(lines, "\n"), e.countEndpointEvidence(), e.countStreams())
 }
 
 // countEndpointEvidence returns a line with the numbers of what the checks of endpoints rest on.
--- a/soak/endpointchecks.go
+++ b/soak/endpointchecks.go
@@ -202,7 +202,7 @@
 // hadFault reports whether an endpoint had a fault or planned work of its own between two times.
 func (e *Evidence) hadFault(endpoint string, from, to time.Time) bool {
 	return slices.ContainsFunc(e.Spans, func(s FaultSpan) bool {
-		return s.Endpoint == endpoint && s.From.Before(to) && (s.To.IsZero() || s.To.After(from))
+		return (s.Endpoint == endpoint || s.Kind == StreamsBreak) && s.From.Before(to) && (s.To.IsZero() || s.To.After(from))
 	})
 }
 
--- a/soak/environment.go
+++ b/soak/environment.go
@@ -24,15 +24,15 @@
 	eventInterval = 30 * time.Millisecond
 	plainTime     = 15 * time.Millisecond
 	// restartDelay is the time between the end of an instance's process and its restart.
-	restartDelay   = 300 * time.Millisecond
-	modelEndpoints = 4
-	orderEndpoints = 4
+	restartDelay = 300 * time.Millisecond
 )
 
 // environment is a platform of stand-ins with the instances and endpoints that run on it.
 type environment struct {
 	dir          string
-	binary       string
+	program      string
+	site         Site
+	oddities     *standin.Oddities
 	evidence     *Evidence
 	store        *standin.PlatformStore
 	api          *standin.PlatformAPI
@@ -65,6 +65,7 @@
 // and address.
 type endpoint struct {
 	service string
+	zone    string
 	mu      sync.Mutex
 	worker  *standin.PlatformWorker
 	server  *http.Server
@@ -90,8 +91,11 @@
 	return e.worker != worker || e.ending
 }
 
-func newEnvironment(binary, dir string) (*environment, error) {
-	env := &environment{dir: dir, binary: binary, evidence: newEvidence(eventTokens), store: standin.NewPlatformStore(), api: standin.NewPlatformAPI()}
+func newEnvironment(o Options) (*environment, error) {
+	env := &environment{
+		dir: o.Dir, program: o.Program, site: o.Plan.Site, evidence: newEvidence(o.Plan.Site.EventTokens), oddities: standin.NewOddities(o.Plan.Seed),
+		store: standin.NewPlatformStore(), api: standin.NewPlatformAPI(),
+	}
 	var err error
 	if env.storeAddress, err = env.serve(env.store); err != nil {
 		return nil, err
@@ -100,9 +104,9 @@
 		return nil, err
 	}
 	env.publish(func(*standin.PlatformConfig) {})
-	for i := range modelEndpoints + orderEndpoints {
-		e := &endpoint{service: standin.PlatformModels}
-		if i >= modelEndpoints {
+	for i := range env.site.Models + env.site.Orders {
+		e := &endpoint{service: standin.PlatformModels, zone: env.site.zone(i)}
+		if i >= env.site.Models {
 			e.service = standin.PlatformOrders
 		}
 		env.endpoints = append(env.endpoints, e)
@@ -144,7 +148,8 @@
 	id := fmt.Sprintf("i-%04d", env.lifetimes)
 	env.mu.Unlock()
 	worker := &standin.PlatformWorker{
-		ID: id, EventTokens: eventTokens, EventTime: eventInterval, Work: plainTime, NameRequests: true, DeadlyBlocks: deadlyBlocks,
+		ID: id, EventTokens: env.site.EventTokens, EventTime: eventInterval, Work: plainTime, NameRequests: true, NameRuns: true,
+		DeadlyBlocks: deadlyBlocks, Oddities: env.oddities,
 	}
 	worker.OnDeadlyBlock = func(block string) { env.crashByBlock(e, worker, block) }
 	l, err := net.Listen("tcp", anyAddress)
@@ -160,11 +165,18 @@
 	e.mu.Lock()
 	e.worker, e.server, e.proxy, e.ending = worker, server, proxy, false
 	e.mu.Unlock()
-	env.store.Put(platform.KindEndpoints, id, standin.PlatformEntry(e.service, proxy.Address(), "a", "ready", time.Now().UnixMilli()))
+	env.store.Put(platform.KindEndpoints, id, env.entry(e, proxy.Address(), "ready", time.Now().UnixMilli()))
 	env.evidence.startLifetime(id, e.service, time.Now())
 	return nil
 }
 
+// entry returns the entry of an endpoint in the endpoint list. startedMs is in Unix milliseconds.
+func (env *environment) entry(e *endpoint, address, state string, startedMs int64) map[string]any {
+	entry := standin.PlatformEntry(e.service, address, e.zone, state, startedMs)
+	entry["slots"] = env.site.slots(e.service)
+	return entry
+}
+
 // stopEndpoint ends the current lifetime of an endpoint, as a crash does, and keeps the requests that it ran.
 func (env *environment) stopEndpoint(e *endpoint) {
 	e.mu.Lock()
@@ -178,8 +190,9 @@
 	env.ended = append(env.ended, worker)
 }
 
-// allRequests returns the requests that all endpoints have run and those that they have rejected because they were full.
-func (env *environment) allRequests() (runs []standin.PlatformRun, refusals []standin.PlatformRefusal) {
+// allRequests returns the requests that all endpoints have run, those that they have rejected because they were full, and
+// the streams of their runs.
+func (env *environment) allRequests() (runs []standin.PlatformRun, refusals []standin.PlatformRefusal, streams []standin.PlatformStream) {
 	env.mu.Lock()
 	workers := slices.Clone(env.ended)
 	env.mu.Unlock()
@@ -191,9 +204,9 @@
 		e.mu.Unlock()
 	}
 	for _, w := range workers {
-		runs, refusals = append(runs, w.Runs()...), append(refusals, w.Refusals()...)
+		runs, refusals, streams = append(runs, w.Runs()...), append(refusals, w.Refusals()...), append(streams, w.Streams()...)
 	}
-	return runs, refusals
+	return runs, refusals, streams
 }
 
 // startInstance adds an instance. Its process is restarted whenever it ends.
@@ -204,7 +217,7 @@
 		return err
 	}
 	m := standin.PlatformMachine{
-		Name: name, Zone: "a", StoreAddress: i.store.Address(), CloudAddress: env.apiAddress,
+		Name: name, Zone: env.site.zone(len(env.instances)), StoreAddress: i.store.Address(), CloudAddress: env.apiAddress,
 		Front: standin.FreeAddress(), Ready: standin.FreeAddress(), Control: standin.FreeAddress(),
 	}
 	for _, other := range env.instances {
@@ -223,7 +236,7 @@
 
 // spawn starts the process of an instance and restarts it when it ends, until the environment closes.
 func (env *environment) spawn(i *instance) error {
-	cmd := exec.Command(env.binary, "node", "--settings", i.file)
+	cmd := exec.Command(env.program, "node", "--settings", i.file)
 	cmd.Stdout, cmd.Stderr = i.log, i.log
 	if err := cmd.Start(); err != nil {
 		return err
--- a/soak/evidence.go
+++ b/soak/evidence.go
@@ -15,12 +15,19 @@
 	Sent     time.Time
 	Ended    time.Time
 	Status   int    // 0: no response header arrived
+	Type     string // content type
+	Seal     string // mark of the endpoint that answered
 	Body     string // possibly incomplete
 	Complete bool   // the response body was received to its end
 	// Turn is when the response before it on its connection ended; zero: it was sent after that.
 	Turn time.Time
 	// Unowed is set if the response before it on its connection broke off or said that the connection ends.
 	Unowed bool
+	// Abandoned is set if the caller stopped reading before the end.
+	Abandoned bool
+	target    *instance // nil in evidence that is not of a run
+	// Resumes is the ID of the request whose stream the request resumes; empty: none.
+	Resumes string
 }
 
 func (a *Attempt) isRepeatable() bool {
@@ -76,6 +83,8 @@
 	Attempts      []Attempt
 	Runs          []standin.PlatformRun
 	Refusals      []standin.PlatformRefusal
+	Streams       []standin.PlatformStream
+	Oddities      map[string]int // number of odd answers by name
 	Deadly        []DeadlyBlock
 	Lifetimes     []Lifetime
 	Spans         []FaultSpan
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -35,6 +35,10 @@
 		env.injectInstanceFault(f, env.instances[f.Target%len(env.instances)])
 	case f.Kind.onEndpoint():
 		env.injectEndpointFault(f, env.endpoints[f.Target%len(env.endpoints)])
+	case f.Kind == StreamsBreak:
+		env.breakStreams(f)
+	case f.Kind == WeightsChange:
+		env.changeWeights(f)
 	case f.Kind == RequestDeadly:
 		env.sendDeadlyRequests(f)
 	case f.Kind == ListOddEntry:
@@ -168,8 +172,7 @@
 
 // drainEndpoint makes an endpoint announce that it is draining.
 func (env *environment) drainEndpoint(e *endpoint, worker *standin.PlatformWorker) {
-	entry := standin.PlatformEntry(e.service, e.proxy.Address(), "a", "draining", 0)
-	entry["born"] = startedMs(env.store, worker.ID)
+	entry := env.entry(e, e.proxy.Address(), "draining", startedMs(env.store, worker.ID))
 	entry["leaves_ms"] = drainTime.Milliseconds()
 	env.store.Put(platform.KindEndpoints, worker.ID, entry)
 	worker.SetDraining(true)
@@ -220,6 +223,25 @@
 	}
 }
 
+// breakStreams makes endpoints break streams off and answer the requests for their rest oddly.
+func (env *environment) breakStreams(f Fault) {
+	defer env.openSpan(f, "", "")()
+	env.oddities.Set(true)
+	time.Sleep(f.For)
+	env.oddities.Set(false)
+}
+
+// changeWeights gives the model engines new weights, one after the other.
+func (env *environment) changeWeights(f Fault) {
+	defer env.openSpan(f, "", "")()
+	for _, e := range env.endpoints[:env.site.Models] {
+		e.mu.Lock()
+		e.worker.SetWeights(f.At.Milliseconds())
+		e.mu.Unlock()
+		time.Sleep(f.For / time.Duration(env.site.Models))
+	}
+}
+
 // addOddEntry puts an entry of another writer into the endpoint list for the time of the fault.
 func (env *environment) addOddEntry(f Fault) {
 	defer env.openSpan(f, "", "")()
--- a/soak/pipeline.go
+++ b/soak/pipeline.go
@@ -101,6 +101,7 @@
 	}
 	defer resp.Body.Close()
 	body, err := readBody(resp.Body)
-	a.Status, a.Body, a.Complete = resp.StatusCode, string(body), err == nil
+	a.setHead(resp)
+	a.Body, a.Complete = string(body), err == nil
 	return resp.Close
 }
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -48,6 +48,8 @@
 	EndpointFullFor           Kind = "endpoint-full-for"     // it rejects each request and says when to come back
 	RequestDeadly             Kind = "request-deadly"        // requests with one block crash the endpoints that run them
 	ListOddEntry              Kind = "list-odd-entry"        // another writer's entry is in the endpoint list
+	StreamsBreak              Kind = "streams-break"         // streams break off, and requests for their rest are answered oddly
+	WeightsChange             Kind = "weights-change"        // engines get new weights in the middle of streams
 	ConfigRoute               Kind = "config-route"          // a route is added
 	ConfigKey                 Kind = "config-key"            // a key is added, and revoked at the end
 )
@@ -78,7 +80,7 @@
 func (k Kind) isPlanned() bool {
 	return slices.Contains([]Kind{
 		InstanceStop, InstanceReload, InstanceSignals, EndpointLeave, EndpointLeavesEarly, EndpointSlow, EndpointPauses, EndpointUnframed,
-		ListOddEntry, ConfigRoute, ConfigKey,
+		ListOddEntry, WeightsChange, ConfigRoute, ConfigKey,
 	}, k)
 }
 
@@ -124,26 +126,33 @@
 	Seed      uint64
 	Length    time.Duration // of the load
 	Instances int
+	Site      Site
 	Faults    []Fault // in order of At
 }
 
 // NewPlan returns the plan for a seed. The same arguments give the same plan.
 func NewPlan(seed uint64, length time.Duration, instances int) Plan {
 	rng := rand.New(rand.NewPCG(seed, 0))
-	p := Plan{Seed: seed, Length: length, Instances: instances, Faults: drawFaults(rng, length, kinds)}
+	p := Plan{Seed: seed, Length: length, Instances: instances, Site: standardSite, Faults: drawFaults(rng, length, kinds)}
+	p.addDeadlyRequests(rng)
+	p.addPlannedEnd(rng)
+	return p
+}
+
+// addDeadlyRequests adds requests that crash endpoints to a share of plans.
+func (p *Plan) addDeadlyRequests(rng *rand.Rand) {
+	length := p.Length
 	if last := length - CalmEnd - deadlyTime; last > calmStart && rng.Float64() < deadlyShare {
 		at := calmStart + time.Duration(rng.Int64N(int64(last-calmStart)))
 		p.Faults = append(p.Faults, Fault{At: at, For: deadlyTime, Kind: RequestDeadly, Target: rng.IntN(1000)})
 	}
-	p.addPlannedEnd(rng)
-	return p
 }
 
 // NewPlannedWork returns the plan of a run with planned work only, by which no request may be interrupted at any time.
 // The same arguments give the same plan.
 func NewPlannedWork(seed uint64, length time.Duration, instances int) Plan {
 	rng := rand.New(rand.NewPCG(seed, 1))
-	p := Plan{Seed: seed, Length: length, Instances: instances, Faults: drawFaults(rng, length, plannedKinds)}
+	p := Plan{Seed: seed, Length: length, Instances: instances, Site: standardSite, Faults: drawFaults(rng, length, plannedKinds)}
 	p.addPlannedEnd(rng)
 	return p
 }
@@ -169,16 +178,16 @@
 // addPlannedEnd sorts the faults and adds the planned work of the calm end.
 func (p *Plan) addPlannedEnd(rng *rand.Rand) {
 	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return int(a.At - b.At) })
-	p.Faults = append(p.Faults, plannedFaults(rng, p.Length-CalmEnd+plannedStart)...)
+	p.Faults = append(p.Faults, plannedFaults(rng, p.Site, p.Length-CalmEnd+plannedStart)...)
 }
 
 // plannedFaults returns the planned work of the calm end. One instance gets all signals. An endpoint of the plain service
 // leaves as usual, and a model engine says so first in its answers. Both services have endpoints that pause and that
 // answer without a length, and new endpoints without any of that.
-func plannedFaults(rng *rand.Rand, start time.Duration) []Fault {
+func plannedFaults(rng *rand.Rand, site Site, start time.Duration) []Fault {
 	instance, target := rng.IntN(1000), rng.IntN(1000)
-	plain := func(n int) int { return modelEndpoints + (target+n)%orderEndpoints }
-	model := func(n int) int { return (target + n) % modelEndpoints }
+	plain := func(n int) int { return site.Models + (target+n)%site.Orders }
+	model := func(n int) int { return (target + n) % site.Models }
 	faults := make([]Fault, len(plannedWork))
 	for i, kind := range plannedWork {
 		f := Fault{At: start + time.Duration(i)*plannedInterval, For: plannedDuration, Kind: kind, Target: target + i}
@@ -209,7 +218,7 @@
 // String returns a header line and a line for each fault.
 func (p Plan) String() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "seed %d, %s, %d instances\n", p.Seed, p.Length, p.Instances)
+	fmt.Fprintf(&b, "seed %d, %s, %d instances, site %s\n", p.Seed, p.Length, p.Instances, p.Site.Name)
 	for _, f := range p.Faults {
 		fmt.Fprintf(&b, "%8.3f s  %-22s %4d  for %s\n", f.At.Seconds(), f.Kind, f.Target, f.For.Round(time.Millisecond))
 	}
--- a/soak/run.go
+++ b/soak/run.go
@@ -15,9 +15,9 @@
 
 // Options are the options of a run.
 type Options struct {
-	Plan   Plan
-	Binary string // path of the trefoillug binary
-	Dir    string // existing directory for settings and logs; it is kept
+	Plan    Plan
+	Program string // path of the program that runs as an instance
+	Dir     string // existing directory for settings and logs; it is kept
 }
 
 const (
@@ -35,7 +35,7 @@
 // Run starts the instances, injects the faults of the plan under load, and returns the evidence. It returns an error if
 // the instances can't be started or are not ready in time, or if ctx is done.
 func Run(ctx context.Context, o Options) (e *Evidence, err error) {
-	env, err := newEnvironment(o.Binary, o.Dir)
+	env, err := newEnvironment(o)
 	if err != nil {
 		return nil, err
 	}
@@ -97,11 +97,11 @@
 // collectFinalState adds the state of the endpoints, the platform and the processes at the end to the evidence.
 func (env *environment) collectFinalState() {
 	e := env.evidence
-	runs, refusals := env.allRequests()
+	runs, refusals, streams := env.allRequests()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.End = time.Now()
-	e.Runs, e.Refusals = runs, refusals
+	e.Runs, e.Refusals, e.Streams, e.Oddities = runs, refusals, streams, env.oddities.Counts()
 	e.Windows, e.APIViolations = env.api.Reports()
 	for _, i := range env.instances {
 		if !i.isReady() {
