--- a/cmd/trefoillug-soak/main.go
+++ b/cmd/trefoillug-soak/main.go
@@ -42,7 +42,7 @@
 	var runs, parallel, instances int
 	var length time.Duration
 	var program, site string
-	var planned bool
+	var planned, soundContinuations bool
 	return &cli.Command{
 		Name:  "trefoillug-soak",
 		Usage: "inject seeded faults into real processes and check the guarantees",
@@ -53,6 +53,7 @@
 			&cli.DurationFlag{Name: "for", Usage: "length of the load of a run", Value: time.Minute, Destination: &length},
 			&cli.IntFlag{Name: "nodes", Usage: "number of instances; that of the site if 0", Destination: &instances},
 			&cli.BoolFlag{Name: "planned", Usage: "planned work only, by which no request may be interrupted", Destination: &planned},
+			&cli.BoolFlag{Name: "sound-continuations", Usage: "endpoints answer requests for the rest of a stream soundly", Destination: &soundContinuations},
 			&cli.StringFlag{Name: "program", Aliases: []string{"binary"}, Usage: "path of the program to run as an instance; built if empty", Destination: &program},
 			&cli.StringFlag{Name: "site", Usage: "shape of the installation: " + strings.Join(siteNames(), ", "), Value: "standard", Destination: &site},
 		},
@@ -77,7 +78,7 @@
 			plans := make([]soak.Options, runs)
 			for n := range plans {
 				s := seed + uint64(n)
-				plans[n] = soak.Options{Plan: newPlan(s, length, instances), Program: program, Dir: filepath.Join(dir, fmt.Sprint(s))}
+				plans[n] = soak.Options{Plan: newPlan(s, length, instances), Program: program, Dir: filepath.Join(dir, fmt.Sprint(s)), SoundContinuations: soundContinuations}
 			}
 			results := runPlans(ctx, plans, parallel)
 			failed, err := soak.WriteSummary(os.Stdout, results)
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -29,6 +29,8 @@
 	maxDraftTokens = 800
 	// meanPause is the mean time between the requests of a caller.
 	meanPause = 60 * time.Millisecond
+	// refusedPause is the mean time after a request that was over a quota, at a site whose callers resume streams.
+	refusedPause = 300 * time.Millisecond
 	// switchShare is the share of requests before which a caller picks a new instance.
 	switchShare = 0.05
 	// changedConfigShare is the share of requests that use an added route or a revoked key.
@@ -121,7 +123,11 @@
 		if c.drafts && a.Status == http.StatusOK && a.Complete {
 			continue // a refused caller pauses
 		}
-		sleep(ctx, time.Duration(c.rng.ExpFloat64()*float64(meanPause)))
+		pause := meanPause
+		if c.env.site.Resumes && a.Status == http.StatusTooManyRequests {
+			pause = refusedPause
+		}
+		sleep(ctx, time.Duration(c.rng.ExpFloat64()*float64(pause)))
 	}
 	c.http.CloseIdleConnections()
 }
--- a/soak/environment.go
+++ b/soak/environment.go
@@ -66,6 +66,7 @@
 type endpoint struct {
 	service string
 	zone    string
+	version string // of its software; empty: the first one
 	mu      sync.Mutex
 	worker  *standin.PlatformWorker
 	server  *http.Server
@@ -173,6 +174,9 @@
 // entry returns the entry of an endpoint in the endpoint list. startedMs is in Unix milliseconds.
 func (env *environment) entry(e *endpoint, address, state string, startedMs int64) map[string]any {
 	entry := standin.PlatformEntry(e.service, address, e.zone, state, startedMs)
+	if e.version != "" {
+		entry["version"] = e.version
+	}
 	entry["slots"] = env.site.slots(e.service)
 	return entry
 }
--- a/soak/evidence.go
+++ b/soak/evidence.go
@@ -85,6 +85,7 @@
 	Refusals      []standin.PlatformRefusal
 	Streams       []standin.PlatformStream
 	Oddities      map[string]int // number of odd answers by name
+	Rollouts      []string       // how the orders to move to a new version ended
 	Deadly        []DeadlyBlock
 	Lifetimes     []Lifetime
 	Spans         []FaultSpan
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -37,6 +37,8 @@
 		env.injectEndpointFault(f, env.endpoints[f.Target%len(env.endpoints)])
 	case f.Kind == StreamsBreak:
 		env.breakStreams(f)
+	case f.Kind == RollOut:
+		env.rollOut(f)
 	case f.Kind == WeightsChange:
 		env.changeWeights(f)
 	case f.Kind == RequestDeadly:
@@ -228,7 +230,7 @@
 	defer env.openSpan(f, "", "")()
 	env.oddities.Set(true)
 	time.Sleep(f.For)
-	env.oddities.Set(false)
+	env.oddities.Set(false) // a span that begins at the end of this one sets it again
 }
 
 // changeWeights gives the model engines new weights, one after the other.
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -49,6 +49,7 @@
 	RequestDeadly             Kind = "request-deadly"        // requests with one block crash the endpoints that run them
 	ListOddEntry              Kind = "list-odd-entry"        // another writer's entry is in the endpoint list
 	StreamsBreak              Kind = "streams-break"         // streams break off, and requests for their rest are answered oddly
+	RollOut                   Kind = "roll-out"              // the model service moves to a new version
 	WeightsChange             Kind = "weights-change"        // engines get new weights in the middle of streams
 	ConfigRoute               Kind = "config-route"          // a route is added
 	ConfigKey                 Kind = "config-key"            // a key is added, and revoked at the end
--- a/soak/run.go
+++ b/soak/run.go
@@ -17,7 +17,9 @@
 type Options struct {
 	Plan    Plan
 	Program string // path of the program that runs as an instance
-	Dir     string // existing directory for settings and logs; it is kept
+	// SoundContinuations makes endpoints answer all requests for the rest of a broken stream soundly.
+	SoundContinuations bool
+	Dir                string // existing directory for settings and logs; it is kept
 }
 
 const (
@@ -40,6 +42,9 @@
 		return nil, err
 	}
 	defer func() { err = errors.Join(err, env.close()) }()
+	if o.SoundContinuations {
+		env.oddities.ContinueSoundly()
+	}
 	for n := range o.Plan.Instances {
 		if err := env.startInstance(fmt.Sprintf("n%02d", n+1)); err != nil {
 			return nil, err
--- a/soak/site.go
+++ b/soak/site.go
@@ -69,6 +69,8 @@
 	minBreaking = 3 * time.Second
 	maxBreaking = 7 * time.Second
 	meanWhole   = 1500 * time.Millisecond
+	// rolloutShare is the share of plans with an order to move the model service to a new version.
+	rolloutShare = 0.5
 )
 
 // siteKinds are the kinds drawn for the plan of a site whose callers resume streams.
@@ -80,7 +82,17 @@
 func NewSitePlan(seed uint64, length time.Duration, instances int, site Site) Plan {
 	rng := rand.New(rand.NewPCG(seed, 2))
 	p := Plan{Seed: seed, Length: length, Instances: instances, Site: site, Faults: drawFaults(rng, length, siteKinds)}
-	for at := calmStart; at < length-CalmEnd-minBreaking; {
+	breaking := calmStart
+	if last := length - CalmEnd - 2*rolloutRamp; last > calmStart && rng.Float64() < rolloutShare {
+		f := Fault{At: calmStart, For: 2 * rolloutRamp, Kind: RollOut}
+		if rng.IntN(2) == 0 {
+			f.At += time.Duration(rng.Int64N(int64(last - calmStart))) // many answers of both versions break off, so that it may be reverted
+		} else {
+			breaking += rolloutRamp
+		}
+		p.Faults = append(p.Faults, f)
+	}
+	for at := breaking; at < length-CalmEnd-minBreaking; {
 		f := Fault{At: at, For: minBreaking + time.Duration(rng.Int64N(int64(maxBreaking-minBreaking))), Kind: StreamsBreak}
 		f.For = min(f.For, length-CalmEnd-at)
 		p.Faults = append(p.Faults, f)
--- a/soak/streamchecks.go
+++ b/soak/streamchecks.go
@@ -127,6 +127,6 @@
 	for _, name := range slices.Sorted(maps.Keys(e.Oddities)) {
 		odd = append(odd, fmt.Sprintf("%s %d", name, e.Oddities[name]))
 	}
-	return fmt.Sprintf("%d resumes by callers, %d of them repeated, %d with the old connection open; %d runs that go on, %d moved\nodd answers: %s",
-		resumes, twice, abandoned, joined, moved, strings.Join(odd, ", "))
+	return fmt.Sprintf("%d resumes by callers, %d of them repeated, %d with the old connection open; %d runs that go on, %d moved; roll-outs: %s\nodd answers: %s",
+		resumes, twice, abandoned, joined, moved, strings.Join(e.Rollouts, ", "), strings.Join(odd, ", "))
 }
--- a/standin/oddities.go
+++ b/standin/oddities.go
@@ -26,6 +26,7 @@
 	mu     sync.Mutex
 	rng    *rand.Rand
 	on     bool
+	sound  bool
 	counts map[string]int
 }
 
@@ -34,6 +35,13 @@
 	return &Oddities{rng: rand.New(rand.NewPCG(seed, 0)), counts: map[string]int{}}
 }
 
+// ContinueSoundly makes all requests for the rest of a stream be answered soundly.
+func (o *Oddities) ContinueSoundly() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.sound = true
+}
+
 // Set sets whether requests are answered oddly from now on.
 func (o *Oddities) Set(on bool) {
 	o.mu.Lock()
@@ -119,7 +127,7 @@
 	}
 	a := oddAnswer{begin: goesOn, breakAt: -1}
 	switch draw := o.rng.Float64(); {
-	case events > 0 && r.Header.Get("Last-Event-Id") != "" && draw < secondShare:
+	case events > 0 && r.Header.Get("Last-Event-Id") != "" && !o.sound && draw < secondShare:
 		a = oddSeconds[o.rng.IntN(len(oddSeconds))]
 		a.breakAt, a.skipped = -1, 1+o.rng.IntN(maxSkippedEvent)
 		if a.end = answerEnd(o.rng.IntN(3)); a.begin != nil && a.end != endWhole {
