--- a/cmd/trefoillug-soak/main.go
+++ b/cmd/trefoillug-soak/main.go
@@ -97,7 +97,7 @@
 const anySite = "any"
 
 func siteNames() []string {
-	return append(slices.Sorted(maps.Keys(soak.Sites)), anySite)
+	return slices.Sorted(slices.Values(append(slices.Collect(maps.Keys(soak.Sites)), anySite)))
 }
 
 // planner returns the function that makes plans of a site, and the number of instances, by default that of the site.
--- a/soak/checks.go
+++ b/soak/checks.go
@@ -15,6 +15,7 @@
 	Guarantee string
 	At        time.Time
 	Text      string
+	Request   string // attempt ID, if the breach is of one request whose log lines tell more
 }
 
 // Bounds of the guarantees, as the users' pages state them.
--- a/soak/run.go
+++ b/soak/run.go
@@ -32,6 +32,8 @@
 	logLines = 12
 	// maxPrinted is how many breaches of each guarantee a report lists.
 	maxPrinted = 12
+	// maxTraced is how many of these have the log lines of their request.
+	maxTraced = 3
 )
 
 // Run starts the instances, injects the faults of the plan under load, and returns the evidence. It returns an error if
@@ -153,6 +155,12 @@
 		if _, err := fmt.Fprintf(out, "BREACH %s at %s: %s\n", b.Guarantee, b.At.Format(time.RFC3339Nano), b.Text); err != nil {
 			return err
 		}
+		if b.Request == "" || printed[b.Guarantee] > maxTraced {
+			continue
+		}
+		if err := logOf(out, o, b.Request); err != nil {
+			return err
+		}
 	}
 	if len(breaches) == 0 {
 		return nil
@@ -169,6 +177,26 @@
 	return nil
 }
 
+// logOf copies the lines of all logs that name a request.
+func logOf(out io.Writer, o Options, request string) error {
+	for n := range o.Plan.Instances {
+		name := fmt.Sprintf("n%02d", n+1)
+		text, err := os.ReadFile(filepath.Join(o.Dir, name+".log"))
+		if err != nil {
+			return err
+		}
+		for line := range strings.Lines(string(text)) {
+			if !strings.Contains(line, request) {
+				continue
+			}
+			if _, err := fmt.Fprintf(out, "%s %s", name, line); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
 // logBefore copies the last lines of a log that were written before a time. Each line contains its time in RFC 3339
 // format.
 func logBefore(out io.Writer, file string, at time.Time) error {
--- a/soak/streamchecks.go
+++ b/soak/streamchecks.go
@@ -46,7 +46,7 @@
 	position := a.Call.After
 	found := func(guarantee, format string, args ...any) []Breach {
 		text := fmt.Sprintf("%s (%s) at %s, resumed after event %d of %q: ", a.Call.ID, a.Call.Route, a.Instance, a.Call.After, a.Resumes)
-		return breach(guarantee, a.Ended, "%s", text+fmt.Sprintf(format, args...))
+		return []Breach{{Guarantee: guarantee, At: a.Ended, Text: text + fmt.Sprintf(format, args...), Request: a.Call.ID}}
 	}
 	var last *standin.PlatformStream
 	for text := range strings.SplitAfterSeq(a.Body, "\n\n") {
--- a/soak/streamchecks_test.go
+++ b/soak/streamchecks_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
@@ -111,3 +113,17 @@
 		must.SliceEmpty(t, e.Check(), must.Sprint(name))
 	}
 }
+
+// Guards against a report that doesn't show what the logs say of the request of a broken stream.
+func TestReport_LogLinesOfRequest(t *testing.T) {
+	dir := t.TempDir()
+	for name, text := range map[string]string{"n01": "a of b\nno other\n", "n02": "a of c\n"} {
+		must.NoError(t, os.WriteFile(filepath.Join(dir, name+".log"), []byte(text), 0o600))
+	}
+	e := cleanEvidence()
+	streamCase{route: "notes", body: two, streams: []standin.PlatformStream{whole}}.add(e)
+	var report strings.Builder
+	must.NoError(t, Report(&report, Options{Plan: Plan{Instances: 2}, Dir: dir}, e, []Breach{{Guarantee: piecesInOrder, Request: "of b"}}))
+	must.StrContains(t, report.String(), "n01 a of b\n")
+	must.StrNotContains(t, report.String(), "n02 a of c\n")
+}
