--- a/soak/run.go
+++ b/soak/run.go
@@ -15,9 +15,11 @@
 
 // Options are the options of a run.
 type Options struct {
-	Plan   Plan
-	Binary string // path of the trefoillug binary
-	Dir    string // existing directory for settings and logs; it is kept
+	Plan    Plan
+	Program string // path of the program that runs as an instance
+	// SoundContinuations makes endpoints answer all requests for the rest of a broken stream soundly.
+	SoundContinuations bool
+	Dir                string // existing directory for settings and logs; it is kept
 }
 
 const (
@@ -30,16 +32,21 @@
 	logLines = 12
 	// maxPrinted is how many breaches of each guarantee a report lists.
 	maxPrinted = 12
+	// maxTraced is how many of these have the log lines of their request.
+	maxTraced = 3
 )
 
 // Run starts the instances, injects the faults of the plan under load, and returns the evidence. It returns an error if
 // the instances can't be started or are not ready in time, or if ctx is done.
 func Run(ctx context.Context, o Options) (e *Evidence, err error) {
-	env, err := newEnvironment(o.Binary, o.Dir)
+	env, err := newEnvironment(o)
 	if err != nil {
 		return nil, err
 	}
 	defer func() { err = errors.Join(err, env.close()) }()
+	if o.SoundContinuations {
+		env.oddities.ContinueSoundly()
+	}
 	for n := range o.Plan.Instances {
 		if err := env.startInstance(fmt.Sprintf("n%02d", n+1)); err != nil {
 			return nil, err
@@ -97,11 +104,11 @@
 // collectFinalState adds the state of the endpoints, the platform and the processes at the end to the evidence.
 func (env *environment) collectFinalState() {
 	e := env.evidence
-	runs, refusals := env.allRequests()
+	runs, refusals, streams := env.allRequests()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.End = time.Now()
-	e.Runs, e.Refusals = runs, refusals
+	e.Runs, e.Refusals, e.Streams, e.Oddities = runs, refusals, streams, env.oddities.Counts()
 	e.Windows, e.APIViolations = env.api.Reports()
 	for _, i := range env.instances {
 		if !i.isReady() {
@@ -148,6 +155,12 @@
 		if _, err := fmt.Fprintf(out, "BREACH %s at %s: %s\n", b.Guarantee, b.At.Format(time.RFC3339Nano), b.Text); err != nil {
 			return err
 		}
+		if b.Request == "" || printed[b.Guarantee] > maxTraced {
+			continue
+		}
+		if err := logOf(out, o, b.Request); err != nil {
+			return err
+		}
 	}
 	if len(breaches) == 0 {
 		return nil
@@ -164,6 +177,26 @@
 	return nil
 }
 
+// logOf copies the lines of all logs that name a request.
+func logOf(out io.Writer, o Options, request string) error {
+	for n := range o.Plan.Instances {
+		name := fmt.Sprintf("n%02d", n+1)
+		text, err := os.ReadFile(filepath.Join(o.Dir, name+".log"))
+		if err != nil {
+			return err
+		}
+		for line := range strings.Lines(string(text)) {
+			if !strings.Contains(line, request) {
+				continue
+			}
+			if _, err := fmt.Fprintf(out, "%s %s", name, line); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
 // logBefore copies the last lines of a log that were written before a time. Each line contains its time in RFC 3339
 // format.
 func logBefore(out io.Writer, file string, at time.Time) error {
