relay: a stalled plain call is kept until another endpoint has answered

An idempotent call of our own interface was given up for silence once the retry budget had granted another attempt. Callers got a later answer, or 502 with an unknown outcome, although the endpoint was sound and all others rejected the call or were silent too.

The attempt is now kept while the call is offered to another endpoint, one at a time, each from the retry budget. The first usable answer is returned, and the other attempt is canceled. If the stalled attempt fails, the offer in progress becomes the next one. Calls that are suspected of crashing endpoints are given up as before.

--- a/relay/offer.go
+++ b/relay/offer.go
@@ -138,8 +138,7 @@
 // instead. A request that is suspected of crashing engines must not run at two of them: its attempt is given up once the
 // next one is allowed.
 func (g *generation) mayAbandon(run *engineRun) bool {
-	q, fingerprint := g.relay.cfg.Quarantine, g.call.Fingerprint
-	isSuspect := q.MustHold(fingerprint) || q.MustIsolate(fingerprint, 0)
+	isSuspect := g.relay.isSuspect(g.call)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if run != g.runs.current {
@@ -169,7 +168,7 @@
 		defer close(searched)
 		defer cancel()
 		defer g.relay.releaseReservation(&search)
-		acquired := g.acquireOffer(ctx, &search)
+		acquired := g.relay.acquireOffer(ctx, &search)
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		g.runs.cancelSearch = nil
@@ -184,17 +183,26 @@
 	}()
 }
 
-// acquireOffer acquires another engine and an attempt from the retry budget. It returns nil if there is none.
-func (g *generation) acquireOffer(ctx context.Context, search *endpointSearch) *slot {
-	acquired, err := g.relay.acquire(ctx, search)
-	if err != nil {
-		return nil
-	}
-	if ctx.Err() != nil || !g.relay.cfg.RetryBudget.AcquireRetry(g.call.Service.Name) {
+// isSuspect reports whether a call is suspected of crashing endpoints.
+func (r *Relay) isSuspect(call *Call) bool {
+	return r.cfg.Quarantine.MustHold(call.Fingerprint) || r.cfg.Quarantine.MustIsolate(call.Fingerprint, 0)
+}
+
+// acquireOffer acquires another endpoint and an attempt from the retry budget, and waits for them until ctx ends. It
+// returns nil if there is none.
+func (r *Relay) acquireOffer(ctx context.Context, search *endpointSearch) *slot {
+	for ctx.Err() == nil {
+		acquired, err := r.acquire(ctx, search)
+		if err != nil {
+			return nil
+		}
+		if ctx.Err() == nil && r.cfg.RetryBudget.AcquireRetry(search.call.Service.Name) {
+			return acquired
+		}
 		acquired.release()
-		return nil
+		pause(ctx, budgetPollInterval)
 	}
-	return acquired
+	return nil
 }
 
 // endSearch ends the search for another engine with the current attempt. If keep is false, the offer is withdrawn too.
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -141,9 +141,10 @@
 		return r.runOnce(ctx, call)
 	}
 	r.cfg.RetryBudget.CountRequest(call.Service.Name)
-	s := &plainSteps{relay: r, call: call, search: endpointSearch{call: call, failedEndpoints: map[string]bool{}}}
+	s := &plainSteps{relay: r, call: call, search: endpointSearch{call: call, failedEndpoints: map[string]bool{}}, stalled: make(chan struct{}, 1)}
 	defer r.releaseReservation(&s.search)
 	err := attempt.Run(ctx, s)
+	s.next.discard(errSuperseded)
 	return s.answer, err
 }
 
@@ -155,6 +156,8 @@
 	newConnections bool // use only new connections, after an attempt on a stalled one
 	answers        int  // answers received from endpoints
 	answer         *plainAnswer
+	next           *plainRun     // an offer that is in progress as the next attempt
+	stalled        chan struct{} // receives a value when the current attempt has stalled
 	successor      attempt.Successor
 }
 
@@ -166,6 +169,9 @@
 
 // Choose implements attempt.Steps.
 func (s *plainSteps) Choose(ctx context.Context) (*slot, error) {
+	if s.next != nil {
+		return s.next.slot, nil
+	}
 	acquired, err := s.relay.acquire(ctx, &s.search)
 	if err != nil {
 		return nil, plainError(ctx, err, len(s.search.failedEndpoints) > 0)
@@ -176,16 +182,24 @@
 // Try implements attempt.Steps.
 func (s *plainSteps) Try(ctx context.Context, acquired *slot) plainResult {
 	s.successor.Begin()
-	answer, result := s.relay.callEndpoint(ctx, s.call, acquired, s.newConnections, s.mayAbandon)
-	s.successor.End()
-	s.newConnections = s.newConnections || result.End == dispatch.Stalled
-	if answer != nil {
+	defer s.successor.End()
+	select {
+	case <-s.stalled: // by an earlier attempt
+	default:
+	}
+	o := &offers{steps: s, ctx: ctx, current: s.next}
+	s.next = nil
+	if o.current == nil {
+		o.current = s.start(ctx, acquired)
+	}
+	o.current.isCurrent.Store(true)
+	out := o.run()
+	s.next = o.offered
+	s.newConnections = s.newConnections || out.result.End == dispatch.Stalled
+	if out.answer != nil {
 		s.answers++
 	}
-	if result.End == dispatch.Lost {
-		s.relay.awaitCrashVisible(ctx, s.call, acquired.endpoint.ID)
-	}
-	return plainResult{answer, result}
+	return out
 }
 
 // IsAnswered implements attempt.Steps.
@@ -214,17 +228,12 @@
 
 // AcquireRetry implements attempt.Steps.
 func (s *plainSteps) AcquireRetry(ctx context.Context, _ *slot, out plainResult) error {
-	if s.successor.Take() {
+	if s.successor.Take() || s.next != nil {
 		return nil
 	}
 	return s.relay.awaitBudget(ctx, s.call, func() error { return plainError(ctx, out.result.Err, true) })
 }
 
-// mayAbandon reports whether the current attempt, which has stalled, may be given up for another one.
-func (s *plainSteps) mayAbandon() bool {
-	return s.successor.Acquire(func() bool { return s.relay.cfg.RetryBudget.AcquireRetry(s.call.Service.Name) })
-}
-
 // GiveUp implements attempt.Steps.
 func (s *plainSteps) GiveUp(_ context.Context, _ *plainResult, cause error) error { return cause }
 
