cmd: a line that is logged after the end of the log ends no process

An instance ended by itself at a planned stop, with status 2: "panic: send on closed channel" in lineWriter.Write. The timer that confirms a crash had fired after the log was closed. Open requests of the instance would have been cut.

Cause: Close closed the channel that Write sends to, and nothing keeps timers and requests from logging until the process ends. The writer is now stopped by a channel of its own; a line that comes later is lost.

TestLineWriter_WriteAfterClose panicked before and passes.

--- a/cmd/trefoillug/log.go
+++ b/cmd/trefoillug/log.go
@@ -34,18 +34,25 @@
 type lineWriter struct {
 	out       io.Writer
 	lines     chan []byte
-	done      chan struct{}
+	stop      chan struct{} // closed by Close
+	done      chan struct{} // closed when run has ended
 	dropped   atomic.Int64
 	closeOnce sync.Once
 }
 
 func newLineWriter(out io.Writer) *lineWriter {
-	w := &lineWriter{out: out, lines: make(chan []byte, maxQueuedLines), done: make(chan struct{})}
+	w := openLineWriter(out)
 	go w.run()
 	return w
 }
 
-// Write implements io.Writer. It always reports success.
+// openLineWriter returns a lineWriter whose lines nothing writes yet.
+func openLineWriter(out io.Writer) *lineWriter {
+	return &lineWriter{out: out, lines: make(chan []byte, maxQueuedLines), stop: make(chan struct{}), done: make(chan struct{})}
+}
+
+// Write implements io.Writer. It always reports success. A line that is written after Close may be lost: timers and
+// requests of an instance that ends still write to its log.
 func (w *lineWriter) Write(line []byte) (int, error) {
 	select {
 	case w.lines <- append([]byte(nil), line...):
@@ -55,29 +62,41 @@
 	return len(line), nil
 }
 
-// run writes the queued lines in batches, since each write costs processor time.
+// run writes the queued lines in batches, since each write costs processor time, until the writer is closed and the queue
+// is empty.
 func (w *lineWriter) run() {
 	defer close(w.done)
-	for line := range w.lines {
-		batch := line
-		for n, more := 1, true; more && n < maxBatchLines; n++ {
-			select {
-			case next, ok := <-w.lines:
-				more = ok
-				batch = append(batch, next...)
-			default:
-				more = false
+	for {
+		select {
+		case line := <-w.lines:
+			w.writeBatch(line)
+		case <-w.stop:
+			for len(w.lines) > 0 {
+				w.writeBatch(<-w.lines)
 			}
+			return
+		}
+	}
+}
+
+// writeBatch writes a line and the queued ones after it.
+func (w *lineWriter) writeBatch(batch []byte) {
+	for n, more := 1, true; more && n < maxBatchLines; n++ {
+		select {
+		case next := <-w.lines:
+			batch = append(batch, next...)
+		default:
+			more = false
 		}
-		_, _ = w.out.Write(batch) // a failed write of the log cannot be logged
 	}
+	_, _ = w.out.Write(batch) // a failed write of the log cannot be logged
 }
 
 // Dropped returns the number of lines dropped so far.
 func (w *lineWriter) Dropped() int64 { return w.dropped.Load() }
 
-// Close writes the queued lines. Write must not be called after it.
+// Close writes the queued lines.
 func (w *lineWriter) Close() {
-	w.closeOnce.Do(func() { close(w.lines) })
+	w.closeOnce.Do(func() { close(w.stop) })
 	<-w.done
 }
--- a/cmd/trefoillug/log_test.go
+++ b/cmd/trefoillug/log_test.go
@@ -62,7 +62,7 @@
 // dropped, and memory grows without limit.
 func TestLineWriter_BatchIsBounded(t *testing.T) {
 	out := &batchWriter{}
-	w := &lineWriter{out: out, lines: make(chan []byte, maxQueuedLines), done: make(chan struct{})}
+	w := openLineWriter(out)
 	for i := range maxQueuedLines {
 		_, err := fmt.Fprintf(w, "line %d\n", i)
 		must.NoError(t, err)
@@ -76,3 +76,16 @@
 	}
 	must.Eq(t, maxQueuedLines, written)
 }
+
+// Guards against a process that panics at its end because a timer or a request still writes to the log.
+func TestLineWriter_WriteAfterClose(t *testing.T) {
+	var out bytes.Buffer
+	w := newLineWriter(&out)
+	_, err := fmt.Fprintln(w, "before")
+	must.NoError(t, err)
+	w.Close()
+	_, err = fmt.Fprintln(w, "after")
+	must.NoError(t, err)
+	w.Close()
+	must.Eq(t, "before\n", out.String())
+}
