relay: a dead endpoint of the tests keeps its port

TestOnce_NoEndpointReleasesClaim failed in 4 of 40 runs: the port of the closed listener went to the relay's own server, which then got the call. The port is now that of the calling side of an open connection.

--- a/relay/plain_test.go
+++ b/relay/plain_test.go
@@ -16,13 +16,16 @@
 	"github.com/trefoillug/trefoillug/standin"
 )
 
-// addDeadEndpoint lists an endpoint of the plain service that refuses connections.
+// addDeadEndpoint lists an endpoint of the plain service that refuses connections. Its port is that of the calling side of
+// an open connection, so that no server gets it.
 func (env *testEnv) addDeadEndpoint(id string) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(env.t, err)
-	address := l.Addr().String()
-	l.Close()
-	env.addInstance(cloud.Instance{ID: id, Address: address, FailureDomain: "fd1", Service: "orders"})
+	env.t.Cleanup(func() { l.Close() })
+	c, err := net.Dial("tcp", l.Addr().String())
+	must.NoError(env.t, err)
+	env.t.Cleanup(func() { c.Close() })
+	env.addInstance(cloud.Instance{ID: id, Address: c.LocalAddr().String(), FailureDomain: "fd1", Service: "orders"})
 }
 
 func book(url, key, body string) reply {
