node: a fault after completion of a rollout is logged with its reason

After a rollout was complete, a fault of its target sent all requests to the old version, whose endpoints the platform had stopped. Callers got 503 without a line that said why: the proposal to move back was dropped, the status held no reason, and the refusal named the service only.

Each instance now logs the fault once with its reason and the endpoints that are left, the refusal says that no endpoint of the version that takes the requests is ready, and the status holds the reason of the decision. Which version gets the requests is unchanged: a bad version may get none that is sent later than rollbackMs after its 50th bad answer, also after its order has ended.

TestRollout_FaultAfterCompletion failed before. After: the tests of rollouts and of the packages move and node passed.

--- a/forward/choose.go
+++ b/forward/choose.go
@@ -85,7 +85,7 @@
 		case <-timeout.C:
 			stop()
 			return nil, &Refusal{
-				Err:        problem.New(problem.NoEndpoint, "no endpoint of service %s is ready", r.service.Name),
+				Err:        problem.New(problem.NoEndpoint, "no endpoint of %s is ready", r.described()),
 				RetryAfter: jitter(refusedRetryAfter),
 			}
 		case <-ctx.Done():
@@ -95,6 +95,15 @@
 	}
 }
 
+// described returns the service of the request for an error, with the version that the request may go to.
+func (r *exchange) described() string {
+	all := r.f.cfg.Fleet.Service(r.service.Name)
+	if len(all) > 0 && len(r.filterByVersion(all, time.Now())) == 0 {
+		return "the version of service " + r.service.Name + " that takes its requests"
+	}
+	return "service " + r.service.Name
+}
+
 // endpointWait returns the time for which the request may wait for an endpoint.
 func (r *exchange) endpointWait() time.Duration {
 	if r.stream.started {
--- a/move/status.go
+++ b/move/status.go
@@ -9,7 +9,7 @@
 const (
 	Waiting State = "waiting" // before its start
 	Running State = "running"
-	Aborted State = "aborted" // the share is zero; the outcome is not recorded yet
+	Aborted State = "aborted" // the share is zero; the outcome, or that of the move back after done, is not recorded yet
 	Decided State = "decided" // by this instance; the outcome is not recorded yet
 )
 
@@ -38,6 +38,8 @@
 	switch {
 	case t.back != nil:
 		return State(t.back.Outcome), t.back.Reason
+	case t.doneRecorded() && t.abortReason != "":
+		return Aborted, t.abortReason
 	case t.recorded != nil:
 		return State(t.recorded.Outcome), t.recorded.Reason
 	case t.abortReason != "":
--- a/node/rollouts.go
+++ b/node/rollouts.go
@@ -27,6 +27,7 @@
 	Order    uint64 // revision at which the order was written; identifies it among the orders of the same object
 	State    RolloutState
 	Started  time.Time // time of day at which the first instance saw the order; zero: not recorded
+	Reason   string    // of the decision; empty before
 }
 
 // RolloutState is the recorded state of a rollout.
@@ -69,12 +70,13 @@
 	moves  *move.System
 	orders map[string]Rollout // by service
 	shares map[string][]table.Share
+	faults map[string]string // by service: ID of the complete move whose fault was logged
 }
 
 func newRollouts(n *Node) *rollouts {
 	return &rollouts{
 		n: n, moves: move.New(move.Settings{MemberID: n.settings.Name, Epoch: seedFor(n.process)}), orders: map[string]Rollout{},
-		shares: map[string][]table.Share{},
+		shares: map[string][]table.Share{}, faults: map[string]string{},
 	}
 }
 
@@ -108,6 +110,7 @@
 // remove drops the rollout of a service. Callers must hold r.mu.
 func (r *rollouts) remove(service string) {
 	delete(r.orders, service)
+	delete(r.faults, service)
 	r.moves.Remove(service)
 }
 
@@ -202,13 +205,14 @@
 		if !ok || moveID(o) != p.Move || o.State == RolloutComplete || o.State == RolloutReverted {
 			continue
 		}
-		o.State = RolloutReverted
+		o.State, o.Reason = RolloutReverted, p.Reason
 		if p.Outcome == move.Done {
 			o.State = RolloutComplete
 		}
 		r.n.log.WithFields(logrus.Fields{"service": o.Service, "target": o.Target, "outcome": p.Outcome, "reason": p.Reason}).Info("rollout decided")
 		proposals = append(proposals, o)
 	}
+	r.logFaults(now)
 	r.mu.Unlock()
 	for _, f := range out.Facts {
 		r.n.mesh.Publish(f.Key, f.Value, f.TTL)
@@ -218,6 +222,30 @@
 	}
 }
 
+// logFaults logs once for each complete rollout that its target was found faulty afterwards. The requests then go to the
+// old version, whose endpoints the platform has stopped, and a version that is held for bad may get none of them. r.mu
+// must be held.
+func (r *rollouts) logFaults(now time.Time) {
+	for name, o := range r.orders {
+		status, ok := r.moves.Status(now, name)
+		if !ok || o.State != RolloutComplete || status.State != move.Aborted || r.faults[name] == status.ID {
+			continue
+		}
+		r.faults[name] = status.ID
+		oldEndpoints, targetEndpoints := 0, 0
+		for _, e := range r.n.fleet.Service(name) {
+			if e.Version == o.Target {
+				targetEndpoints++
+			} else {
+				oldEndpoints++
+			}
+		}
+		r.n.log.WithFields(logrus.Fields{
+			"service": name, "target": o.Target, "decided": o.Reason, "reason": status.Reason, "old_endpoints": oldEndpoints, "target_endpoints": targetEndpoints,
+		}).Warn("target of a complete rollout is faulty")
+	}
+}
+
 // record writes a state to the store. The feed then delivers what the store holds, also when another instance wrote
 // first.
 func (r *rollouts) record(o Rollout, state RolloutState) {
