forward: an answer is not relayed once another endpoint has accepted

An offer that was accepted while the stalled answer became complete canceled that answer's connection; a long answer whose head the caller had already would have been cut. The answer is now claimed before its first byte is relayed, as the events of streams are: afterwards no offer is accepted, and after an accepted offer nothing of it is relayed.

Found by reading; no run has shown it, since the moment is short. The package passed with the race detector.

--- a/forward/offer.go
+++ b/forward/offer.go
@@ -71,6 +71,19 @@
 	return true
 }
 
+// claimWhole ends the searches of the attempt because its answer is about to be relayed. It returns false if another
+// endpoint has accepted the request.
+func (o *offers) claimWhole() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.accepted != nil {
+		return false
+	}
+	o.open = false
+	o.withdraw()
+	return true
+}
+
 // withdrawInProgress withdraws the offer in progress.
 func (o *offers) withdrawInProgress() {
 	o.mu.Lock()
--- a/forward/whole.go
+++ b/forward/whole.go
@@ -32,12 +32,15 @@
 		return r.classifyError(ctx, &upstream.Error{Sent: true, Err: err})
 	}
 	a := &answer{status: reply.Status, header: reply.Header, body: body}
+	if len(body) <= whole && reply.Status >= http.StatusInternalServerError {
+		return outcome{end: answered, reached: true, answer: a, err: errors.New("the endpoint answered " + http.StatusText(reply.Status))}
+	}
+	if !r.offers.claimWhole() {
+		return r.classifyError(ctx, &upstream.Error{Sent: true, Err: errWithdrawn})
+	}
 	if len(body) > whole {
 		return r.relayLong(ctx, a, reply)
 	}
-	if reply.Status >= http.StatusInternalServerError {
-		return outcome{end: answered, reached: true, answer: a, err: errors.New("the endpoint answered " + http.StatusText(reply.Status))}
-	}
 	if len(body) > 0 {
 		r.recordBegun()
 	}
