forward: an accepted offer that is given up has run

Callers got a refusal that says that the request was not run, and the quota was given back, although another endpoint had accepted the request: when the first one was never reached, and the request had to be given up (quarantine, end of its time) between the acceptance and the next attempt.

Cause: GiveUp ended the accepted offer and dropped its outcome.

Change: GiveUp records it, like Try.

Evidence: TestServe_AcceptedThenGivenUp failed before (overloaded instead of endpoint_failed); passes 3 of 3 times with the race detector.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -415,7 +415,9 @@
 
 // GiveUp implements attempt.Steps.
 func (r *exchange) GiveUp(ctx context.Context, last **outcome, cause error) error {
-	r.offers.end(false)
+	for _, o := range r.offers.end(false) {
+		r.recordOffer(o)
+	}
 	r.recordUnserved()
 	var refusal *Refusal
 	switch {
