forward: an accepted offer outweighs the bound on failures

Callers got a refusal that promises that the request was not run, although another endpoint had answered it: four endpoints were not reached, the first one silently, before the fifth one accepted the offer.

Cause: the bounds on unreachable and rejecting endpoints were applied to an attempt that ended because another endpoint had answered.

Change: they are applied only without an accepted offer.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -366,8 +366,8 @@
 		return errTimeUp
 	case out.partial:
 		return errPartial
-	case r.stream.started:
-		// The caller has a part of the answer: it is worth a wait for an endpoint.
+	case r.stream.started, r.offers.isAccepted():
+		// The caller has a part of the answer, which is worth a wait for an endpoint, or another endpoint has answered.
 	case out.end == unreachable && len(r.tried) > maxUnreachable, out.end == rejected && r.rejections > maxRejections:
 		return errTooManyFailures
 	}
--- a/forward/offer_dial_test.go
+++ b/forward/offer_dial_test.go
@@ -45,6 +45,16 @@
 	return w
 }
 
+// Guards against an accepted offer that is dropped, with a refusal that promises that the request was not run, because
+// many endpoints were not reached before.
+func TestServe_AcceptedAfterUnreachable(t *testing.T) {
+	w := newDialHarness(t, 3, func(a *arrival) { a.reply(http.StatusOK, "other") })
+	got := w.send(t.Context(), "safe")
+	must.Nil(t, got.refusal, must.Sprint(got.refusal))
+	must.Eq(t, "other", got.body.String())
+	must.Eq(t, 1, w.arrivalCount())
+}
+
 // refuseLater refuses each request once refused is set.
 type refuseLater struct {
 	suspects
