progress: an event stream whose lines end in CR is whole

Callers of plain routes got a broken answer for a stream whose lines end in CR alone and whose end its connection marks. The event-stream format allows this line end, and these streams were relayed whole before their end was checked.

Cause: the check ignored each CR, so that it saw one line without an end.

Change: a CR that no line feed follows ends a line. At the end of the connection it does so only in a stream with such lines, since it may also be the first half of CR LF.

Evidence: TestEventReader_Cases failed before, at 'event, CR'; it passes.

--- a/progress/events.go
+++ b/progress/events.go
@@ -25,6 +25,8 @@
 	isComment bool // the current line is a comment
 	inEvent   bool // lines have been read since the last empty one
 	hasField  bool // one of the lines read so far is more than a comment
+	afterCR   bool // the last byte is a CR, which may be the first half of a line end
+	usesCR    bool // a line has ended in CR alone
 }
 
 // Read implements io.Reader.
@@ -33,23 +35,39 @@
 	for _, c := range b[:n] {
 		r.scan(c)
 	}
-	if err == io.EOF && (r.inLine || r.inEvent || !r.hasField) {
+	if err != io.EOF {
+		return n, err
+	}
+	if r.afterCR && r.usesCR {
+		r.afterCR = false
+		r.endLine()
+	}
+	if r.inLine || r.inEvent || !r.hasField {
 		err = ErrPartialStream
 	}
 	return n, err
 }
 
 func (r *EventReader) scan(c byte) {
+	if r.afterCR && c != '\n' {
+		r.usesCR = true
+		r.endLine()
+	}
+	r.afterCR = c == '\r'
 	switch {
-	case c == '\r': // before a line feed
-	case c != '\n':
-		if !r.inLine {
-			r.inLine, r.isComment = true, c == ':'
-		}
-	case r.inLine:
-		r.inLine, r.inEvent = false, true
-		r.hasField = r.hasField || !r.isComment
-	default:
+	case c == '\r':
+	case c == '\n':
+		r.endLine()
+	case !r.inLine:
+		r.inLine, r.isComment = true, c == ':'
+	}
+}
+
+func (r *EventReader) endLine() {
+	if !r.inLine {
 		r.inEvent = false
+		return
 	}
+	r.inLine, r.inEvent = false, true
+	r.hasField = r.hasField || !r.isComment
 }
