node: a fault after a complete rollout refuses nothing once the old endpoints are gone

Callers of a service got 503 until the next order: after a rollout was complete and the platform had stopped the old endpoints, a fault of the target (or of its surroundings) moved all requests back to the old version.

Cause: the watch period keeps the way back open, but on a platform that stops the old endpoints on "complete" there is nothing to go back to.

Once the order is complete and no endpoint of another version is listed, the service counts as not being moved. While an old endpoint is listed, requests go back to it as before.

--- a/node/rollouts.go
+++ b/node/rollouts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -11,6 +12,7 @@
 
 	"github.com/trefoillug/trefoillug/config"
 	"github.com/trefoillug/trefoillug/feed"
+	"github.com/trefoillug/trefoillug/fleet"
 	"github.com/trefoillug/trefoillug/forward"
 	"github.com/trefoillug/trefoillug/move"
 	"github.com/trefoillug/trefoillug/peer"
@@ -223,8 +225,7 @@
 }
 
 // logFaults logs once for each complete rollout that its target was found faulty afterwards. The requests then go to the
-// old version, whose endpoints the platform has stopped, and a version that is held for bad may get none of them. r.mu
-// must be held.
+// old version while endpoints of it are listed, and to the target once they are gone. r.mu must be held.
 func (r *rollouts) logFaults(now time.Time) {
 	for name, o := range r.orders {
 		status, ok := r.moves.Status(now, name)
@@ -264,7 +265,8 @@
 	}
 }
 
-// Version implements forward.Versions.
+// Version implements forward.Versions. Once a rollout is complete and the endpoints of the old version have been stopped,
+// there is nothing to move back to, so that the service is not being moved any more whatever is seen of its target.
 func (r *rollouts) Version(service, requestID string) (version string, isTarget, moving bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -273,11 +275,14 @@
 		return "", false, false
 	}
 	for _, s := range r.shares[service] {
-		if s.Version == o.Target {
-			return o.Target, routing.HashFraction(requestID) < s.Fraction, true
-		}
+		isTarget = isTarget || s.Version == o.Target && routing.HashFraction(requestID) < s.Fraction
 	}
-	return o.Target, false, true
+	return o.Target, isTarget, isTarget || o.State != RolloutComplete || r.hasOldEndpoints(o)
+}
+
+// hasOldEndpoints reports whether an endpoint of another version than the target is listed.
+func (r *rollouts) hasOldEndpoints(o Rollout) bool {
+	return slices.ContainsFunc(r.n.fleet.Service(o.Service), func(e *fleet.Endpoint) bool { return e.Version != o.Target })
 }
 
 // Observe implements forward.Versions.
