relay: a request that has become a suspect is not offered to a second engine

A request that is suspected of crashing engines could run at two of them: it had stalled at one, the search for another one was waiting for an engine or for the retry budget, and then another run of it crashed an engine.

Cause: the suspicion was checked at the begin of the search only. The search then reserved an engine of its own for the request and sent it there.

Change: a search beside an attempt in progress ends once the call is a suspect. It holds for streams and for plain calls, which use the same search.

Evidence: TestAcquireOffer_SuspectedMeanwhile failed before; passes, as do the tests of isolation and of stalled streams with the race detector.

--- a/relay/acquire.go
+++ b/relay/acquire.go
@@ -29,6 +29,7 @@
 	preferred       string          // ID of the endpoint that holds the KV cache of the request
 	reserved        string          // ID of the endpoint reserved for the isolated run of the call
 	nextSuspectTry  time.Time       // earliest time of the next attempt at a suspect endpoint
+	isOffer         bool            // another attempt of the call is in progress
 }
 
 // slot is an endpoint acquired for one attempt.
@@ -85,6 +86,8 @@
 	switch {
 	case q.IsQuarantined(fingerprint):
 		return nil, problem.New(problem.Quarantined, "the request crashed its endpoints")
+	case s.isOffer && r.isSuspect(s.call):
+		return nil, problem.New(problem.Quarantined, "the request may have crashed an endpoint, and another one runs it")
 	case q.MustHold(fingerprint):
 		return nil, nil
 	case q.MustIsolate(fingerprint, waited):
--- a/relay/offer.go
+++ b/relay/offer.go
@@ -189,8 +189,10 @@
 }
 
 // acquireOffer acquires another endpoint and an attempt from the retry budget, and waits for them until ctx ends. It
-// returns nil if there is none.
+// returns nil if there is none, or if the call is suspected of crashing endpoints.
 func (r *Relay) acquireOffer(ctx context.Context, search *endpointSearch) *slot {
+	search.isOffer = true
+	defer func() { search.isOffer = false }()
 	for ctx.Err() == nil {
 		acquired, err := r.acquire(ctx, search)
 		if err != nil {
