relay: failed endpoints of a session are recorded under its lock

An instance could end with 'concurrent map clone and map write': an offer was accepted before its session had gone on to it, and stalled at once, so that a search copied the failed endpoints while the session recorded one.

Change: the session records them under its lock, which the search holds.

--- a/relay/generate.go
+++ b/relay/generate.go
@@ -119,22 +119,20 @@
 func (g *generation) AcquireRetry(ctx context.Context, acquired *slot, result dispatch.Result) error {
 	g.mu.Lock()
 	g.delivery.resumes++
-	g.mu.Unlock()
-	if g.moved {
-		return nil
-	}
-	if result.FirstEvent > 0 {
-		// The attempt made progress, so endpoints that failed before it may be tried again.
-		clear(g.search.failedEndpoints)
-	}
-	if g.hasNext() {
+	if !g.moved {
+		if result.FirstEvent > 0 {
+			// The attempt made progress, so endpoints that failed before it may be tried again.
+			clear(g.search.failedEndpoints)
+		}
 		g.search.recordFailure(acquired.endpoint, result.IsEngineError())
+	}
+	g.mu.Unlock()
+	if g.moved || g.hasNext() {
 		return nil
 	}
 	if g.hasStalled() && result.End == dispatch.ErrorStatus {
 		pause(ctx, errorPause(g.errorAnswers))
 	}
-	g.search.recordFailure(acquired.endpoint, result.IsEngineError())
 	if g.successor.Take() {
 		return nil
 	}
