forward: a silent offer is given up once the stalled stream is lost

Callers of resumable streams waited until they gave up: their endpoint fell silent, the endpoint that was to continue the stream was silent too, and then the first one was lost. A further endpoint was not tried.

Cause: an offer of a stream of which the caller has a part had no limit of time, also when it was the only attempt left.

Change: from the end of the stalled attempt on it has the limit of an attempt without an answer, if the route allows another one and there is another endpoint.

Evidence: TestServe_LostDuringSilentOffer failed before (broken off after the time limit of 3 s, with two arrivals); passes 3 of 3 times with the race detector, with the other tests of offers.

--- a/forward/offer.go
+++ b/forward/offer.go
@@ -246,7 +246,7 @@
 		if !ok {
 			return
 		}
-		if r.offer(ctx, e, admission) {
+		if r.offer(ctx, e, admission, last) {
 			release()
 			return
 		}
@@ -279,8 +279,9 @@
 	return e, admission, true
 }
 
-// offer sends the request to an endpoint that is to answer it or continue its stream, and reports whether it does.
-func (r *exchange) offer(ctx context.Context, e *fleet.Endpoint, admission fleet.Admission) bool {
+// offer sends the request to an endpoint that is to answer it or continue its stream, and reports whether it does. last is
+// closed when the stalled attempt has ended.
+func (r *exchange) offer(ctx context.Context, e *fleet.Endpoint, admission fleet.Admission, last <-chan struct{}) bool {
 	a := &acceptedOffer{endpoint: e, sent: time.Now(), prefill: r.beginPrefill(e)}
 	lastID := r.offers.lastID()
 	call := r.newCall(ctx, e, lastID, "")
@@ -289,7 +290,7 @@
 	}
 	r.tried[e] = true
 	ctx, cancel := context.WithCancelCause(ctx)
-	stopTimer := r.startOfferTimer(cancel)
+	stopTimer := r.startOfferTimer(cancel, last)
 	reply, err := e.Pool.Do(ctx, call)
 	stopTimer()
 	e.EndAdmission(admission, err == nil && !r.f.cfg.Wire.IsNotRun(reply.Status, reply.Header))
@@ -308,15 +309,30 @@
 	return false
 }
 
-// startOfferTimer starts the watch over an offer without an answer. While the caller has nothing, the offer ends if the
-// request may go to a further endpoint. stop must be called once the head of the answer has arrived.
-func (r *exchange) startOfferTimer(cancel context.CancelCauseFunc) (stop func()) {
+// startOfferTimer starts the watch over an offer without an answer. The offer ends if the request may go to a further
+// endpoint and the caller has nothing, or the stalled attempt has ended. stop must be called once the head of the answer
+// has arrived. last is that of offer.
+func (r *exchange) startOfferTimer(cancel context.CancelCauseFunc, last <-chan struct{}) (stop func()) {
 	timeout := r.answerTimeout()
 	runs, _ := r.offers.count()
-	if timeout <= 0 || r.offers.lastID() != "" || r.runs+runs+2 >= r.route.MaxAttempts || !r.hasOther(time.Now()) {
+	if timeout <= 0 || r.runs+runs+2 >= r.route.MaxAttempts || !r.hasOther(time.Now()) {
 		return func() {}
 	}
-	return progress.Start(timeout, func() { r.offers.cancelUnlessAccepted(cancel) }).Stop
+	giveUp := func() { r.offers.cancelUnlessAccepted(cancel) }
+	if r.offers.lastID() == "" {
+		return progress.Start(timeout, giveUp).Stop
+	}
+	stopped := make(chan struct{})
+	go func() {
+		select {
+		case <-last:
+		case <-stopped:
+			return
+		}
+		defer progress.Start(timeout, giveUp).Stop()
+		<-stopped
+	}()
+	return func() { close(stopped) }
 }
 
 // offerOutcome returns the outcome of an offer that was not accepted. position is that of noContinuation.
