forward, dispatch: lines of event streams may end in CR alone

A stream whose lines end in CR was answered 502 or cut, since no event was found in it; one with empty lines after its last event was cut although it was complete. The event-stream format knows CR, LF and CR LF as ends of a line. Lines and events are now found by one function per path, and empty lines at the end are relayed. A stream that ends within an event, which includes one without the blank line after its last event, stays broken off: an endpoint may stop in the middle of an event.

--- a/dispatch/faulty_test.go
+++ b/dispatch/faulty_test.go
@@ -311,3 +311,27 @@
 	}
 	must.Eq(t, 0, whole)
 }
+
+// Guards against a stream that is lost because of the ends of its lines.
+func TestStream_LineEnds(t *testing.T) {
+	for name, end := range map[string]string{"LF": "\n", "CR LF": "\r\n", "CR": "\r"} {
+		t.Run(name, func(t *testing.T) {
+			address := serveRaw(t, func(c net.Conn, req *http.Request) {
+				var text strings.Builder
+				for seq, finish := range []string{"", "", "stop"} {
+					fmt.Fprintf(&text, "data: {\"request_id\":%q,\"attempt_id\":%q,\"seq\":%d,\"content\":\"x\",\"finish_reason\":%q}\n\n",
+						req.Header.Get(engine.HeaderRequestID), req.Header.Get(engine.HeaderAttemptID), seq, finish)
+				}
+				startStream(c)
+				for _, b := range []byte(strings.ReplaceAll(text.String(), "\n", end)) {
+					_, _ = c.Write([]byte{b})
+				}
+				_ = c.Close()
+			})
+			var got strings.Builder
+			r := dispatch.New(dispatch.Settings{}).Stream(t.Context(), streamCall(endpoint(address), "r", 2), collect(&got))
+			must.Eq(t, dispatch.Complete, r.End, must.Sprint(r.Err))
+			must.StrHasPrefix(t, "xx", got.String())
+		})
+	}
+}
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -105,7 +105,7 @@
 func (s *stream) read(body io.Reader) Result {
 	lines := bufio.NewScanner(body)
 	lines.Buffer(make([]byte, 0, 1024), progress.MaxEventBytes)
-	lines.Split(scanWholeLines)
+	lines.Split(splitLine)
 	for lines.Scan() {
 		line := lines.Bytes()
 		data, ok := bytes.CutPrefix(line, []byte("data: "))
@@ -127,12 +127,16 @@
 	return Result{End: Lost, Status: http.StatusOK, Err: err}
 }
 
-// scanWholeLines is bufio.ScanLines without the part of a line within which the stream has ended.
-func scanWholeLines(data []byte, atEOF bool) (advance int, token []byte, err error) {
-	if atEOF && bytes.IndexByte(data, '\n') < 0 {
-		return len(data), nil, nil
+// splitLine is a bufio.SplitFunc for lines that end in CR, LF or both. Between CR and LF it returns an empty line, which has
+// no meaning on its own. It drops the part of a line within which the stream has ended.
+func splitLine(b []byte, atEOF bool) (advance int, line []byte, err error) {
+	if n := bytes.IndexAny(b, "\r\n"); n >= 0 {
+		return n + 1, b[:n], nil
 	}
-	return bufio.ScanLines(data, atEOF)
+	if atEOF {
+		return len(b), nil, nil
+	}
+	return 0, nil, nil
 }
 
 func sentFor(end End) Sent {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -84,7 +84,7 @@
 		case received > progress.MaxAnswerBytes:
 			return outcome{end: lost, reached: true, partial: true, err: progress.ErrTooLong}
 		case err == nil:
-		case err == io.EOF && len(buf) == 0 && move.result() == nil:
+		case err == io.EOF && isBlank(buf) && (len(buf) == 0 || received > len(buf)) && move.result() == nil:
 			events, jerr := joint.end()
 			if jerr != nil {
 				return outcome{end: lost, reached: true, err: jerr}
@@ -95,6 +95,9 @@
 			if !r.stream.started {
 				r.startStream(reply)
 			}
+			if _, werr := r.w.Write(buf); werr != nil {
+				return outcome{end: ended, reached: true, err: werr}
+			}
 			if r.arrivals == 0 {
 				r.speed().RecordGeneration(time.Since(r.sentAt))
 			}
@@ -157,10 +160,8 @@
 
 // hasField reports whether one of the events is more than a comment.
 func hasField(events []byte) bool {
-	for line := range bytes.Lines(events) {
-		switch line[0] {
-		case ':', '\r', '\n':
-		default:
+	for line := range lines(events) {
+		if len(line) > 0 && line[0] != ':' {
 			return true
 		}
 	}
@@ -194,7 +195,7 @@
 
 // hasData reports whether an event has data; without any it is a comment or an instruction, which has no position.
 func hasData(event []byte) bool {
-	for line := range bytes.Lines(event) {
+	for line := range lines(event) {
 		if bytes.HasPrefix(line, []byte("data")) {
 			return true
 		}
@@ -230,38 +231,9 @@
 	return false
 }
 
-// eventsEnd returns the length of the complete events at the start of b.
-func eventsEnd(b []byte) int {
-	end := 0
-	for {
-		n := firstEventEnd(b[end:])
-		if n == 0 {
-			return end
-		}
-		end += n
-	}
-}
-
-// firstEventEnd returns the length of the first event of b with its blank line, and 0 if it is incomplete.
-func firstEventEnd(b []byte) int {
-	for at := 0; ; {
-		nl := bytes.IndexByte(b[at:], '\n')
-		if nl < 0 {
-			return 0
-		}
-		at += nl + 1
-		switch rest := b[at:]; {
-		case bytes.HasPrefix(rest, []byte("\n")):
-			return at + 1
-		case bytes.HasPrefix(rest, []byte("\r\n")):
-			return at + 2
-		}
-	}
-}
-
 // eventID returns the value of the id field of an event.
 func eventID(event []byte) string {
-	for line := range bytes.Lines(event) {
+	for line := range lines(event) {
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			return string(bytes.TrimSpace(value))
 		}
--- a/forward/work.go
+++ b/forward/work.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bytes"
 	"time"
 
 	"github.com/trefoillug/trefoillug/fleet"
@@ -47,7 +46,7 @@
 // them arrived, the zero time for none. It returns when the latest event arrived.
 func (r *exchange) recordTokens(events []byte, last time.Time) time.Time {
 	e := r.service.Engine
-	n := bytes.Count(events, []byte("\n\n"))
+	n := countEvents(events)
 	if e == nil || n == 0 {
 		return last
 	}
--- a/relay/offer_race_test.go
+++ b/relay/offer_race_test.go
@@ -27,7 +27,9 @@
 		must.NoError(t, g.receive(offered, &engine.StreamEvent{Content: "x"}, &attemptStats{}, false))
 		var both sync.WaitGroup
 		both.Go(func() { must.False(t, g.mayAbandon(offered)) })
-		both.Go(func() { must.NoError(t, g.AcquireRetry(t.Context(), failed, dispatch.Result{End: dispatch.ErrorStatus})) })
+		both.Go(func() {
+			must.NoError(t, g.AcquireRetry(t.Context(), failed, dispatch.Result{End: dispatch.ErrorStatus}))
+		})
 		both.Wait()
 		g.endSearch(false)
 		g.cancel(nil)
