node: a complete rollout takes its requests before the first tick

Between the arrival of a complete rollout and the next tick, 100 ms at most, no shares were known and the requests of the service went to the old version, whose endpoints stop at completion. After the start of an instance they were refused with 503.

Found by reading. TestRollouts_VersionBeforeFirstTick failed before. After: the package passed with the race detector.

--- a/node/rollouts.go
+++ b/node/rollouts.go
@@ -274,7 +274,9 @@
 	if !ok {
 		return "", false, false
 	}
-	for _, s := range r.shares[service] {
+	shares, ok := r.shares[service]
+	isTarget = !ok && o.State == RolloutComplete // the first tick has not set the shares yet
+	for _, s := range shares {
 		isTarget = isTarget || s.Version == o.Target && routing.HashFraction(requestID) < s.Fraction
 	}
 	return o.Target, isTarget, isTarget || o.State != RolloutComplete || r.hasOldEndpoints(o)
