forward: a stream that is cut after its last event is not whole

The table of half answers took a stream that was cut between its last event and its end for whole, after an endpoint that was to continue it answered without any event. The table now demands that the stream ends visibly incomplete and that two endpoints were asked; all other cells are unchanged.

--- a/forward/halfanswer_test.go
+++ b/forward/halfanswer_test.go
@@ -63,6 +63,9 @@
 // withoutComments removes the comments of a stream, which a continued stream may repeat.
 func withoutComments(stream string) string { return strings.ReplaceAll(stream, standin.RawComment, "") }
 
+// lastRawEvent is the last event of the streams that are cut, without its ID.
+const lastRawEvent = "data: 2\n\n"
+
 // check makes a request whose answer is cut after n bytes, and checks what its caller gets.
 func (h *halfAnswer) check(t *testing.T, w *harness, n int) {
 	id := idOf(n)
@@ -82,7 +85,12 @@
 
 	isWhole := got.refusal == nil && got.broken == nil
 	started := h.Events && h.route == "safe" && n > raw.Head // its bytes are relayed as they arrive
+	// A continuation after the last event has none, which does not show that its endpoint took the position.
+	nothingLeft := h.Events && h.route == "resume" && !whole && n >= strings.LastIndex(raw.Text, lastRawEvent)+len(lastRawEvent)
 	switch {
+	case nothingLeft:
+		must.Eq(t, 2, arrivals, what)
+		must.False(t, isWhole, what)
 	case whole && (h.Status < 500 || !mayRepeat):
 		must.Eq(t, 1, arrivals, what)
 		must.True(t, isWhole, what)
