--- a/relay/resume_test.go
+++ b/relay/resume_test.go
@@ -350,3 +350,29 @@
 	mustBeComplete(t, chat(url, "silent", 6), "silent", 6)
 	must.Less(t, 5*time.Second, time.Since(start))
 }
+
+// Guards against pieces that are missing or doubled, and against a second run, when a caller resumes a stream at another
+// instance or at the same one while its earlier connection is still open.
+func TestResume_OldConnectionIsOpen(t *testing.T) {
+	const tokens = 200
+	for name, instance := range map[string]int{"same instance": 0, "other instance": 1} {
+		t.Run(name, func(t *testing.T) {
+			env := newTestEnv(t)
+			a := env.startEngine("a", "fd1", slowEngine)
+			_, urls, _ := env.startEntries()
+			head, last, rest := beginStream(t, urls[0], "review", tokens, 20)
+			tail := send("POST", urls[instance]+"/v1/chat/completions", chatBody("review", tokens, true), "Last-Event-ID", last)
+			must.NoError(t, tail.err)
+			must.Eq(t, 200, tail.status, must.Sprint(tail.body))
+			must.Eq(t, standin.EngineText(7, "review", tokens), head.text()+tail.text())
+			must.StrContains(t, tail.body, "data: [DONE]")
+			old := head
+			for rest.Scan() {
+				old.body += rest.Text() + "\n"
+			}
+			must.Eq(t, standin.EngineText(7, "review", tokens), old.text())
+			must.StrContains(t, old.body, "data: [DONE]")
+			must.Eq(t, 1, a.Counts().Runs)
+		})
+	}
+}
