--- a/soak/callers.go
+++ b/soak/callers.go
@@ -234,5 +234,5 @@
 
 // setHead takes over what the head of a response says.
 func (a *Attempt) setHead(resp *http.Response) {
-	a.Status, a.Type, a.Seal = resp.StatusCode, resp.Header.Get("Content-Type"), resp.Header.Get("X-Trefoillug-Response-Seal")
+	a.Status, a.Type, a.Seal = resp.StatusCode, resp.Header.Get("Content-Type"), standin.AnswerSeal(resp.Header)
 }
--- a/soak/checks.go
+++ b/soak/checks.go
@@ -89,8 +89,8 @@
 	if !a.Call.HasEvents() && !a.Call.IsComplete(a.Body, 0) {
 		return breach("complete answer to its own request", a.Ended, "%s at %s got %q", a.Call.ID, a.Instance, shorten(a.Body))
 	}
-	ran := slices.ContainsFunc(runs, func(r standin.PlatformRun) bool { return a.Seal == sealOf(r.Worker) })
-	if !ran || !a.Call.HasEvents() && !strings.HasPrefix(a.Body, strings.TrimPrefix(a.Seal, sealOf(""))+" ") {
+	ran := slices.ContainsFunc(runs, func(r standin.PlatformRun) bool { return a.Seal == standin.SealOf(r.Worker) })
+	if !ran || !a.Call.HasEvents() && !strings.HasPrefix(a.Body, standin.SealedBy(a.Seal)+" ") {
 		return breach(wholeAnswer, a.Ended, "%s at %s got the mark %q with %q", a.Call.ID, a.Instance, a.Seal, shorten(a.Body))
 	}
 	return nil
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -19,7 +19,7 @@
 func servedAttempt(id, route string, sent time.Time) Attempt {
 	return Attempt{
 		Call: standin.PlatformCall{ID: id, Route: route, Key: standin.PlatformOpenKey}, Instance: "n01", Sent: sent, Ended: sent.Add(time.Millisecond),
-		Status: 200, Seal: sealOf("i-1"), Body: fmt.Sprintf("i-1 /%s/%s %d", route, id, len("body of "+id)), Complete: true,
+		Status: 200, Seal: standin.SealOf("i-1"), Body: fmt.Sprintf("i-1 /%s/%s %d", route, id, len("body of "+id)), Complete: true,
 	}
 }
 
@@ -30,7 +30,7 @@
 // addServed adds an attempt that got its complete answer from an endpoint that ran it.
 func addServed(e *Evidence, a Attempt) {
 	e.addAttempt(a)
-	e.Runs = append(e.Runs, runOf(a.Call.ID, strings.TrimPrefix(a.Seal, sealOf("")), a.Sent))
+	e.Runs = append(e.Runs, runOf(a.Call.ID, standin.SealedBy(a.Seal), a.Sent))
 }
 
 // cleanEvidence returns the evidence of a run without faults in which one request was served.
@@ -82,7 +82,7 @@
 	for i := range minNewRequests {
 		id := fmt.Sprint("n", i)
 		a := servedAttempt(id, "book", at(23))
-		a.Body, a.Seal = strings.Replace(a.Body, "i-1", endpoint, 1), sealOf(endpoint)
+		a.Body, a.Seal = strings.Replace(a.Body, "i-1", endpoint, 1), standin.SealOf(endpoint)
 		addServed(e, a)
 	}
 }
@@ -99,7 +99,7 @@
 		piecesInOrder: func(e *Evidence) {
 			streamCase{route: "notes", body: two, streams: []standin.PlatformStream{whole}}.add(e)
 		},
-		wholeAnswer: func(e *Evidence) { e.Attempts[0].Seal = sealOf("i-2") },
+		wholeAnswer: func(e *Evidence) { e.Attempts[0].Seal = standin.SealOf("i-2") },
 		"refused requests don't run": func(e *Evidence) {
 			a := servedAttempt("b", "book", at(30))
 			a.Status = 503
@@ -197,7 +197,7 @@
 		"a moved run that goes on where it was stopped": func(e *Evidence) {
 			e.Leaving["i-2"] = at(47)
 			moved := servedAttempt("b", "book", at(46))
-			moved.Body, moved.Seal = strings.Replace(moved.Body, "i-1", "i-2", 1), sealOf("i-2")
+			moved.Body, moved.Seal = strings.Replace(moved.Body, "i-1", "i-2", 1), standin.SealOf("i-2")
 			e.addAttempt(moved)
 			e.Runs = append(e.Runs, runOf("b", "i-2", at(46)), standin.NewPlatformRun("b", "i-2", "open", at(50), true))
 		},
--- a/soak/streamchecks.go
+++ b/soak/streamchecks.go
@@ -15,9 +15,6 @@
 	wholeAnswer   = "whole answer of one endpoint"
 )
 
-// sealOf returns the mark that an endpoint puts on its answers.
-func sealOf(worker string) string { return "seal." + worker }
-
 // piece is an event that a run generated.
 type piece struct {
 	number int
--- a/standin/oddities.go
+++ b/standin/oddities.go
@@ -183,7 +183,7 @@
 func (u *PlatformWorker) writeOdd(c net.Conn, r *http.Request, a oddAnswer) error {
 	fields := fmt.Sprintf("X-Trefoillug-Attempt-Id: %s\r\nX-Trefoillug-Instance-Id: %s\r\n", r.Header.Get("X-Trefoillug-Attempt-Id"), u.ID)
 	if !a.refused {
-		fields += "X-Trefoillug-Response-Seal: seal." + u.ID + "\r\n"
+		fields += "X-Trefoillug-Response-Seal: " + SealOf(u.ID) + "\r\n"
 	}
 	fields += "Connection: close\r\n"
 	switch {
--- a/standin/platformfaults.go
+++ b/standin/platformfaults.go
@@ -101,7 +101,7 @@
 }
 
 func (u *PlatformWorker) rawHead(r *http.Request) string {
-	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Trefoillug-Attempt-Id: %s\r\nX-Trefoillug-Response-Seal: seal.%s\r\n", r.Header.Get("X-Trefoillug-Attempt-Id"), u.ID)
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Trefoillug-Attempt-Id: %s\r\nX-Trefoillug-Response-Seal: %s\r\n", r.Header.Get("X-Trefoillug-Attempt-Id"), SealOf(u.ID))
 	if u.leaving.Load() {
 		head += "Server-Leaving: 1\r\n"
 	}
--- a/standin/platformstreams.go
+++ b/standin/platformstreams.go
@@ -32,6 +32,18 @@
 	Moved   bool     // the run was moved to the worker
 }
 
+// sealPrefix begins the seals of workers.
+const sealPrefix = "seal."
+
+// SealOf returns the seal that a worker puts on the answers to requests that it ran.
+func SealOf(worker string) string { return sealPrefix + worker }
+
+// SealedBy returns the ID of the worker that put a seal on an answer.
+func SealedBy(seal string) string { return strings.TrimPrefix(seal, sealPrefix) }
+
+// AnswerSeal returns the seal in the header of an answer; empty: none.
+func AnswerSeal(h http.Header) string { return h.Get("X-Trefoillug-Response-Seal") }
+
 // workerStream is a stream in progress.
 type workerStream struct {
 	sent int
--- a/standin/platformworker.go
+++ b/standin/platformworker.go
@@ -162,7 +162,7 @@
 	case u.Oddities != nil && u.serveOddity(w, r, body, arrived, leaving):
 		return
 	}
-	h.Set("X-Trefoillug-Response-Seal", "seal."+u.ID)
+	h.Set("X-Trefoillug-Response-Seal", SealOf(u.ID))
 	u.recordRequest(r, body, arrived, leaving)
 	if u.serveFault(w, r) {
 		return
