forward: an answer that another endpoint has overtaken is no crash

A request was suspected of crashing its endpoint, and the endpoint held to have broken off, although both were sound: a stalled answer became complete just after another endpoint had accepted the request, and before the stalled attempt was canceled.

Cause: only the cancellation marked the attempt as stalled; the answer that is not relayed any more looked like a connection that broke.

Change: its attempt ends as stalled, like that of a stream whose event comes too late.

Evidence: TestRelayWhole_AcceptedElsewhereIsNoCrash failed before; passes with the race detector, with the tests of stalled and long answers.

--- a/forward/whole.go
+++ b/forward/whole.go
@@ -36,7 +36,7 @@
 		return outcome{end: answered, reached: true, answer: a, err: errors.New("the endpoint answered " + http.StatusText(reply.Status))}
 	}
 	if !r.offers.claimWhole() {
-		return r.classifyError(ctx, &upstream.Error{Sent: true, Err: errWithdrawn})
+		return outcome{end: lost, reached: true, err: progress.ErrStalled}
 	}
 	if len(body) > whole {
 		return r.relayLong(ctx, a, reply)
