continuation: position 0 tells no step

An answer with one event, 5, after the event 0 was taken for the continuation of a stream with a step of 5, since 0 is a multiple of any step: events 1 to 4 could be missing in a stream that looks whole. Such an end is a gap now. Found by review; the new case of TestJudge_Cases failed before.

--- a/continuation/continuation.go
+++ b/continuation/continuation.go
@@ -144,8 +144,8 @@
 	case 0:
 		return j.fail(NoEvents)
 	case 1:
-		// Numbers count what was generated, so with a constant step each one is a multiple of it.
-		if j.position.last%(j.ids[0]-j.position.last) == 0 {
+		// Numbers count what was generated, so with a constant step each one is a multiple of it. Zero is one of any step.
+		if j.position.last != 0 && j.position.last%(j.ids[0]-j.position.last) == 0 {
 			return nil
 		}
 	}
--- a/continuation/continuation_test.go
+++ b/continuation/continuation_test.go
@@ -60,6 +60,8 @@
 		{"1", "5,6,7", "gap", "gap"},
 		{"1", "6,11", "follows", "follows"},
 		{"5", "10", "follows", "cut"},
+		{"0", "5", "gap", "cut"},
+		{"0", "1", "follows", "follows"},
 		{"5", "10,15", "follows", "follows"},
 		{"2", "5,4", "step_back", "step_back"},
 		{"2", "4,6", "follows", "follows"},
