--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/trefoillug/trefoillug/progress"
+	"github.com/trefoillug/trefoillug/sockets"
 	"github.com/trefoillug/trefoillug/table"
 )
 
@@ -79,6 +80,9 @@
 	Err        error
 }
 
+// IsEngineError reports whether the endpoint answered with an error or with an invalid stream.
+func (r Result) IsEngineError() bool { return r.End == ErrorStatus || r.End == InvalidStream }
+
 // Client makes attempts at endpoints. It keeps a pool of connections for each endpoint and is safe for concurrent use.
 type Client struct {
 	settings Settings
@@ -154,5 +158,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return &countingConn{Conn: conn}, nil
+	return &countingConn{Conn: sockets.NewConn(conn)}, nil
 }
--- a/dispatch/faulty_test.go
+++ b/dispatch/faulty_test.go
@@ -243,3 +243,95 @@
 	_, err = client.ExportKV(t.Context(), endpoint(address), engine.AttemptRef{RequestID: "b"})
 	must.Error(t, err)
 }
+
+// Guards against an engine that is lost within an event and does not count as crashed, so that a request that crashes its
+// engines is never quarantined.
+func TestStream_LostWithinEvent(t *testing.T) {
+	const event = `data: {"request_id":"r","attempt_id":"r-1","seq":0,"content":"x"}` + "\n\n"
+	for name, end := range map[string]func(c net.Conn){
+		"closed": func(c net.Conn) { _ = c.Close() },
+		"reset":  func(c net.Conn) { _ = c.(*net.TCPConn).SetLinger(0); _ = c.Close() },
+	} {
+		for _, length := range []int{0, 1, len("data: "), 30, len(event) - 3, len(event) - 2, len(event) - 1, len(event)} {
+			t.Run(fmt.Sprintf("%s after %d bytes", name, length), func(t *testing.T) {
+				address := serveRaw(t, func(c net.Conn, _ *http.Request) {
+					startStream(c)
+					_, _ = io.WriteString(c, event[:length])
+					time.Sleep(20 * time.Millisecond) // lets the bytes arrive before the reset
+					end(c)
+				})
+				r := dispatch.New(dispatch.Settings{}).Stream(t.Context(), streamCall(endpoint(address), "r", 10), func(*engine.StreamEvent) error { return nil })
+				must.Eq(t, dispatch.Lost, r.End, must.Sprint(r.Err))
+				must.Eq(t, http.StatusOK, r.Status)
+			})
+		}
+	}
+}
+
+// Guards against the answer to a HEAD request, which has no body, that is taken for an event stream which ended early.
+func TestCall_HeadOfEventStream(t *testing.T) {
+	address := serveRaw(t, func(c net.Conn, _ *http.Request) { startStream(c) })
+	answer, r := dispatch.New(dispatch.Settings{}).Call(t.Context(), &dispatch.PlainCall{
+		Endpoint: endpoint(address), Method: http.MethodHead, Path: "/", Header: http.Header{}, BufferBytes: 1 << 10,
+	})
+	must.Eq(t, dispatch.Complete, r.End, must.Sprint(r.Err))
+	must.Eq(t, 0, len(answer.Body))
+}
+
+// Guards against an answer without a length that looks whole although its connection was reset, because the error was
+// reported to the write of the request's body, which was still in progress.
+func TestCall_ResetWhileRequestIsWritten(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nhalf")
+			time.Sleep(10 * time.Millisecond) // both sides of the connection wait
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		}
+	}()
+	client := dispatch.New(dispatch.Settings{})
+	body := []byte(strings.Repeat("x", 8<<20)) // more than both sockets hold
+	whole := 0
+	for range 30 {
+		_, r := client.Call(t.Context(), &dispatch.PlainCall{
+			Endpoint: endpoint(l.Addr().String()), Method: http.MethodPost, Path: "/", Header: http.Header{}, BufferBytes: 1 << 10,
+			Body: body, SendOnce: true,
+		})
+		if r.End == dispatch.Complete {
+			whole++
+		}
+	}
+	must.Eq(t, 0, whole)
+}
+
+// Guards against a stream that is lost because of the ends of its lines.
+func TestStream_LineEnds(t *testing.T) {
+	for name, end := range map[string]string{"LF": "\n", "CR LF": "\r\n", "CR": "\r"} {
+		t.Run(name, func(t *testing.T) {
+			address := serveRaw(t, func(c net.Conn, req *http.Request) {
+				var text strings.Builder
+				for seq, finish := range []string{"", "", "stop"} {
+					fmt.Fprintf(&text, "data: {\"request_id\":%q,\"attempt_id\":%q,\"seq\":%d,\"content\":\"x\",\"finish_reason\":%q}\n\n",
+						req.Header.Get(engine.HeaderRequestID), req.Header.Get(engine.HeaderAttemptID), seq, finish)
+				}
+				startStream(c)
+				for _, b := range []byte(strings.ReplaceAll(text.String(), "\n", end)) {
+					_, _ = c.Write([]byte{b})
+				}
+				_ = c.Close()
+			})
+			var got strings.Builder
+			r := dispatch.New(dispatch.Settings{}).Stream(t.Context(), streamCall(endpoint(address), "r", 2), collect(&got))
+			must.Eq(t, dispatch.Complete, r.End, must.Sprint(r.Err))
+			must.StrHasPrefix(t, "xx", got.String())
+		})
+	}
+}
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -9,8 +9,10 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
+	"github.com/trefoillug/trefoillug/continuation"
 	"github.com/trefoillug/trefoillug/engine"
 	"github.com/trefoillug/trefoillug/progress"
 	"github.com/trefoillug/trefoillug/table"
@@ -85,7 +87,6 @@
 // Reasons for which a stream is ended.
 var (
 	errOtherRequest = errors.New("answer to another request")
-	errGap          = errors.New("gap in the stream")
 	errSink         = errors.New("receiver ended the stream")
 )
 
@@ -93,6 +94,7 @@
 type stream struct {
 	call         *StreamCall
 	nextSeq      int
+	follows      bool  // the first event continued what the caller has
 	firstEventAt int64 // Unix nanoseconds of the first accepted event
 	sink         func(*engine.StreamEvent) error
 	attempt      *attempt
@@ -103,6 +105,7 @@
 func (s *stream) read(body io.Reader) Result {
 	lines := bufio.NewScanner(body)
 	lines.Buffer(make([]byte, 0, 1024), progress.MaxEventBytes)
+	lines.Split(splitLine)
 	for lines.Scan() {
 		line := lines.Bytes()
 		data, ok := bytes.CutPrefix(line, []byte("data: "))
@@ -124,6 +127,18 @@
 	return Result{End: Lost, Status: http.StatusOK, Err: err}
 }
 
+// splitLine is a bufio.SplitFunc for lines that end in CR, LF or both. Between CR and LF it returns an empty line, which has
+// no meaning on its own. It drops the part of a line within which the stream has ended.
+func splitLine(b []byte, atEOF bool) (advance int, line []byte, err error) {
+	if n := bytes.IndexAny(b, "\r\n"); n >= 0 {
+		return n + 1, b[:n], nil
+	}
+	if atEOF {
+		return len(b), nil, nil
+	}
+	return 0, nil, nil
+}
+
 func sentFor(end End) Sent {
 	if end == Complete {
 		return SentAll
@@ -140,13 +155,15 @@
 	switch {
 	case e.RequestID != s.call.RequestID:
 		return InvalidStream, errOtherRequest
-	case e.AttemptID != s.call.AttemptID || e.Seq < s.nextSeq:
+	case e.AttemptID != s.call.AttemptID || s.follows && e.Seq < s.nextSeq:
 		// Late events of an abandoned attempt and duplicates are dropped. They are no progress, so that
 		// a stream that carries nothing else times out.
 		return Lost, nil
-	case e.Seq > s.nextSeq:
-		return InvalidStream, errGap
 	}
+	if _, err := continuation.NewJudge(continuation.AfterNumber(s.nextSeq - 1)).Add(strconv.Itoa(e.Seq)); err != nil {
+		return InvalidStream, err
+	}
+	s.follows = true
 	s.attempt.recordReceive()
 	s.watch.RecordEvent()
 	if s.firstEventAt == 0 {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/trefoillug/trefoillug/attempt"
+	"github.com/trefoillug/trefoillug/continuation"
 	"github.com/trefoillug/trefoillug/fleet"
 	"github.com/trefoillug/trefoillug/placement"
 	"github.com/trefoillug/trefoillug/problem"
@@ -223,11 +224,10 @@
 	mayHaveRun   bool          // an endpoint may have run the request, or may still run it
 	startCounted bool          // Config.OnStarted was called
 	stream       streamState
-	admission    fleet.Admission   // of the next or latest attempt
-	pendingMove  *moveResult       // where the next attempt continues the run; nil unless it was moved
-	successor    attempt.Successor // of an attempt that has stalled before its answer, or within one that is no stream
-	offers       offers            // of a stalled stream to other endpoints
-	accepted     *acceptedOffer    // the next attempt; nil unless an endpoint has accepted a stalled stream
+	admission    fleet.Admission // of the next or latest attempt
+	pendingMove  *moveResult     // where the next attempt continues the run; nil unless it was moved
+	offers       offers          // of a stalled request to other endpoints
+	accepted     *acceptedOffer  // the next attempt; nil unless an endpoint has accepted a stalled request
 }
 
 // Serve answers a request on w. It returns an error if the answer was broken off after it had begun; the caller's
@@ -243,6 +243,9 @@
 	if err := r.checkQuarantine(); err != nil {
 		return r.refuse(&Refusal{Err: err})
 	}
+	if r.route.Resumable {
+		r.stream.position = continuation.After(req.LastEventID)
+	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline())
 	defer cancel()
 	releaseQuota := func() {}
@@ -328,7 +331,7 @@
 	r.offers.begin()
 	out := r.attempt(ctx, e)
 	r.lastEnd = out.end
-	for _, o := range r.offers.end(out.end != answered && out.end != ended && r.pendingMove == nil) {
+	for _, o := range r.offers.end(!out.delivered && out.end != ended && r.pendingMove == nil) {
 		r.recordOffer(o)
 	}
 	if out.delivered {
@@ -363,8 +366,8 @@
 		return errTimeUp
 	case out.partial:
 		return errPartial
-	case r.stream.started:
-		// The caller has a part of the answer: it is worth a wait for an endpoint.
+	case r.stream.started, r.offers.isAccepted():
+		// The caller has a part of the answer, which is worth a wait for an endpoint, or another endpoint has answered.
 	case out.end == unreachable && len(r.tried) > maxUnreachable, out.end == rejected && r.rejections > maxRejections:
 		return errTooManyFailures
 	}
@@ -375,7 +378,7 @@
 	if err := r.checkQuarantine(); err != nil {
 		return err
 	}
-	if r.stream.started {
+	if r.stream.started || r.offers.isAccepted() {
 		return nil
 	}
 	return r.checkPaused()
@@ -383,7 +386,7 @@
 
 // AcquireRetry implements attempt.Steps.
 func (r *exchange) AcquireRetry(ctx context.Context, _ *fleet.Endpoint, out *outcome) error {
-	if r.successor.Take() || r.offers.isAccepted() {
+	if r.offers.isAccepted() {
 		return nil
 	}
 	isMove := r.pendingMove != nil && r.pendingMove.rejections == 0 // which is not a repeat
@@ -412,7 +415,9 @@
 
 // GiveUp implements attempt.Steps.
 func (r *exchange) GiveUp(ctx context.Context, last **outcome, cause error) error {
-	r.offers.end(false)
+	for _, o := range r.offers.end(false) {
+		r.recordOffer(o)
+	}
 	r.recordUnserved()
 	var refusal *Refusal
 	switch {
--- a/forward/offer.go
+++ b/forward/offer.go
@@ -1,21 +1,25 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
 	"github.com/trefoillug/trefoillug/fleet"
+	"github.com/trefoillug/trefoillug/progress"
+	"github.com/trefoillug/trefoillug/routing"
 	"github.com/trefoillug/trefoillug/upstream"
 )
 
-// offers searches for an endpoint that continues a stalled stream. A sound endpoint may fall silent and go on, so its
-// attempt is kept until another endpoint has accepted the request. Whichever goes on first is kept, and the other one is
-// canceled.
+// offers searches for an endpoint that takes over a stalled request, or continues its stream. A sound endpoint may fall
+// silent and go on, so its attempt is kept until another endpoint has accepted the request with the head of an answer.
+// Whichever goes on first is kept, and the other one is canceled.
 //
-// The search runs in the goroutine of a timer while the request's own goroutine reads the stalled stream. The zero value
-// is ready to use.
+// The search runs in a goroutine of its own while that of the request reads the stalled answer. The zero value is ready
+// to use.
 type offers struct {
 	mu       sync.Mutex
 	open     bool               // an attempt is in progress
@@ -27,9 +31,9 @@
 	ended    []endedOffer       // not recorded yet
 }
 
-var errWithdrawn = errors.New("the stream goes on elsewhere")
+var errWithdrawn = errors.New("the request goes on elsewhere")
 
-// acceptedOffer is an exchange with an endpoint that continues the stream.
+// acceptedOffer is an exchange with an endpoint that has answered the request, or continues its stream.
 type acceptedOffer struct {
 	endpoint *fleet.Endpoint
 	reply    *upstream.Reply
@@ -52,11 +56,38 @@
 	o.open = true
 }
 
-// record records that the caller has events up to one with the given ID, and withdraws the offer in progress.
-func (o *offers) record(lastID string) {
+// claim records that the caller gets events up to one with the given ID, "" for none with an ID, and withdraws the offer in
+// progress. It returns false if an endpoint has accepted the stream, to which nothing may be added any more.
+func (o *offers) claim(lastID string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.accepted != nil {
+		return false
+	}
+	if lastID != "" {
+		o.position = lastID
+	}
+	o.withdraw()
+	return true
+}
+
+// claimWhole ends the searches of the attempt because its answer is about to be relayed. It returns false if another
+// endpoint has accepted the request.
+func (o *offers) claimWhole() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.accepted != nil {
+		return false
+	}
+	o.open = false
+	o.withdraw()
+	return true
+}
+
+// withdrawInProgress withdraws the offer in progress.
+func (o *offers) withdrawInProgress() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.position = lastID
 	o.withdraw()
 }
 
@@ -115,6 +146,15 @@
 	return a
 }
 
+// cancelUnlessAccepted cancels an offer that has stalled, unless its endpoint has accepted.
+func (o *offers) cancelUnlessAccepted(cancel context.CancelCauseFunc) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.accepted == nil {
+		cancel(progress.ErrStalled)
+	}
+}
+
 func (o *offers) isAccepted() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -163,16 +203,19 @@
 	o.ended = append(o.ended, e)
 }
 
-// runs returns the number of the offers that may have run and are not recorded yet.
-func (o *offers) runs() (n int) {
+// count returns the number of the offers not recorded yet that may have run, and of those that were rejected.
+func (o *offers) count() (runs, rejections int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for i := range o.ended {
-		if o.ended[i].out.mayHaveRun() {
-			n++
+		switch out := &o.ended[i].out; {
+		case out.mayHaveRun():
+			runs++
+		case out.end == rejected:
+			rejections++
 		}
 	}
-	return n
+	return runs, rejections
 }
 
 func (o *offers) lastID() string {
@@ -189,8 +232,8 @@
 	a.endpoint.Stats.End()
 }
 
-// offerElsewhere offers a stalled stream to other endpoints, with a pause of one target gap after each that does not
-// accept it. It returns when the stream goes on, no other attempt is allowed, or an endpoint has accepted; it then calls
+// offerElsewhere offers a stalled request to other endpoints, with a pause of one target gap after each that does not
+// accept it. It returns when the answer goes on, no other attempt is allowed, or an endpoint has accepted; it then calls
 // release, which ends the stalled attempt.
 func (r *exchange) offerElsewhere(ctx context.Context, stalled *fleet.Endpoint, release func()) {
 	ctx, last, ok := r.offers.startSearch(ctx)
@@ -203,7 +246,7 @@
 		if !ok {
 			return
 		}
-		if r.offer(ctx, e, admission) {
+		if r.offer(ctx, e, admission, last) {
 			release()
 			return
 		}
@@ -218,9 +261,13 @@
 
 // acquireOther acquires another endpoint and an attempt from the retry budget while the current attempt is in progress.
 func (r *exchange) acquireOther(current *fleet.Endpoint) (e *fleet.Endpoint, admission fleet.Admission, ok bool) {
-	if !r.stream.canContinue() || !r.route.MayRepeat() || r.runs+r.offers.runs()+1 >= r.route.MaxAttempts || r.checkQuarantine() != nil {
+	runs, rejections := r.offers.count()
+	if !r.stream.canContinue() || !r.route.MayRepeat() || r.runs+runs+1 >= r.route.MaxAttempts || r.checkQuarantine() != nil {
 		return nil, fleet.Admission{}, false
 	}
+	if r.offers.lastID() == "" && (r.rejections+rejections >= maxRejections || !r.hasOther(time.Now())) {
+		return nil, fleet.Admission{}, false // the caller has nothing yet that would be lost
+	}
 	e, admission, _ = r.best(time.Now(), current)
 	if e == nil {
 		return nil, fleet.Admission{}, false
@@ -232,18 +279,22 @@
 	return e, admission, true
 }
 
-// offer sends the request to an endpoint that is to continue the stream, and reports whether it does.
-func (r *exchange) offer(ctx context.Context, e *fleet.Endpoint, admission fleet.Admission) bool {
+// offer sends the request to an endpoint that is to answer it or continue its stream, and reports whether it does. last is
+// closed when the stalled attempt has ended.
+func (r *exchange) offer(ctx context.Context, e *fleet.Endpoint, admission fleet.Admission, last <-chan struct{}) bool {
 	a := &acceptedOffer{endpoint: e, sent: time.Now(), prefill: r.beginPrefill(e)}
-	call := r.newCall(ctx, e, r.offers.lastID(), "")
+	lastID := r.offers.lastID()
+	call := r.newCall(ctx, e, lastID, "")
 	if r.tried[e] {
 		call.UnusedSince = r.req.Arrived
 	}
-	call.MayTimeOut = nil
 	r.tried[e] = true
+	ctx, cancel := context.WithCancelCause(ctx)
+	stopTimer := r.startOfferTimer(cancel, last)
 	reply, err := e.Pool.Do(ctx, call)
+	stopTimer()
 	e.EndAdmission(admission, err == nil && !r.f.cfg.Wire.IsNotRun(reply.Status, reply.Header))
-	if err == nil && isStream(reply) && !r.f.cfg.Wire.IsNotRun(reply.Status, reply.Header) {
+	if err == nil && r.isUsable(reply) {
 		a.reply = reply
 		if r.offers.accept(ctx, a) {
 			return true
@@ -251,14 +302,41 @@
 		err = &upstream.Error{Sent: true, Err: context.Cause(ctx)}
 		reply.Finish()
 	}
+	defer cancel(nil)
 	e.Stats.RecordPrefilled(a.prefill)
 	e.Stats.End()
-	r.offers.recordEnded(endedOffer{e, a.sent, r.offerOutcome(ctx, e, reply, err)})
+	r.offers.recordEnded(endedOffer{e, a.sent, r.offerOutcome(ctx, e, reply, cmp.Or(lastID, r.req.LastEventID), err)})
 	return false
 }
 
-// offerOutcome returns the outcome of an offer that was not accepted.
-func (r *exchange) offerOutcome(ctx context.Context, e *fleet.Endpoint, reply *upstream.Reply, err error) outcome {
+// startOfferTimer starts the watch over an offer without an answer. The offer ends if the request may go to a further
+// endpoint and the caller has nothing, or the stalled attempt has ended. stop must be called once the head of the answer
+// has arrived. last is that of offer.
+func (r *exchange) startOfferTimer(cancel context.CancelCauseFunc, last <-chan struct{}) (stop func()) {
+	timeout := r.answerTimeout()
+	runs, _ := r.offers.count()
+	if timeout <= 0 || r.runs+runs+2 >= r.route.MaxAttempts || !r.hasOther(time.Now()) {
+		return func() {}
+	}
+	giveUp := func() { r.offers.cancelUnlessAccepted(cancel) }
+	if r.offers.lastID() == "" {
+		return progress.Start(timeout, giveUp).Stop
+	}
+	stopped := make(chan struct{})
+	go func() {
+		select {
+		case <-last:
+		case <-stopped:
+			return
+		}
+		defer progress.Start(timeout, giveUp).Stop()
+		<-stopped
+	}()
+	return func() { close(stopped) }
+}
+
+// offerOutcome returns the outcome of an offer that was not accepted. position is that of noContinuation.
+func (r *exchange) offerOutcome(ctx context.Context, e *fleet.Endpoint, reply *upstream.Reply, position string, err error) outcome {
 	if err != nil {
 		return failedOutcome(ctx, err)
 	}
@@ -267,7 +345,14 @@
 	if r.f.cfg.Wire.IsNotRun(reply.Status, reply.Header) {
 		return notRun(reply)
 	}
-	return noContinuation(reply)
+	if r.route.Kind != routing.Streaming {
+		skipBody(reply)
+		return outcome{
+			end: answered, reached: true, answer: &answer{status: reply.Status, header: reply.Header},
+			err: fmt.Errorf("the endpoint answered %d while another one had the request", reply.Status),
+		}
+	}
+	return noContinuation(reply, position)
 }
 
 // recordOffer records the outcome of an offer that was not accepted like that of an attempt.
@@ -275,5 +360,6 @@
 	sent, timeToFirst := r.sentAt, r.timeToFirst
 	defer func() { r.sentAt, r.timeToFirst = sent, timeToFirst }()
 	r.sentAt, r.timeToFirst = o.sent, 0
+	r.mayHaveRun = r.mayHaveRun || o.out.mayHaveRun()
 	r.recordAttempt(o.endpoint, &o.out)
 }
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -7,10 +7,10 @@
 	"fmt"
 	"io"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
+	"github.com/trefoillug/trefoillug/continuation"
 	"github.com/trefoillug/trefoillug/progress"
 	"github.com/trefoillug/trefoillug/routing"
 	"github.com/trefoillug/trefoillug/upstream"
@@ -18,10 +18,10 @@
 
 // streamState records how much of a stream was relayed to the caller.
 type streamState struct {
-	started   bool        // the head of an answer was relayed
-	lastID    string      // ID of the last event that was relayed
-	resumed   bool        // the current attempt continues the stream, and nothing of it was relayed yet
-	unordered atomic.Bool // an event was relayed whose ID does not tell its position
+	started   bool                  // the head of an answer was relayed
+	lastID    string                // ID of the last event that was relayed
+	position  continuation.Position // of the last event that the caller has, also from an earlier request
+	unordered atomic.Bool           // an event was relayed whose ID does not tell its position
 }
 
 // canContinue reports whether another attempt can continue what the caller has: each event has an ID, and the IDs
@@ -40,22 +40,19 @@
 	defaultGap = 500 * time.Millisecond
 )
 
-var (
-	errPartialEvent = errors.New("the stream ended within an event")
-	errEmptyStream  = errors.New("the connection ended before the first event")
-)
+var errPartialEvent = errors.New("the stream ended within an event")
 
 func isStream(reply *upstream.Reply) bool {
-	return reply.Status == 200 && strings.HasPrefix(reply.Header.Get("Content-Type"), "text/event-stream")
+	return reply.Status == 200 && progress.IsEventStream(reply.Header)
 }
 
 // relayStream relays the complete events of a stream. onStall is called when its endpoint makes no progress for
 // stallTimeout, and again after each further one.
-func (r *exchange) relayStream(ctx context.Context, reply *upstream.Reply, move *relocation, onData, onStall func()) outcome {
+func (r *exchange) relayStream(
+	ctx context.Context, reply *upstream.Reply, joint *joint, move *relocation, onData, onStall func()) outcome {
 	defer context.AfterFunc(ctx, func() { reply.Abort() })()
 	watch := progress.Start(r.stallTimeout(), onStall)
 	defer watch.Stop()
-	r.stream.resumed = r.stream.started
 	var buf []byte
 	received := 0
 	last := time.Time{} // of the latest event
@@ -68,16 +65,16 @@
 			received += n
 			buf = append(buf, chunk[:n]...)
 			complete := eventsEnd(buf)
-			hasField := recordProgress(watch, buf[:complete])
-			if hasField {
+			if recordProgress(watch, buf[:complete]) {
 				r.recordBegun()
 			}
 			last = r.recordTokens(buf[:complete], last)
-			if werr := r.forwardEvents(reply, buf[:complete]); werr != nil {
-				return outcome{end: ended, reached: true, err: werr}
+			events, jerr := joint.add(buf[:complete])
+			if jerr != nil {
+				return outcome{end: lost, reached: true, err: jerr}
 			}
-			if hasField {
-				r.offers.record(r.stream.lastID)
+			if out := r.relayEvents(reply, events); out != nil {
+				return *out
 			}
 			buf = append(buf[:0], buf[complete:]...)
 		}
@@ -87,12 +84,20 @@
 		case received > progress.MaxAnswerBytes:
 			return outcome{end: lost, reached: true, partial: true, err: progress.ErrTooLong}
 		case err == nil:
-		case err == io.EOF && received == 0 && reply.IsUnframed():
-			return outcome{end: lost, reached: true, err: errEmptyStream}
-		case err == io.EOF && len(buf) == 0 && move.result() == nil:
+		case err == io.EOF && isBlank(buf) && (len(buf) == 0 || received > len(buf)) && move.result() == nil:
+			events, jerr := joint.end()
+			if jerr != nil {
+				return outcome{end: lost, reached: true, err: jerr}
+			}
+			if out := r.relayEvents(reply, events); out != nil {
+				return *out
+			}
 			if !r.stream.started {
 				r.startStream(reply)
 			}
+			if _, werr := r.w.Write(buf); werr != nil {
+				return outcome{end: ended, reached: true, err: werr}
+			}
 			if r.arrivals == 0 {
 				r.speed().RecordGeneration(time.Since(r.sentAt))
 			}
@@ -111,7 +116,19 @@
 	r.w.WriteHead(reply.Status, reply.Header, -1)
 }
 
-// forwardEvents writes complete events, except those that the caller already has from an earlier endpoint.
+// relayEvents relays complete events, unless another endpoint has accepted the stream meanwhile: its answer goes on at the
+// position for which it was asked. It returns an outcome if the attempt has ended.
+func (r *exchange) relayEvents(reply *upstream.Reply, events []byte) *outcome {
+	if hasField(events) && !r.offers.claim(lastEventID(events)) {
+		return &outcome{end: lost, reached: true, err: progress.ErrStalled}
+	}
+	if err := r.forwardEvents(reply, events); err != nil {
+		return &outcome{end: ended, reached: true, err: err}
+	}
+	return nil
+}
+
+// forwardEvents writes complete events.
 func (r *exchange) forwardEvents(reply *upstream.Reply, events []byte) error {
 	if len(events) == 0 {
 		return nil
@@ -125,9 +142,6 @@
 		events = events[n:]
 		id := eventID(event)
 		later := r.stream.lastID == "" || isLater(id, r.stream.lastID)
-		if id != "" && !later && r.stream.resumed {
-			continue
-		}
 		if hasData(event) && (id == "" || !later || !isPosition(id)) {
 			r.stream.unordered.Store(true)
 		}
@@ -135,12 +149,37 @@
 			return err
 		}
 		if id != "" {
-			r.stream.lastID, r.stream.resumed = id, false
+			if id != r.stream.position.String() {
+				r.stream.position.Record(id)
+			}
+			r.stream.lastID = id
 		}
 	}
 	return r.w.Flush()
 }
 
+// hasField reports whether one of the events is more than a comment.
+func hasField(events []byte) bool {
+	for line := range lines(events) {
+		if len(line) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
+// lastEventID returns the ID of the last of the events that has one.
+func lastEventID(events []byte) (last string) {
+	for len(events) > 0 {
+		n := firstEventEnd(events)
+		if id := eventID(events[:n]); id != "" {
+			last = id
+		}
+		events = events[n:]
+	}
+	return last
+}
+
 // isPosition reports whether an event ID is a number, which tells the position of the event.
 func isPosition(id string) bool {
 	_, err := strconv.ParseInt(id, 10, 64)
@@ -156,7 +195,7 @@
 
 // hasData reports whether an event has data; without any it is a comment or an instruction, which has no position.
 func hasData(event []byte) bool {
-	for line := range bytes.Lines(event) {
+	for line := range lines(event) {
 		if bytes.HasPrefix(line, []byte("data")) {
 			return true
 		}
@@ -182,57 +221,19 @@
 // recordProgress records complete events, some of which may be comments only, with a watch. It reports whether one of
 // them is more than a comment.
 func recordProgress(watch *progress.Watch, events []byte) bool {
-	hasField, hasComment := false, false
-	for line := range bytes.Lines(events) {
-		switch line[0] {
-		case ':':
-			hasComment = true
-		case '\r', '\n':
-		default:
-			hasField = true
-		}
-	}
 	switch {
-	case hasField:
+	case hasField(events):
 		watch.RecordEvent()
-	case hasComment:
+		return true
+	case len(bytes.TrimSpace(events)) > 0:
 		watch.RecordComment()
 	}
-	return hasField
-}
-
-// eventsEnd returns the length of the complete events at the start of b.
-func eventsEnd(b []byte) int {
-	end := 0
-	for {
-		n := firstEventEnd(b[end:])
-		if n == 0 {
-			return end
-		}
-		end += n
-	}
-}
-
-// firstEventEnd returns the length of the first event of b with its blank line, and 0 if it is incomplete.
-func firstEventEnd(b []byte) int {
-	for at := 0; ; {
-		nl := bytes.IndexByte(b[at:], '\n')
-		if nl < 0 {
-			return 0
-		}
-		at += nl + 1
-		switch rest := b[at:]; {
-		case bytes.HasPrefix(rest, []byte("\n")):
-			return at + 1
-		case bytes.HasPrefix(rest, []byte("\r\n")):
-			return at + 2
-		}
-	}
+	return false
 }
 
 // eventID returns the value of the id field of an event.
 func eventID(event []byte) string {
-	for line := range bytes.Lines(event) {
+	for line := range lines(event) {
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			return string(bytes.TrimSpace(value))
 		}
--- a/node/rollouts.go
+++ b/node/rollouts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -11,6 +12,7 @@
 
 	"github.com/trefoillug/trefoillug/config"
 	"github.com/trefoillug/trefoillug/feed"
+	"github.com/trefoillug/trefoillug/fleet"
 	"github.com/trefoillug/trefoillug/forward"
 	"github.com/trefoillug/trefoillug/move"
 	"github.com/trefoillug/trefoillug/peer"
@@ -27,6 +29,7 @@
 	Order    uint64 // revision at which the order was written; identifies it among the orders of the same object
 	State    RolloutState
 	Started  time.Time // time of day at which the first instance saw the order; zero: not recorded
+	Reason   string    // of the decision; empty before
 }
 
 // RolloutState is the recorded state of a rollout.
@@ -69,12 +72,13 @@
 	moves  *move.System
 	orders map[string]Rollout // by service
 	shares map[string][]table.Share
+	faults map[string]string // by service: ID of the complete move whose fault was logged
 }
 
 func newRollouts(n *Node) *rollouts {
 	return &rollouts{
 		n: n, moves: move.New(move.Settings{MemberID: n.settings.Name, Epoch: seedFor(n.process)}), orders: map[string]Rollout{},
-		shares: map[string][]table.Share{},
+		shares: map[string][]table.Share{}, faults: map[string]string{},
 	}
 }
 
@@ -108,6 +112,7 @@
 // remove drops the rollout of a service. Callers must hold r.mu.
 func (r *rollouts) remove(service string) {
 	delete(r.orders, service)
+	delete(r.faults, service)
 	r.moves.Remove(service)
 }
 
@@ -202,13 +207,14 @@
 		if !ok || moveID(o) != p.Move || o.State == RolloutComplete || o.State == RolloutReverted {
 			continue
 		}
-		o.State = RolloutReverted
+		o.State, o.Reason = RolloutReverted, p.Reason
 		if p.Outcome == move.Done {
 			o.State = RolloutComplete
 		}
 		r.n.log.WithFields(logrus.Fields{"service": o.Service, "target": o.Target, "outcome": p.Outcome, "reason": p.Reason}).Info("rollout decided")
 		proposals = append(proposals, o)
 	}
+	r.logFaults(now)
 	r.mu.Unlock()
 	for _, f := range out.Facts {
 		r.n.mesh.Publish(f.Key, f.Value, f.TTL)
@@ -218,6 +224,29 @@
 	}
 }
 
+// logFaults logs once for each complete rollout that its target was found faulty afterwards. The requests then go to the
+// old version while endpoints of it are listed, and to the target once they are gone. r.mu must be held.
+func (r *rollouts) logFaults(now time.Time) {
+	for name, o := range r.orders {
+		status, ok := r.moves.Status(now, name)
+		if !ok || o.State != RolloutComplete || status.State != move.Aborted || r.faults[name] == status.ID {
+			continue
+		}
+		r.faults[name] = status.ID
+		oldEndpoints, targetEndpoints := 0, 0
+		for _, e := range r.n.fleet.Service(name) {
+			if e.Version == o.Target {
+				targetEndpoints++
+			} else {
+				oldEndpoints++
+			}
+		}
+		r.n.log.WithFields(logrus.Fields{
+			"service": name, "target": o.Target, "decided": o.Reason, "reason": status.Reason, "old_endpoints": oldEndpoints, "target_endpoints": targetEndpoints,
+		}).Warn("target of a complete rollout is faulty")
+	}
+}
+
 // record writes a state to the store. The feed then delivers what the store holds, also when another instance wrote
 // first.
 func (r *rollouts) record(o Rollout, state RolloutState) {
@@ -236,7 +265,8 @@
 	}
 }
 
-// Version implements forward.Versions.
+// Version implements forward.Versions. Once a rollout is complete and the endpoints of the old version have been stopped,
+// there is nothing to move back to, so that the service is not being moved any more whatever is seen of its target.
 func (r *rollouts) Version(service, requestID string) (version string, isTarget, moving bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -244,12 +274,17 @@
 	if !ok {
 		return "", false, false
 	}
-	for _, s := range r.shares[service] {
-		if s.Version == o.Target {
-			return o.Target, routing.HashFraction(requestID) < s.Fraction, true
-		}
+	shares, ok := r.shares[service]
+	isTarget = !ok && o.State == RolloutComplete // the first tick has not set the shares yet
+	for _, s := range shares {
+		isTarget = isTarget || s.Version == o.Target && routing.HashFraction(requestID) < s.Fraction
 	}
-	return o.Target, false, true
+	return o.Target, isTarget, isTarget || o.State != RolloutComplete || r.hasOldEndpoints(o)
+}
+
+// hasOldEndpoints reports whether an endpoint of another version than the target is listed.
+func (r *rollouts) hasOldEndpoints(o Rollout) bool {
+	return slices.ContainsFunc(r.n.fleet.Service(o.Service), func(e *fleet.Endpoint) bool { return e.Version != o.Target })
 }
 
 // Observe implements forward.Versions.
--- a/relay/session.go
+++ b/relay/session.go
@@ -26,7 +26,7 @@
 	ctx       context.Context
 	cancel    context.CancelCauseFunc
 	search    endpointSearch
-	maybeSent atomic.Bool // whether an endpoint may have received the request
+	maybeSent atomic.Bool // whether an endpoint may have run the request
 
 	mu            sync.Mutex
 	text          []byte
@@ -39,7 +39,7 @@
 	origins       []origin // which endpoint generated which tokens, in order
 	retainedBytes int      // bytes counted while the session is retained for re-attach; 0 if it is not
 	callers       int      // attached callers
-	currentRun    *engineRun
+	runs          runs
 }
 
 // delivery describes how an answer was produced.
@@ -126,10 +126,8 @@
 	return s.finished || s.handedOver
 }
 
-// appendToken appends a token that an endpoint generated.
+// appendToken appends a token that an endpoint generated. s.mu must be held.
 func (s *session) appendToken(e *table.Endpoint, token string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	if len(s.origins) == 0 || s.delivery.endpoint != e.ID {
 		s.origins = append(s.origins, origin{from: len(s.tokenEnds), endpoint: e.ID, version: e.Version})
 		s.delivery.endpoint, s.delivery.version = e.ID, e.Version
@@ -225,11 +223,23 @@
 	}
 }
 
+// mayHaveRun reports whether an endpoint may have run the request or is running it.
+func (s *session) mayHaveRun() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.maybeSent.Load() || s.runs.current != nil || s.runs.offered != nil
+}
+
 // incompleteError returns the error for a session that ended before its answer was complete.
 func (s *session) incompleteError(kind problem.Kind, format string, args ...any) error {
-	if n, _ := s.emitted(); n > 0 {
+	n, _ := s.emitted()
+	switch mayHaveRun := s.mayHaveRun() && problem.AnswerFor(kind).Outcome == problem.NotRun; {
+	case n > 0:
 		kind = problem.StreamBroken
-	} else if s.maybeSent.Load() && kind != problem.InvalidRequest && problem.AnswerFor(kind).Outcome == problem.NotRun {
+	case mayHaveRun && kind == problem.InvalidRequest:
+		// The kind tells the caller not to repeat the request.
+		return problem.WithUnknownOutcome(problem.New(kind, format, args...))
+	case mayHaveRun:
 		// An earlier endpoint, now lost, may have run the request, so the error must not claim that it was not run.
 		kind = problem.EndpointFailed
 	}
