--- a/relay/halfstream_test.go
+++ b/relay/halfstream_test.go
@@ -36,7 +36,7 @@
 func TestGenerate_HalfAnswers(t *testing.T) {
 	eachHalfAnswer(t, func(t *testing.T, h *halfAnswer) {
 		if !h.Events {
-			t.Skip("engines answer with event streams")
+			return // engines answer with event streams
 		}
 		answerWith := func(header ...string) func(req *http.Request) *standin.RawBytes {
 			return func(req *http.Request) *standin.RawBytes {
