--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -112,6 +112,18 @@
 	return w
 }
 
+// setPatient gives connections and answers all the time that they need on a busy machine, so that no attempt is repeated
+// for a reason of time.
+func (w *harness) setPatient() *harness {
+	for _, e := range w.fleet.Service(service) {
+		e.Pool = upstream.NewPool(e.Address, upstream.Settings{DialTimeout: 5 * time.Second})
+	}
+	for i := range w.table.Routes {
+		w.table.Routes[i].Timeout, w.table.Routes[i].TargetLatency, w.table.Routes[i].TargetGap = time.Minute, time.Minute, time.Minute
+	}
+	return w
+}
+
 func (w *harness) route(name string, kind routing.Kind, attempts int, resumable bool) routing.Route {
 	return routing.Route{
 		Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, Resumable: resumable, MaxAttempts: attempts,
