--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -130,10 +130,16 @@
 // splitLine is a bufio.SplitFunc for lines that end in CR, LF or both. Between CR and LF it returns an empty line, which has
 // no meaning on its own. It drops the part of a line within which the stream has ended.
 func splitLine(b []byte, atEOF bool) (advance int, line []byte, err error) {
-	if n := bytes.IndexAny(b, "\r\n"); n >= 0 {
-		return n + 1, b[:n], nil
+	n := bytes.IndexByte(b, '\n')
+	if cr := bytes.IndexByte(b[:max(n, 0)], '\r'); cr >= 0 {
+		n = cr
+	} else if n < 0 {
+		n = bytes.IndexByte(b, '\r')
 	}
-	if atEOF {
+	switch {
+	case n >= 0:
+		return n + 1, b[:n], nil
+	case atEOF:
 		return len(b), nil, nil
 	}
 	return 0, nil, nil
--- a/forward/lines.go
+++ b/forward/lines.go
@@ -23,14 +23,21 @@
 
 // lineEnd returns the length of the first line of b and that of its end, which is 0 if the line is incomplete.
 func lineEnd(b []byte) (length, end int) {
-	n := bytes.IndexAny(b, "\r\n")
-	switch {
-	case n < 0:
+	lf := bytes.IndexByte(b, '\n')
+	first := b
+	if lf >= 0 {
+		first = b[:lf]
+	}
+	switch cr := bytes.IndexByte(first, '\r'); {
+	case cr < 0 && lf < 0:
 		return 0, 0
-	case bytes.HasPrefix(b[n:], []byte("\r\n")):
-		return n, 2
+	case cr < 0:
+		return lf, 1
+	case cr+1 == lf:
+		return cr, 2
+	default:
+		return cr, 1
 	}
-	return n, 1
 }
 
 // isBlank reports whether b has only empty lines.
