--- a/fleet/live.go
+++ b/fleet/live.go
@@ -34,7 +34,12 @@
 }
 
 // Load is the number of requests at an endpoint and of its slots, as reported by the endpoint or by peers.
-type Load struct{ Running, Waiting, Slots int }
+type Load struct {
+	Running, Waiting, Slots int
+	// Pace is how long work takes at the endpoint at the moment of the report, relative to its usual time: 1.2 means a
+	// fifth longer. 0: not reported.
+	Pace float64
+}
 
 // Snapshot is the load and health of an endpoint at one time.
 type Snapshot struct {
