node, fleet, forward: evacuated zones get no requests

Cause: an operator evacuates a zone by an object "evacuations/ZONE", after which no request may reach an endpoint of the zone. The system did not read that kind.

Change: a feed of the kind, where the settings have bounds.evacMs above 0. The table of endpoints leaves endpoints of evacuated zones out of Service, so that first attempts, repeats, offers, resumes and targets of moves never see them. An endpoint that was chosen before is checked again right before the request is written (upstream.Call.MaySend); the attempt then counts as one that reached nothing, and neither the endpoint's health nor the retry budget is charged. A moved run goes back to where it came from if the zone of its target was evacuated meanwhile, and is resumed elsewhere, where the route allows it, if both were. If all endpoints of a service are in evacuated zones, requests are refused at once (503 with Retry-After). Reports between peers carry the evacuations that an instance has read, besides the newest change of the kind: an instance whose calls to the store time out applies them before its own list has failed. A copy between peers may be empty, so that an instance without a store learns that there are no evacuations; readiness waits for them for 1 s at most once all else is known. Log lines, gauge trefoillug_zones_evacuated and GET /status at the control listener.

Without the check before the write TestServe_EvacuatedWhileConnecting fails. Without the evacuations in the reports TestPath_EvacuationWithoutStore still passes, by the peer's copy; what the reports save was not measured.

--- a/cmd/trefoillug/node.go
+++ b/cmd/trefoillug/node.go
@@ -60,10 +60,13 @@
 func newPlatform(s *platform.Settings, log logrus.FieldLogger) node.Platform {
 	store := platform.NewStore(s.StoreAddress)
 	p := node.Platform{
-		Kinds:   node.Kinds{Configuration: platform.KindManifest, Endpoints: platform.KindEndpoints, Rollouts: platform.KindRollouts},
+		Kinds: node.Kinds{
+			Configuration: platform.KindManifest, Endpoints: platform.KindEndpoints, Rollouts: platform.KindRollouts,
+			Evacuations: platform.KindEvacuations,
+		},
 		Objects: store, Records: platform.Records{Store: store}, Wire: platform.Wire{}, Mover: platform.Mover{},
 		DecodeTable: platform.DecodeManifest, DecodeEndpoint: platform.DecodeEndpoint, Ready: platform.ReadyHandler,
-		DecodeRollout: platform.DecodeRollout, Rollouts: platform.Rollouts{Store: store},
+		DecodeRollout: platform.DecodeRollout, DecodeEvacuation: platform.DecodeEvacuation, Rollouts: platform.Rollouts{Store: store},
 		Ingress: func(f *forward.Forwarder, maxBody func() int64, closing func() bool) http.Handler {
 			return &platform.Ingress{Forwarder: f, MaxBody: maxBody, Closing: closing, Log: log}
 		},
--- a/feed/copy.go
+++ b/feed/copy.go
@@ -32,7 +32,8 @@
 func (f *Feed) Copy(after uint64) *Copy {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.listed || f.changed <= after {
+	hasNothing := f.changed == 0 && after == 0 // a peer without a list needs to know that there are no objects
+	if !f.listed || f.changed <= after && !hasNothing {
 		return nil
 	}
 	c := &Copy{Revision: f.revision, NewestChange: f.changed, Settled: f.settled()}
@@ -60,6 +61,9 @@
 	f.mu.Lock()
 	ask := !f.listed || f.mustList
 	after := f.changed
+	if f.listed {
+		after = max(after, 1) // an empty list is nothing newer
+	}
 	f.mu.Unlock()
 	if !ask {
 		return
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -90,6 +90,7 @@
 	byAddr   map[string]string // address -> ID of the latest endpoint that uses it
 	departed departures
 	services atomic.Pointer[map[string][]*Endpoint]
+	zones    zones
 	changed  chan struct{} // closed and replaced on each change
 }
 
@@ -105,7 +106,8 @@
 	return t
 }
 
-// Service returns the endpoints of a service that may get new work, sorted by ID. The slice must not be changed.
+// Service returns the endpoints of a service that may get new work, sorted by ID, without those in evacuated zones. The slice
+// must not be changed.
 func (t *Table) Service(name string) []*Endpoint { return (*t.services.Load())[name] }
 
 // Changed returns a channel that is closed at the next change.
@@ -284,9 +286,13 @@
 
 // publish rebuilds the endpoints of each service and notifies the receivers of Changed. t.mu must be held.
 func (t *Table) publish() {
-	services := map[string][]*Endpoint{}
+	services, withheld := map[string][]*Endpoint{}, map[string]int{}
 	for _, r := range t.byID {
-		if !r.endpoint.IsLeaving() {
+		switch {
+		case r.endpoint.IsLeaving():
+		case r.endpoint.IsEvacuated():
+			withheld[r.endpoint.Service]++
+		default:
 			services[r.endpoint.Service] = append(services[r.endpoint.Service], r.endpoint)
 		}
 	}
@@ -294,6 +300,7 @@
 		slices.SortFunc(list, func(a, b *Endpoint) int { return strings.Compare(a.ID, b.ID) })
 	}
 	t.services.Store(&services)
+	t.zones.withheld.Store(&withheld)
 	close(t.changed)
 	t.changed = make(chan struct{})
 }
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -316,7 +316,7 @@
 	}
 	call := &upstream.Call{
 		Method: r.req.Method, URI: r.req.URI, Host: r.req.Host, Header: r.f.cfg.Wire.Outbound(a), Body: r.req.Body,
-		NonIdempotent: !r.route.MayRepeat(), HeadTimeout: headTimeout,
+		NonIdempotent: !r.route.MayRepeat(), HeadTimeout: headTimeout, MaySend: func() error { return r.maySend(e) },
 	}
 	if r.req.ID != "" {
 		call.MatchesAnswer = func(h http.Header, reused bool) bool { return r.f.cfg.Wire.IsAnswerTo(h, r.req.ID, reused) }
@@ -366,7 +366,7 @@
 		}
 	}
 	switch {
-	case out.end == unreachable && !errors.Is(out.err, upstream.ErrConnectionLimit):
+	case out.end == unreachable && !errors.Is(out.err, upstream.ErrConnectionLimit) && !errors.Is(out.err, errWithheld):
 		e.Stats.RecordUnreachable(now)
 	case out.end == lost && r.pendingMove == nil:
 		e.Stats.RecordAnswer(true, now)
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -55,7 +55,12 @@
 			pause(ctx, moveRetryDelay)
 		}
 		r.admission = fleet.Admission{}
-		return r.pendingMove.endpoint(time.Now()), nil
+		if e := r.pendingMove.endpoint(time.Now()); e != nil {
+			return e, nil
+		}
+		if refusal := r.dropMove(ctx); refusal != nil {
+			return nil, refusal
+		}
 	}
 	if r.accepted = r.offers.take(); r.accepted != nil {
 		return r.accepted.endpoint, nil
@@ -74,6 +79,9 @@
 			r.admission = admission
 			return e, nil
 		}
+		if refusal := r.evacuatedRefusal(); refusal != nil {
+			return nil, refusal
+		}
 		if opensAt.After(end) {
 			return nil, r.pausedRefusal(opensAt.Sub(now))
 		}
@@ -120,7 +128,7 @@
 // nil. Without such an endpoint the result is nil with the time at which the first one accepts requests again; zero: none
 // will.
 func (r *exchange) best(now time.Time, excluded *fleet.Endpoint) (e *fleet.Endpoint, admission fleet.Admission, opensAt time.Time) {
-	all := r.filterByVersion(r.f.cfg.Fleet.Service(r.service.Name), now)
+	all := r.endpoints(now)
 	fresh := make([]*fleet.Endpoint, 0, len(all))
 	var again []*fleet.Endpoint
 	for _, e := range all {
@@ -178,8 +186,11 @@
 // checkPaused refuses another attempt at once if no endpoint accepts it in time, so that it costs no retry budget.
 func (r *exchange) checkPaused() error {
 	now := time.Now()
+	if refusal := r.evacuatedRefusal(); refusal != nil {
+		return refusal
+	}
 	var opensAt time.Time
-	for _, e := range r.filterByVersion(r.f.cfg.Fleet.Service(r.service.Name), now) {
+	for _, e := range r.endpoints(now) {
 		if at := e.AcceptsAt(now); opensAt.IsZero() || at.Before(opensAt) {
 			opensAt = at
 		}
@@ -192,7 +203,7 @@
 
 // hasOther reports whether an endpoint that the request has not tried accepts it.
 func (r *exchange) hasOther(now time.Time) bool {
-	return slices.ContainsFunc(r.filterByVersion(r.f.cfg.Fleet.Service(r.service.Name), now), func(e *fleet.Endpoint) bool {
+	return slices.ContainsFunc(r.endpoints(now), func(e *fleet.Endpoint) bool {
 		return !r.tried[e] && !e.AcceptsAt(now).After(now)
 	})
 }
--- a/forward/relocate.go
+++ b/forward/relocate.go
@@ -57,9 +57,16 @@
 }
 
 // endpoint returns where the run continues at a time. The endpoint that has stopped it keeps its memory, and gets it back
-// if the other one was not reached or wants no requests.
+// if the other one was not reached, wants no requests, or is in an evacuated zone. It returns nil if both are.
 func (m *moveResult) endpoint(now time.Time) *fleet.Endpoint {
-	if m.unreached {
+	switch {
+	case m.to.IsEvacuated() && m.from.IsEvacuated():
+		return nil
+	case m.to.IsEvacuated():
+		return m.from
+	case m.from.IsEvacuated():
+		return m.to
+	case m.unreached:
 		return m.from
 	}
 	if !m.to.PausedUntil(now).IsZero() && m.from.PausedUntil(now).IsZero() {
--- /dev/null
+++ b/node/evacuations.go
@@ -0,0 +1,143 @@
+package node
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/trefoillug/trefoillug/feed"
+)
+
+// maxEvacuationsWait bounds how much longer than for the list of endpoints a starting instance waits for the evacuations:
+// the time for a list or for the copy of a peer.
+const maxEvacuationsWait = time.Second
+
+// evacuations applies the evacuations of zones. It takes them from the store through its feed, and new ones also from the
+// reports of peers, which arrive while this instance's own calls to the store still time out.
+type evacuations struct {
+	n *Node
+
+	mu          sync.Mutex
+	read        map[string]uint64 // by zone: revision of the evacuation, from the store or a peer's copy
+	reported    map[string]uint64 // like read, from reports of peers that were ahead of read
+	inEffect    []string          // sorted
+	listedSince time.Time         // see allowReady
+}
+
+func newEvacuations(n *Node) *evacuations {
+	return &evacuations{n: n, read: map[string]uint64{}, reported: map[string]uint64{}}
+}
+
+// feed returns the feed of the evacuations, and nil if the deployment has none.
+func (e *evacuations) feed() *feed.Feed { return e.n.feeds[e.n.platform.Kinds.Evacuations] }
+
+// Replace implements feed.Handler. A missing evacuation was removed, even if the store was down: unlike entries of
+// endpoints, these objects do not expire.
+func (e *evacuations) Replace(objects []feed.Object, _ bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.read = map[string]uint64{}
+	for _, o := range objects {
+		e.add(o)
+	}
+	e.apply()
+}
+
+// Apply implements feed.Handler.
+func (e *evacuations) Apply(event feed.Event, _ bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if event.Deleted {
+		if zone, err := e.n.platform.DecodeEvacuation(event.Object); err == nil {
+			delete(e.read, zone)
+		}
+	} else {
+		e.add(event.Object)
+	}
+	e.apply()
+}
+
+// add records an evacuation that was read. e.mu must be held.
+func (e *evacuations) add(o feed.Object) {
+	zone, err := e.n.platform.DecodeEvacuation(o)
+	if err != nil {
+		e.n.log.WithError(err).WithFields(logrus.Fields{"object": o.Name, "revision": o.Revision}).Warn("invalid evacuation skipped")
+		return
+	}
+	e.read[zone] = o.Revision
+}
+
+// receive records the evacuations that a peer reports. One that is older than the newest change that this instance has read
+// says nothing: it was read as well, or was removed since.
+func (e *evacuations) receive(zones map[string]uint64) {
+	if len(zones) == 0 || e.feed() == nil {
+		return
+	}
+	newest := e.feed().NewestChange()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for zone, revision := range zones {
+		if revision > newest && revision > e.reported[zone] {
+			e.reported[zone] = revision
+		}
+	}
+	e.apply()
+}
+
+// report returns the evacuations for a report to the peers: those that were read only, so that a removed one can't be
+// reported in turn by instances that have it from each other.
+func (e *evacuations) report() map[string]uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return maps.Clone(e.read)
+}
+
+// apply puts the evacuations into effect and logs changes. e.mu must be held.
+func (e *evacuations) apply() {
+	newest := e.feed().NewestChange()
+	maps.DeleteFunc(e.reported, func(_ string, revision uint64) bool { return revision <= newest })
+	zones := maps.Clone(e.read)
+	for zone, revision := range e.reported {
+		zones[zone] = max(zones[zone], revision)
+	}
+	before := e.inEffect
+	e.inEffect = slices.Sorted(maps.Keys(zones))
+	if !e.n.fleet.SetEvacuated(e.inEffect) {
+		return
+	}
+	e.n.stateChanged.Store(true)
+	for _, zone := range e.inEffect {
+		if !slices.Contains(before, zone) {
+			e.record(zone, 1)
+			e.n.log.WithFields(logrus.Fields{"evacuated": zone, "revision": zones[zone], "from_peer": e.read[zone] == 0}).
+				Info("zone evacuated: its endpoints get no requests")
+		}
+	}
+	for _, zone := range before {
+		if _, still := zones[zone]; !still {
+			e.record(zone, 0)
+			e.n.log.WithFields(logrus.Fields{"evacuated": zone, "revision": newest}).Info("evacuation of zone removed")
+		}
+	}
+}
+
+func (e *evacuations) record(zone string, value float64) {
+	e.n.metrics.scope.SubScope("zones").Tagged(map[string]string{"zone": zone}).Gauge("evacuated").Update(value)
+}
+
+// allowReady reports whether the evacuations are known, or have been awaited for long enough. It must be called only once
+// everything else is known that the instance needs for its readiness.
+func (e *evacuations) allowReady(now time.Time) bool {
+	if e.feed() == nil || isClosed(e.feed().Ready()) {
+		return true
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.listedSince.IsZero() {
+		e.listedSince = now
+	}
+	return now.Sub(e.listedSince) >= maxEvacuationsWait
+}
--- a/node/node.go
+++ b/node/node.go
@@ -73,6 +73,7 @@
 	metrics      *metrics
 	load         loadMeter
 	rollouts     *rollouts
+	evacuations  *evacuations
 	notices      notices
 	owners       owners
 	suspects     *suspects
@@ -125,6 +126,10 @@
 	n.addFeed(p.Kinds.Configuration, configHandler{n})
 	n.addFeed(p.Kinds.Endpoints, &endpointHandler{n: n})
 	n.addFeed(p.Kinds.Rollouts, n.rollouts)
+	n.evacuations = newEvacuations(n)
+	if s.EvacuationTime > 0 {
+		n.addFeed(p.Kinds.Evacuations, n.evacuations)
+	}
 	n.subscribe()
 	return n, nil
 }
@@ -194,7 +199,7 @@
 
 // IsReady reports whether the instance may get new connections.
 func (n *Node) IsReady() bool {
-	return !n.closing.Load() && n.table.Load() != nil && isClosed(n.feeds[n.platform.Kinds.Endpoints].Ready())
+	return !n.closing.Load() && n.table.Load() != nil && isClosed(n.feeds[n.platform.Kinds.Endpoints].Ready()) && n.evacuations.allowReady(time.Now())
 }
 
 func isClosed(c <-chan struct{}) bool {
--- a/node/peers.go
+++ b/node/peers.go
@@ -52,6 +52,8 @@
 	Load    map[string]uint32 `cbor:"5,keyasint,omitempty"` // by service, in thousandths of an endpoint
 	Cores   float64           `cbor:"6,keyasint,omitempty"` // processor cores of the instance
 	Watches watching          `cbor:"7,keyasint"`
+	// Evacuated holds the revisions of the evacuations that this instance has read, by zone.
+	Evacuated map[string]uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // usageReport holds the counts of the newest windows of a process.
@@ -110,7 +112,7 @@
 	if unreachable := n.quotas.UnreachableInstances(now); n.members.setUnreachable(unreachable) {
 		n.log.WithFields(logrus.Fields{"silent": unreachable, "expected": expected}).Info("number of unreachable instances changed; quotas adjusted")
 	}
-	r := report{Process: n.process, Quotas: n.quotas.Report(now), Changed: map[string]uint64{}, Leaving: n.closing.Load(), Load: n.load.measure(now), Cores: n.settings.Cores, Watches: n.watching(now)}
+	r := report{Process: n.process, Quotas: n.quotas.Report(now), Changed: map[string]uint64{}, Leaving: n.closing.Load(), Load: n.load.measure(now), Cores: n.settings.Cores, Watches: n.watching(now), Evacuated: n.evacuations.report()}
 	for kind, f := range n.feeds {
 		r.Changed[kind] = f.NewestChange()
 	}
@@ -160,6 +162,7 @@
 	if r.Leaving {
 		n.quotas.ProcessEnded(r.Process)
 	}
+	n.evacuations.receive(r.Evacuated)
 	for kind, changed := range r.Changed {
 		if own := n.feeds[kind]; own != nil {
 			n.members.recordChange(kind, f.Origin, changed)
@@ -209,6 +212,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(peer.Path, n.mesh.Handler())
 	mux.Handle("GET /metrics", n.metrics.handler)
+	mux.HandleFunc("GET /status", n.serveStatus)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	return mux
 }
--- a/node/settings.go
+++ b/node/settings.go
@@ -41,6 +41,9 @@
 	UsageDueTime    time.Duration // a report is due this long after the end of its window
 	ExposedShare    float64       // largest share of a service's requests that an unproven version may get
 
+	// EvacuationTime is the time in which an evacuation of a zone must be in effect; 0: zones are never evacuated.
+	EvacuationTime time.Duration
+
 	ReportUsage bool
 	SizePool    bool
 }
@@ -65,7 +68,7 @@
 }
 
 // Kinds names the kinds of objects in which the platform keeps its state.
-type Kinds struct{ Configuration, Endpoints, Rollouts string }
+type Kinds struct{ Configuration, Endpoints, Rollouts, Evacuations string }
 
 // Platform is what the adapter to a platform provides.
 type Platform struct {
@@ -80,7 +83,9 @@
 	DecodeTable    func(spec []byte) (*routing.Table, error)
 	DecodeEndpoint func(id string, spec []byte, now time.Time) (fleet.Entry, error)
 	DecodeRollout  func(o feed.Object) (Rollout, error)
-	Rollouts       RolloutStore
+	// DecodeEvacuation returns the zone to which nothing more may be sent.
+	DecodeEvacuation func(o feed.Object) (zone string, err error)
+	Rollouts         RolloutStore
 	// Ingress returns the handler for callers' requests.
 	Ingress func(f *forward.Forwarder, maxBody func() int64, closing func() bool) http.Handler
 	// Ready returns the handler for the balancer's readiness checks.
--- /dev/null
+++ b/node/status.go
@@ -0,0 +1,57 @@
+package node
+
+import (
+	"encoding/json"
+	"net/http"
+)
+
+// status is what an instance shows of its state under /status.
+type status struct {
+	Instance  string                    `json:"instance"`
+	Process   string                    `json:"process"`
+	Zone      string                    `json:"zone"`
+	Ready     bool                      `json:"ready"`
+	Version   uint64                    `json:"version"` // of the configuration; 0: none yet
+	Evacuated []string                  `json:"evacuated_zones"`
+	Services  map[string]*serviceStatus `json:"services"`
+}
+
+// serviceStatus counts the listed endpoints of a service.
+type serviceStatus struct {
+	Endpoints int `json:"endpoints"`
+	Leaving   int `json:"leaving"`
+	Evacuated int `json:"evacuated"`
+}
+
+func (n *Node) status() status {
+	s := status{
+		Instance: n.settings.Name, Process: n.process, Zone: n.settings.Zone, Ready: n.IsReady(), Evacuated: n.fleet.Evacuated(),
+		Services: map[string]*serviceStatus{},
+	}
+	if t := n.table.Load(); t != nil {
+		s.Version = t.Version
+	}
+	if s.Evacuated == nil {
+		s.Evacuated = []string{}
+	}
+	for _, e := range n.fleet.All() {
+		counts := s.Services[e.Service]
+		if counts == nil {
+			counts = &serviceStatus{}
+			s.Services[e.Service] = counts
+		}
+		counts.Endpoints++
+		if e.IsLeaving() {
+			counts.Leaving++
+		}
+		if e.IsEvacuated() {
+			counts.Evacuated++
+		}
+	}
+	return s
+}
+
+func (n *Node) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(n.status()) // the reader may have gone
+}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -47,6 +47,9 @@
 	// MayTimeOut is called when HeadTimeout has passed, from another goroutine. If it returns false, the exchange goes on and
 	// MayTimeOut is called again after a further HeadTimeout; nil: the exchange fails at once.
 	MayTimeOut func() bool
+	// MaySend is called once a connection is there, right before the request is written. If it returns an error, the exchange
+	// fails with it, nothing is sent, and the connection is kept; nil: the request is always sent.
+	MaySend func() error
 }
 
 // Error is the error of a failed exchange.
@@ -91,6 +94,12 @@
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
+	if call.MaySend != nil {
+		if err := call.MaySend(); err != nil {
+			p.putUnused(c)
+			return nil, &Error{Err: err}
+		}
+	}
 	reused := c.used
 	stop := context.AfterFunc(ctx, func() { _ = c.Conn.SetDeadline(time.Unix(1, 0)); c.discard() })
 	written := &atomic.Bool{}
@@ -119,6 +128,22 @@
 	return nil, &Error{Sent: sent, Reused: reused, Err: err}
 }
 
+// putUnused returns a connection to the pool on which nothing was sent.
+func (p *Pool) putUnused(c *conn) {
+	if c.idleSince.IsZero() {
+		c.idleSince = time.Now()
+	}
+	p.mu.Lock()
+	if !p.closed {
+		p.idle = append(p.idle, c)
+		c = nil
+	}
+	p.mu.Unlock()
+	if c != nil {
+		c.discard()
+	}
+}
+
 // send writes the request; a large body is written in the background. sent reports whether a byte may have been sent.
 func (c *conn) send(call *Call, written *atomic.Bool) (sent bool, err error) {
 	head, err := call.head()
