node, platform: count the calls of the store by purpose

Tests: go test -race -p 2 ./node ./platform ./cmd/... passes (platform 245 s); gofmt, vet and staticcheck are clean.

--- a/cmd/trefoillug/node.go
+++ b/cmd/trefoillug/node.go
@@ -68,8 +68,11 @@
 			return &platform.Ingress{Forwarder: f, MaxBody: maxBody, Closing: closing, Log: log}
 		},
 	}
+	p.OnStoreCall = store.OnCall
 	if s.CloudAddress != "" {
-		p.API = platform.NewAPI(s.CloudAddress, s.Node.Name)
+		api := platform.NewAPI(s.CloudAddress, s.Node.Name)
+		p.API = api
+		p.OnStoreCall = func(count func(node.StoreCall)) { store.OnCall(count); api.OnCall(count) }
 	}
 	return p
 }
--- a/node/node.go
+++ b/node/node.go
@@ -109,6 +109,9 @@
 		return nil, err
 	}
 	n.mesh = mesh
+	if p.OnStoreCall != nil {
+		p.OnStoreCall(countStoreCall(n.metrics.scope))
+	}
 	n.load = newLoadMeter()
 	n.members = newMembership(s.Name, time.Now())
 	n.owners = newOwners()
--- a/node/settings.go
+++ b/node/settings.go
@@ -70,6 +70,8 @@
 // Platform is what the adapter to a platform provides.
 type Platform struct {
 	DroppedLogLines func() int64 // since the start; nil: the log drops none
+	// OnStoreCall sets the function that is called before each call of the store or the API; nil: calls are not counted.
+	OnStoreCall func(func(StoreCall))
 
 	Kinds          Kinds
 	Objects        feed.Store
