--- a/limit/limit.go
+++ b/limit/limit.go
@@ -252,7 +252,7 @@
 		return nil
 	}
 	if svc.queue.remove(t) {
-		t.wait = svc.queue.expectedWait(svc.queue.position(t))
+		t.wait = svc.queue.expectedWait(svc.queue.position(t, time.Now()))
 	}
 	if err := ctx.Err(); err != nil && time.Now().Before(t.deadline) {
 		return err
@@ -319,7 +319,7 @@
 	defer a.servicesMu.RUnlock()
 	for _, svc := range a.services {
 		svc.mu.Lock()
-		s.Waiting += svc.queue.waitingAtOrAbove(config.PriorityLow)
+		s.Waiting += svc.queue.waiting.Len()
 		svc.mu.Unlock()
 	}
 	return s
