cold, fleet, forward, node: limit the requests to cold endpoints over all instances

Cause: an endpoint is cold after its start or the return of its zone, tolerates coldPerS requests a second then, summed over all instances, and crashes well above that. The system did not read coldLeftMs and sent as to any other endpoint.

Change: a pure package cold divides the limit. The first three instances by rendezvous hashing have a share of each cold endpoint's limit, in a window of 1.3 s (one second, the time for which a permit is valid, and jitter), all shares together at most floor(coldPerS * coldOverage + coldSlack). An instance uses a share only by a list of the register that was read at most 3 s ago, and only when its own entry was confirmed at least 3 s ago. So whoever uses a share is in every list in use, and the sum holds whatever instances hear of each other. Two instances read the list from the store each 1.5 s while endpoints are cold, the others ask them. An instance without a share sends nothing by itself; if no other endpoint can take a request, it asks an instance with a share for a permit (60 ms at most), waits within the request's usual wait, or refuses with Retry-After. Permits are checked right before a request is written, on all ways. Cold endpoints are not used while another one has a free slot, since they are slow. The cold time counts from the first reading of an entry; a starting instance asks three peers how much of it is left. X-Trefoillug-Cold-Ms is read from every answer. Applies only to services with coldS and coldPerS above 0.

Result: TestMembership_SumOfShares (75 and 650 instances, joins, deaths, restarts within a second, a fifth without new lists) holds the bound, and with nothing failing serves above 0.85 of coldPerS; it fails with older lists, without the waiting time, and with a window of one second. TestPath_AllEndpointsAreCold: three instances, four cold endpoints, 95 requests in 8.5 s of which the first 3 s are the waiting time, the bound holds.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -29,11 +29,13 @@
 	LeavesAt    time.Time // zero: unknown
 	Reclaimable bool
 	StartedMs   int64 // start of this lifetime, in Unix milliseconds
+	Revision    uint64
+	ColdUntil   time.Time // see Endpoint.ColdUntil; zero: not cold
 }
 
 // Endpoint is one lifetime of an endpoint, from one start to its end. Its methods are safe for concurrent use.
 type Endpoint struct {
-	Entry // constant; Draining and LeavesAt are read through the methods
+	Entry // constant; Draining, LeavesAt, Revision and ColdUntil are read through the methods
 	Pool  *upstream.Pool
 	Stats Stats
 
@@ -43,6 +45,7 @@
 
 	table        *Table
 	gate         gate
+	cold         coldState
 	answeredAt   atomic.Int64 // latest answer that did not say that the endpoint is leaving, in Unix nanoseconds; 0: none
 	saidInvalid  atomic.Bool  // see FirstInvalid
 	leavingSince atomic.Int64 // see LeavingSince; Unix nanoseconds, 0: it has not said so
@@ -237,6 +240,7 @@
 		t.byAddr[e.Address] = e.ID
 	}
 	old.removeAt = time.Time{}
+	old.endpoint.cold.readEntry(&e)
 	if e.Draining {
 		t.departed.add(e.ID, e.StartedMs, e.Address)
 		old.endpoint.leave(e.LeavesAt)
--- a/fleet/signals.go
+++ b/fleet/signals.go
@@ -13,6 +13,7 @@
 type Signals struct {
 	Leaving bool          // it is leaving
 	Pause   time.Duration // it wants no request from this instance for so long; 0: says nothing
+	Cold    time.Duration // it is cold for so long; 0: says nothing
 	Invalid error         // a signal that could not be read and counts for nothing; nil: none
 }
 
@@ -26,6 +27,9 @@
 	if !s.Leaving {
 		e.answeredAt.Store(now.UnixNano())
 	}
+	if s.Cold > 0 {
+		e.recordCold(s.Cold, now)
+	}
 	if e.table == nil || !s.Leaving && s.Pause <= 0 && s.Invalid == nil {
 		return
 	}
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -82,6 +82,12 @@
 		if refusal := r.evacuatedRefusal(); refusal != nil {
 			return nil, refusal
 		}
+		e, admission, coldAt := r.askCold(ctx, now)
+		if e != nil {
+			r.admission = admission
+			return e, nil
+		}
+		opensAt = earlier(opensAt, coldAt)
 		if opensAt.After(end) {
 			return nil, r.pausedRefusal(opensAt.Sub(now))
 		}
@@ -150,10 +156,14 @@
 	if len(fresh) == 0 {
 		fresh = again
 	}
+	fresh = r.withoutCold(fresh, now)
 	for len(fresh) > 0 {
 		e := r.f.bestOf(r.prompt(), fresh, all)
 		if admission, ok := e.Admit(now); ok {
-			return e, admission, time.Time{}
+			if r.takePermit(e, now) {
+				return e, admission, time.Time{}
+			}
+			e.EndAdmission(admission, false)
 		}
 		// Another request was faster.
 		fresh = slices.DeleteFunc(fresh, func(other *fleet.Endpoint) bool { return other == e })
--- /dev/null
+++ b/forward/cold_test.go
@@ -0,0 +1,162 @@
+package forward_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/trefoillug/trefoillug/fleet"
+	"github.com/trefoillug/trefoillug/forward"
+	"github.com/trefoillug/trefoillug/upstream"
+)
+
+// coldPermits is a forward.Cold with permits for this instance and at its peers.
+type coldPermits struct {
+	mu       sync.Mutex
+	own      int
+	peers    int
+	validFor time.Duration
+}
+
+func (c *coldPermits) Next(_ *fleet.Endpoint, now time.Time) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.own > 0 {
+		return now
+	}
+	return time.Time{}
+}
+
+func (c *coldPermits) Take(_ *fleet.Endpoint, now time.Time) (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.own--
+	return now.Add(c.validFor), c.own >= 0
+}
+
+func (c *coldPermits) Ask(_ context.Context, endpoints []*fleet.Endpoint) (*fleet.Endpoint, time.Time, time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.peers--; c.peers < 0 {
+		return nil, time.Time{}, 200 * time.Millisecond
+	}
+	return endpoints[0], time.Now().Add(c.validFor), 0
+}
+
+// newColdHarness is newHarness with limits for cold endpoints.
+func newColdHarness(t *testing.T, endpoints int, c *coldPermits, script func(a *arrival)) *harness {
+	t.Helper()
+	w := newHarness(t, endpoints, script, func(cfg *forward.Config) { cfg.Cold = c })
+	w.table.Services[service].ColdPerSecond = 4
+	return w
+}
+
+// makeCold makes endpoints cold for a minute.
+func makeCold(endpoints ...*fleet.Endpoint) {
+	for _, e := range endpoints {
+		e.RecordSignals(fleet.Signals{Cold: time.Minute}, time.Now())
+	}
+}
+
+// Guards against requests to cold endpoints without permits, while another endpoint can serve them, and against requests
+// that are refused although a permit is to be had.
+func TestServe_ColdEndpoints(t *testing.T) {
+	c := &coldPermits{validFor: time.Second}
+	w := newColdHarness(t, 3, c, func(a *arrival) { a.reply(http.StatusOK, "x") })
+	all := w.fleet.Service(service)
+	makeCold(all[1:]...)
+	for range 20 {
+		must.Eq(t, http.StatusOK, w.send(t.Context(), "once").status)
+	}
+	w.mu.Lock()
+	for _, id := range w.arrivals {
+		must.Eq(t, all[0].ID, id)
+	}
+	w.mu.Unlock()
+
+	makeCold(all...)
+	c.own = 2
+	must.Eq(t, http.StatusOK, w.send(t.Context(), "once").status)
+	must.Eq(t, 1, c.own)
+	c.own, c.peers = 0, 1
+	must.Eq(t, http.StatusOK, w.send(t.Context(), "once").status)
+	got := w.send(t.Context(), "once")
+	must.Eq(t, http.StatusServiceUnavailable, got.status)
+	must.Positive(t, got.refusal.RetryAfter)
+	must.Less(t, 200*time.Millisecond, got.took) // the next permit comes too late
+	must.Eq(t, 22, w.arrivalCount())
+
+	for _, e := range all[:1] { // the others are used while no other endpoint has a free slot
+		e.LimitCold(0, time.Now().Add(-time.Second))
+		for range e.Slots {
+			e.Stats.Begin(0)
+		}
+	}
+	c.own = 1
+	must.Eq(t, http.StatusOK, w.send(t.Context(), "once").status)
+	must.Eq(t, 0, c.own)
+}
+
+// Guards against a request to an endpoint that became cold, or whose permit expired, while its connection was being opened.
+func TestServe_ColdWhileConnecting(t *testing.T) {
+	c := &coldPermits{}
+	w := newColdHarness(t, 2, c, func(a *arrival) { a.reply(http.StatusOK, "x") })
+	var first atomic.Value
+	for _, e := range w.fleet.Service(service) {
+		e.Pool = upstream.NewPool(e.Address, upstream.Settings{Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			if first.CompareAndSwap(nil, e.ID) {
+				makeCold(e)
+			}
+			return upstream.DialTCP(ctx, address)
+		}})
+	}
+	must.Eq(t, http.StatusOK, w.send(t.Context(), "once").status)
+	w.mu.Lock()
+	must.NotEq(t, first.Load().(string), w.arrivals[0])
+	w.mu.Unlock()
+	makeCold(w.fleet.Service(service)...)
+	c.peers = 1 // expires at once
+	must.Eq(t, http.StatusServiceUnavailable, w.send(t.Context(), "once").status)
+	must.Eq(t, 1, w.arrivalCount())
+}
+
+// Guards against a repeat, a resume or an offer that reaches a cold endpoint without a permit.
+func TestServe_ColdEndpointIsNoSecondChoice(t *testing.T) {
+	for name, c := range map[string]struct {
+		route string
+		first func(a *arrival)
+	}{
+		"rejected": {"safe", func(a *arrival) { a.reply(http.StatusServiceUnavailable, "", "Not-Run", "1") }},
+		"silent":   {"safe", func(a *arrival) { time.Sleep(400 * time.Millisecond); a.reply(http.StatusOK, "x") }},
+		"lost":     {"resume", func(a *arrival) { a.stream(); a.chunk(event(1)); _ = a.conn.Close() }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var w *harness
+			var first atomic.Value
+			w = newColdHarness(t, 3, &coldPermits{}, func(a *arrival) {
+				if first.CompareAndSwap(nil, a.endpoint) {
+					for _, e := range w.fleet.Service(service) {
+						if e.ID != a.endpoint {
+							makeCold(e)
+						}
+					}
+					c.first(a)
+					return
+				}
+				a.reply(http.StatusOK, "again")
+			})
+			w.send(t.Context(), c.route)
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			for _, id := range w.arrivals {
+				must.Eq(t, first.Load().(string), id)
+			}
+		})
+	}
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -137,7 +137,7 @@
 	Load                    int           // this instance's other requests at the endpoint when the attempt was sent
 }
 
-// Config configures a Forwarder. All fields are required except Mover, Suspects, Versions, Stop, OnStarted and OnWork.
+// Config configures a Forwarder. All fields are required except Mover, Suspects, Versions, Cold, Stop, OnStarted and OnWork.
 type Config struct {
 	Zone        string
 	Table       func() *routing.Table // nil before the first configuration
@@ -150,6 +150,8 @@
 	Suspects Suspects
 	// Versions may be nil: no service is ever moved.
 	Versions Versions
+	// Cold may be nil: no endpoint is ever cold.
+	Cold Cold
 	// Stop returns the planned stop that has begun, and nil if the instance is not stopping. It may be nil.
 	Stop      func() *Stop
 	OnStarted func(workspace string, at time.Time) // called once for a request that may have run
@@ -227,7 +229,8 @@
 	admission    fleet.Admission // of the next or latest attempt
 	pendingMove  *moveResult     // where the next attempt continues the run; nil unless it was moved
 	offers       offers          // of a stalled request to other endpoints
-	accepted     *acceptedOffer  // the next attempt; nil unless an endpoint has accepted a stalled request
+	permits      coldPermits
+	accepted     *acceptedOffer // the next attempt; nil unless an endpoint has accepted a stalled request
 }
 
 // Serve answers a request on w. It returns an error if the answer was broken off after it had begun; the caller's
--- a/forward/relocate.go
+++ b/forward/relocate.go
@@ -231,7 +231,8 @@
 	for _, e := range f.cfg.Fleet.Service(r.service.Name) {
 		switch {
 		case slices.Contains(tried, e) || e.Version != tried[0].Version || e.AcceptsAt(now).After(now):
-		case e.IsRamping():
+		case r.isCold(e, now) && !r.hasPermit(e, now):
+		case e.IsRamping(), r.isCold(e, now):
 			ramping = append(ramping, e)
 		default:
 			others = append(others, e)
--- a/forward/zones.go
+++ b/forward/zones.go
@@ -41,7 +41,7 @@
 	if e.IsEvacuated() {
 		return fmt.Errorf("%w: its zone %s is evacuated", errWithheld, e.Zone)
 	}
-	return nil
+	return r.checkCold(e, time.Now())
 }
 
 // dropMove gives up the move of a run that may continue neither where it was moved to nor where it came from. Only a request
--- a/node/node.go
+++ b/node/node.go
@@ -77,6 +77,7 @@
 	notices      notices
 	owners       owners
 	suspects     *suspects
+	cold         *coldLimits
 
 	members      membership
 	gracePeriod  atomic.Int64 // time.Duration; Settings.GracePeriod as last read
@@ -116,10 +117,11 @@
 	n.owners.recordCores(s.Name, s.Cores)
 	n.rollouts = newRollouts(n)
 	n.suspects = newSuspects(n)
+	n.cold = newColdLimits(n)
 	n.forwarder = forward.New(forward.Config{
 		Zone: s.Zone, Table: n.table.Load, Fleet: n.fleet, Wire: p.Wire, Quotas: quotas{n}, RetryBudget: &n.retryBudgets,
 		Mover: p.Mover, Suspects: n.suspects, Log: n.log, Metrics: forward.NewMetrics(n.metrics.scope),
-		OnWork: n.load.add, Versions: n.rollouts, Stop: n.stop.Load,
+		OnWork: n.load.add, Versions: n.rollouts, Stop: n.stop.Load, Cold: n.cold,
 		OnStarted: func(workspace string, _ time.Time) { n.usage.CountStarted(workspace, wall.Now()) },
 	})
 	n.feeds = map[string]*feed.Feed{}
@@ -171,6 +173,7 @@
 	group.Go(func() error { return every(serveCtx, noticeTick, n.publishNotices) })
 	group.Go(func() error { return every(serveCtx, watchTick, func(context.Context) { n.updateWatches(time.Now()) }) })
 	group.Go(func() error { return every(serveCtx, rolloutTick, n.rollouts.tick) })
+	group.Go(func() error { return every(serveCtx, coldTick, n.cold.refresh) })
 	group.Go(func() error { n.maintainRegister(serveCtx); return nil })
 	group.Go(func() error { n.suspects.maintainRecords(serveCtx); return nil })
 	dutiesCtx, endDuties := context.WithCancel(serveCtx)
--- a/node/peers.go
+++ b/node/peers.go
@@ -80,6 +80,9 @@
 	handleCalls(n, callOwnUsage, n.handleOwnUsage)
 	handleCalls(n, callAcquire, n.acquireLocal)
 	handleCalls(n, callRelease, n.releaseLocal)
+	handleCalls(n, callColdPermit, n.cold.handlePermit)
+	handleCalls(n, callColdMembers, n.cold.handleMembers)
+	handleCalls(n, callColdLeft, n.cold.handleLeft)
 }
 
 // interval returns the time between reports for the current number of instances.
--- a/node/register.go
+++ b/node/register.go
@@ -42,6 +42,7 @@
 				n.log.WithError(err).Info("register entry not written")
 			} else {
 				version, written = stored, time.Now()
+				n.cold.recordRenewed(written)
 			}
 		}
 		if err := n.readRegister(ctx); err != nil {
--- a/node/settings.go
+++ b/node/settings.go
@@ -43,6 +43,8 @@
 
 	// EvacuationTime is the time in which an evacuation of a zone must be in effect; 0: zones are never evacuated.
 	EvacuationTime time.Duration
+	// A cold endpoint may get its tolerated rate times ColdOverage, plus ColdSlack, in any one second.
+	ColdOverage, ColdSlack float64
 
 	ReportUsage bool
 	SizePool    bool
@@ -86,6 +88,9 @@
 	// DecodeEvacuation returns the zone to which nothing more may be sent.
 	DecodeEvacuation func(o feed.Object) (zone string, err error)
 	Rollouts         RolloutStore
+	// ListRecords returns the records whose keys begin with a prefix, as they are at some time during the call, unlike
+	// those of Records, which may be older.
+	ListRecords func(ctx context.Context, prefix string) ([]objstore.Object, error)
 	// Ingress returns the handler for callers' requests.
 	Ingress func(f *forward.Forwarder, maxBody func() int64, closing func() bool) http.Handler
 	// Ready returns the handler for the balancer's readiness checks.
--- a/node/status.go
+++ b/node/status.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"time"
 )
 
 // status is what an instance shows of its state under /status.
@@ -21,6 +22,7 @@
 	Endpoints int `json:"endpoints"`
 	Leaving   int `json:"leaving"`
 	Evacuated int `json:"evacuated"`
+	Cold      int `json:"cold"`
 }
 
 func (n *Node) status() status {
@@ -34,6 +36,7 @@
 	if s.Evacuated == nil {
 		s.Evacuated = []string{}
 	}
+	now := time.Now()
 	for _, e := range n.fleet.All() {
 		counts := s.Services[e.Service]
 		if counts == nil {
@@ -47,6 +50,9 @@
 		if e.IsEvacuated() {
 			counts.Evacuated++
 		}
+		if n.cold.limit(e.Service).PerSecond > 0 && e.IsCold(now) {
+			counts.Cold++
+		}
 	}
 	return s
 }
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -78,9 +78,12 @@
 type Service struct {
 	Name       string
 	HealthPath string
-	MaxConns   int      // connections that an endpoint accepts from all instances together; 0: unknown
-	Engine     *Engine  // nil unless the service is a model service
-	Scaling    *Scaling // nil unless the system sizes the service's pool
+	// ColdPerSecond is the number of requests a second that a cold endpoint tolerates from all instances together; 0: its
+	// endpoints are never cold.
+	ColdPerSecond float64
+	MaxConns      int      // connections that an endpoint accepts from all instances together; 0: unknown
+	Engine        *Engine  // nil unless the service is a model service
+	Scaling       *Scaling // nil unless the system sizes the service's pool
 }
 
 // Engine describes the model engines of a service.
