speed: how long work takes at one endpoint relative to its service

A service had one estimate of its speed, although a third of its machines may take 1.3 times as long, and 15% of them 2.5 times for some hundred ms.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -3,6 +3,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"github.com/trefoillug/trefoillug/rendezvous"
@@ -17,6 +18,7 @@
 
 // Request holds the properties of a request that the choice of an endpoint depends on.
 type Request struct {
+	ID     string  // distinguishes requests where a choice is spread over equal endpoints
 	Blocks []Block // in the order of the prompt; the last one is specific to this request or its session
 	Input  int     // prompt tokens; 0 on plain services
 	Speed  speed.Speed
@@ -32,6 +34,9 @@
 	Cached   float64 // tokens of this request's prompt that are expected in the cache
 	Failures float64 // share of failed answers, 0 to 1
 	Avoided  bool    // a connection to it failed recently
+	// Uncertainty is the standard deviation of Running, whose part of other instances is an estimate.
+	Uncertainty float64
+	Factor      float64 // by which work takes longer at it than Request.Speed says; 0: 1
 }
 
 const (
@@ -62,13 +67,16 @@
 // endpoints are counted as additional time.
 func Cost(r Request, c *Candidate) float64 {
 	cost := c.Failures * failureDelay
+	scaled := r.Speed.Scaled(c.Factor)
 	if r.Input > 0 {
-		cost += milliseconds(r.Speed.PrefillTime(c.Prefill + max(0, float64(r.Input)-c.Cached)))
-		cost += c.Running * runningShare * milliseconds(r.Speed.Step)
+		cost += milliseconds(scaled.Base - r.Speed.Base)
+		cost += milliseconds(scaled.PrefillTime(c.Prefill + max(0, float64(r.Input)-c.Cached)))
+		cost += c.Running * runningShare * milliseconds(scaled.Step)
 		// A place in a full engine becomes free each time that one of its generations ends.
-		cost += queueLength(c) * milliseconds(r.Speed.Generation) / max(1, c.Slots)
+		cost += queueLength(c) * milliseconds(scaled.Generation) / max(1, c.Slots)
 	} else {
-		cost += queueLength(c) * milliseconds(r.Speed.Answer) / max(1, c.Slots)
+		cost += milliseconds(scaled.Answer - r.Speed.Answer)
+		cost += queueLength(c) * milliseconds(scaled.Answer) / max(1, c.Slots)
 		cost += c.Running // prefers the less loaded of two endpoints with free slots
 	}
 	if !c.SameZone {
@@ -82,12 +90,19 @@
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
-// queueLength returns the number of requests that would wait at the endpoint, with this one.
+// queueLength returns the number of requests that are expected to wait at the endpoint, with this one.
 func queueLength(c *Candidate) float64 {
 	if c.Slots <= 0 {
 		return 0
 	}
-	return max(0, c.Running+1-c.Slots)
+	excess := c.Running + 1 - c.Slots
+	if c.Uncertainty <= 0 {
+		return max(0, excess)
+	}
+	// The mean of the positive part of a normal distribution.
+	z := excess / c.Uncertainty
+	density := math.Exp(-z*z/2) / math.Sqrt(2*math.Pi)
+	return excess*(1+math.Erf(z/math.Sqrt2))/2 + c.Uncertainty*density
 }
 
 // cachedShare is the share of a prompt's shared tokens that is expected in the cache of its owner and of its secondary
--- a/speed/speed.go
+++ b/speed/speed.go
@@ -46,6 +46,7 @@
 	generation quantile // ms
 	answer     quantile // ms
 	slowAnswer quantile // ms
+	comparison
 }
 
 // RecordPrefill records that the first event of a generation came after a time in which an engine without waiting
@@ -144,6 +145,7 @@
 	samples []float64
 	next    int // index of the oldest sample, once there are sampleCount
 	added   int // since the estimate was computed
+	known   bool
 	value   float64
 }
 
@@ -155,8 +157,8 @@
 		q.next = (q.next + 1) % sampleCount
 	}
 	q.added++
-	if len(q.samples) >= minSamples && (q.added >= refreshInterval || q.value == 0) {
-		q.added = 0
+	if len(q.samples) >= minSamples && (q.added >= refreshInterval || !q.known) {
+		q.added, q.known = 0, true
 		sorted := slices.Sorted(slices.Values(q.samples))
 		q.value = sorted[int(share*float64(len(sorted)-1))]
 	}
