forward: endpoints are chosen by their pace and an estimate of foreign load

An instance of a large fleet has no recent report of most endpoints. One without a report counted as idle, so that all instances chose the endpoints about which they knew least. Where endpoints report their pace, an endpoint now has the load of the latest report while the requests of that time are still there, and after it the load that is usual for it and for the service; its speed is that of package speed. Requests with equal costs are spread by their ID. autoscale divides the load by the mean capacity of the endpoints. Other services are served as before (TestChoice_WithoutPace).

go test -race ./forward ./fleet ./speed ./placement ./autoscale passes (forward 128 s on a busy machine); ./node and ./platform were not run again yet.

--- a/fleet/live.go
+++ b/fleet/live.go
@@ -4,6 +4,8 @@
 	"math"
 	"sync"
 	"time"
+
+	"github.com/trefoillug/trefoillug/speed"
 )
 
 const (
@@ -21,6 +23,8 @@
 
 // Stats holds the load and health of an endpoint as recorded by this instance. It is safe for concurrent use.
 type Stats struct {
+	Speed speed.Relative // how long work takes at the endpoint
+
 	mu         sync.Mutex
 	running    int     // this instance's requests at the endpoint
 	prefill    float64 // prompt tokens of this instance's requests whose first event is outstanding
@@ -30,6 +34,7 @@
 	avoidUntil time.Time
 	reported   Load
 	reportedAt time.Time
+	foreign    foreign
 	answeredAt time.Time // last answer without a failure
 }
 
@@ -118,6 +123,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reported, s.reportedAt = load, now
+	s.foreign.record(max(0, float64(load.Running+load.Waiting-s.running)), now)
 }
 
 func (s *Stats) failuresNow(now time.Time) float64 {
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -14,6 +14,7 @@
 	"github.com/trefoillug/trefoillug/fleet"
 	"github.com/trefoillug/trefoillug/progress"
 	"github.com/trefoillug/trefoillug/routing"
+	"github.com/trefoillug/trefoillug/speed"
 	"github.com/trefoillug/trefoillug/upstream"
 )
 
@@ -120,7 +121,7 @@
 		}
 		r.timeToFirst = time.Since(sent)
 		e.Stats.RecordPrefilled(prefill)
-		r.recordFirstEvent()
+		r.recordFirstEvent(e)
 		prefill = 0
 	}
 	defer func() { e.Stats.RecordPrefilled(prefill) }()
@@ -156,6 +157,8 @@
 	}
 	r.mayHaveRun = true
 	if isStream(reply) && r.route.Kind == routing.Streaming {
+		r.paceSample = paceSample{endpoint: e}
+		defer r.endPaceSample()
 		return r.relayStream(ctx, reply, newJoint(&r.stream, move != nil), relocation, onData, onStall)
 	}
 	if r.stream.started {
@@ -163,7 +166,10 @@
 	}
 	r.timeToFirst = time.Since(sent)
 	r.speed().RecordAnswer(r.timeToFirst)
-	r.recordWork(r.timeToFirst / time.Duration(max(1, e.Slots)))
+	if reply.Status < http.StatusInternalServerError {
+		r.recordAnswerPace(e, speed.Answer, 0)
+	}
+	r.recordWork(r.standardWork(e, r.timeToFirst) / time.Duration(max(1, e.Slots)))
 	return r.relayWhole(ctx, reply, onStall)
 }
 
@@ -192,7 +198,7 @@
 func (r *exchange) recordReply(e *fleet.Endpoint, reply *upstream.Reply) {
 	e.RecordSignals(r.f.cfg.Wire.Signals(reply.Status, reply.Header), time.Now())
 	if load, ok := r.f.cfg.Wire.Load(reply.Header); ok {
-		e.Stats.RecordLoad(load, time.Now())
+		r.f.recordLoad(e, load, time.Now())
 	}
 }
 
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -224,27 +224,14 @@
 
 func (r *exchange) prompt() placement.Request {
 	if r.req.Prompt == nil {
-		return placement.Request{Speed: r.speed().Speed()}
+		return placement.Request{ID: r.req.ID, Speed: r.speed().Speed()}
 	}
-	return placement.Request{Blocks: r.req.Prompt.Blocks, Input: r.req.Prompt.Input, Speed: r.speed().Speed()}
+	return placement.Request{ID: r.req.ID, Blocks: r.req.Prompt.Blocks, Input: r.req.Prompt.Input, Speed: r.speed().Speed()}
 }
 
 // bestOf returns the endpoint with the least expected cost. The owners of the prompt are picked from all.
 func (f *Forwarder) bestOf(p placement.Request, endpoints, all []*fleet.Endpoint) *fleet.Endpoint {
-	if len(endpoints) == 0 {
-		return nil
-	}
-	now := time.Now()
-	ids := make([]string, len(all))
-	for i, e := range all {
-		ids[i] = e.ID
-	}
-	owners := placement.Owners(p, ids)
-	candidates := make([]placement.Candidate, len(endpoints))
-	for i, e := range endpoints {
-		candidates[i] = f.candidate(e, p, slices.Index(owners, e.ID), now)
-	}
-	return endpoints[placement.Best(p, candidates)]
+	return f.bestAt(p, endpoints, all, time.Now())
 }
 
 // expectedCached returns the prompt tokens that an endpoint is expected to have in its cache.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -164,6 +164,7 @@
 	cfg       Config
 	caches    caches
 	speeds    sync.Map // of *speed.Estimator by service
+	foreign   sync.Map // of *fleet.ForeignLoad by service
 	durations routeDurations
 }
 
@@ -216,6 +217,7 @@
 	sentAt       time.Time     // start of the latest attempt
 	measured     float64       // prompt tokens that show the speed of the engine of the latest attempt; 0: none do
 	begun        bool          // an endpoint has generated at least one event or an answer
+	paceSample   paceSample    // of the latest attempt
 	workCounted  bool          // an engine has begun to work on the request, which OnWork was told
 	load         int           // this instance's other requests at the endpoint when the latest attempt was sent
 	rejections   int           // attempts that an endpoint rejected
--- a/forward/work.go
+++ b/forward/work.go
@@ -34,11 +34,14 @@
 }
 
 // recordFirstEvent records the engine time that the prefill of a prompt took.
-func (r *exchange) recordFirstEvent() {
+func (r *exchange) recordFirstEvent(e *fleet.Endpoint) {
 	r.workCounted = true
 	r.speed().RecordPrefill(r.measured, r.timeToFirst)
+	if r.measured > 0 {
+		r.recordAnswerPace(e, speed.FirstEvent, r.measured)
+	}
 	if p := r.req.Prompt; p != nil && r.service.Engine != nil {
-		r.recordWork(r.speed().Speed().PrefillWork(float64(p.Input), r.timeToFirst))
+		r.recordWork(r.speed().Speed().PrefillWork(float64(p.Input), r.standardWork(e, r.timeToFirst)))
 	}
 }
 
@@ -53,6 +56,7 @@
 	now, tokens := time.Now(), n*e.EventTokens
 	if !last.IsZero() {
 		r.speed().RecordTokens(tokens, now.Sub(last))
+		r.paceSample.add(tokens, now.Sub(last), now)
 	}
 	r.recordWork(time.Duration(tokens) * r.speed().Speed().TokenTime(e.Slots))
 	return now
--- a/node/pool.go
+++ b/node/pool.go
@@ -122,7 +122,7 @@
 		total++
 	}
 	p.update(total, autoscale.CoveredNeed(in.Zones), now)
-	p.load.Observe(s.n.load.total(service.Name, now), now)
+	p.load.Observe(s.n.load.total(service.Name, now)/s.n.forwarder.MeanCapacity(service.Name, now), now)
 	floor := 0.0
 	if now.Sub(s.start) < loadSettleTime {
 		floor = p.initialNeed
