fleet, forward, autoscale, node: zones return in steps; allowed regions

Cause: a zone that returned from its evacuation got its whole load at once; the pool was planned as if its endpoints were lost, with orders in the evacuated zone; and requests could reach endpoints of regions that their route or workspace does not allow.

Change: a returned zone gets a quarter of its load, and a further quarter each second, by a hash of the request ID, unless no other endpoint has a free slot. Plans are made over the zones in service; nothing is ordered in an evacuated one. No zone of a service is shrunk while a returned one gets its load in steps or has cold endpoints. Endpoints of a returned zone count as cold for 2.5 s, since their entries may be read after the end of the evacuation; in large fleets the quick watchers announce cold endpoints. allowedRegions of routes and workspaces filter the candidates of all ways of sending; a request that no allowed region can serve is refused at once.

--- a/autoscale/autoscale.go
+++ b/autoscale/autoscale.go
@@ -19,6 +19,7 @@
 	Price       float64 // of an on-demand endpoint
 	OnDemand    int     // on-demand endpoints that take work
 	Reclaimable int     // reclaimable endpoints that take work
+	Evacuated   bool    // its endpoints may not take work
 }
 
 // Service holds the limits, prices, zones and load of one service, from which Plan computes the wanted numbers.
--- a/fleet/cold.go
+++ b/fleet/cold.go
@@ -51,6 +51,16 @@
 	}
 }
 
+// MarkCold records that a peer has read that the lifetime of an endpoint that began at startedMs is cold for some time.
+func (t *Table) MarkCold(id string, startedMs int64, left time.Duration, now time.Time) {
+	t.mu.Lock()
+	r := t.byID[id]
+	t.mu.Unlock()
+	if r != nil && r.endpoint.StartedMs == startedMs {
+		r.endpoint.recordCold(left, now)
+	}
+}
+
 // Revision returns the revision of the newest entry.
 func (e *Endpoint) Revision() uint64 {
 	e.cold.mu.Lock()
--- a/fleet/cold_test.go
+++ b/fleet/cold_test.go
@@ -40,5 +40,9 @@
 	must.Eq(t, 3*time.Second, left())
 	e.RecordSignals(fleet.Signals{Cold: 5 * time.Second}, now)
 	must.Eq(t, 5*time.Second, left())
+	table.MarkCold("e", 1, time.Minute, now) // another lifetime
+	must.Eq(t, 5*time.Second, left())
+	table.MarkCold("e", 0, time.Minute, now)
+	must.Eq(t, time.Minute, left())
 	must.Eq(t, uint64(7), e.Revision())
 }
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -79,7 +79,7 @@
 			r.admission = admission
 			return e, nil
 		}
-		if refusal := r.evacuatedRefusal(); refusal != nil {
+		if refusal := r.zoneRefusal(); refusal != nil {
 			return nil, refusal
 		}
 		e, admission, coldAt := r.askCold(ctx, now)
@@ -196,7 +196,7 @@
 // checkPaused refuses another attempt at once if no endpoint accepts it in time, so that it costs no retry budget.
 func (r *exchange) checkPaused() error {
 	now := time.Now()
-	if refusal := r.evacuatedRefusal(); refusal != nil {
+	if refusal := r.zoneRefusal(); refusal != nil {
 		return refusal
 	}
 	var opensAt time.Time
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -137,7 +137,7 @@
 	Load                    int           // this instance's other requests at the endpoint when the attempt was sent
 }
 
-// Config configures a Forwarder. All fields are required except Mover, Suspects, Versions, Cold, Stop, OnStarted and OnWork.
+// Config configures a Forwarder. All fields are required except Mover, Suspects, Versions, Cold, Regions, Stop, OnStarted and OnWork.
 type Config struct {
 	Zone        string
 	Table       func() *routing.Table // nil before the first configuration
@@ -150,6 +150,7 @@
 	Suspects Suspects
 	// Versions may be nil: no service is ever moved.
 	Versions Versions
+	Regions  map[string]string // of the zones
 	// Cold may be nil: no endpoint is ever cold.
 	Cold Cold
 	// Stop returns the planned stop that has begun, and nil if the instance is not stopping. It may be nil.
--- a/forward/relocate.go
+++ b/forward/relocate.go
@@ -228,7 +228,7 @@
 func (f *Forwarder) pickMoveTarget(r *exchange, tried []*fleet.Endpoint) *fleet.Endpoint {
 	now := time.Now()
 	var others, ramping []*fleet.Endpoint
-	for _, e := range f.cfg.Fleet.Service(r.service.Name) {
+	for _, e := range r.inRegion(f.cfg.Fleet.Service(r.service.Name)) {
 		switch {
 		case slices.Contains(tried, e) || e.Version != tried[0].Version || e.AcceptsAt(now).After(now):
 		case r.isCold(e, now) && !r.hasPermit(e, now):
--- a/forward/zones_test.go
+++ b/forward/zones_test.go
@@ -37,7 +37,7 @@
 			zones = append(zones, e.Zone)
 		}
 	}
-	w.fleet.SetEvacuated(zones)
+	w.fleet.SetEvacuated(zones, time.Now())
 }
 
 // Guards against a request that reaches an evacuated zone by a repeat, a resume, an offer or a move, against a run that is
@@ -51,7 +51,7 @@
 	}{
 		"running request": {"once", func(_ *harness, a *arrival) { a.reply(http.StatusOK, "done") }, "done"},
 		"own zone evacuated": {"once", func(w *harness, a *arrival) {
-			w.fleet.SetEvacuated([]string{"e0", "e1", "e2"})
+			w.fleet.SetEvacuated([]string{"e0", "e1", "e2"}, time.Now())
 			a.reply(http.StatusOK, "done")
 		}, "done"},
 		"rejected":      {"safe", func(_ *harness, a *arrival) { a.reply(http.StatusServiceUnavailable, "", "Not-Run", "1") }, ""},
@@ -98,7 +98,7 @@
 				must.Eq(t, first.Load().(string), id)
 			}
 			w.mu.Unlock()
-			w.fleet.SetEvacuated(nil)
+			w.fleet.SetEvacuated(nil, time.Now())
 			must.Len(t, 3, w.fleet.All())
 			must.Eq(t, "again", w.send(t.Context(), "once").body.String())
 		})
@@ -113,7 +113,7 @@
 func TestServe_AllZonesEvacuated(t *testing.T) {
 	w := newZonedHarness(t, 2, func(a *arrival) { a.reply(http.StatusOK, "x") })
 	w.table.Routes[0].TargetLatency = 8 * time.Second // a wait for an endpoint would take a second
-	w.fleet.SetEvacuated([]string{"e0", "e1", "unknown"})
+	w.fleet.SetEvacuated([]string{"e0", "e1", "unknown"}, time.Now())
 	got := w.send(t.Context(), "once")
 	must.Eq(t, http.StatusServiceUnavailable, got.status)
 	must.Eq(t, problem.NoEndpoint, problem.KindOf(got.refusal.Err))
@@ -131,14 +131,14 @@
 	for _, e := range w.fleet.Service(service) {
 		e.Pool = upstream.NewPool(e.Address, upstream.Settings{Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			if dials.Add(1) == 1 {
-				w.fleet.SetEvacuated([]string{e.Zone})
+				w.fleet.SetEvacuated([]string{e.Zone}, time.Now())
 			}
 			return upstream.DialTCP(ctx, address)
 		}})
 	}
 	for _, route := range []string{"once", "safe", "stream"} {
 		dials.Store(0)
-		w.fleet.SetEvacuated(nil)
+		w.fleet.SetEvacuated(nil, time.Now())
 		before := w.retries
 		got := w.send(t.Context(), route)
 		must.Eq(t, http.StatusOK, got.status)
@@ -168,7 +168,7 @@
 	if m.both {
 		zones = append(zones, from.Zone)
 	}
-	m.fleet.SetEvacuated(zones)
+	m.fleet.SetEvacuated(zones, time.Now())
 	m.once.Do(func() { close(m.stopped) })
 	return "ref", nil
 }
@@ -210,3 +210,96 @@
 		})
 	}
 }
+
+// Guards against a zone that gets its whole load at the moment of its return, and against one that stays idle then while
+// the other zones have no free slot.
+func TestServe_ZoneReturnsInSteps(t *testing.T) {
+	w := newZonedHarness(t, 2, func(a *arrival) { a.reply(http.StatusOK, "x") })
+	w.fleet.SetEvacuated([]string{"e1"}, time.Now())
+	w.fleet.SetEvacuated(nil, time.Now())
+	returned := func(requests int) (n int) {
+		before := w.arrivalCount()
+		for i := range requests {
+			must.Eq(t, http.StatusOK, w.sendRequest(t.Context(), "once", &forward.Request{ID: fmt.Sprintf("r%d", i)}).status)
+		}
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		for _, id := range w.arrivals[before:] {
+			if id == "e1" {
+				n++
+			}
+		}
+		return n
+	}
+	must.LessEq(t, 35, returned(100)) // at most a quarter, by chance somewhat more
+	for range 8 {
+		w.fleet.Service(service)[0].Stats.Begin(0)
+	}
+	must.Greater(t, 60, returned(100))
+}
+
+// Guards against a request that reaches a region that its route or workspace does not allow, by its first attempt, a
+// repeat, a resume, an offer or a move, and against one that waits though no allowed region can serve it.
+func TestServe_AllowedRegions(t *testing.T) {
+	regions := map[string]string{"e0": "r1", "e1": "r2", "e2": "r2"} // the region of e3 is unknown
+	for _, c := range []struct {
+		route, workspace, want []string // want: endpoints
+	}{
+		{nil, nil, []string{"e0", "e1", "e2", "e3"}}, {[]string{"r1"}, nil, []string{"e0"}}, {nil, []string{"r2"}, []string{"e1", "e2"}},
+		{[]string{"r1", "r2"}, []string{"r2", "r3"}, []string{"e1", "e2"}}, {[]string{"r1"}, []string{"r2"}, nil}, {[]string{"r3"}, nil, nil},
+	} {
+		for name, first := range map[string]func(w *harness, a *arrival){
+			"once": func(_ *harness, a *arrival) { a.reply(http.StatusOK, "x") },
+			"safe": func(_ *harness, a *arrival) { a.reply(http.StatusServiceUnavailable, "", "Not-Run", "1") },
+			"resume": func(_ *harness, a *arrival) {
+				a.stream()
+				a.chunk(event(1))
+				time.Sleep(300 * time.Millisecond)
+				_ = a.conn.Close()
+			},
+			"stream": func(w *harness, a *arrival) {
+				a.stream()
+				a.chunk(event(1))
+				w.fleet.MarkLeaving(a.endpoint, 0, time.Now().Add(moveSoon))
+				time.Sleep(200 * time.Millisecond)
+				_ = a.conn.Close()
+			},
+		} {
+			t.Run(fmt.Sprintf("%v %v %s", c.route, c.workspace, name), func(t *testing.T) {
+				t.Parallel()
+				var w *harness
+				var targets sync.Map
+				w = newZonedHarness(t, 4, func(a *arrival) { first(w, a) }, func(cfg *forward.Config) {
+					cfg.Regions, cfg.Mover = regions, moverFunc(func(to *fleet.Endpoint) { targets.Store(to.ID, true) })
+				})
+				w.table.Services[service].Engine = engine()
+				for i := range w.table.Routes {
+					w.table.Routes[i].AllowedRegions = c.route
+				}
+				w.table.Workspaces[0].AllowedRegions = c.workspace
+				for range 5 {
+					got := w.send(t.Context(), name)
+					if c.want == nil {
+						must.Eq(t, http.StatusServiceUnavailable, got.status)
+						must.Less(t, 30*time.Millisecond, got.took)
+					}
+				}
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				for _, id := range w.arrivals {
+					must.SliceContains(t, c.want, id)
+				}
+				targets.Range(func(id, _ any) bool { must.SliceContains(t, c.want, id.(string)); return true })
+				must.Eq(t, c.want == nil, len(w.arrivals) == 0)
+			})
+		}
+	}
+}
+
+// moverFunc is called with the target of each move.
+type moverFunc func(to *fleet.Endpoint)
+
+func (m moverFunc) Move(_ context.Context, _ string, _, to *fleet.Endpoint) (string, error) {
+	m(to)
+	return "ref", nil
+}
--- a/node/cold.go
+++ b/node/cold.go
@@ -3,17 +3,20 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/trefoillug/trefoillug/cold"
 	"github.com/trefoillug/trefoillug/fleet"
 	"github.com/trefoillug/trefoillug/forward"
+	"github.com/trefoillug/trefoillug/peer"
 	"github.com/trefoillug/trefoillug/rendezvous"
 )
 
@@ -39,6 +42,11 @@
 	coldStartPeriod   = 15 * time.Second
 	maxColdStartPeers = 3
 
+	// maxNoticedCold bounds the cold time that a notice of a peer can state, like that of an entry.
+	maxNoticedCold = 10 * time.Minute
+
+	factCold = "cold"
+
 	callColdPermit  = "cold-permit"
 	callColdMembers = "cold-members"
 	callColdLeft    = "cold-left"
@@ -52,6 +60,8 @@
 	membership cold.Membership
 	deniedTo   map[coldDenial]time.Time // no permit is to be had before these times
 	askedPeers map[string]bool          // for the remaining cold times; used by refresh only
+	notices    []coldNotice             // not published yet
+	published  int                      // facts with notices
 	coldBefore int                      // cold endpoints at the last call of refresh; used by refresh only
 }
 
@@ -142,8 +152,8 @@
 // Ask implements forward.Cold.
 func (c *coldLimits) Ask(ctx context.Context, endpoints []*fleet.Endpoint) (*fleet.Endpoint, time.Time, time.Duration) {
 	begun := time.Now()
-	peer, asked, retry := c.pickPeer(endpoints, begun)
-	if peer == "" {
+	to, asked, retry := c.pickPeer(endpoints, begun)
+	if to == "" {
 		return nil, time.Time{}, retry
 	}
 	ids := make([]string, len(asked))
@@ -152,7 +162,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, coldAskTimeout)
 	defer cancel()
-	reply, err := callPeer[permitReply](ctx, c.n, peer, callColdPermit, permitCall{Service: asked[0].Service, Endpoints: ids})
+	reply, err := callPeer[permitReply](ctx, c.n, to, callColdPermit, permitCall{Service: asked[0].Service, Endpoints: ids})
 	i := slices.Index(ids, reply.Endpoint)
 	switch {
 	case err == nil && i >= 0:
@@ -160,12 +170,12 @@
 		return asked[i], begun.Add(cold.PermitTime), 0
 	case err != nil:
 		c.count("unanswered")
-		c.deny(peer, []string{""}, coldPeerPause)
+		c.deny(to, []string{""}, coldPeerPause)
 		return nil, time.Time{}, rand.N(coldRetryJitter)
 	}
 	c.count("denied")
 	wait := time.Duration(reply.WaitMs)*time.Millisecond + rand.N(coldRetryJitter)
-	c.deny(peer, ids, wait)
+	c.deny(to, ids, wait)
 	return nil, time.Time{}, wait
 }
 
@@ -209,6 +219,7 @@
 
 // refresh keeps the list of the members recent while endpoints are cold.
 func (c *coldLimits) refresh(ctx context.Context) {
+	c.publishNotices()
 	now := time.Now()
 	coldIDs := c.coldEndpoints(now)
 	if len(coldIDs) > 0 != (c.coldBefore > 0) {
@@ -236,6 +247,52 @@
 	}
 }
 
+// coldNotice announces that an endpoint is cold.
+type coldNotice struct {
+	ID        string `cbor:"1,keyasint"`
+	StartedMs int64  `cbor:"2,keyasint"` // start of the endpoint's lifetime, in Unix milliseconds
+	LeftMs    int64  `cbor:"3,keyasint"` // as of the reading of the entry
+}
+
+// announce queues a notice of a cold endpoint if this instance is one of those that notify the others, whose own watches may
+// be seconds behind.
+func (c *coldLimits) announce(e fleet.Entry, now time.Time) {
+	left := e.ColdUntil.Sub(now).Milliseconds()
+	if left <= 0 || c.limit(e.Service).PerSecond <= 0 || len(c.n.memberIDs()) <= largeFleet || !c.n.isQuickWatcher(c.n.platform.Kinds.Endpoints) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.notices = append(c.notices, coldNotice{e.ID, e.StartedMs, left})
+}
+
+// publishNotices publishes the oldest queued notices to the peers.
+func (c *coldLimits) publishNotices() {
+	c.mu.Lock()
+	batch := c.notices[:min(len(c.notices), maxNotices)]
+	c.notices = c.notices[len(batch):]
+	if len(batch) > 0 {
+		c.published++
+	}
+	fact := c.published % noticeFacts
+	c.mu.Unlock()
+	if len(batch) > 0 {
+		c.n.publishFor(fmt.Sprintf("%s/%s/%d", factCold, c.n.process, fact), batch, noticeLifetime)
+	}
+}
+
+func (c *coldLimits) receiveNotices(f peer.Fact) {
+	var items []coldNotice
+	if err := cbor.Unmarshal(f.Value, &items); err != nil {
+		c.n.log.WithError(err).WithField("peer", f.Origin).Warn("notices of cold endpoints from peer could not be decoded")
+		return
+	}
+	now := time.Now()
+	for _, item := range items {
+		c.n.fleet.MarkCold(item.ID, item.StartedMs, time.Duration(min(item.LeftMs, maxNoticedCold.Milliseconds()))*time.Millisecond, now)
+	}
+}
+
 // coldEndpoints returns the IDs of the cold endpoints of services whose cold endpoints are limited.
 func (c *coldLimits) coldEndpoints(now time.Time) []string {
 	t := c.n.table.Load()
--- a/node/evacuations.go
+++ b/node/evacuations.go
@@ -8,7 +8,9 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/trefoillug/trefoillug/autoscale"
 	"github.com/trefoillug/trefoillug/feed"
+	"github.com/trefoillug/trefoillug/fleet"
 )
 
 // maxEvacuationsWait bounds how much longer than for the list of endpoints a starting instance waits for the evacuations:
@@ -105,7 +107,7 @@
 	}
 	before := e.inEffect
 	e.inEffect = slices.Sorted(maps.Keys(zones))
-	if !e.n.fleet.SetEvacuated(e.inEffect) {
+	if !e.n.fleet.SetEvacuated(e.inEffect, time.Now()) {
 		return
 	}
 	e.n.stateChanged.Store(true)
@@ -141,3 +143,24 @@
 	}
 	return now.Sub(e.listedSince) >= maxEvacuationsWait
 }
+
+// mayShrink reports whether zones of a service may be shrunk: not while another zone that has returned from an evacuation
+// gets its load in steps, or its endpoints are cold.
+func (s *sizer) mayShrink(service string, zones []autoscale.Zone, now time.Time) bool {
+	for _, z := range zones {
+		if s.n.fleet.ReturnShare(z.Name, now) < 1 {
+			return false
+		}
+	}
+	if s.n.cold.limit(service).PerSecond <= 0 {
+		return true
+	}
+	return !slices.ContainsFunc(s.n.fleet.Service(service), func(e *fleet.Endpoint) bool {
+		return e.IsCold(now) && s.n.fleet.HasReturned(e.Zone, now)
+	})
+}
+
+// ordered returns what the latest orders for a zone were for.
+func (p *pool) ordered(zone string) autoscale.Zone {
+	return autoscale.Zone{OnDemand: p.lastOrders[orderTarget{zone, false}].desired, Reclaimable: p.lastOrders[orderTarget{zone, true}].desired}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -121,7 +121,7 @@
 	n.forwarder = forward.New(forward.Config{
 		Zone: s.Zone, Table: n.table.Load, Fleet: n.fleet, Wire: p.Wire, Quotas: quotas{n}, RetryBudget: &n.retryBudgets,
 		Mover: p.Mover, Suspects: n.suspects, Log: n.log, Metrics: forward.NewMetrics(n.metrics.scope),
-		OnWork: n.load.add, Versions: n.rollouts, Stop: n.stop.Load, Cold: n.cold,
+		OnWork: n.load.add, Versions: n.rollouts, Stop: n.stop.Load, Cold: n.cold, Regions: s.Regions,
 		OnStarted: func(workspace string, _ time.Time) { n.usage.CountStarted(workspace, wall.Now()) },
 	})
 	n.feeds = map[string]*feed.Feed{}
--- a/node/peers.go
+++ b/node/peers.go
@@ -72,6 +72,7 @@
 	n.mesh.Subscribe(factReport, n.receiveReport)
 	n.mesh.Subscribe(factUsage, n.receiveUsage)
 	n.mesh.Subscribe(factLeaving, n.receiveNotices)
+	n.mesh.Subscribe(factCold, n.cold.receiveNotices)
 	n.mesh.Subscribe(factCrash, n.suspects.receive)
 	n.mesh.Subscribe(factBlocks, n.suspects.receiveBlocks)
 	n.mesh.Subscribe(move.FactPrefix, n.rollouts.receive)
--- a/node/pool.go
+++ b/node/pool.go
@@ -88,8 +88,12 @@
 	if !p.isListComplete(now, listStableTime+s.n.watchPace(s.n.platform.Kinds.Endpoints)) {
 		return
 	}
+	input, mayShrink := input.InService(), s.mayShrink(service.Name, input.Zones, now)
 	for i, want := range autoscale.Plan(input) {
 		zone := input.Zones[i]
+		if !mayShrink {
+			want = want.WithoutShrink(zone).WithoutShrink(p.ordered(zone.Name))
+		}
 		s.order(ctx, p, service, orderTarget{zone.Name, true}, want.Reclaimable, zone.Reclaimable, token, mayAct, now)
 		s.order(ctx, p, service, orderTarget{zone.Name, false}, want.OnDemand, zone.OnDemand, token, mayAct, now)
 	}
@@ -107,9 +111,9 @@
 	index := map[string]int{}
 	for i, zone := range zones {
 		index[zone] = i
-		in.Zones = append(in.Zones, autoscale.Zone{Name: zone, Price: c.ZonePrices[zone]})
+		in.Zones = append(in.Zones, autoscale.Zone{Name: zone, Price: c.ZonePrices[zone], Evacuated: s.n.fleet.IsZoneEvacuated(zone)})
 	}
-	total := 0
+	total := s.n.fleet.Withheld(service.Name)
 	for _, e := range s.n.fleet.Service(service.Name) {
 		i, ok := index[e.Zone]
 		switch {
--- a/node/reload_test.go
+++ b/node/reload_test.go
@@ -27,6 +27,8 @@
 		f.SetFloat(f.Float() + 1)
 	case reflect.Slice:
 		f.Set(reflect.Append(f, reflect.Zero(f.Type().Elem())))
+	case reflect.Map:
+		f.Set(reflect.ValueOf(map[string]string{"x": "x"}))
 	case reflect.Struct:
 		for i := range f.NumField() {
 			change(f.Field(i))
--- a/node/settings.go
+++ b/node/settings.go
@@ -24,11 +24,12 @@
 	Name        string // unique among the instances
 	Zone        string // failure domain
 	Region      string
-	Zones       []string // all failure domains
-	Listen      string   // host:port for callers
-	ReadyListen string   // host:port for the balancer's readiness checks
-	PeerListen  string   // host:port for peers, metrics and status
-	Seeds       []string // host:port of peers; may be stale
+	Zones       []string          // all failure domains
+	Regions     map[string]string // of the failure domains
+	Listen      string            // host:port for callers
+	ReadyListen string            // host:port for the balancer's readiness checks
+	PeerListen  string            // host:port for peers, metrics and status
+	Seeds       []string          // host:port of peers; may be stale
 	MemoryBytes int64
 	Cores       float64 // processor cores of the machine
 
--- a/node/state.go
+++ b/node/state.go
@@ -116,6 +116,7 @@
 		h.n.announceLeaving(entry, now)
 	}
 	h.n.fleet.Put(entry)
+	h.n.cold.announce(entry, now)
 	h.n.limitConnections()
 }
 
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -32,8 +32,10 @@
 	TargetGap     time.Duration // objective for the time between two events of a stream
 	Priority      int           // 0 is the most urgent
 	Shares        []Share
-	MaxAttempts   int  // endpoints that may run one attempt of a caller; at least 1
-	Public        bool // no API key needed
+	// AllowedRegions are the regions whose endpoints may get requests; empty: all.
+	AllowedRegions []string
+	MaxAttempts    int  // endpoints that may run one attempt of a caller; at least 1
+	Public         bool // no API key needed
 }
 
 // Share is a service's share of the traffic of a route.
@@ -113,6 +115,8 @@
 	Keys     []string
 	Priority *int // takes precedence over the route's; nil: none
 	Quota    Quota
+	// AllowedRegions are the regions whose endpoints may get requests, in addition to the rule of the route; empty: all.
+	AllowedRegions []string
 }
 
 // Quota limits what a workspace may use over all instances together. The zero value means no limit.
