forward, node: fewer lines in the tests of evacuations and cold endpoints

One table now covers the ways of sending for evacuated zones and for cold endpoints without permits, which adds the moves and offers to cold endpoints. The test of the reports between peers gives the newest change itself instead of running a feed, and checks the same steps.

--- a/forward/cold_test.go
+++ b/forward/cold_test.go
@@ -125,38 +125,3 @@
 	must.Eq(t, http.StatusServiceUnavailable, w.send(t.Context(), "once").status)
 	must.Eq(t, 1, w.arrivalCount())
 }
-
-// Guards against a repeat, a resume or an offer that reaches a cold endpoint without a permit.
-func TestServe_ColdEndpointIsNoSecondChoice(t *testing.T) {
-	for name, c := range map[string]struct {
-		route string
-		first func(a *arrival)
-	}{
-		"rejected": {"safe", func(a *arrival) { a.reply(http.StatusServiceUnavailable, "", "Not-Run", "1") }},
-		"silent":   {"safe", func(a *arrival) { time.Sleep(400 * time.Millisecond); a.reply(http.StatusOK, "x") }},
-		"lost":     {"resume", func(a *arrival) { a.stream(); a.chunk(event(1)); _ = a.conn.Close() }},
-	} {
-		t.Run(name, func(t *testing.T) {
-			var w *harness
-			var first atomic.Value
-			w = newColdHarness(t, 3, &coldPermits{}, func(a *arrival) {
-				if first.CompareAndSwap(nil, a.endpoint) {
-					for _, e := range w.fleet.Service(service) {
-						if e.ID != a.endpoint {
-							makeCold(e)
-						}
-					}
-					c.first(a)
-					return
-				}
-				a.reply(http.StatusOK, "again")
-			})
-			w.send(t.Context(), c.route)
-			w.mu.Lock()
-			defer w.mu.Unlock()
-			for _, id := range w.arrivals {
-				must.Eq(t, first.Load().(string), id)
-			}
-		})
-	}
-}
--- a/forward/zones_test.go
+++ b/forward/zones_test.go
@@ -29,21 +29,23 @@
 	return w
 }
 
-// evacuateOthers evacuates the zones of all endpoints but one.
-func (w *harness) evacuateOthers(id string) {
+// withholdOthers evacuates the zones of all endpoints but one, or makes them cold.
+func (w *harness) withholdOthers(id string, cold bool) {
 	var zones []string
 	for _, e := range w.fleet.All() {
-		if e.ID != id {
+		if e.ID != id && cold {
+			makeCold(e)
+		} else if e.ID != id {
 			zones = append(zones, e.Zone)
 		}
 	}
 	w.fleet.SetEvacuated(zones, time.Now())
 }
 
-// Guards against a request that reaches an evacuated zone by a repeat, a resume, an offer or a move, against a run that is
-// cut because its zone is evacuated, and against endpoints that get no work after the evacuation has ended.
+// Guards against a request that reaches an evacuated zone, or a cold endpoint without a permit, by a repeat, a resume, an
+// offer or a move, against a run that is cut because its zone is evacuated, and against endpoints that get no work after the
+// evacuation has ended.
 func TestServe_EvacuatedZones(t *testing.T) {
-	stopped := make(chan struct{})
 	for name, c := range map[string]struct {
 		route string
 		first func(w *harness, a *arrival) // after the zones of the other endpoints were evacuated
@@ -69,39 +71,42 @@
 			a.stream()
 			a.chunk(event(1))
 			w.fleet.MarkLeaving(a.endpoint, 0, time.Now().Add(moveSoon))
-			select {
-			case <-stopped:
-			case <-time.After(300 * time.Millisecond):
-			}
+			time.Sleep(300 * time.Millisecond)
 			a.chunk(event(2))
 			a.end()
 		}, event(1) + event(2)},
 	} {
-		t.Run(name, func(t *testing.T) {
-			var first atomic.Value
-			var w *harness
-			w = newZonedHarness(t, 3, func(a *arrival) {
-				if first.CompareAndSwap(nil, a.endpoint) {
-					w.evacuateOthers(a.endpoint)
-					c.first(w, a)
-					return
+		for _, cold := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, cold %v", name, cold), func(t *testing.T) {
+				var first atomic.Value
+				var w *harness
+				w = newZonedHarness(t, 3, func(a *arrival) {
+					if first.CompareAndSwap(nil, a.endpoint) {
+						w.withholdOthers(a.endpoint, cold)
+						c.first(w, a)
+						return
+					}
+					a.reply(http.StatusOK, "again")
+				}, func(c *forward.Config) {
+					c.Mover = &silentMover{stop: func() { t.Error("the run was moved") }}
+					c.Cold = &coldPermits{}
+				})
+				w.table.Services[service].Engine, w.table.Services[service].ColdPerSecond = engine(), 4
+				got := w.send(t.Context(), c.route)
+				if c.want != "" {
+					must.Eq(t, c.want, got.body.String())
 				}
-				a.reply(http.StatusOK, "again")
-			}, func(c *forward.Config) { c.Mover = &silentMover{stop: func() { close(stopped) }} })
-			w.table.Services[service].Engine = engine()
-			got := w.send(t.Context(), c.route)
-			if c.want != "" {
-				must.Eq(t, c.want, got.body.String())
-			}
-			w.mu.Lock()
-			for _, id := range w.arrivals {
-				must.Eq(t, first.Load().(string), id)
-			}
-			w.mu.Unlock()
-			w.fleet.SetEvacuated(nil, time.Now())
-			must.Len(t, 3, w.fleet.All())
-			must.Eq(t, "again", w.send(t.Context(), "once").body.String())
-		})
+				w.mu.Lock()
+				for _, id := range w.arrivals {
+					must.Eq(t, first.Load().(string), id)
+				}
+				w.mu.Unlock()
+				w.table.Services[service].ColdPerSecond = 0
+				w.fleet.SetEvacuated(nil, time.Now())
+				must.Len(t, 3, w.fleet.All())
+				must.Eq(t, "again", w.send(t.Context(), "once").body.String())
+			})
+		}
 	}
 }
 
--- a/node/evacuations.go
+++ b/node/evacuations.go
@@ -20,7 +20,8 @@
 // evacuations applies the evacuations of zones. It takes them from the store through its feed, and new ones also from the
 // reports of peers, which arrive while this instance's own calls to the store still time out.
 type evacuations struct {
-	n *Node
+	n      *Node
+	newest func() uint64 // revision of the newest change that was read
 
 	mu          sync.Mutex
 	read        map[string]uint64 // by zone: revision of the evacuation, from the store or a peer's copy
@@ -30,7 +31,9 @@
 }
 
 func newEvacuations(n *Node) *evacuations {
-	return &evacuations{n: n, read: map[string]uint64{}, reported: map[string]uint64{}}
+	e := &evacuations{n: n, read: map[string]uint64{}, reported: map[string]uint64{}}
+	e.newest = func() uint64 { return e.feed().NewestChange() }
+	return e
 }
 
 // feed returns the feed of the evacuations, and nil if the deployment has none.
@@ -78,7 +81,7 @@
 	if len(zones) == 0 || e.feed() == nil {
 		return
 	}
-	newest := e.feed().NewestChange()
+	newest := e.newest()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for zone, revision := range zones {
@@ -99,7 +102,7 @@
 
 // apply puts the evacuations into effect and logs changes. e.mu must be held.
 func (e *evacuations) apply() {
-	newest := e.feed().NewestChange()
+	newest := e.newest()
 	maps.DeleteFunc(e.reported, func(_ string, revision uint64) bool { return revision <= newest })
 	zones := maps.Clone(e.read)
 	for zone, revision := range e.reported {
