node: look up live peers of a permit call in a set

Each call for a permit searched the list of members for up to three peers of each cold endpoint. Race tests of node and TestPath_AllEndpointsAreCold (twice: 100 and 99 requests to four cold endpoints in 8.5 s, within the bound) pass.

--- a/node/cold.go
+++ b/node/cold.go
@@ -182,7 +182,10 @@
 // pickPeer picks a peer that has a share of the limit of some of the endpoints and has not just denied permits for them.
 // Without one, peer is empty, and retry is the time after which there may be one.
 func (c *coldLimits) pickPeer(endpoints []*fleet.Endpoint, now time.Time) (peer string, asked []*fleet.Endpoint, retry time.Duration) {
-	live := c.n.memberIDs()
+	live := map[string]bool{}
+	for _, id := range c.n.memberIDs() {
+		live[id] = id != c.n.settings.Name
+	}
 	l := c.limit(endpoints[0].Service)
 	retry = coldPeerPause
 	c.mu.Lock()
@@ -192,7 +195,7 @@
 		designated := slices.Clone(c.membership.Designated(e.ID, l))
 		rand.Shuffle(len(designated), func(i, j int) { designated[i], designated[j] = designated[j], designated[i] })
 		for _, id := range designated {
-			if id == c.n.settings.Name || !slices.Contains(live, id) || peer != "" && id != peer {
+			if !live[id] || peer != "" && id != peer {
 				continue
 			}
 			if wait := max(c.deniedTo[coldDenial{id, e.ID}].Sub(now), c.deniedTo[coldDenial{peer: id}].Sub(now)); wait > 0 {
