--- a/node/evacuations.go
+++ b/node/evacuations.go
@@ -8,7 +8,9 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/trefoillug/trefoillug/autoscale"
 	"github.com/trefoillug/trefoillug/feed"
+	"github.com/trefoillug/trefoillug/fleet"
 )
 
 // maxEvacuationsWait bounds how much longer than for the list of endpoints a starting instance waits for the evacuations:
@@ -18,7 +20,8 @@
 // evacuations applies the evacuations of zones. It takes them from the store through its feed, and new ones also from the
 // reports of peers, which arrive while this instance's own calls to the store still time out.
 type evacuations struct {
-	n *Node
+	n      *Node
+	newest func() uint64 // revision of the newest change that was read
 
 	mu          sync.Mutex
 	read        map[string]uint64 // by zone: revision of the evacuation, from the store or a peer's copy
@@ -28,7 +31,9 @@
 }
 
 func newEvacuations(n *Node) *evacuations {
-	return &evacuations{n: n, read: map[string]uint64{}, reported: map[string]uint64{}}
+	e := &evacuations{n: n, read: map[string]uint64{}, reported: map[string]uint64{}}
+	e.newest = func() uint64 { return e.feed().NewestChange() }
+	return e
 }
 
 // feed returns the feed of the evacuations, and nil if the deployment has none.
@@ -76,7 +81,7 @@
 	if len(zones) == 0 || e.feed() == nil {
 		return
 	}
-	newest := e.feed().NewestChange()
+	newest := e.newest()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for zone, revision := range zones {
@@ -97,7 +102,7 @@
 
 // apply puts the evacuations into effect and logs changes. e.mu must be held.
 func (e *evacuations) apply() {
-	newest := e.feed().NewestChange()
+	newest := e.newest()
 	maps.DeleteFunc(e.reported, func(_ string, revision uint64) bool { return revision <= newest })
 	zones := maps.Clone(e.read)
 	for zone, revision := range e.reported {
@@ -105,7 +110,7 @@
 	}
 	before := e.inEffect
 	e.inEffect = slices.Sorted(maps.Keys(zones))
-	if !e.n.fleet.SetEvacuated(e.inEffect) {
+	if !e.n.fleet.SetEvacuated(e.inEffect, time.Now()) {
 		return
 	}
 	e.n.stateChanged.Store(true)
@@ -141,3 +146,24 @@
 	}
 	return now.Sub(e.listedSince) >= maxEvacuationsWait
 }
+
+// mayShrink reports whether zones of a service may be shrunk: not while another zone that has returned from an evacuation
+// gets its load in steps, or its endpoints are cold.
+func (s *sizer) mayShrink(service string, zones []autoscale.Zone, now time.Time) bool {
+	for _, z := range zones {
+		if s.n.fleet.ReturnShare(z.Name, now) < 1 {
+			return false
+		}
+	}
+	if s.n.cold.limit(service).PerSecond <= 0 {
+		return true
+	}
+	return !slices.ContainsFunc(s.n.fleet.Service(service), func(e *fleet.Endpoint) bool {
+		return e.IsCold(now) && s.n.fleet.HasReturned(e.Zone, now)
+	})
+}
+
+// ordered returns what the latest orders for a zone were for.
+func (p *pool) ordered(zone string) autoscale.Zone {
+	return autoscale.Zone{OnDemand: p.lastOrders[orderTarget{zone, false}].desired, Reclaimable: p.lastOrders[orderTarget{zone, true}].desired}
+}
