--- a/admission/reports.go
+++ b/admission/reports.go
@@ -21,7 +21,11 @@
 	// reportAge is the age from which a report counts for nothing.
 	reportAge = time.Second
 	// maxUsage bounds the usage of one endpoint in the mean: a long queue at one leaves the others their room.
-	maxUsage = 2.0
+	maxUsage = 2.5
+	// usualUsage with priorWeight, in reports, stands for the endpoints of which there is no report: one busy endpoint is no
+	// shortage.
+	usualUsage  = 0.7
+	priorWeight = 1.0
 	// answeredUsage and rejectedUsage stand for the usage of endpoints that report no load. A tenth of rejections among the
 	// answers is a usage of 1.4.
 	answeredUsage = 0.9
@@ -71,8 +75,9 @@
 }
 
 // Usage returns the mean usage of the endpoints by their reports of the last second. Older ones are dropped. Without any
-// report it follows from the rejections among the answers.
-func (r *Reports) Usage(now time.Time) float64 {
+// report it follows from the rejections among the answers. cautious is closer to the usual usage, the fewer reports there
+// are.
+func (r *Reports) Usage(now time.Time) (usage, cautious float64) {
 	sum, weights := 0.0, 0.0
 	for id, latest := range r.byEndpoint {
 		age := now.Sub(latest.at)
@@ -85,7 +90,7 @@
 		weights += weight * weight
 	}
 	if weights == 0 {
-		return r.outcomes
+		return r.outcomes, r.outcomes
 	}
-	return sum / weights
+	return sum / weights, (sum + priorWeight*usualUsage) / (weights + priorWeight)
 }
--- a/admission/service.go
+++ b/admission/service.go
@@ -45,7 +45,7 @@
 	Arrived   time.Time
 	Deadline  time.Time
 	Objective time.Duration // for the time from the arrival to the answer or its first event; 0: none
-	First     time.Duration // expected time to the answer or its first event at the best endpoint
+	First     time.Duration // expected time to the answer or its first event at the best endpoint; 0: unknown
 	Finish    time.Duration // expected time to the end of the answer at the best endpoint
 	Service   time.Duration // expected time in a slot of an endpoint
 	Key       uint64        // identifies what the caller sends; the same when it returns after a refusal; 0: unknown
@@ -263,7 +263,7 @@
 
 // recordDelay records by how much a request began later than expected, or that it has not begun until its end.
 func (s *Service) recordDelay(t *Ticket, now time.Time) {
-	if t.begun {
+	if t.begun || t.best == 0 {
 		return
 	}
 	t.begun = true
@@ -289,7 +289,8 @@
 
 func (s *Service) observe(now time.Time) {
 	if s.window.isDue(now) {
-		s.window.observe(s.reports.Usage(now), s.queue.Len(), now)
+		usage, cautious := s.reports.Usage(now)
+		s.window.observe(usage, cautious, s.queue.Len(), now)
 		s.dispatch(now)
 	}
 }
--- a/admission/window.go
+++ b/admission/window.go
@@ -166,8 +166,9 @@
 // isDue reports whether the window is to be adjusted.
 func (w *Window) isDue(now time.Time) bool { return now.Sub(w.adjusted) >= observeInterval }
 
-// observe adjusts the window to the usage of the endpoints. waiting is the number of requests that wait for the window.
-func (w *Window) observe(usage float64, waiting int, now time.Time) {
+// observe adjusts the window to the usage of the endpoints. A shortage begins by the cautious usage. waiting is the number of
+// requests that wait for the window.
+func (w *Window) observe(usage, cautious float64, waiting int, now time.Time) {
 	w.updateMean(now)
 	w.usage = usage
 	w.observed++
@@ -176,7 +177,7 @@
 	target := w.Target()
 	wanted := target * w.mean / max(w.usage, minUsage)
 	if w.limit == 0 {
-		if w.observed >= minObserved && w.usage*w.trend() > target+enterMargin && w.usage > leastUsage {
+		if w.observed >= minObserved && cautious*w.trend() > target+enterMargin && cautious > leastUsage {
 			w.limit = max(minWindow, wanted)
 			w.calmSince = time.Time{}
 		}
