forward: requests wait or are rejected under shortage

Each request was sent as it arrived. In a shortage the urgent kinds were refused as often as the others, and plain endpoints rejected what exceeded their queues.

choose asks the admission of the service for a place first. Without a shortage a request gets one at once; the expected times and the key of the caller's request are computed in a shortage only. The place is held until the attempt ends. Answers and rejections feed the load reports. An attempt that an endpoint rejected isn't repeated, and costs no retry budget, if it would be rejected here. Streams that the caller has a part of are not held back. Counters forward_delayed and forward_rejected by rule; log lines with the figures that decided, at most one a second and service at level info.

--- a/forward/answer.go
+++ b/forward/answer.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/trefoillug/trefoillug/admission"
 	"github.com/trefoillug/trefoillug/continuation"
 	"github.com/trefoillug/trefoillug/problem"
 )
@@ -69,6 +70,16 @@
 	m.scope.Tagged(map[string]string{"end": e.String()}).Counter("attempts").Inc(1)
 }
 
+// countDelayed counts a request that was held back under shortage. rule says why.
+func (m *Metrics) countDelayed(rule admission.Rule) {
+	m.scope.Tagged(map[string]string{"rule": string(rule)}).Counter("delayed").Inc(1)
+}
+
+// countRejected counts a request that was rejected under shortage. rule says why.
+func (m *Metrics) countRejected(rule admission.Rule) {
+	m.scope.Tagged(map[string]string{"rule": string(rule)}).Counter("rejected").Inc(1)
+}
+
 // answerBuckets range from the fastest answers to the longest deadlines.
 var answerBuckets = tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 13)
 
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -120,6 +120,7 @@
 		}
 		r.timeToFirst = time.Since(sent)
 		e.Stats.RecordPrefilled(prefill)
+		r.place.recordBegun()
 		r.recordFirstEvent()
 		prefill = 0
 	}
@@ -162,6 +163,7 @@
 		return noContinuation(reply, r.stream.position.String())
 	}
 	r.timeToFirst = time.Since(sent)
+	r.place.recordBegun()
 	r.speed().RecordAnswer(r.timeToFirst)
 	r.recordWork(r.timeToFirst / time.Duration(max(1, e.Slots)))
 	return r.relayWhole(ctx, reply, onStall)
@@ -191,9 +193,11 @@
 // recordReply records what an endpoint says of itself with an answer.
 func (r *exchange) recordReply(e *fleet.Endpoint, reply *upstream.Reply) {
 	e.RecordSignals(r.f.cfg.Wire.Signals(reply.Status, reply.Header), time.Now())
-	if load, ok := r.f.cfg.Wire.Load(reply.Header); ok {
+	load, ok := r.f.cfg.Wire.Load(reply.Header)
+	if ok {
 		e.Stats.RecordLoad(load, time.Now())
 	}
+	r.recordRoom(e, reply, load, ok, r.f.cfg.Wire.IsNotRun(reply.Status, reply.Header))
 }
 
 // notRun returns the outcome of an attempt that an endpoint has rejected.
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -63,6 +63,9 @@
 	if r.stream.started && r.lastEnd == rejected {
 		pause(ctx, rejectedPause(r.rejections))
 	}
+	if refusal := r.admit(ctx); refusal != nil {
+		return nil, refusal
+	}
 	end := time.Now().Add(r.endpointWait())
 	timeout := time.NewTimer(r.endpointWait())
 	defer timeout.Stop()
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -161,10 +161,11 @@
 
 // Forwarder serves routed requests. It is safe for concurrent use.
 type Forwarder struct {
-	cfg       Config
-	caches    caches
-	speeds    sync.Map // of *speed.Estimator by service
-	durations routeDurations
+	cfg        Config
+	caches     caches
+	speeds     sync.Map // of *speed.Estimator by service
+	durations  routeDurations
+	admissions admissions
 }
 
 // New returns a forwarder.
@@ -227,6 +228,7 @@
 	admission    fleet.Admission // of the next or latest attempt
 	pendingMove  *moveResult     // where the next attempt continues the run; nil unless it was moved
 	offers       offers          // of a stalled request to other endpoints
+	place        *place          // in the window of the service; nil: none
 	accepted     *acceptedOffer  // the next attempt; nil unless an endpoint has accepted a stalled request
 }
 
@@ -321,6 +323,7 @@
 func (r *exchange) Choose(ctx context.Context) (*fleet.Endpoint, error) {
 	endpoint, refusal := r.choose(ctx)
 	if refusal != nil {
+		r.leavePlace(nil)
 		return nil, refusal
 	}
 	return endpoint, nil
@@ -338,6 +341,7 @@
 		r.recordDuration()
 	}
 	r.recordAttempt(e, &out)
+	r.leavePlace(&out)
 	return &out
 }
 
@@ -381,7 +385,10 @@
 	if r.stream.started || r.offers.isAccepted() {
 		return nil
 	}
-	return r.checkPaused()
+	if err := r.checkPaused(); err != nil {
+		return err
+	}
+	return r.checkRoom()
 }
 
 // AcquireRetry implements attempt.Steps.
@@ -457,7 +464,7 @@
 	case r.mayHaveRun:
 		return r.refuse(&Refusal{Err: problem.New(problem.EndpointFailed, "%v", out.err)})
 	default:
-		return r.refuse(&Refusal{Err: problem.New(problem.Overloaded, "no endpoint had room: %v", out.err), RetryAfter: jitter(refusedRetryAfter)})
+		return r.refuse(&Refusal{Err: problem.New(problem.Overloaded, "no endpoint had room: %v", out.err), RetryAfter: r.returnAfter()})
 	}
 }
 
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -35,7 +35,10 @@
 
 func (wire) IsNotRun(_ int, h http.Header) bool { return h.Get("Not-Run") != "" }
 
-func (wire) Load(http.Header) (fleet.Load, bool) { return fleet.Load{}, false }
+func (wire) Load(h http.Header) (l fleet.Load, ok bool) {
+	n, _ := fmt.Sscanf(h.Get("Load"), "%d,%d,%d", &l.Running, &l.Waiting, &l.Slots)
+	return l, n == 3
+}
 
 // arrival is a request that has arrived at an endpoint. The test's script answers it on conn.
 type arrival struct {
