limit, entry: calls share capacity by work, and returning callers go first

The product's own interface counted each call as one request in its queue, so that a workspace of long prompts got more of the engines than one of short ones, and a caller that returned after a refusal began at the end.

limit.Request has the work of a call, and an identity by which a returning caller is recognised (admission.Returns, which the routed path uses too). A repeat of routed traffic costs no retry budget if the queue ahead of it outlasts its objective.

The race tests of limit, entry and relay pass; TestQueue_ReturningCallerFirst is new.

--- a/admission/service.go
+++ b/admission/service.go
@@ -31,10 +31,6 @@
 	minRetryAfter = 100 * time.Millisecond
 	// retryShare is the share of its time left for which a caller honours a Retry-After.
 	retryShare = 1.0 / 3
-	// returnWindow is the time for which a refused request is remembered after the time of its return.
-	returnWindow = 3 * time.Second
-	// maxRefused bounds the remembered refused requests.
-	maxRefused = 1024
 )
 
 // Request describes a request for admission.
@@ -121,8 +117,8 @@
 	window  Window
 	queue   Queue
 	byItem  map[*Item]*Ticket
-	delays  map[int]*delay       // by rank
-	refused map[uint64]time.Time // by Request.Key: the time from which the caller may return
+	delays  map[int]*delay // by rank
+	refused Returns
 	reports Reports
 	returns map[int]time.Time // by rank: the time of return of the caller refused last
 }
@@ -130,7 +126,7 @@
 // NewService returns the state of a service without requests. random returns numbers in [0, 1).
 func NewService(random func() float64) *Service {
 	return &Service{
-		queue: Queue{Floor: floorShare}, window: Window{random: random}, byItem: map[*Item]*Ticket{}, delays: map[int]*delay{}, refused: map[uint64]time.Time{}, returns: map[int]time.Time{},
+		queue: Queue{Floor: floorShare}, window: Window{random: random}, byItem: map[*Item]*Ticket{}, delays: map[int]*delay{}, returns: map[int]time.Time{},
 	}
 }
 
@@ -153,7 +149,7 @@
 		s.run(t, now)
 		return t
 	}
-	t.item.Returning = s.isReturning(r.Key, now)
+	t.item.Returning = s.refused.Take(r.Key, now)
 	r.addDelay(s.delays[r.Rank].value(now))
 	t.Request = r
 	if now.Add(r.Finish).After(r.Deadline) {
@@ -166,7 +162,7 @@
 		s.run(t, now)
 		return t
 	}
-	t.waitEnd = s.waitEnd(t, now)
+	t.waitEnd = waitEnd(&r, now)
 	t.Expected = time.Duration(ahead+1) * s.window.Interval()
 	switch {
 	case now.Add(t.Expected).After(t.waitEnd):
@@ -189,16 +185,18 @@
 		return 0, false
 	}
 	r.addDelay(s.delays[r.Rank].value(now))
-	wait := time.Duration(s.queue.LenBefore(r.Rank)) * s.window.Interval()
-	if !now.Add(wait + r.Finish).After(r.Deadline) {
+	if ahead := s.queue.LenBefore(r.Rank); ahead > 0 {
+		wait := time.Duration(ahead+1) * s.window.Interval()
+		rejected = now.Add(wait).After(waitEnd(&r, now))
+	}
+	if !rejected && !now.Add(r.Finish).After(r.Deadline) {
 		return 0, false
 	}
 	return s.RetryAfter(r, now), true
 }
 
 // waitEnd returns until when a request may wait: as long as its answer may come within the objective.
-func (s *Service) waitEnd(t *Ticket, now time.Time) time.Time {
-	r := &t.Request
+func waitEnd(r *Request, now time.Time) time.Time {
 	last := r.Deadline.Add(-r.Finish)
 	if r.Objective <= 0 {
 		return last
@@ -338,37 +336,6 @@
 		s.returns[r.Rank] = at
 	}
 	at = at.Add(time.Duration(float64(at.Sub(now)) * (s.window.random() - 1) / 5))
-	s.Remember(r.Key, at, now)
+	s.refused.Remember(r.Key, at, now)
 	return max(at.Sub(now), time.Millisecond)
 }
-
-// Remember records that a request was refused whose caller may return at a time.
-func (s *Service) Remember(key uint64, at, now time.Time) {
-	if key == 0 {
-		return
-	}
-	if len(s.refused) >= maxRefused {
-		for k, at := range s.refused {
-			if now.Sub(at) > returnWindow {
-				delete(s.refused, k)
-			}
-		}
-		if len(s.refused) >= maxRefused {
-			return
-		}
-	}
-	s.refused[key] = at
-}
-
-// HasRefused reports whether any refused request is remembered. If not, requests need no key.
-func (s *Service) HasRefused() bool { return len(s.refused) > 0 }
-
-// isReturning reports whether a caller returns after a refusal, not earlier than it was asked to, and forgets the refusal.
-func (s *Service) isReturning(key uint64, now time.Time) bool {
-	at, ok := s.refused[key]
-	if !ok || key == 0 || now.Before(at) {
-		return false
-	}
-	delete(s.refused, key)
-	return now.Sub(at) <= returnWindow
-}
--- a/admission/service_test.go
+++ b/admission/service_test.go
@@ -96,8 +96,8 @@
 // Guards against a caller that returns as it was asked to and is behind new ones, and against an early return that is not.
 func TestOffer_ReturningCallers(t *testing.T) {
 	s, running := shortService(epoch)
-	s.Remember(7, epoch.Add(time.Second), epoch)
-	s.Remember(8, epoch.Add(5*time.Second), epoch)
+	s.refused.Remember(7, epoch.Add(time.Second), epoch)
+	s.refused.Remember(8, epoch.Add(5*time.Second), epoch)
 	now := epoch.Add(time.Second)
 	var tickets []*Ticket
 	for _, key := range []uint64{1, 8, 7} {
--- a/entry/adapters.go
+++ b/entry/adapters.go
@@ -131,6 +131,7 @@
 func (a admitter) Admit(ctx context.Context, call *relay.Call) (func(), error) {
 	release, err := a.admission.Admit(ctx, limit.Request{
 		Service: call.Service.Name, Workspace: call.Workspace, Priority: call.Route.Priority, Deadline: call.Deadline,
+		Work: workOf(call), Identity: xxhash.Sum64String(call.Key) ^ call.Fingerprint,
 	})
 	if err != nil {
 		return nil, err
@@ -138,6 +139,18 @@
 	return func() { release(limit.Result{}) }, nil
 }
 
+// outputWork is the work of generating a token in prompt tokens: a decode step of an engine takes as long as the prefill of
+// some hundred tokens, and generates a token for each request of the batch.
+const outputWork = 20
+
+// workOf returns the work of a call in prompt tokens, and 0 for a call of a plain service.
+func workOf(call *relay.Call) float64 {
+	if call.Chat == nil {
+		return 0
+	}
+	return float64(len(call.Body)/bytesPerToken + outputWork*call.Chat.MaxTokens)
+}
+
 // retryBudget adapts the retry budgets to the request path.
 type retryBudget struct{ admission *limit.Admission }
 
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -39,6 +39,12 @@
 	Priority  config.Priority
 	Deadline  time.Time // zero: the deadline of the context
 	Cost      float64   // in requests; 0 counts as 1
+	// Work is the work of an endpoint for the request in any unit, by which workspaces share the capacity of a service; 0:
+	// Cost.
+	Work float64
+	// Identity identifies what the caller sends, so that a caller that returns after a refusal goes before new ones; 0:
+	// unknown.
+	Identity uint64
 }
 
 // Result is the outcome of an admitted request. The zero Result contains no sample for an endpoint.
@@ -210,6 +216,9 @@
 	if r.Cost <= 0 {
 		r.Cost = 1
 	}
+	if r.Work <= 0 {
+		r.Work = r.Cost
+	}
 	r.Priority = min(max(r.Priority, config.PriorityLow), config.PriorityHigh)
 }
 
@@ -218,8 +227,8 @@
 	now := time.Now()
 	svc.retry.CountRequest(now)
 	t := &ticket{
-		workspace: r.Workspace, priority: r.Priority, deadline: r.Deadline, cost: r.Cost,
-		queued: now, decided: make(chan struct{}),
+		workspace: r.Workspace, priority: r.Priority, deadline: r.Deadline, cost: r.Work,
+		identity: r.Identity, queued: now, decided: make(chan struct{}),
 	}
 	svc.mu.Lock()
 	admitted := svc.queue.offer(t, now)
@@ -259,6 +268,8 @@
 	}
 	a.count(func(s *Stats) { s.Overloaded++ })
 	after := retryAfter(t.wait - t.deadline.Sub(t.queued))
+	now := time.Now()
+	svc.queue.refused.Remember(t.identity, now.Add(after), now)
 	return problem.NewWithRetryAfter(problem.Overloaded, after, "the expected wait exceeds the time to the deadline")
 }
 
--- a/limit/queue.go
+++ b/limit/queue.go
@@ -22,6 +22,7 @@
 	priority  config.Priority
 	deadline  time.Time
 	cost      float64
+	identity  uint64 // of what the caller sends; 0: unknown
 	queued    time.Time
 	decided   chan struct{} // closed when admitted or refused
 	admitted  bool
@@ -36,6 +37,7 @@
 	inFlight          int
 	waiting           admission.Queue
 	tickets           map[*admission.Item]*ticket
+	refused           admission.Returns
 	meanHoldTime      float64 // mean seconds from admission to release; 0: not measured
 	nextDeadlineCheck time.Time
 }
@@ -57,7 +59,9 @@
 // offer admits, queues or refuses a ticket and reports whether it was admitted. If it was refused, t.decided is closed.
 func (q *queue) offer(t *ticket, now time.Time) bool {
 	q.refuseLate(now)
-	t.item = &admission.Item{Rank: rank(t.priority), Workspace: t.workspace, Cost: t.cost}
+	t.item = &admission.Item{
+		Rank: rank(t.priority), Workspace: t.workspace, Cost: t.cost, Returning: q.refused.Take(t.identity, now),
+	}
 	q.waiting.CountArrival(t.item, now)
 	if q.inFlight < q.capacity && q.waiting.Len() == 0 {
 		q.waiting.CountServed(t.item, now)
--- a/limit/queue_test.go
+++ b/limit/queue_test.go
@@ -120,3 +120,17 @@
 		must.True(t, ok || used >= MinRetriesPerSecond)
 	}
 }
+
+// Guards against a caller that returns after a refusal, when it was asked to, and waits behind new ones.
+func TestQueue_ReturningCallerFirst(t *testing.T) {
+	q := busyQueue()
+	q.refused.Remember(7, epoch.Add(time.Second), epoch)
+	newer, returning := testTicket("w", config.PriorityNormal, time.Hour), testTicket("w", config.PriorityNormal, time.Hour)
+	returning.identity = 7
+	now := epoch.Add(time.Second)
+	q.offer(newer, now)
+	q.offer(returning, now)
+	q.done(100*time.Millisecond, now)
+	must.True(t, returning.admitted)
+	must.False(t, newer.admitted)
+}
