admission: one urgent request may always run

With a window below one request, which instances with little traffic have, an urgent request waited for the time of the one before it, or was rejected because of it.

--- a/admission/window.go
+++ b/admission/window.go
@@ -39,7 +39,8 @@
 	// minWindow lets an instance with little traffic send a request from time to time, whose answer shows the load.
 	minWindow = 0.25
 	// urgentBoost is the share of the window by which the most urgent requests may exceed it. The endpoints' queues have
-	// room for it, and engines run urgent requests first.
+	// room for it, and engines run urgent requests first. One urgent request may always run, since a smaller window would
+	// delay or reject it because of the one before it.
 	urgentBoost = 0.3
 	// exitAfter is the time without waiting requests and without a shortage after which requests go at once again.
 	exitAfter = time.Second
@@ -107,7 +108,7 @@
 	}
 	limit := w.limit
 	if urgent {
-		limit *= 1 + urgentBoost
+		limit = max(1, limit*(1+urgentBoost))
 	}
 	if limit < 1 {
 		interval := time.Duration(float64(w.Hold()) / limit)
