--- a/admission/window.go
+++ b/admission/window.go
@@ -39,7 +39,8 @@
 	// minWindow lets an instance with little traffic send a request from time to time, whose answer shows the load.
 	minWindow = 0.25
 	// urgentBoost is the share of the window by which the most urgent requests may exceed it. The endpoints' queues have
-	// room for it, and engines run urgent requests first.
+	// room for it, and engines run urgent requests first. One urgent request may always run, since a smaller window would
+	// delay or reject it because of the one before it.
 	urgentBoost = 0.3
 	// exitAfter is the time without waiting requests and without a shortage after which requests go at once again.
 	exitAfter = time.Second
@@ -107,7 +108,7 @@
 	}
 	limit := w.limit
 	if urgent {
-		limit *= 1 + urgentBoost
+		limit = max(1, limit*(1+urgentBoost))
 	}
 	if limit < 1 {
 		interval := time.Duration(float64(w.Hold()) / limit)
@@ -166,8 +167,9 @@
 // isDue reports whether the window is to be adjusted.
 func (w *Window) isDue(now time.Time) bool { return now.Sub(w.adjusted) >= observeInterval }
 
-// observe adjusts the window to the usage of the endpoints. waiting is the number of requests that wait for the window.
-func (w *Window) observe(usage float64, waiting int, now time.Time) {
+// observe adjusts the window to the usage of the endpoints. A shortage begins by the cautious usage. waiting is the number of
+// requests that wait for the window.
+func (w *Window) observe(usage, cautious float64, waiting int, now time.Time) {
 	w.updateMean(now)
 	w.usage = usage
 	w.observed++
@@ -176,7 +178,7 @@
 	target := w.Target()
 	wanted := target * w.mean / max(w.usage, minUsage)
 	if w.limit == 0 {
-		if w.observed >= minObserved && w.usage*w.trend() > target+enterMargin && w.usage > leastUsage {
+		if w.observed >= minObserved && cautious*w.trend() > target+enterMargin && cautious > leastUsage {
 			w.limit = max(minWindow, wanted)
 			w.calmSince = time.Time{}
 		}
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -121,6 +121,7 @@
 		}
 		r.timeToFirst = time.Since(sent)
 		e.Stats.RecordPrefilled(prefill)
+		r.place.recordBegun()
 		r.recordFirstEvent(e)
 		prefill = 0
 	}
@@ -165,6 +166,7 @@
 		return noContinuation(reply, r.stream.position.String())
 	}
 	r.timeToFirst = time.Since(sent)
+	r.place.recordBegun()
 	r.speed().RecordAnswer(r.timeToFirst)
 	if reply.Status < http.StatusInternalServerError {
 		r.recordAnswerPace(e, speed.Answer, 0)
@@ -197,9 +199,11 @@
 // recordReply records what an endpoint says of itself with an answer.
 func (r *exchange) recordReply(e *fleet.Endpoint, reply *upstream.Reply) {
 	e.RecordSignals(r.f.cfg.Wire.Signals(reply.Status, reply.Header), time.Now())
-	if load, ok := r.f.cfg.Wire.Load(reply.Header); ok {
+	load, ok := r.f.cfg.Wire.Load(reply.Header)
+	if ok {
 		r.f.recordLoad(e, load, time.Now())
 	}
+	r.recordRoom(e, reply, load, ok, r.f.cfg.Wire.IsNotRun(reply.Status, reply.Header))
 }
 
 // notRun returns the outcome of an attempt that an endpoint has rejected.
