node: copies of the member list are not refused for their usual age

Cause: an instance read the list from the store whenever a peer's copy was older than 1.5 s. The peers that read it renew it at that age, checked each 0.2 s, so that a part of the copies was refused at each turn and the store was read by many instances.

Change: a copy counts until 0.4 s before its list can no longer be used; only the two listers renew at 1.5 s. The bound on the age of a list that is used (3 s) is unchanged.

--- a/node/cold.go
+++ b/node/cold.go
@@ -25,6 +25,9 @@
 	coldTick = 200 * time.Millisecond
 	// coldListAge is the age above which the list is read again while endpoints are cold.
 	coldListAge = cold.MaxListAge / 2
+	// coldListReserve is the age up to which a list can still be used until the next copy arrives. A copy is as old as the list
+	// of the peer, about coldListAge at most; instances that take such a copy for too old would all read the store.
+	coldListReserve = cold.MaxListAge - 2*coldTick
 	// coldListers is the number of instances that read the list from the store; the others ask them for theirs first.
 	coldListers = 2
 	// coldListTimeout bounds the calls for a list.
@@ -242,7 +245,7 @@
 	if now.Sub(c.n.started) < coldStartPeriod && len(c.askedPeers) < maxColdStartPeers {
 		c.askColdLeft(ctx, coldIDs)
 	}
-	if now.Sub(listed) < coldListAge || c.copyMembers(ctx) {
+	if now.Sub(listed) < coldListAge || c.copyMembers(ctx, now.Sub(listed)) {
 		return
 	}
 	if err := c.listMembers(ctx); err != nil {
@@ -373,9 +376,10 @@
 	return reply, nil
 }
 
-// copyMembers asks one of the instances that read the list from the store for its list, and reports whether it got one that
-// is recent enough. These instances read it themselves.
-func (c *coldLimits) copyMembers(ctx context.Context) bool {
+// copyMembers asks one of the instances that read the list from the store for its list, and reports whether this instance need
+// not read it from the store: it has one, of the given age or newer, that can be used until the next call. The instances that
+// read the list from the store always need to.
+func (c *coldLimits) copyMembers(ctx context.Context, age time.Duration) bool {
 	listers := rendezvous.Top(callColdMembers, c.n.memberIDs(), coldListers)
 	if len(listers) == 0 || slices.Contains(listers, c.n.settings.Name) {
 		return false
@@ -388,17 +392,17 @@
 	begun := time.Now()
 	reply, err := callPeer[membersReply](ctx, c.n, listers[rand.IntN(len(listers))], callColdMembers, membersCall{seedFor(strings.Join(own, " "))})
 	if err != nil {
-		return false
+		return age < coldListReserve
 	}
 	listed := begun.Add(-time.Duration(reply.AgeMs) * time.Millisecond) // at the latest, since the peer answered after begun
 	if time.Since(listed) >= cold.MaxListAge {
-		return false
+		return age < coldListReserve
 	}
 	if reply.Unchanged {
 		reply.Members = own
 	}
 	c.setMembers(reply.Members, listed)
-	return time.Since(listed) < coldListAge
+	return min(age, time.Since(listed)) < coldListReserve
 }
 
 // leftCall asks how long endpoints stay cold.
