memlimit, intake, graceful: one bound for the memory of bodies, and bounds for connections

All that is read from clients counts against one bound, a fifth of the machine's memory: bodies on both request paths until the request ends, copies of model requests, complete answers that are held, and messages of peers. Package memlimit decides (pure), package intake reads. Bodies grow with what has arrived; a length announced over the limit is refused with 413 before a byte of it is read; chunk framing is bounded; at the bound the bodies with most memory for least progress are evicted and get 503 with Retry-After, and others wait for 1 s at most, by priority.

The listeners for peers and readiness checks have bounds of their own, small heads and no bodies.

--- a/cmd/trefoillug/entry.go
+++ b/cmd/trefoillug/entry.go
@@ -36,6 +36,10 @@
 			durationFlag("pool-start-time", "time from the request of an instance until it is listed", pool.DefaultStartTime, &s.PoolStartTime),
 			floatFlag("weight-rate", "rate limit of the weight store in bytes a second; 0: no limit", &s.WeightRate),
 			floatFlag("weight-bytes", "size of a version's weights in bytes, to pace loading them", &s.WeightBytes),
+			&cli.FloatFlag{Name: "memory-mb", Usage: "memory of the machine in MB; 0: no bound", Value: entry.DefaultMemoryMB,
+				Sources: envVar("memory-mb"), Destination: &s.MemoryMB},
+			&cli.IntFlag{Name: "max-fds", Usage: "descriptors that the process may open, 200 of them for files; 0: no bound",
+				Value: entry.DefaultMaxFds, Sources: envVar("max-fds"), Destination: &s.MaxFds},
 		},
 		Action: func(ctx context.Context, _ *cli.Command) error {
 			if err := s.Validate(); err != nil {
--- a/cmd/trefoillug/node.go
+++ b/cmd/trefoillug/node.go
@@ -10,6 +10,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/trefoillug/trefoillug/forward"
+	"github.com/trefoillug/trefoillug/intake"
 	"github.com/trefoillug/trefoillug/node"
 	"github.com/trefoillug/trefoillug/platform"
 )
@@ -64,8 +65,8 @@
 		Objects: store, Records: platform.Records{Store: store}, Wire: platform.Wire{}, Mover: platform.Mover{},
 		DecodeTable: platform.DecodeManifest, DecodeEndpoint: platform.DecodeEndpoint, Ready: platform.ReadyHandler,
 		DecodeRollout: platform.DecodeRollout, Rollouts: platform.Rollouts{Store: store},
-		Ingress: func(f *forward.Forwarder, maxBody func() int64, closing func() bool) http.Handler {
-			return &platform.Ingress{Forwarder: f, MaxBody: maxBody, Closing: closing, Log: log}
+		Ingress: func(f *forward.Forwarder, maxBody func() int64, closing func() bool, memory *intake.Memory) http.Handler {
+			return &platform.Ingress{Forwarder: f, MaxBody: maxBody, Closing: closing, Log: log, Memory: memory, Priority: f.Priority}
 		},
 	}
 	if s.CloudAddress != "" {
--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -34,6 +34,9 @@
 	MayAbandon func() bool
 	// BufferBytes is the number of body bytes that are read before Call returns. Event streams are not buffered.
 	BufferBytes int
+	// Reserve reports whether there is memory for more bytes of the body. If there is none, Call returns with fewer bytes
+	// than BufferBytes; nil: there always is.
+	Reserve func(bytes int) bool
 }
 
 // Answer is the answer of a plain service. Rest is nil when Body is the whole answer; otherwise the caller reads
@@ -99,7 +102,7 @@
 	if isUnframed(resp) && progress.IsEventStream(resp.Header) {
 		resp.Body = &eventBody{EventReader: progress.EventReader{Reader: resp.Body}, Closer: resp.Body}
 	}
-	body, err := readStart(resp, a, call.BufferBytes)
+	body, err := readStart(resp, a, call.BufferBytes, call.Reserve)
 	if err != nil {
 		resp.Body.Close()
 		r := a.classify(ctx, fmt.Errorf("read answer: %w", err))
@@ -152,9 +155,9 @@
 	complete bool
 }
 
-// readStart reads the start of a body, up to one byte above limit. The start of an event stream is not buffered, since
+// readStart reads the start of a body, up to one byte above limit or until reserve finds no memory for more. The start of an event stream is not buffered, since
 // its caller waits for each event.
-func readStart(resp *http.Response, a *attempt, limit int) (startOfBody, error) {
+func readStart(resp *http.Response, a *attempt, limit int, reserve func(int) bool) (startOfBody, error) {
 	if progress.IsEventStream(resp.Header) {
 		limit = 0
 	}
@@ -164,8 +167,8 @@
 		defer watch.Stop()
 		source = &progress.Reader{Reader: resp.Body, Watch: watch}
 	}
-	b, err := io.ReadAll(io.LimitReader(source, int64(limit)+1))
-	return startOfBody{b, len(b) <= limit}, err
+	b, short, err := progress.ReadHeld(source, limit+1, reserve)
+	return startOfBody{b, len(b) <= limit && !short}, err
 }
 
 // restBody ends the attempt when the rest of an answer has been read.
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/trefoillug/trefoillug/config"
 	"github.com/trefoillug/trefoillug/core"
 	"github.com/trefoillug/trefoillug/graceful"
+	"github.com/trefoillug/trefoillug/intake"
 	"github.com/trefoillug/trefoillug/limit"
 	"github.com/trefoillug/trefoillug/objstore"
 	"github.com/trefoillug/trefoillug/peer"
@@ -54,7 +55,8 @@
 	suspects     suspects
 	relay        *relay.Relay
 	metrics      *metrics
-	pool         *poolDuty // nil: the platform sizes the pool
+	memory       *intake.Memory // for bodies, held answers and messages; nil: no bound
+	pool         *poolDuty      // nil: the platform sizes the pool
 
 	ready     atomic.Bool
 	leaving   atomic.Bool
@@ -86,10 +88,11 @@
 		started:     time.Now().UTC().Format("20060102T150405.000"),
 		metrics:     newMetrics(),
 	}
+	d.memory = d.newMemory()
 	d.runner = newRunner(d.core, d.execute, func() { d.admission.Update(d.core.Snapshot()) })
 	node, err := peer.New(peer.Settings{
 		Self:  peer.Member{ID: s.ID, Address: s.advertised(), FailureDomain: s.FailureDomain, Region: s.Region},
-		Seeds: s.Peers, Transport: peer.NewWebSocket(), Log: log, RandomSeed: seedFor(s.ID),
+		Seeds: s.Peers, Transport: peer.NewWebSocket(), Log: log, RandomSeed: seedFor(s.ID), Memory: d.memory,
 	})
 	if err != nil {
 		return nil, err
@@ -133,6 +136,7 @@
 		Claimer:  &claimer{service: d.claims},
 		Chooser:  newChooser(seedFor(d.settings.ID)),
 		Admitter: admitter{d.admission}, RetryBudget: retryBudget{d.admission}, Quarantine: d.suspects,
+		Memory: d.memory,
 	}
 }
 
@@ -160,9 +164,12 @@
 	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, runCtx := errgroup.WithContext(runCtx)
-	peerServer := graceful.New(&http.Server{Handler: d.peerMux(), ReadHeaderTimeout: headerTimeout})
+	peerServer := graceful.New(&http.Server{
+		Handler: intake.RefuseBodies(d.peerMux()), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: relay.MaxHeaderBytes,
+	})
 	callerServer := graceful.New(relay.NewServer(d.callerMux()))
 	callerServer.OnClose = graceful.Report(d.log, d.metrics.scope)
+	d.boundConns(peerServer, callerServer)
 	group.Go(func() error { return peerServer.Serve(peers) })
 	group.Go(func() error { return callerServer.Serve(callers) })
 	d.startSystems(runCtx, group)
@@ -185,6 +192,7 @@
 	group.Go(func() error { return every(ctx, loadInterval, d.readLoads) })
 	group.Go(func() error { return every(ctx, flushInterval, d.flushBurn) })
 	group.Go(func() error { return every(ctx, readyInterval, d.updateReady) })
+	group.Go(func() error { return every(ctx, reportInterval, d.reportMemory) })
 	if d.pool != nil {
 		group.Go(func() error { return d.pool.run(ctx) })
 	}
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -32,6 +32,8 @@
 	PoolStartTime time.Duration // from the request of an instance until it is listed
 	WeightRate    float64       // rate limit of the weight store in bytes a second; 0: no limit
 	WeightBytes   float64       // size of a version's weights in bytes
+	MemoryMB      float64       // memory of the machine
+	MaxFds        int           // descriptors that the process may open, of which 200 are for files
 }
 
 // Validate returns an error that lists all problems of the settings, each with its flag, or nil.
@@ -51,6 +53,8 @@
 		checkNotNegative("--pool-start-time", s.PoolStartTime),
 		checkNotNegative("--weight-rate", s.WeightRate),
 		checkNotNegative("--weight-bytes", s.WeightBytes),
+		checkNotNegative("--memory-mb", s.MemoryMB),
+		checkNotNegative("--max-fds", s.MaxFds),
 	)
 }
 
@@ -106,7 +110,7 @@
 	return nil
 }
 
-func checkNotNegative[T time.Duration | float64](flag string, v T) error {
+func checkNotNegative[T time.Duration | float64 | int](flag string, v T) error {
 	if v < 0 {
 		return fmt.Errorf("%s: %v is negative; use 0 or more", flag, v)
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -137,7 +137,8 @@
 	Load                    int           // this instance's other requests at the endpoint when the attempt was sent
 }
 
-// Config configures a Forwarder. All fields are required except Mover, Suspects, Versions, Stop, OnStarted and OnWork.
+// Config configures a Forwarder. All fields are required except Mover, Suspects, Versions, Stop, OnStarted,
+// OnWork and AnswerMemory.
 type Config struct {
 	Zone        string
 	Table       func() *routing.Table // nil before the first configuration
@@ -154,9 +155,11 @@
 	Stop      func() *Stop
 	OnStarted func(workspace string, at time.Time) // called once for a request that may have run
 	// OnWork is called with the endpoint time that a request used; an endpoint provides one second of it per second.
-	OnWork  func(service string, work time.Duration)
-	Log     logrus.FieldLogger
-	Metrics *Metrics
+	OnWork func(service string, work time.Duration)
+	// AnswerMemory bounds the memory of answers that are held; nil: no bound.
+	AnswerMemory AnswerMemory
+	Log          logrus.FieldLogger
+	Metrics      *Metrics
 }
 
 // Forwarder serves routed requests. It is safe for concurrent use.
@@ -228,12 +231,13 @@
 	pendingMove  *moveResult     // where the next attempt continues the run; nil unless it was moved
 	offers       offers          // of a stalled request to other endpoints
 	accepted     *acceptedOffer  // the next attempt; nil unless an endpoint has accepted a stalled request
+	answerMemory AnswerMemory    // nil: no bound
 }
 
 // Serve answers a request on w. It returns an error if the answer was broken off after it had begun; the caller's
 // connection must then be closed.
 func (f *Forwarder) Serve(ctx context.Context, w ResponseWriter, req *Request) error {
-	r := &exchange{f: f, w: w, req: req, log: f.cfg.Log.WithField("request", req.ID), tried: map[*fleet.Endpoint]bool{}}
+	r := &exchange{f: f, w: w, req: req, log: f.cfg.Log.WithField("request", req.ID), tried: map[*fleet.Endpoint]bool{}, answerMemory: f.cfg.AnswerMemory}
 	if refusal := r.identify(); refusal != nil {
 		return r.refuse(refusal)
 	}
--- a/forward/whole.go
+++ b/forward/whole.go
@@ -27,18 +27,22 @@
 	if isStream(reply) {
 		whole = 0 // its events are relayed as they arrive
 	}
-	body, err := r.readStart(reply, whole+1, onStall)
+	held := &heldAnswer{memory: r.answerMemory}
+	defer held.release()
+	err := r.readStart(held, reply, whole+1, onStall)
 	if err != nil {
 		return r.classifyError(ctx, &upstream.Error{Sent: true, Err: err})
 	}
+	body := held.body
+	isWhole := len(body) <= whole && !held.short
 	a := &answer{status: reply.Status, header: reply.Header, body: body}
-	if len(body) <= whole && reply.Status >= http.StatusInternalServerError {
+	if isWhole && reply.Status >= http.StatusInternalServerError {
 		return outcome{end: answered, reached: true, answer: a, err: errors.New("the endpoint answered " + http.StatusText(reply.Status))}
 	}
 	if !r.offers.claimWhole() {
 		return outcome{end: lost, reached: true, err: progress.ErrStalled}
 	}
-	if len(body) > whole {
+	if !isWhole {
 		return r.relayLong(ctx, a, reply)
 	}
 	if len(body) > 0 {
@@ -51,13 +55,13 @@
 }
 
 // readStart reads up to n bytes of an answer. onStall is that of relayWhole.
-func (r *exchange) readStart(reply *upstream.Reply, n int, onStall func()) ([]byte, error) {
+func (r *exchange) readStart(held *heldAnswer, reply *upstream.Reply, n int, onStall func()) error {
 	if !r.route.MayRepeat() {
-		return io.ReadAll(io.LimitReader(reply.Body, int64(n)))
+		return held.read(reply.Body, n)
 	}
 	watch := progress.Start(r.stallTimeout(), onStall)
 	defer watch.Stop()
-	return io.ReadAll(io.LimitReader(&progress.Reader{Reader: reply.Body, Watch: watch}, int64(n)))
+	return held.read(&progress.Reader{Reader: reply.Body, Watch: watch}, n)
 }
 
 // relayLong relays an answer as it arrives: one that is larger than maxBuffered, or a stream of events on a route of
--- a/graceful/conn.go
+++ b/graceful/conn.go
@@ -34,6 +34,8 @@
 		}
 		nc, err := l.deadlineListener.Accept()
 		switch {
+		case err == nil && !l.server.makeRoom(time.Now()):
+			l.server.refuse(nc)
 		case err == nil:
 			return l.wrap(nc)
 		case !errors.Is(err, os.ErrDeadlineExceeded):
@@ -71,6 +73,9 @@
 		return nil, errors.Join(err, nc.Close())
 	}
 	c := &conn{Conn: nc, raw: raw, server: l.server, acceptedAt: time.Now()}
+	if l.server.ReceiveBuffer > 0 {
+		c.setReceiveBuffer(l.server.ReceiveBuffer)
+	}
 	l.server.add(c)
 	return c, nil
 }
@@ -104,16 +109,20 @@
 	closed     bool          // closed because it was idle
 	progress   sendProgress  // used during a shutdown
 
-	unframed atomic.Bool // the end of the connection may mark the end of the answer in progress
-	aborted  atomic.Bool // the handler has broken an answer off, or a write has failed
+	received atomic.Int64 // bytes read
+	unframed atomic.Bool  // the end of the connection may mark the end of the answer in progress
+	aborted  atomic.Bool  // the handler has broken an answer off, or a write has failed
 }
 
 // Read implements net.Conn.
 func (c *conn) Read(b []byte) (int, error) {
 	if !c.beginRead(len(b)) {
-		return c.Conn.Read(b)
+		n, err := c.Conn.Read(b)
+		c.received.Add(int64(n))
+		return n, err
 	}
 	n, err := c.readHeader(b)
+	c.received.Add(int64(n))
 	if err != nil && err != io.EOF {
 		err = &net.OpError{Op: "read", Net: c.LocalAddr().Network(), Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: err}
 	}
@@ -326,6 +335,7 @@
 func (c *conn) Close() error {
 	switch {
 	case c.isHijacked():
+		c.server.forgetHijacked(c)
 	case c.isBrokenOff():
 		c.awaitConfirmed()
 	default:
--- a/graceful/server.go
+++ b/graceful/server.go
@@ -36,6 +36,15 @@
 	// OnClose is told of each connection that the server closes by its own decision; nil: nobody is. It must not block
 	// or call the server.
 	OnClose func(Closing)
+	// MaxConns returns the bound for open connections, hijacked ones included; nil or 0: no bound. At the bound a new
+	// connection takes the place of an idle one or is answered with 503.
+	MaxConns func() int
+	// OnFull is called when a connection is refused at the bound, so that the owner can end stalled requests; it may be nil.
+	// It must not block.
+	OnFull func()
+	// ReceiveBuffer bounds the bytes of a connection that the kernel keeps until they are read, less than twice as much
+	// with its own overhead; 0: what the kernel sets.
+	ReceiveBuffer int
 
 	http     *http.Server
 	draining atomic.Bool // Shutdown was called; set while mu is held
@@ -44,12 +53,16 @@
 	mu       sync.Mutex
 	listener deadlineListener // nil: closed or not yet serving
 	conns    map[*conn]struct{}
+	hijacked map[*conn]struct{} // not closed yet
+
+	scannedAt time.Time     // of the last search for connections to close that found none; only Accept uses it
+	refusing  chan struct{} // semaphore of refused connections that are not closed yet
 }
 
 // New returns a server with the settings of s, whose Handler must be set and whose ConnState and ReadTimeout must not. It
 // changes the Handler and the ConnContext of s.
 func New(s *http.Server) *Server {
-	g := &Server{http: s, conns: map[*conn]struct{}{}}
+	g := &Server{http: s, conns: map[*conn]struct{}{}, hijacked: map[*conn]struct{}{}, refusing: make(chan struct{}, maxRefusing)}
 	s.ConnState = g.recordState
 	s.ConnContext = withConn(s.ConnContext)
 	s.Handler = resetAborted(s.Handler)
@@ -178,5 +191,15 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		delete(s.conns, c)
+		if state == http.StateHijacked {
+			s.hijacked[c] = struct{}{}
+		}
 	}
 }
+
+// forgetHijacked records that a hijacked connection is closed.
+func (s *Server) forgetHijacked(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.hijacked, c)
+}
--- /dev/null
+++ b/intake/conns.go
@@ -0,0 +1,72 @@
+package intake
+
+import (
+	"net/http"
+
+	"github.com/trefoillug/trefoillug/graceful"
+)
+
+const (
+	// reservedFds is the number of descriptors that are not for connections.
+	reservedFds = 200
+	// callerShare divides the descriptors for connections to get the bound for those of callers. A request in progress needs
+	// a connection of its caller and one to an endpoint; the last third is for idle ones to endpoints, peers and the store.
+	callerShare = 3
+	// peerShare does so for the listener for peers and operators.
+	peerShare    = 10
+	minPeerConns = 24
+	// minConns is the least number of descriptors for connections, for settings with fewer than the reserved ones.
+	minConns = 90
+	// readyConns bounds the connections of readiness checks, of which a balancer opens one at a time.
+	readyConns = 16
+	// connShare divides the memory of the machine to get that for connections of callers, and connBytes is what one takes at
+	// most: its receive buffer in the kernel and what the server allocates.
+	connShare = 4
+	connBytes = 96 << 10
+	// receiveBuffer is the SO_RCVBUF of connections, which the kernel doubles for its overhead. That is what Linux begins
+	// with; without this bound it lets the buffer grow to 6 MB.
+	receiveBuffer = 64 << 10
+)
+
+// ConnBounds bounds the open connections of the listeners of a process. 0 means no bound.
+type ConnBounds struct{ Callers, Peers, Ready int }
+
+// ConnBoundsFor returns the bounds for a machine. 0 means that memory or descriptors are not bounded.
+func ConnBoundsFor(machineBytes int64, maxFds int) ConnBounds {
+	var b ConnBounds
+	if maxFds > 0 {
+		conns := max(maxFds-reservedFds, minConns)
+		b = ConnBounds{Callers: conns / callerShare, Peers: max(conns/peerShare, minPeerConns), Ready: readyConns}
+	}
+	if machineBytes > 0 {
+		most := int(machineBytes / connShare / connBytes)
+		if b.Callers == 0 || b.Callers > most {
+			b.Callers = most
+		}
+	}
+	return b
+}
+
+// Apply bounds the connections of a server. At the bound, stalled bodies of memory are given up.
+func Apply(s *graceful.Server, maxConns int, memory *Memory) {
+	s.MaxConns = func() int { return maxConns }
+	s.ReceiveBuffer = receiveBuffer
+	if memory != nil {
+		s.OnFull = memory.EvictOneStalled
+	}
+}
+
+// RefuseBodies returns a handler that serves requests without a body with next, and refuses others before a byte of the body
+// is read.
+func RefuseBodies(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Body == nil || r.Body == http.NoBody {
+			next.ServeHTTP(w, r)
+			return
+		}
+		w.Header().Set("Connection", "close")
+		// The error is ignored: writers without a connection do not support deadlines.
+		_ = http.NewResponseController(w).SetReadDeadline(past)
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+	})
+}
--- a/node/node.go
+++ b/node/node.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +18,7 @@
 	"github.com/trefoillug/trefoillug/fleet"
 	"github.com/trefoillug/trefoillug/forward"
 	"github.com/trefoillug/trefoillug/graceful"
+	"github.com/trefoillug/trefoillug/intake"
 	"github.com/trefoillug/trefoillug/limit"
 	"github.com/trefoillug/trefoillug/peer"
 	"github.com/trefoillug/trefoillug/quota"
@@ -71,6 +71,7 @@
 	retryBudgets retryBudgets
 	forwarder    *forward.Forwarder
 	metrics      *metrics
+	memory       *intake.Memory // for bodies, held answers and messages; nil: no bound
 	load         loadMeter
 	rollouts     *rollouts
 	notices      notices
@@ -93,7 +94,8 @@
 		process: fmt.Sprintf("%s.%x", s.Name, wall.Now().UnixMilli()),
 		metrics: newMetrics(),
 	}
-	debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryShare))
+	n.memory = n.newMemory(s.MemoryBytes)
+	n.setMemory(s.MemoryBytes)
 	n.gracePeriod.Store(int64(s.GracePeriod))
 	n.fleet = fleet.NewTable(func(address string) *upstream.Pool { return upstream.NewPool(address, upstream.Settings{}) })
 	n.fleet.OnSignal(n.receiveSignals)
@@ -103,7 +105,7 @@
 	mesh, err := peer.New(peer.Settings{
 		Self:  peer.Member{ID: s.Name, Address: s.PeerListen, FailureDomain: s.Zone, Region: s.Region},
 		Seeds: s.Seeds, Transport: peer.NewWebSocket(), Log: n.log, RandomSeed: seedFor(n.process),
-		PaceBytesPerSecond: peerBytesPerSecond,
+		PaceBytesPerSecond: peerBytesPerSecond, Memory: n.memory,
 	})
 	if err != nil {
 		return nil, err
@@ -117,7 +119,7 @@
 	n.suspects = newSuspects(n)
 	n.forwarder = forward.New(forward.Config{
 		Zone: s.Zone, Table: n.table.Load, Fleet: n.fleet, Wire: p.Wire, Quotas: quotas{n}, RetryBudget: &n.retryBudgets,
-		Mover: p.Mover, Suspects: n.suspects, Log: n.log, Metrics: forward.NewMetrics(n.metrics.scope),
+		Mover: p.Mover, Suspects: n.suspects, AnswerMemory: n.memory, Log: n.log, Metrics: forward.NewMetrics(n.metrics.scope),
 		OnWork: n.load.add, Versions: n.rollouts, Stop: n.stop.Load,
 		OnStarted: func(workspace string, _ time.Time) { n.usage.CountStarted(workspace, wall.Now()) },
 	})
@@ -147,11 +149,12 @@
 	serveCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, serveCtx := errgroup.WithContext(serveCtx)
-	peers := graceful.New(&http.Server{Handler: n.peerMux(), ReadHeaderTimeout: readHeaderTimeout})
-	ready := graceful.New(&http.Server{Handler: n.platform.Ready(n.IsReady), ReadHeaderTimeout: readHeaderTimeout})
+	peers := graceful.New(controlServer(n.peerMux()))
+	ready := graceful.New(controlServer(n.platform.Ready(n.IsReady)))
 	callers := graceful.New(n.callerServer())
 	callers.HeaderTimeout, callers.IdleTimeout = n.headerTimeout, n.idleTimeout
 	callers.OnClose = graceful.Report(n.log, n.metrics.scope)
+	n.boundConns(peers, ready, callers)
 	for i, server := range []*graceful.Server{peers, ready, callers} {
 		group.Go(func() error { return server.Serve(listeners[i]) })
 	}
@@ -163,6 +166,7 @@
 		return every(serveCtx, expireInterval, func(context.Context) { n.fleet.Expire(time.Now()) })
 	})
 	group.Go(func() error { return every(serveCtx, reportTick, n.report) })
+	group.Go(func() error { return every(serveCtx, metricsInterval, n.reportMemory) })
 	group.Go(func() error { return every(serveCtx, noticeTick, n.publishNotices) })
 	group.Go(func() error { return every(serveCtx, watchTick, func(context.Context) { n.updateWatches(time.Now()) }) })
 	group.Go(func() error { return every(serveCtx, rolloutTick, n.rollouts.tick) })
@@ -208,7 +212,7 @@
 
 func (n *Node) callerServer() *http.Server {
 	return &http.Server{
-		Handler:        n.platform.Ingress(n.forwarder, n.maxBody, n.closing.Load),
+		Handler:        n.platform.Ingress(n.forwarder, n.maxBody, n.closing.Load, n.memory),
 		MaxHeaderBytes: maxHeaderBytes,
 		// The answer to "OPTIONS *" is that for a request without a route.
 		DisableGeneralOptionsHandler: true,
--- a/node/reload.go
+++ b/node/reload.go
@@ -2,7 +2,6 @@
 
 import (
 	"reflect"
-	"runtime/debug"
 	"slices"
 )
 
@@ -15,7 +14,7 @@
 	n.quotas.SetTolerance(s.QuotaTolerance)
 	n.retryBudgets.setLimit(s.Repeats)
 	n.gracePeriod.Store(int64(s.GracePeriod))
-	debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryShare))
+	n.setMemory(s.MemoryBytes)
 	if changed := fixedChanges(n.settings, s); len(changed) > 0 {
 		n.log.WithField("settings", changed).Warn("changed settings take effect at the next start only")
 	}
--- a/node/settings.go
+++ b/node/settings.go
@@ -12,6 +12,7 @@
 	"github.com/trefoillug/trefoillug/feed"
 	"github.com/trefoillug/trefoillug/fleet"
 	"github.com/trefoillug/trefoillug/forward"
+	"github.com/trefoillug/trefoillug/intake"
 	"github.com/trefoillug/trefoillug/limit"
 	"github.com/trefoillug/trefoillug/objstore"
 	"github.com/trefoillug/trefoillug/quota"
@@ -30,6 +31,7 @@
 	PeerListen  string   // host:port for peers, metrics and status
 	Seeds       []string // host:port of peers; may be stale
 	MemoryBytes int64
+	MaxFds      int     // descriptors that the process may open, some of them for files; 0: no bound
 	Cores       float64 // processor cores of the machine
 
 	StoreHistory    time.Duration     // how long the store keeps changes for watches; 0: unknown
@@ -81,8 +83,8 @@
 	DecodeEndpoint func(id string, spec []byte, now time.Time) (fleet.Entry, error)
 	DecodeRollout  func(o feed.Object) (Rollout, error)
 	Rollouts       RolloutStore
-	// Ingress returns the handler for callers' requests.
-	Ingress func(f *forward.Forwarder, maxBody func() int64, closing func() bool) http.Handler
+	// Ingress returns the handler for callers' requests, whose bodies it reads into memory.
+	Ingress func(f *forward.Forwarder, maxBody func() int64, closing func() bool, memory *intake.Memory) http.Handler
 	// Ready returns the handler for the balancer's readiness checks.
 	Ready func(isReady func() bool) http.Handler
 }
--- a/peer/node.go
+++ b/peer/node.go
@@ -9,6 +9,8 @@
 
 	"github.com/samber/oops"
 	"github.com/sirupsen/logrus"
+
+	"github.com/trefoillug/trefoillug/intake"
 )
 
 // Settings configures a Node.
@@ -21,6 +23,7 @@
 	// PaceBytesPerSecond limits the bytes a second sent for frequent facts. 0 means 2,500, which is meant for fleets of
 	// hundreds of members.
 	PaceBytesPerSecond float64
+	Memory             *intake.Memory // for messages of accepted connections that arrive; nil: no bound
 }
 
 // Stats are the counters of a Node since its start, and its current connections and facts. The bytes are those of
@@ -54,6 +57,7 @@
 	id        string
 	transport Transport
 	log       logrus.FieldLogger
+	memory    *intake.Memory
 	handlers  map[string]Handler // read-only after Start
 	running   chan struct{}      // semaphore of the running handlers
 	stats     stats
@@ -89,7 +93,7 @@
 		return nil, oops.Errorf("peer settings of %s have no transport", s.Self.ID)
 	}
 	n := &Node{
-		id: s.Self.ID, transport: s.Transport, log: s.Log,
+		id: s.Self.ID, transport: s.Transport, log: s.Log, memory: s.Memory,
 		handlers: map[string]Handler{}, running: make(chan struct{}, maxRunningCalls),
 		wake: make(chan struct{}, 1), eventCh: make(chan struct{}, 1),
 		sessions: map[linkID]*session{}, accepted: map[*session]struct{}{}, direct: map[string]*directConn{},
--- a/peer/websocket.go
+++ b/peer/websocket.go
@@ -9,6 +9,8 @@
 
 	"github.com/coder/websocket"
 	"github.com/samber/oops"
+
+	"github.com/trefoillug/trefoillug/intake"
 )
 
 const (
@@ -58,7 +60,7 @@
 	if err != nil {
 		return nil, oops.Wrapf(err, "dialling peer %s", address)
 	}
-	return newSocket(c), nil
+	return newSocket(c, nil), nil
 }
 
 // Handler returns the HTTP handler that accepts connections of other members; it belongs at Path.
@@ -68,7 +70,9 @@
 		if err != nil {
 			return // Accept has answered the request
 		}
-		n.Serve(newSocket(c))
+		s := newSocket(c, n.memory)
+		n.Serve(s)
+		s.release()
 	})
 }
 
@@ -77,12 +81,15 @@
 	c      *websocket.Conn
 	ctx    context.Context
 	cancel context.CancelFunc
+
+	memory  *intake.Memory              // for messages; nil: no bound
+	message atomic.Pointer[intake.Body] // the latest one, which counts until the next one is awaited
 }
 
-func newSocket(c *websocket.Conn) *socket {
+func newSocket(c *websocket.Conn, memory *intake.Memory) *socket {
 	c.SetReadLimit(maxMessageBytes)
 	ctx, cancel := context.WithCancel(context.Background())
-	return &socket{c: c, ctx: ctx, cancel: cancel}
+	return &socket{c: c, ctx: ctx, cancel: cancel, memory: memory}
 }
 
 func (s *socket) Send(b []byte) error {
@@ -92,10 +99,23 @@
 }
 
 func (s *socket) Receive() ([]byte, error) {
-	_, b, err := s.c.Read(s.ctx)
-	return b, err
+	s.release()
+	_, r, err := s.c.Reader(s.ctx)
+	if err != nil {
+		return nil, err
+	}
+	message, err := s.memory.ReadMessage(r, maxMessageBytes, s.cancel)
+	if err != nil {
+		s.cancel()
+		return nil, err
+	}
+	s.message.Store(message)
+	return message.Bytes(), nil
 }
 
+// release returns the memory of the latest message.
+func (s *socket) release() { s.message.Swap(nil).Release() }
+
 func (s *socket) Close() error {
 	s.cancel()
 	return s.c.CloseNow()
--- a/relay/input.go
+++ b/relay/input.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"errors"
-	"io"
 	"maps"
 	"net/http"
 	"time"
@@ -12,6 +11,7 @@
 
 	"github.com/trefoillug/trefoillug/config"
 	"github.com/trefoillug/trefoillug/engine"
+	"github.com/trefoillug/trefoillug/intake"
 	"github.com/trefoillug/trefoillug/problem"
 	"github.com/trefoillug/trefoillug/table"
 )
@@ -62,24 +62,44 @@
 	return n
 }
 
-// readBody reads a request body within its size limit and timeout.
-func (r *Relay) readBody(w http.ResponseWriter, req *http.Request) ([]byte, error) {
-	rc := http.NewResponseController(w)
-	// Writers without a connection, such as recorders in tests, have no deadline to set.
-	_ = rc.SetReadDeadline(time.Now().Add(r.cfg.Limits.BodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, MaxBodyBytes))
+// parsedCopies is the number of copies of a model request's body that are made to parse it and to send it to an engine.
+const parsedCopies = 3
+
+// readBody reads a request body within its size limit and timeout. The caller releases it.
+func (r *Relay) readBody(w http.ResponseWriter, req *http.Request) (*intake.Body, error) {
+	body, err := r.cfg.Memory.ReadBody(w, req, intake.Options{
+		Limit: MaxBodyBytes, End: time.Now().Add(r.cfg.Limits.BodyTimeout),
+	})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, problem.New(problem.RequestTooLarge, "body exceeds %d bytes", MaxBodyBytes)
+	case intake.IsShortage(err):
+		return nil, problem.Wrap(problem.Overloaded, err)
 	case err != nil:
 		return nil, problem.New(problem.InvalidRequest, "body was not received: %v", err)
 	}
-	// The server keeps reading to detect that the caller disconnects, so the read deadline is removed.
-	_ = rc.SetReadDeadline(time.Time{})
 	return body, nil
 }
 
+// readChat reads and parses the body of a model request. The caller releases it.
+func (r *Relay) readChat(w http.ResponseWriter, req *http.Request) (*intake.Body, *Chat, error) {
+	body, err := r.readBody(w, req)
+	if err != nil {
+		return nil, nil, err
+	}
+	if err := body.Grow(parsedCopies * len(body.Bytes())); err != nil {
+		body.Release()
+		return nil, nil, problem.Wrap(problem.Overloaded, err)
+	}
+	chat, err := parseChat(body.Bytes())
+	if err != nil {
+		body.Release()
+		return nil, nil, err
+	}
+	return body, chat, nil
+}
+
 func parseChat(body []byte) (*Chat, error) {
 	var c Chat
 	if err := json.Unmarshal(body, &c); err != nil {
@@ -130,7 +150,7 @@
 }
 
 // newCall resolves the route and workspace of a request and sets its deadline.
-func (r *Relay) newCall(req *http.Request, svc *table.Service, id, path string, body []byte) (*Call, error) {
+func (r *Relay) newCall(req *http.Request, svc *table.Service, id, path string, body *intake.Body) (*Call, error) {
 	route, ok := svc.Config.RouteFor(req.Method, path)
 	if !ok {
 		return nil, problem.New(problem.UnknownRoute, "service %s has no route for %s %s", svc.Config.Name, req.Method, path)
@@ -150,7 +170,7 @@
 	now := r.cfg.Now()
 	return &Call{
 		RequestID: id, Service: svc.Config, Route: route, Workspace: workspace, Key: key, Method: req.Method,
-		Path: path, Header: req.Header, Body: body, Accepted: now, Deadline: now.Add(timeout),
+		Path: path, Header: req.Header, Body: body.Bytes(), received: body, Accepted: now, Deadline: now.Add(timeout),
 	}, nil
 }
 
--- a/relay/interfaces.go
+++ b/relay/interfaces.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/trefoillug/trefoillug/config"
+	"github.com/trefoillug/trefoillug/intake"
 	"github.com/trefoillug/trefoillug/table"
 )
 
@@ -23,7 +24,8 @@
 	Fingerprint uint64 // digest of the content without fields that differ between repeats
 	Accepted    time.Time
 	Deadline    time.Time
-	Chat        *Chat // parsed body of a model request; nil for plain services
+	Chat        *Chat        // parsed body of a model request; nil for plain services
+	received    *intake.Body // memory of the body; nil if it was handed over
 }
 
 // Chooser picks the endpoint for an attempt.
--- a/relay/model.go
+++ b/relay/model.go
@@ -44,15 +44,21 @@
 // drainBody reads and discards a request body, so that the connection can be reused.
 func (r *Relay) drainBody(w http.ResponseWriter, req *http.Request) {
 	// Errors are ignored: the answer comes from the instance that holds the request.
-	_, _ = r.readBody(w, req)
+	body, _ := r.readBody(w, req)
+	body.Release()
 }
 
 // startModel parses and admits a model request and creates its session. The caller starts generate.
-func (r *Relay) startModel(w http.ResponseWriter, req *http.Request, id string) (*session, func(), refusal) {
+func (r *Relay) startModel(w http.ResponseWriter, req *http.Request, id string) (_ *session, _ func(), f refusal) {
 	call, f := r.modelCall(w, req, id)
 	if f.err != nil {
 		return nil, nil, f
 	}
+	defer func() {
+		if f.err != nil {
+			call.received.Release()
+		}
+	}()
 	f = refusal{service: call.Service.Name, workspace: call.Workspace}
 	if f.err = r.checkStopping(call); f.err != nil {
 		return nil, nil, f
@@ -69,15 +75,16 @@
 	return r.newSession(call), release, f
 }
 
-func (r *Relay) modelCall(w http.ResponseWriter, req *http.Request, id string) (*Call, refusal) {
-	body, err := r.readBody(w, req)
-	if err != nil {
-		return nil, refusal{err: err}
-	}
-	chat, err := parseChat(body)
+func (r *Relay) modelCall(w http.ResponseWriter, req *http.Request, id string) (_ *Call, f refusal) {
+	body, chat, err := r.readChat(w, req)
 	if err != nil {
 		return nil, refusal{err: err}
 	}
+	defer func() {
+		if f.err != nil {
+			body.Release()
+		}
+	}()
 	name := req.Header.Get(headerService)
 	if name == "" {
 		name = chat.Model
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -12,6 +12,7 @@
 	"github.com/trefoillug/trefoillug/core"
 	"github.com/trefoillug/trefoillug/dispatch"
 	"github.com/trefoillug/trefoillug/engine"
+	"github.com/trefoillug/trefoillug/intake"
 	"github.com/trefoillug/trefoillug/problem"
 )
 
@@ -41,6 +42,7 @@
 		r.refuse(w, f)
 		return
 	}
+	defer call.received.Release()
 	f = refusal{requestID: id, service: call.Service.Name, workspace: call.Workspace}
 	if f.err = r.checkStopping(call); f.err != nil {
 		r.refuse(w, f)
@@ -72,7 +74,7 @@
 	r.writePlain(w, call, answer)
 }
 
-func (r *Relay) plainCall(w http.ResponseWriter, req *http.Request, id string) (*Call, refusal) {
+func (r *Relay) plainCall(w http.ResponseWriter, req *http.Request, id string) (_ *Call, f refusal) {
 	name := req.PathValue("service")
 	svc, err := r.service(name)
 	if err != nil {
@@ -83,8 +85,16 @@
 	}
 	body, err := r.readBody(w, req)
 	if err != nil {
+		if intake.IsShortage(err) && req.Header.Get(headerIdempotencyKey) != "" {
+			err = problem.WithUnknownOutcome(err) // an earlier call under the key may have run
+		}
 		return nil, refusal{err: err, service: name}
 	}
+	defer func() {
+		if f.err != nil {
+			body.Release()
+		}
+	}()
 	path := strings.TrimPrefix(req.URL.EscapedPath(), "/services/"+name)
 	call, err := r.newCall(req, svc, id, path, body)
 	if err != nil {
@@ -94,7 +104,7 @@
 		call.Path += "?" + req.URL.RawQuery
 	}
 	call.Header = forwardedHeader(req.Header)
-	call.Fingerprint = fingerprint(name, call.Route.Name, append([]byte(call.Method+" "+call.Path+"\x00"), body...))
+	call.Fingerprint = fingerprint(name, call.Route.Name, append([]byte(call.Method+" "+call.Path+"\x00"), call.Body...))
 	if call.runsAtMostOnce() && call.Key == "" {
 		return nil, refusal{
 			err:     problem.New(problem.KeyMissing, "route %s needs an %s", call.Route.Name, headerIdempotencyKey),
@@ -267,7 +277,7 @@
 	header.Set(engine.HeaderAttemptID, acquired.attempt)
 	attempt := &dispatch.PlainCall{
 		Endpoint: acquired.endpoint, Method: call.Method, Path: call.Path, Header: header, Body: call.Body,
-		SendOnce: call.runsAtMostOnce(), NewConn: newConnection, BufferBytes: bufferBytes, MayAbandon: mayAbandon,
+		SendOnce: call.runsAtMostOnce(), NewConn: newConnection, BufferBytes: bufferBytes, Reserve: call.received.TryGrow, MayAbandon: mayAbandon,
 	}
 	if deadline, ok := ctx.Deadline(); ok && !attempt.SendOnce {
 		// Half of the remaining time is reserved for another endpoint.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -13,6 +13,7 @@
 
 	"github.com/trefoillug/trefoillug/core"
 	"github.com/trefoillug/trefoillug/dispatch"
+	"github.com/trefoillug/trefoillug/intake"
 	"github.com/trefoillug/trefoillug/peer"
 	"github.com/trefoillug/trefoillug/problem"
 	"github.com/trefoillug/trefoillug/table"
@@ -36,6 +37,7 @@
 	Now           func() time.Time
 	Log           logrus.FieldLogger
 	Limits        Limits
+	Memory        *intake.Memory // for bodies and held answers; nil: no bound
 }
 
 // Limits bounds the time and the resources that callers can use. Zero values mean the defaults.
@@ -151,7 +153,7 @@
 		"request": f.requestID, "service": f.service, "workspace": f.workspace, "kind": kind,
 		"outcome": problem.OutcomeOf(f.err),
 	})
-	if problem.AnswerFor(kind).CallerError {
+	if problem.AnswerFor(kind).CallerError || intake.IsShortage(f.err) { // package intake logs shortages, at a limited rate
 		log.Debug("request refused")
 		return
 	}
--- a/relay/session.go
+++ b/relay/session.go
@@ -95,6 +95,7 @@
 
 // removeSession unregisters a session and releases its retained bytes.
 func (r *Relay) removeSession(s *session) {
+	s.call.received.Release()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.sessions[s.call.RequestID] == s {
