--- a/feed/copy.go
+++ b/feed/copy.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 )
 
@@ -81,7 +80,7 @@
 		return err
 	}
 	if c == nil {
-		return errors.New("the peer has nothing newer")
+		return errNothingNewer
 	}
 	f.replace(f.merged(c), true)
 	return nil
@@ -106,7 +105,6 @@
 	}
 	for _, name := range c.Deleted {
 		delete(objects, name)
-		f.recordDeletion(name, c.NewestChange)
 	}
 	whole := &Copy{Revision: c.Revision, NewestChange: c.NewestChange, Settled: c.Settled}
 	for _, o := range objects {
@@ -115,6 +113,14 @@
 	return whole
 }
 
+// DeletionsAfter returns the revision after which the feed knows all deletions; a peer that lags further gets all objects
+// from Copy.
+func (f *Feed) DeletionsAfter() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.deletionsAfter
+}
+
 // recordDeletion keeps a deletion for copies to peers. Callers must hold f.mu.
 func (f *Feed) recordDeletion(name string, revision uint64) {
 	f.deletions = append(f.deletions, deletion{name, revision})
