node: read and renew the register less often in large fleets

Each instance read the register each 20 s and renewed its entry each minute, also while the mesh knew its members: at 650 instances 32 reads and 11 writes a second. Above 16 instances the pause between reads grows with the fleet up to 150 s, except at the watchers of each domain and while fewer than three quarters of the registered instances are known as live, as in a partition. Entries are renewed each 2.5 minutes, a quarter of the time for which they count. The reads of the first 8.5 s stay, since lists may be stale while a fleet starts.

--- a/node/membership.go
+++ b/node/membership.go
@@ -105,6 +105,13 @@
 	}
 }
 
+// registeredCount returns the number of instances in the register at its last read.
+func (m *membership) registeredCount() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.registered
+}
+
 // reportDue reports whether the interval since the last report has passed, and if so records a new report.
 func (m *membership) reportDue(interval time.Duration, now time.Time) bool {
 	m.mu.Lock()
--- a/node/register.go
+++ b/node/register.go
@@ -23,9 +23,20 @@
 	RenewedMs int64 `json:"renewed_ms"`
 }
 
-// renewInterval is how often an instance renews its entry: ten times in memberRetention, after which an entry that
-// was not renewed is ignored.
-const renewInterval = memberRetention / 10
+const (
+	// renewInterval is how often an instance renews its entry: ten times in memberRetention, after which an entry that
+	// was not renewed is ignored.
+	renewInterval = memberRetention / 10
+	// largeRenewInterval is renewInterval of a large fleet, whose renewals are two a second at 118 instances otherwise. Three
+	// of four may fail.
+	largeRenewInterval = memberRetention / 4
+	// maxRegisterPause bounds the pause between reads of a large fleet: an instance that only the register knows is found
+	// before its entry is ignored.
+	maxRegisterPause = memberRetention / 4
+	// knownShare is the share of the registered instances that an instance must know as live to read the register less
+	// often. Fewer are known in a partition, in which the register may show new instances on the other side.
+	knownShare = 0.75
+)
 
 // registerPauses are the pauses between reads of the register: short after the start, when others start too, and long
 // later, for partitions in which the peers have lost each other.
@@ -35,8 +46,9 @@
 func (n *Node) maintainRegister(ctx context.Context) {
 	var written time.Time
 	version := uint64(0)
+	var read time.Time // last successful read
 	for i := 0; ctx.Err() == nil; i++ {
-		if written.IsZero() || time.Since(written) >= renewInterval {
+		if written.IsZero() || time.Since(written) >= n.renewInterval() {
 			stored, err := n.writeRegisterEntry(ctx, version)
 			if err != nil {
 				n.log.WithError(err).Info("register entry not written")
@@ -44,8 +56,12 @@
 				version, written = stored, time.Now()
 			}
 		}
-		if err := n.readRegister(ctx); err != nil {
-			n.log.WithError(err).Info("register not read")
+		if i < len(registerPauses) || time.Since(read) >= n.registerPause() {
+			if err := n.readRegister(ctx); err != nil {
+				n.log.WithError(err).Info("register not read")
+			} else {
+				read = time.Now()
+			}
 		}
 		pause := registerPauses[min(i, len(registerPauses)-1)]
 		if written.IsZero() {
@@ -58,6 +74,32 @@
 	}
 }
 
+func (n *Node) renewInterval() time.Duration {
+	if len(n.memberIDs()) > largeFleet {
+		return largeRenewInterval
+	}
+	return renewInterval
+}
+
+// registerPause returns the time between reads of the register. The watchers of each domain read it for the others, who hear
+// from them of instances that only the register shows.
+func (n *Node) registerPause() time.Duration {
+	shortest := registerPauses[len(registerPauses)-1]
+	if n.isQuickWatcher(n.platform.Kinds.Endpoints) {
+		return shortest
+	}
+	return registerPause(shortest, len(n.memberIDs()), n.members.registeredCount())
+}
+
+// registerPause returns the pause of an instance that knows live instances and has read registered ones. It grows with the
+// fleet, so that the fleet's reads don't.
+func registerPause(shortest time.Duration, live, registered int) time.Duration {
+	if live <= largeFleet || float64(live) < knownShare*float64(registered) {
+		return shortest
+	}
+	return min(maxRegisterPause, shortest*time.Duration(live)/largeFleet)
+}
+
 // writeRegisterEntry replaces the entry, whose version is expected to be version; 0: none. It returns the new version.
 func (n *Node) writeRegisterEntry(ctx context.Context, version uint64) (uint64, error) {
 	value, err := json.Marshal(registerEntry{
