autoscale: the reclaims that were seen decide on the surplus of reclaimable endpoints

The plan had 1.4 reclaimable endpoints for each one needed at all times. The line "endpoints ordered" has the ratio.

CoveredNeed times its ratio could be a little above a whole number, by which a new holder ordered one endpoint more in each zone (seen at 1.5); the plan rounds up only what is above it.

Orders were checked: one is repeated only without effect or after a failed call; a new holder repeats the number of an order that it does not know.

--- a/autoscale/autoscale.go
+++ b/autoscale/autoscale.go
@@ -27,6 +27,8 @@
 	ReclaimablePrice float64 // as a fraction of the on-demand price; 0 where none are offered
 	Zones            []Zone  // in the same order at each call
 	Need             float64
+	// ReclaimableRatio is the number of reclaimable endpoints planned for each one that is needed; see Reclaims.
+	ReclaimableRatio float64
 }
 
 // Want is the number of endpoints wanted in a zone.
@@ -36,9 +38,9 @@
 // after the loss of the zone with the most reclaimable ones, as far as s.Max permits.
 func Plan(s Service) []Want {
 	wants := make([]Want, len(s.Zones))
-	need := max(1, int(math.Ceil(s.Need)))
+	need := max(1, roundUp(s.Need))
 	if s.ReclaimablePrice > 0 && s.ReclaimablePrice < 1 && len(s.Zones) > 1 {
-		each := perZone(int(math.Ceil(s.Need*reclaimableRatio)), len(s.Zones))
+		each := perZone(roundUp(s.Need*s.ReclaimableRatio), len(s.Zones))
 		for i := range wants {
 			wants[i].Reclaimable = min(each, s.Max)
 		}
@@ -48,15 +50,11 @@
 	return wants
 }
 
-// reclaimableRatio is the number of reclaimable endpoints planned for each one that is needed. They are cheap, and
-// several zones are often reclaimed in succession, with no replacements offered for many seconds.
-const reclaimableRatio = 1.4
-
 // CoveredNeed returns the need for which Plan would leave a pool unchanged: its endpoints without the zone whose loss
-// the plan covers and without the surplus of reclaimable endpoints (see reclaimableRatio). If some but not all zones
+// the plan covers and without the surplus of reclaimable endpoints, of which the plan has ratio for each one that is needed. If some but not all zones
 // have no reclaimable endpoints, these zones have just been reclaimed. They count as if they had as many as the others,
 // and the on-demand endpoints that replace them temporarily do not count in addition.
-func CoveredNeed(zones []Zone) float64 {
+func CoveredNeed(zones []Zone, ratio float64) float64 {
 	onDemand, reclaimable, largest, occupied := 0.0, 0.0, 0.0, 0
 	for _, z := range zones {
 		onDemand += float64(z.OnDemand)
@@ -67,15 +65,19 @@
 		}
 	}
 	remainingShare := float64(len(zones)-1) / float64(max(1, len(zones)))
-	running := (onDemand + reclaimable/reclaimableRatio) * remainingShare
+	running := (onDemand + reclaimable/ratio) * remainingShare
 	if occupied == 0 || occupied == len(zones) {
 		return running
 	}
-	beforeReclaim := reclaimable / reclaimableRatio * float64(len(zones)) / float64(occupied) * remainingShare
+	beforeReclaim := reclaimable / ratio * float64(len(zones)) / float64(occupied) * remainingShare
 	plannedNeed := onDemand + reclaimable - largest // the need up to which addOnDemand has added endpoints
 	return max(beforeReclaim, min(running, plannedNeed))
 }
 
+// roundUp rounds up. The need that CoveredNeed returns times its ratio may be a little above a whole number, by which the
+// pool must not grow.
+func roundUp(x float64) int { return int(math.Ceil(x - 1e-9)) }
+
 // perZone returns the number of reclaimable endpoints in each zone with which need endpoints remain after the loss of
 // one zone.
 func perZone(need, zones int) int { return (need + zones - 2) / (zones - 1) }
--- a/autoscale/autoscale_test.go
+++ b/autoscale/autoscale_test.go
@@ -9,8 +9,11 @@
 	"github.com/trefoillug/trefoillug/autoscale"
 )
 
+// usualRatio is the ratio of an instance that has just started.
+const usualRatio = 1.4
+
 func service(need float64, onDemand, reclaimable int) autoscale.Service {
-	s := autoscale.Service{Min: 1, Max: 6, ReclaimablePrice: 0.18, Need: need}
+	s := autoscale.Service{Min: 1, Max: 6, ReclaimablePrice: 0.18, Need: need, ReclaimableRatio: usualRatio}
 	for i, price := range []float64{1, 0.8, 1.25, 0.9} {
 		s.Zones = append(s.Zones, autoscale.Zone{Name: string(rune('a' + i)), Price: price, OnDemand: onDemand, Reclaimable: reclaimable})
 	}
@@ -108,7 +111,7 @@
 			s.Zones[i].OnDemand, s.Zones[i].Reclaimable = 0, w.Reclaimable
 		}
 		again := s
-		again.Need = autoscale.CoveredNeed(s.Zones)
+		again.Need = autoscale.CoveredNeed(s.Zones, usualRatio)
 		for i, w := range autoscale.Plan(again) {
 			must.LessEq(t, s.Zones[i].Reclaimable, w.Reclaimable)
 			must.GreaterEq(t, s.Zones[i].Reclaimable-1, w.Reclaimable)
@@ -120,10 +123,10 @@
 // remaining endpoints for the whole pool.
 func TestCoveredNeed_ReclaimedZoneCounts(t *testing.T) {
 	s := service(8, 0, 4)
-	whole := autoscale.CoveredNeed(s.Zones)
+	whole := autoscale.CoveredNeed(s.Zones, usualRatio)
 	s.Zones[1].Reclaimable = 0
-	must.Eq(t, whole, autoscale.CoveredNeed(s.Zones))
-	s.Need = autoscale.CoveredNeed(s.Zones)
+	must.Eq(t, whole, autoscale.CoveredNeed(s.Zones, usualRatio))
+	s.Need = autoscale.CoveredNeed(s.Zones, usualRatio)
 	for _, w := range autoscale.Plan(s) {
 		must.GreaterEq(t, 4, w.Reclaimable)
 	}
@@ -135,13 +138,13 @@
 func TestCoveredNeed_OnDemandReplacementsCountOnce(t *testing.T) {
 	for _, lost := range [][]int{{0}, {0, 2}, {1, 2, 3}} {
 		s := service(8, 0, 4)
-		whole := autoscale.CoveredNeed(s.Zones)
+		whole := autoscale.CoveredNeed(s.Zones, usualRatio)
 		for _, z := range lost {
 			s.Zones[z].Reclaimable = 0
 		}
 		for i, w := range autoscale.Plan(s) {
 			s.Zones[i].OnDemand = w.OnDemand
 		}
-		must.Between(t, whole, autoscale.CoveredNeed(s.Zones), whole+1)
+		must.Between(t, whole, autoscale.CoveredNeed(s.Zones, usualRatio), whole+1)
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -74,6 +74,7 @@
 	load         loadMeter
 	rollouts     *rollouts
 	notices      notices
+	reclaims     reclaims
 	owners       owners
 	suspects     *suspects
 
@@ -174,6 +175,7 @@
 	group.Go(func() error { return every(serveCtx, noticeTick, n.publishNotices) })
 	group.Go(func() error { return every(serveCtx, watchTick, func(context.Context) { n.updateWatches(time.Now()) }) })
 	group.Go(func() error { return every(serveCtx, rolloutTick, n.rollouts.tick) })
+	group.Go(func() error { return every(serveCtx, reclaimTick, n.observeReclaims) })
 	group.Go(func() error { n.maintainRegister(serveCtx); return nil })
 	group.Go(func() error { n.suspects.maintainRecords(serveCtx); return nil })
 	dutiesCtx, endDuties := context.WithCancel(serveCtx)
--- a/node/pool.go
+++ b/node/pool.go
@@ -121,7 +121,8 @@
 		}
 		total++
 	}
-	p.update(total, autoscale.CoveredNeed(in.Zones), now)
+	in.ReclaimableRatio = s.n.reclaims.ratio(service.Name, now)
+	p.update(total, autoscale.CoveredNeed(in.Zones, in.ReclaimableRatio), now)
 	p.load.Observe(s.n.load.total(service.Name, now), now)
 	floor := 0.0
 	if now.Sub(s.start) < loadSettleTime {
@@ -166,7 +167,7 @@
 	err := s.n.platform.API.Order(ctx, token, Order{Service: service.Name, Zone: t.zone, Desired: want, Reclaimable: t.reclaimable})
 	engines := s.n.forwarder.Speed(service.Name)
 	log := s.n.log.WithFields(logrus.Fields{
-		"service": service.Name, "zone": t.zone, "reclaimable": t.reclaimable, "want": want, "have": have, "need": p.need,
+		"service": service.Name, "zone": t.zone, "reclaimable": t.reclaimable, "want": want, "have": have, "need": p.need, "ratio": s.n.reclaims.ratio(service.Name, now),
 		"tokens_per_ms": engines.PrefillRate, "step_us": engines.Step.Microseconds(), "generation_ms": engines.Generation.Milliseconds(),
 	})
 	switch {
