node: the tick computes only whether this instance notifies others

updateWatches computed all watch duties ten times a second to see whether this instance has lost the store.

--- a/node/watch.go
+++ b/node/watch.go
@@ -66,15 +66,18 @@
 			w.Short = append(w.Short, kind)
 		}
 	}
-	endpoints := n.platform.Kinds.Endpoints
-	f := n.feeds[endpoints]
-	w.Notifies = n.isQuickWatcher(endpoints) && f.IsHealthy() && now.Sub(f.LastAnswered()) < quickAnswerAge
-	if w.Notifies {
-		w.DeletionsAfter = f.DeletionsAfter()
+	if w.Notifies = n.notifiesOthers(now); w.Notifies {
+		w.DeletionsAfter = n.feeds[n.platform.Kinds.Endpoints].DeletionsAfter()
 	}
 	return w
 }
 
+// notifiesOthers reports whether this instance watches the endpoint list for the others, and the store answers it.
+func (n *Node) notifiesOthers(now time.Time) bool {
+	f := n.feeds[n.platform.Kinds.Endpoints]
+	return f.IsHealthy() && now.Sub(f.LastAnswered()) < quickAnswerAge && n.isQuickWatcher(n.platform.Kinds.Endpoints)
+}
+
 // needsShortWait reports whether this instance has to watch a kind with short waits. It takes the duty on only after
 // those before it in the order have had the time to report that they do; without this, all instances of a fleet that
 // starts would.
@@ -157,7 +160,7 @@
 // updateWatches ends the watches that this instance must no longer rely on: long ones when too few peers watch with
 // short waits, and ones that may be stale when too few peers notify it of leaving endpoints.
 func (n *Node) updateWatches(now time.Time) {
-	if notifies := n.watching(now).Notifies; n.notifies.Swap(notifies) && !notifies {
+	if notifies := n.notifiesOthers(now); n.notifies.Swap(notifies) && !notifies {
 		n.stateChanged.Store(true) // the peers that rely on this instance must know at once
 	}
 	n.updateFollowing(now)
