--- a/node/node.go
+++ b/node/node.go
@@ -76,11 +76,15 @@
 	rollouts     *rollouts
 	evacuations  *evacuations
 	notices      notices
+	reclaims     reclaims
 	owners       owners
 	suspects     *suspects
 	cold         *coldLimits
 
 	members      membership
+	watchers     watchers
+	notifies     atomic.Bool  // this instance notified the others of leaving endpoints at the last check
+	follows      atomic.Bool  // it took the changes of the endpoint list from the watchers at the last check
 	gracePeriod  atomic.Int64 // time.Duration; Settings.GracePeriod as last read
 	closing      atomic.Bool
 	stop         atomic.Pointer[forward.Stop] // nil: not stopping
@@ -118,6 +122,7 @@
 	}
 	n.load = newLoadMeter()
 	n.members = newMembership(s.Name, time.Now())
+	n.watchers = newWatchers(s.Name)
 	n.owners = newOwners()
 	n.owners.recordCores(s.Name, s.Cores)
 	n.rollouts = newRollouts(n)
@@ -145,6 +150,7 @@
 	n.feeds[kind] = feed.New(feed.Settings{Kind: kind, Store: n.platform.Objects, Handler: h, Log: n.log, FetchFromPeer: n.fetchCopy,
 		Wait: func() time.Duration { return n.watchWait(kind) }, Pace: func() time.Duration { return n.watchPace(kind) },
 		MayBeStale: func() bool { return n.hasNotifiers(kind, time.Now()) },
+		Follow:     func() bool { return n.followsWatchers(kind, time.Now()) },
 	})
 }
 
@@ -181,6 +187,7 @@
 	group.Go(func() error { return every(serveCtx, watchTick, func(context.Context) { n.updateWatches(time.Now()) }) })
 	group.Go(func() error { return every(serveCtx, rolloutTick, n.rollouts.tick) })
 	group.Go(func() error { return every(serveCtx, coldTick, n.cold.refresh) })
+	group.Go(func() error { return every(serveCtx, reclaimTick, n.observeReclaims) })
 	group.Go(func() error { n.maintainRegister(serveCtx); return nil })
 	group.Go(func() error { n.suspects.maintainRecords(serveCtx); return nil })
 	dutiesCtx, endDuties := context.WithCancel(serveCtx)
