forward: cold endpoints with a permit compete by their expected time

An instance with a share of the limit now uses its permits as it uses other endpoints; the limit over all instances is as before.

--- a/forward/cold.go
+++ b/forward/cold.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -77,27 +78,15 @@
 	return fmt.Errorf("%w: it is cold", errWithheld)
 }
 
-// withoutCold returns the endpoints among which a request is placed. Cold ones are slow, so they are left out while another
-// one has a free slot, and otherwise if this instance has no permit for them.
+// withoutCold returns the endpoints among which a request is placed: without the cold ones for which this instance has no
+// permit. The others compete by their expected time; leaving them out while the others have free slots would make each start
+// longer by the cold time.
 func (r *exchange) withoutCold(endpoints []*fleet.Endpoint, now time.Time) []*fleet.Endpoint {
-	anyCold, anyFree := false, false
-	for _, e := range endpoints {
-		if r.isCold(e, now) {
-			anyCold = true
-		} else {
-			anyFree = anyFree || hasFreeSlot(e, now)
-		}
-	}
-	if !anyCold {
+	withheld := func(e *fleet.Endpoint) bool { return r.isCold(e, now) && !r.hasPermit(e, now) }
+	if !slices.ContainsFunc(endpoints, withheld) {
 		return endpoints
 	}
-	kept := make([]*fleet.Endpoint, 0, len(endpoints))
-	for _, e := range endpoints {
-		if !r.isCold(e, now) || !anyFree && r.hasPermit(e, now) {
-			kept = append(kept, e)
-		}
-	}
-	return kept
+	return slices.DeleteFunc(slices.Clone(endpoints), withheld)
 }
 
 // hasFreeSlot reports whether an endpoint seems to have a free slot.
--- a/forward/cold_test.go
+++ b/forward/cold_test.go
@@ -92,7 +92,7 @@
 	must.Less(t, 200*time.Millisecond, got.took) // the next permit comes too late
 	must.Eq(t, 22, w.arrivalCount())
 
-	for _, e := range all[:1] { // the others are used while no other endpoint has a free slot
+	for _, e := range all[:1] { // a cold one with a permit is used while it is expected to be faster
 		e.LimitCold(0, time.Now().Add(-time.Second))
 		for range e.Slots {
 			e.Stats.Begin(0)
