--- a/forward/admit.go
+++ b/forward/admit.go
@@ -147,7 +147,7 @@
 // expectedFirst returns the expected time to the answer or its first event at the best endpoint that accepts requests, and
 // 0 without one. Failures and the traffic between zones, which placement.Cost counts as time, are left out.
 func (r *exchange) expectedFirst(now time.Time) time.Duration {
-	all := r.filterByVersion(r.f.cfg.Fleet.Service(r.service.Name), now)
+	all := r.endpoints(now)
 	open := make([]*fleet.Endpoint, 0, len(all))
 	for _, e := range all {
 		if !e.AcceptsAt(now).After(now) {
@@ -159,7 +159,7 @@
 	if best == nil {
 		return 0
 	}
-	c := r.f.candidate(best, p, -1, now)
+	c := r.f.describe(r.service.Name)(best, p, -1, now)
 	c.SameZone, c.Failures, c.Avoided = true, 0, false
 	first := time.Duration(placement.Cost(p, &c) * float64(time.Millisecond))
 	if p.Input == 0 {
--- a/forward/pace.go
+++ b/forward/pace.go
@@ -17,15 +17,23 @@
 	if len(endpoints) == 0 {
 		return nil
 	}
-	describe := f.candidate
-	if f.speed(endpoints[0].Service).ReportsPace() {
-		describe, endpoints = f.pacedCandidate, rotated(endpoints, p.ID)
+	service := endpoints[0].Service
+	if f.speed(service).ReportsPace() {
+		endpoints = rotated(endpoints, p.ID)
 	}
-	return lowestCost(describe, p, endpoints, all, now)
+	return lowestCost(f.describe(service), p, endpoints, all, now)
 }
 
 type describeFunc func(e *fleet.Endpoint, p placement.Request, rank int, now time.Time) placement.Candidate
 
+// describe returns the function that describes the endpoints of a service for the choice.
+func (f *Forwarder) describe(service string) describeFunc {
+	if f.speed(service).ReportsPace() {
+		return f.pacedCandidate
+	}
+	return f.candidate
+}
+
 // lowestCost returns the endpoint whose candidate has the lowest cost.
 func lowestCost(describe describeFunc, p placement.Request, endpoints, all []*fleet.Endpoint, now time.Time) *fleet.Endpoint {
 	owners := placement.Owners(p, endpointIDs(all))
