feed: a follower sees that an entry was deleted and created anew

The watchers' notice of a deletion ends the use of an endpoint's lifetime at a follower. If the entry only expired and was written again before the follower's next fetch, the copy showed it as unchanged, and the follower left the endpoint out for good; an own watch shows both events. The revision of the creation now tells them apart.

--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -68,7 +68,10 @@
 func (s *store) put(name, spec string) {
 	s.update(func() {
 		s.revision++
-		o := feed.Object{Name: name, Revision: s.revision, Spec: []byte(spec)}
+		o := feed.Object{Name: name, Revision: s.revision, CreatedRevision: s.objects[name].CreatedRevision, Spec: []byte(spec)}
+		if o.CreatedRevision == 0 {
+			o.CreatedRevision = s.revision
+		}
 		s.objects[name] = o
 		s.events = append(s.events, feed.Event{Object: o})
 	})
@@ -138,6 +141,7 @@
 type recorder struct {
 	mu        sync.Mutex
 	names     []string
+	removals  int // of single objects
 	unsettled int // removals while the store had not been healthy for long
 }
 
@@ -159,7 +163,10 @@
 	r.names = slices.DeleteFunc(r.names, func(n string) bool { return n == e.Object.Name })
 	if !e.Deleted {
 		r.names = append(r.names, e.Object.Name)
-	} else if !settled {
+		return
+	}
+	r.removals++
+	if !settled {
 		r.unsettled++
 	}
 }
--- a/feed/follow.go
+++ b/feed/follow.go
@@ -118,7 +118,12 @@
 	}
 	slices.SortFunc(c.Objects, func(a, b Object) int { return cmp.Compare(a.Revision, b.Revision) })
 	for _, o := range c.Objects {
-		if f.objects[o.Name].Revision < o.Revision {
+		old := f.objects[o.Name]
+		if old.CreatedRevision > 0 && old.CreatedRevision < o.CreatedRevision {
+			// Its entry was deleted and is new. An endpoint whose deletion a peer has announced is used again only then.
+			events = append(events, Event{Object: old, Deleted: true})
+		}
+		if old.Revision < o.Revision {
 			events = append(events, Event{Object: o})
 			f.objects[o.Name] = o
 		}
--- a/feed/follow_test.go
+++ b/feed/follow_test.go
@@ -78,6 +78,24 @@
 	})
 }
 
+// Guards against an object that was deleted and created anew between two fetches and seems to be the earlier one: a peer's
+// notice of the deletion would stop its use for good.
+func TestFollow_CreatedAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.put("a", "1")
+		x := startFollowers(t, s)
+		s.put("a", "2")
+		x.run(1400 * time.Millisecond)
+		must.Zero(t, x.applied.removals)
+		s.remove("a")
+		s.put("a", "2")
+		x.run(1400 * time.Millisecond)
+		must.Eq(t, 1, x.applied.removals)
+		must.Eq(t, []string{"a"}, x.applied.now())
+	})
+}
+
 // Guards against a change that is lost while a feed begins to follow or ends to: the watch and the copies must leave no
 // gap between them.
 func TestFollow_ChangesDuringSwitch(t *testing.T) {
