--- a/memlimit/memlimit.go
+++ b/memlimit/memlimit.go
@@ -19,6 +19,9 @@
 	MinRate = 1 << 10
 	// graceTime is the age up to which a holder does not count as stalled: the time that the configuration allows for a head.
 	graceTime = 3 * time.Second
+	// stallTime is the time without a byte after which a holder counts as stalled at any age and whatever it received before.
+	// It exceeds the time for which a holder may wait for memory, while nothing is read for it.
+	stallTime = 2 * time.Second
 	// pressureShare is the share of the bound above which stalled holders are evicted.
 	pressureShare = 0.75
 	// answersShare is the share of the bound that TryAdd may use. The rest is left to holders, so that held answers never
@@ -56,6 +59,11 @@
 // decay returns the weight of what was received a time ago.
 func decay(age time.Duration) float64 { return math.Exp(-float64(max(0, age)) / float64(rateWindow)) }
 
+// isStalled reports whether a holder that is not complete makes too little progress to keep its memory while that is short.
+func (h *Hold) isStalled(now time.Time) bool {
+	return now.Sub(h.updated) >= stallTime || now.Sub(h.opened) >= graceTime && h.rateAt(now) < MinRate
+}
+
 // cost returns how long the holder keeps its memory for a byte of progress. A stalled holder costs most.
 func (h *Hold) cost(now time.Time) float64 { return float64(h.bytes) / (h.rateAt(now) + MinRate) }
 
@@ -231,7 +239,7 @@
 	a.evicting += h.bytes
 }
 
-// EvictStalled evicts the holders whose progress is below MinRate, if memory is short, and returns them.
+// EvictStalled evicts the stalled holders, if memory is short, and returns them.
 func (a *Account) EvictStalled(now time.Time) []*Hold {
 	if float64(a.used-a.evicting) <= pressureShare*float64(a.bound) {
 		return nil
@@ -239,8 +247,7 @@
 	return a.evictStalled(now, math.MaxInt)
 }
 
-// EvictOneStalled evicts the holder that holds most for least progress, if its progress is below MinRate. It returns nil if
-// there is none.
+// EvictOneStalled evicts the stalled holder that holds most for least progress. It returns nil if there is none.
 func (a *Account) EvictOneStalled(now time.Time) *Hold {
 	if victims := a.evictStalled(now, 1); len(victims) > 0 {
 		return victims[0]
@@ -251,7 +258,7 @@
 func (a *Account) evictStalled(now time.Time, most int) []*Hold {
 	var stalled []*Hold
 	for h := range a.holds {
-		if !h.complete && !h.evicted && now.Sub(h.opened) >= graceTime && h.rateAt(now) < MinRate {
+		if !h.complete && !h.evicted && h.isStalled(now) {
 			stalled = append(stalled, h)
 		}
 	}
--- a/memlimit/memlimit_test.go
+++ b/memlimit/memlimit_test.go
@@ -97,7 +97,7 @@
 	receive(t, a, now, full, 800<<10)
 	must.Eq(t, []*Hold{trickle}, a.EvictStalled(now))
 	must.Nil(t, a.EvictOneStalled(now.Add(time.Second)))
-	must.Eq(t, full, a.EvictOneStalled(now.Add(20*time.Second)))
+	must.Eq(t, full, a.EvictOneStalled(now.Add(stallTime)))
 }
 
 // Guards against held answers that keep requests from being read, and against a sum that drifts.
