intake, graceful: receive buffers share a part of the memory, more connections of callers

Connections of callers were bounded at 96 KiB of memory each, 757 at 284 MB, which a burst of streams may need. They are now bounded at 64 KiB each (1,136), and the receive buffers of new connections get smaller as more are open.

--- a/entry/memory.go
+++ b/entry/memory.go
@@ -42,7 +42,7 @@
 // boundConns bounds the connections of the listeners by the descriptors and the memory of the machine.
 func (d *Daemon) boundConns(peers, callers *graceful.Server) {
 	bounds := intake.ConnBoundsFor(int64(d.settings.MemoryMB*(1<<20)), d.settings.MaxFds)
-	intake.Apply(peers, bounds.Peers, nil)
-	intake.Apply(callers, bounds.Callers, d.memory)
+	bounds.Apply(peers, bounds.Peers, nil)
+	bounds.Apply(callers, bounds.Callers, d.memory)
 	d.log.WithFields(logrus.Fields{"callers": bounds.Callers, "peers": bounds.Peers}).Info("connections are bounded")
 }
--- a/graceful/conn.go
+++ b/graceful/conn.go
@@ -73,8 +73,8 @@
 		return nil, errors.Join(err, nc.Close())
 	}
 	c := &conn{Conn: nc, raw: raw, server: l.server, acceptedAt: time.Now()}
-	if l.server.ReceiveBuffer > 0 {
-		c.setReceiveBuffer(l.server.ReceiveBuffer)
+	if l.server.ReceiveBuffer != nil {
+		c.setReceiveBuffer(l.server.ReceiveBuffer(l.server.openConns()))
 	}
 	l.server.add(c)
 	return c, nil
--- a/graceful/connlimit.go
+++ b/graceful/connlimit.go
@@ -143,6 +143,9 @@
 
 // setReceiveBuffer bounds the bytes that the kernel keeps until the server reads them.
 func (c *conn) setReceiveBuffer(n int) {
+	if n <= 0 {
+		return
+	}
 	// Errors mean that the connection is closed.
 	_ = c.raw.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, n) })
 }
--- a/graceful/connlimit_test.go
+++ b/graceful/connlimit_test.go
@@ -34,7 +34,7 @@
 		}
 	})})
 	s.MaxConns = func() int { return 2 }
-	s.ReceiveBuffer = 64 << 10
+	s.ReceiveBuffer = func(int) int { return 64 << 10 }
 	s.OnFull = func() {
 		select {
 		case full <- struct{}{}:
--- a/graceful/server.go
+++ b/graceful/server.go
@@ -42,9 +42,9 @@
 	// OnFull is called when a connection is refused at the bound, so that the owner can end stalled requests; it may be nil.
 	// It must not block.
 	OnFull func()
-	// ReceiveBuffer bounds the bytes of a connection that the kernel keeps until they are read, less than twice as much
-	// with its own overhead; 0: what the kernel sets.
-	ReceiveBuffer int
+	// ReceiveBuffer returns the SO_RCVBUF for a new connection, of which the kernel keeps up to twice as much until it is
+	// read, while there are open ones; nil or 0: what the kernel sets.
+	ReceiveBuffer func(open int) int
 
 	http     *http.Server
 	draining atomic.Bool // Shutdown was called; set while mu is held
--- a/intake/conns.go
+++ b/intake/conns.go
@@ -19,17 +19,33 @@
 	minConns = 90
 	// readyConns bounds the connections of readiness checks, of which a balancer opens one at a time.
 	readyConns = 16
-	// connShare divides the memory of the machine to get that for connections of callers, and connBytes is what one takes at
-	// most: its receive buffer in the kernel and what the server allocates.
+	// connShare divides the memory of the machine to get that for connections of callers, and connBytes is what one takes
+	// in the kernel and in the process, when all are open.
 	connShare = 4
-	connBytes = 96 << 10
-	// receiveBuffer is the SO_RCVBUF of connections, which the kernel doubles for its overhead. That is what Linux begins
-	// with; without this bound it lets the buffer grow to 6 MB.
-	receiveBuffer = 64 << 10
+	connBytes = 64 << 10
+	// receiveShare divides the memory of the machine to get that for receive buffers. The kernel doubles SO_RCVBUF for its
+	// overhead, and keeps nearly as many bytes.
+	receiveShare = 7
+	// maxReceiveBuffer is the SO_RCVBUF with which Linux begins; it would let the buffer grow to 6 MB. minReceiveBuffer
+	// still takes a head at once.
+	maxReceiveBuffer = 64 << 10
+	minReceiveBuffer = 16 << 10
 )
 
 // ConnBounds bounds the open connections of the listeners of a process. 0 means no bound.
-type ConnBounds struct{ Callers, Peers, Ready int }
+type ConnBounds struct {
+	Callers, Peers, Ready int
+
+	receiveBytes int64 // for the receive buffers of a listener's connections; 0: unknown
+}
+
+// receiveBuffer returns the SO_RCVBUF of a connection that is opened while there are others.
+func (b ConnBounds) receiveBuffer(open int) int {
+	if b.receiveBytes == 0 {
+		return maxReceiveBuffer
+	}
+	return int(max(minReceiveBuffer, min(maxReceiveBuffer, b.receiveBytes/2/int64(open+1))))
+}
 
 // ConnBoundsFor returns the bounds for a machine. 0 means that memory or descriptors are not bounded.
 func ConnBoundsFor(machineBytes int64, maxFds int) ConnBounds {
@@ -39,6 +55,7 @@
 		b = ConnBounds{Callers: conns / callerShare, Peers: max(conns/peerShare, minPeerConns), Ready: readyConns}
 	}
 	if machineBytes > 0 {
+		b.receiveBytes = machineBytes / receiveShare
 		most := int(machineBytes / connShare / connBytes)
 		if b.Callers == 0 || b.Callers > most {
 			b.Callers = most
@@ -47,10 +64,10 @@
 	return b
 }
 
-// Apply bounds the connections of a server. At the bound, stalled bodies of memory are given up.
-func Apply(s *graceful.Server, maxConns int, memory *Memory) {
+// Apply bounds the connections of a server to maxConns. At the bound, stalled bodies of memory are given up.
+func (b ConnBounds) Apply(s *graceful.Server, maxConns int, memory *Memory) {
 	s.MaxConns = func() int { return maxConns }
-	s.ReceiveBuffer = receiveBuffer
+	s.ReceiveBuffer = b.receiveBuffer
 	if memory != nil {
 		s.OnFull = memory.EvictOneStalled
 	}
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -171,3 +171,14 @@
 	must.LessEq(t, 500-reservedFds, 2*small.Callers+small.Peers+small.Ready+3*8)
 	must.Eq(t, ConnBounds{}, ConnBoundsFor(0, 0))
 }
+
+// Guards against receive buffers that take more than their share of the machine in a crowd, and against small ones in calm,
+// which cost a body of ordinary size more round trips.
+func TestReceiveBuffer_Share(t *testing.T) {
+	bounds := ConnBoundsFor(136<<20, 4100)
+	must.Eq(t, maxReceiveBuffer, bounds.receiveBuffer(0))
+	must.Eq(t, maxReceiveBuffer, bounds.receiveBuffer(100))
+	must.LessEq(t, 20<<10, bounds.receiveBuffer(bounds.Callers))
+	must.Eq(t, minReceiveBuffer, bounds.receiveBuffer(100_000))
+	must.Eq(t, maxReceiveBuffer, ConnBoundsFor(0, 4100).receiveBuffer(1000))
+}
--- a/node/memory.go
+++ b/node/memory.go
@@ -47,8 +47,8 @@
 // boundConns bounds the connections of the listeners by the descriptors and the memory of the machine.
 func (n *Node) boundConns(peers, ready, callers *graceful.Server) {
 	bounds := intake.ConnBoundsFor(n.settings.MemoryBytes, n.settings.MaxFds)
-	intake.Apply(peers, bounds.Peers, nil)
-	intake.Apply(ready, bounds.Ready, nil)
-	intake.Apply(callers, bounds.Callers, n.memory)
+	bounds.Apply(peers, bounds.Peers, nil)
+	bounds.Apply(ready, bounds.Ready, nil)
+	bounds.Apply(callers, bounds.Callers, n.memory)
 	n.log.WithFields(logrus.Fields{"callers": bounds.Callers, "peers": bounds.Peers, "ready": bounds.Ready}).Info("connections are bounded")
 }
