forward: measurements of endpoints do not depend on the estimate of the service

The pace of events and the time to a plain answer were divided by the estimate of the service, which follows its latest 64 samples, before they were compared with the service's median; the estimate's changes were taken for noise of the endpoints. They are now compared as times. The state of the service is read once for each choice, not for each endpoint. The herding test plays the choices that it only reports with -v; under the race detector it took 54 s.

go test -race ./forward ./node ./speed ./fleet ./placement passes (forward 130 s on a busy machine); the figures of TestChoice_Herding are unchanged.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -14,7 +14,6 @@
 	"github.com/trefoillug/trefoillug/fleet"
 	"github.com/trefoillug/trefoillug/progress"
 	"github.com/trefoillug/trefoillug/routing"
-	"github.com/trefoillug/trefoillug/speed"
 	"github.com/trefoillug/trefoillug/upstream"
 )
 
@@ -167,7 +166,7 @@
 	r.timeToFirst = time.Since(sent)
 	r.speed().RecordAnswer(r.timeToFirst)
 	if reply.Status < http.StatusInternalServerError {
-		r.recordAnswerPace(e, speed.Answer, 0)
+		r.recordAnswerPace(e)
 	}
 	r.recordWork(r.standardWork(e, r.timeToFirst) / time.Duration(max(1, e.Slots)))
 	return r.relayWhole(ctx, reply, onStall)
--- a/forward/herding_test.go
+++ b/forward/herding_test.go
@@ -29,13 +29,11 @@
 }
 
 const (
-	patternTime   = 16 * time.Second
-	patternWarmUp = 4 * time.Second
-	noisyTime     = 600 * time.Millisecond
-	sharedTokens  = 4000
-	ownTokens     = 1000
-	cachedBlocks  = 60 // of one endpoint
-	queueLimit    = 24 // of a plain endpoint
+	patternTime, patternWarmUp = 16 * time.Second, 4 * time.Second
+	noisyTime                  = 600 * time.Millisecond
+	sharedTokens, ownTokens    = 4000, 1000
+	cachedBlocks               = 60 // of one endpoint
+	queueLimit                 = 24 // of a plain endpoint
 )
 
 var patternSpeed = speed.Speed{
@@ -279,8 +277,10 @@
 				return got
 			}
 			before := play("before", c.p, chooseBefore)
-			play("sample of 16", c.p, chooseOfSample)
-			play("sums of peers", with(c.p, func(p *pattern) { p.peers = noisyTime }), chooseNow)
+			if testing.Verbose() { // for the table only
+				play("sample of 16", c.p, chooseOfSample)
+				play("sums of peers", with(c.p, func(p *pattern) { p.peers = noisyTime }), chooseNow)
+			}
 			got := play("estimate", c.p, chooseNow)
 			must.Less(t, 1.5, got.busiest)
 			must.LessEq(t, before.mean*1.05, got.mean)
--- a/forward/pace.go
+++ b/forward/pace.go
@@ -17,9 +17,9 @@
 	if len(endpoints) == 0 {
 		return nil
 	}
-	describe := f.candidate
-	if f.speed(endpoints[0].Service).ReportsPace() {
-		describe, endpoints = f.pacedCandidate, rotated(endpoints, p.ID)
+	describe, paced := f.describer(endpoints[0].Service)
+	if paced {
+		endpoints = rotated(endpoints, p.ID)
 	}
 	return lowestCost(describe, p, endpoints, all, now)
 }
@@ -51,21 +51,26 @@
 	return ids
 }
 
-// pacedCandidate is candidate for an endpoint of a service whose endpoints report their pace. One without a recent report
-// counts as usual for the service: as idle and of average speed it would attract the requests of all instances that know
-// nothing about it.
-func (f *Forwarder) pacedCandidate(e *fleet.Endpoint, p placement.Request, rank int, now time.Time) placement.Candidate {
-	c := f.candidate(e, p, rank, now)
-	stay := p.Speed.Generation
-	if p.Input == 0 {
-		stay = p.Speed.Answer
-	}
-	c.Running, c.Uncertainty = e.Stats.ExpectedRunning(f.foreignLoad(e.Service).Mean(), stay, now)
-	c.Factor = f.speed(e.Service).Factor(&e.Stats.Speed, now)
-	if p.Input > 0 {
-		c.Silence = e.Stats.Silence(now)
-	}
-	return c
+// describer returns the function that describes the endpoints of a service, and whether they report their pace. If they do,
+// an endpoint without a recent report counts as usual for the service: as idle and of average speed it would attract the
+// requests of all instances that know nothing about it.
+func (f *Forwarder) describer(service string) (describe describeFunc, paced bool) {
+	estimator := f.speed(service)
+	if !estimator.ReportsPace() {
+		return f.candidate, false
+	}
+	mean := f.foreignLoad(service).Mean()
+	return func(e *fleet.Endpoint, p placement.Request, rank int, now time.Time) placement.Candidate {
+		c := f.candidate(e, p, rank, now)
+		stay := p.Speed.Answer
+		if p.Input > 0 {
+			stay = p.Speed.Generation
+			c.Silence = e.Stats.Silence(now)
+		}
+		c.Running, c.Uncertainty = e.Stats.ExpectedRunning(mean, stay, now)
+		c.Factor = estimator.Factor(&e.Stats.Speed, now)
+		return c
+	}, true
 }
 
 func (f *Forwarder) foreignLoad(service string) *fleet.ForeignLoad {
@@ -128,30 +133,31 @@
 	return pace, ok && speed.IsPaceFresh(age)
 }
 
-// recordRatio records a measurement of the speed of an endpoint. took is the time divided by the pace.
-func (r *exchange) recordRatio(e *fleet.Endpoint, kind speed.Kind, took float64, expected time.Duration, now time.Time) {
+// recordRatio records a measurement of the speed of an endpoint, divided by the pace and, where the work differs, by the
+// time that is expected for it.
+func (r *exchange) recordRatio(e *fleet.Endpoint, kind speed.Kind, measured float64, now time.Time) {
 	reported := e.Stats.Snapshot(now).Reported
-	if reported.Waiting > 0 || expected <= 0 {
+	if reported.Waiting > 0 {
 		return
 	}
 	fill := float64(reported.Running) / max(1, float64(reported.Slots))
-	r.speed().RecordRatio(&e.Stats.Speed, kind, took/float64(expected), fill, now)
+	r.speed().RecordRatio(&e.Stats.Speed, kind, measured, fill, now)
 }
 
-// recordAnswerPace records the time to the answer of a plain service, or to the first event of a generation whose prompt
-// has the given tokens to process.
-func (r *exchange) recordAnswerPace(e *fleet.Endpoint, kind speed.Kind, tokens float64) {
+// recordAnswerPace records the time to the answer of a plain service.
+func (r *exchange) recordAnswerPace(e *fleet.Endpoint) {
 	now := time.Now()
-	pace, ok := currentPace(e, now)
-	if !ok {
-		return
+	if pace, ok := currentPace(e, now); ok {
+		r.recordRatio(e, speed.Answer, r.timeToFirst.Seconds()/pace, now)
 	}
-	s := r.speed().Speed()
-	expected := s.Answer
-	if kind == speed.FirstEvent {
-		expected = s.Base + s.PrefillTime(tokens)
+}
+
+// recordFirstEventPace records the time to the first event of a generation whose prompt has the given tokens to process.
+func (r *exchange) recordFirstEventPace(e *fleet.Endpoint, tokens float64) {
+	now, s := time.Now(), r.speed().Speed()
+	if pace, ok := currentPace(e, now); ok && tokens > 0 {
+		r.recordRatio(e, speed.FirstEvent, float64(r.timeToFirst)/float64(s.Base+s.PrefillTime(tokens))/pace, now)
 	}
-	r.recordRatio(e, kind, float64(r.timeToFirst)/pace, expected, now)
 }
 
 // paceSample sums up the events of a stream, while the pace of its endpoint is known.
@@ -178,6 +184,6 @@
 	s := r.paceSample
 	r.paceSample = paceSample{}
 	if s.tokens >= minPaceTokens {
-		r.recordRatio(s.endpoint, speed.Events, s.took/float64(s.tokens), r.speed().Speed().Step, time.Now())
+		r.recordRatio(s.endpoint, speed.Events, s.took/float64(s.tokens), time.Now())
 	}
 }
--- a/forward/work.go
+++ b/forward/work.go
@@ -37,9 +37,7 @@
 func (r *exchange) recordFirstEvent(e *fleet.Endpoint) {
 	r.workCounted = true
 	r.speed().RecordPrefill(r.measured, r.timeToFirst)
-	if r.measured > 0 {
-		r.recordAnswerPace(e, speed.FirstEvent, r.measured)
-	}
+	r.recordFirstEventPace(e, r.measured)
 	if p := r.req.Prompt; p != nil && r.service.Engine != nil {
 		r.recordWork(r.speed().Speed().PrefillWork(float64(p.Input), r.standardWork(e, r.timeToFirst)))
 	}
--- a/speed/relative.go
+++ b/speed/relative.go
@@ -136,9 +136,9 @@
 	return e.meanPace
 }
 
-// RecordRatio records the time that work took at an endpoint, divided by the expected time at the pace that the endpoint
-// reported with the answer. It is compared with that of the service's endpoints at the same load, since what is expected
-// may be wrong for all of them. fill is the share of the slots in use.
+// RecordRatio records a measurement of an endpoint, divided by the pace that it reported with the answer: a time for work of
+// one size, or a time divided by what Speed says for that work. It is compared with those of the service's endpoints at the
+// same load, since what Speed says may be wrong for all of them. fill is the share of the slots in use.
 func (e *Estimator) RecordRatio(r *Relative, kind Kind, ratio, fill float64, now time.Time) {
 	if !(ratio > 0) || math.IsInf(ratio, 0) {
 		return
