--- a/forward/admit.go
+++ b/forward/admit.go
@@ -159,7 +159,8 @@
 	if best == nil {
 		return 0
 	}
-	c := r.f.describe(r.service.Name)(best, p, -1, now)
+	describe, _ := r.f.describer(r.service.Name)
+	c := describe(best, p, -1, now)
 	c.SameZone, c.Failures, c.Avoided = true, 0, false
 	first := time.Duration(placement.Cost(p, &c) * float64(time.Millisecond))
 	if p.Input == 0 {
