Revert "node, feed: in large fleets the watchers of each domain follow the endpoint list for all"

Cause: the calls that it saves are stale watches, which cost a tenth. Reports of a fleet of this size are often older than the 1.6 s that a follower allows, and it then makes current watches.

--- a/feed/copy.go
+++ b/feed/copy.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 )
 
@@ -84,7 +85,7 @@
 		return err
 	}
 	if c == nil {
-		return errNothingNewer
+		return errors.New("the peer has nothing newer")
 	}
 	f.replace(f.merged(c), true)
 	return nil
@@ -109,6 +110,7 @@
 	}
 	for _, name := range c.Deleted {
 		delete(objects, name)
+		f.recordDeletion(name, c.NewestChange)
 	}
 	whole := &Copy{Revision: c.Revision, NewestChange: c.NewestChange, Settled: c.Settled}
 	for _, o := range objects {
@@ -117,14 +119,6 @@
 	return whole
 }
 
-// DeletionsAfter returns the revision after which the feed knows all deletions; a peer that lags further gets all objects
-// from Copy.
-func (f *Feed) DeletionsAfter() uint64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.deletionsAfter
-}
-
 // recordDeletion keeps a deletion for copies to peers. Callers must hold f.mu.
 func (f *Feed) recordDeletion(name string, revision uint64) {
 	f.deletions = append(f.deletions, deletion{name, revision})
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -76,9 +76,6 @@
 	// MayBeStale reports whether the next watch may be seconds behind, because peers notify this instance of urgent
 	// changes; nil: never.
 	MayBeStale func() bool
-	// Follow reports whether to take the changes from peers for now, instead of watching. It is called several times a
-	// second; nil: never.
-	Follow func() bool
 }
 
 // MaxWait is the longest wait of one watch; the store allows 30 s.
@@ -129,10 +126,9 @@
 	pace           *rate.Limiter      // of watches that return changes; used by Run only
 	pausedUntil    time.Time          // the next watch starts then
 	ready          chan struct{}
-	deletions      []deletion    // newest last
-	deletionsAfter uint64        // all deletions after this revision are kept
-	following      bool          // the changes are taken from peers
-	wake           chan struct{} // ends a wait of follow
+	deletions      []deletion // newest last
+	deletionsAfter uint64     // all deletions after this revision are kept
+	deletedNames   []string   // deleted by the events that are being applied
 }
 
 // New returns a feed without objects; Run fills it.
@@ -143,13 +139,10 @@
 	if s.MayBeStale == nil {
 		s.MayBeStale = func() bool { return false }
 	}
-	if s.Follow == nil {
-		s.Follow = func() bool { return false }
-	}
 	if s.Pace == nil {
 		s.Pace = func() time.Duration { return 0 }
 	}
-	return &Feed{settings: s, pace: rate.NewLimiter(rate.Inf, paceBurst), objects: map[string]Object{}, ready: make(chan struct{}), wake: make(chan struct{}, 1)}
+	return &Feed{settings: s, pace: rate.NewLimiter(rate.Inf, paceBurst), objects: map[string]Object{}, ready: make(chan struct{})}
 }
 
 // Ready returns a channel that is closed once the first copy has been received.
@@ -169,20 +162,6 @@
 	return f.lastAnswered
 }
 
-// IsHealthy reports whether the latest call of the store succeeded.
-func (f *Feed) IsHealthy() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return !f.healthySince.IsZero()
-}
-
-// IsFollowing reports whether the changes are taken from peers.
-func (f *Feed) IsFollowing() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.following
-}
-
 // Run follows the store until ctx is done.
 func (f *Feed) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -190,11 +169,8 @@
 		list := !f.listed || f.mustList
 		f.mu.Unlock()
 		next := f.watch
-		switch {
-		case list:
+		if list {
 			next = f.list
-		case f.settings.Follow():
-			next = f.follow
 		}
 		err := next(ctx)
 		if err == nil || ctx.Err() != nil {
@@ -240,23 +216,14 @@
 	for _, o := range c.Objects {
 		objects[o.Name] = o
 	}
-	for name := range f.objects {
-		if _, still := objects[name]; !still {
-			if !fromPeer {
+	if !fromPeer {
+		for name := range f.objects {
+			if _, still := objects[name]; !still {
 				c.NewestChange = max(c.NewestChange, c.Revision) // so that peers receive the deletion too
+				f.recordDeletion(name, c.NewestChange)
 			}
-			f.recordDeletion(name, c.NewestChange)
 		}
 	}
-	if first {
-		f.deletionsAfter = c.NewestChange // a copy of a peer has all changes up to this one
-		if !fromPeer {
-			f.deletionsAfter = c.Revision
-		}
-	}
-	if fromPeer && !c.Settled && !f.healthySince.IsZero() {
-		f.healthySince = time.Now() // the peer's store was failing, so a missing object may only have expired
-	}
 	f.objects = objects
 	f.revision, f.changed, f.listed, f.mustList = c.Revision, max(f.changed, c.NewestChange), true, false
 	f.mu.Unlock()
@@ -273,7 +240,6 @@
 	start := time.Now()
 	f.mu.Lock()
 	after := f.revision
-	f.endFollowing()
 	f.mayBeStale = f.settings.MayBeStale()
 	mayBeStale := f.mayBeStale
 	f.cancel, f.watchEnd = cancel, start.Add(wait)
@@ -309,30 +275,21 @@
 	return nil
 }
 
-// applyEvents applies the events of a watch. They become visible to Copy together: a peer that received some of them only
-// would not ask for the others.
+// applyEvents applies the events of a watch.
 func (f *Feed) applyEvents(events []Event, revision uint64) {
-	f.mu.Lock()
-	settled := f.settled()
-	var deleted []string
 	for _, e := range events {
-		f.changed = max(f.changed, e.Object.Revision)
-		if !e.Deleted {
-			f.objects[e.Object.Name] = e.Object
-			continue
-		}
-		delete(f.objects, e.Object.Name)
-		deleted = append(deleted, e.Object.Name)
+		f.apply(e)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision = max(f.revision, revision)
+	if len(f.deletedNames) > 0 {
 		f.changed = max(f.changed, revision) // a deleted object holds the revision of its last change only
 	}
-	for _, name := range deleted {
+	for _, name := range f.deletedNames {
 		f.recordDeletion(name, f.changed)
 	}
-	f.revision = max(f.revision, revision)
-	f.mu.Unlock()
-	for _, e := range events {
-		f.settings.Handler.Apply(e, settled)
-	}
+	f.deletedNames = nil
 }
 
 // keepPace waits after a watch that returned changes, so that further ones arrive together.
@@ -359,6 +316,20 @@
 	return rate.Every(pace)
 }
 
+func (f *Feed) apply(e Event) {
+	f.mu.Lock()
+	settled := f.settled()
+	if e.Deleted {
+		delete(f.objects, e.Object.Name)
+		f.deletedNames = append(f.deletedNames, e.Object.Name)
+	} else {
+		f.objects[e.Object.Name] = e.Object
+	}
+	f.changed = max(f.changed, e.Object.Revision)
+	f.mu.Unlock()
+	f.settings.Handler.Apply(e, settled)
+}
+
 // settled reports whether the store has been healthy for settleTime. Callers must hold f.mu.
 func (f *Feed) settled() bool {
 	return !f.healthySince.IsZero() && time.Since(f.healthySince) > settleTime
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -68,10 +68,7 @@
 func (s *store) put(name, spec string) {
 	s.update(func() {
 		s.revision++
-		o := feed.Object{Name: name, Revision: s.revision, CreatedRevision: s.objects[name].CreatedRevision, Spec: []byte(spec)}
-		if o.CreatedRevision == 0 {
-			o.CreatedRevision = s.revision
-		}
+		o := feed.Object{Name: name, Revision: s.revision, Spec: []byte(spec)}
 		s.objects[name] = o
 		s.events = append(s.events, feed.Event{Object: o})
 	})
@@ -141,7 +138,6 @@
 type recorder struct {
 	mu        sync.Mutex
 	names     []string
-	removals  int // of single objects
 	unsettled int // removals while the store had not been healthy for long
 }
 
@@ -163,10 +159,7 @@
 	r.names = slices.DeleteFunc(r.names, func(n string) bool { return n == e.Object.Name })
 	if !e.Deleted {
 		r.names = append(r.names, e.Object.Name)
-		return
-	}
-	r.removals++
-	if !settled {
+	} else if !settled {
 		r.unsettled++
 	}
 }
--- a/feed/notify.go
+++ b/feed/notify.go
@@ -11,18 +11,6 @@
 		return
 	}
 	f.notified = changed
-	if f.following {
-		select {
-		case f.wake <- struct{}{}:
-		default:
-		}
-		return
-	}
-	f.expect(changed)
-}
-
-// expect lists the objects again if the feed's own watch does not return a change soon. Callers must hold f.mu.
-func (f *Feed) expect(changed uint64) {
 	// A watch that pauses to keep its pace is not stalled, nor is one that may be stale.
 	delay := notifyDelay + max(0, time.Until(f.pausedUntil))
 	if f.mayBeStale {
@@ -31,7 +19,7 @@
 	time.AfterFunc(delay, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		if !f.listed || f.changed >= changed || f.following {
+		if !f.listed || f.changed >= changed {
 			return
 		}
 		f.mustList = true
--- a/node/membership.go
+++ b/node/membership.go
@@ -25,6 +25,7 @@
 	lastReport    time.Time                       // of this instance
 	newestChanges map[string]newestChange         // by kind of object
 	shortWaitAt   map[string]map[string]time.Time // by kind and peer: last report that it watches with short waits
+	notifyingAt   map[string]time.Time            // by peer: last report that it notifies others of leaving endpoints
 	neededSince   map[string]time.Time            // by kind: since when this instance is needed to watch it with short waits
 }
 
@@ -49,7 +50,7 @@
 func newMembership(self string, now time.Time) membership {
 	return membership{
 		self: self, since: now, lastSeen: map[string]time.Time{}, stopped: map[string]bool{}, newestChanges: map[string]newestChange{},
-		shortWaitAt: map[string]map[string]time.Time{}, neededSince: map[string]time.Time{},
+		shortWaitAt: map[string]map[string]time.Time{}, notifyingAt: map[string]time.Time{}, neededSince: map[string]time.Time{},
 		usageWindows: map[string]uint64{},
 	}
 }
@@ -76,6 +77,7 @@
 
 // dropWatcher drops what a peer has reported about its watches. Callers must hold m.mu.
 func (m *membership) dropWatcher(id string) {
+	delete(m.notifyingAt, id)
 	delete(m.usageWindows, id)
 	for _, peers := range m.shortWaitAt {
 		delete(peers, id)
@@ -133,6 +135,9 @@
 		}
 		m.shortWaitAt[kind][origin] = now
 	}
+	if w.Notifies {
+		m.notifyingAt[origin] = now
+	}
 }
 
 // neededFor records whether this instance is needed as a watcher of a kind, and returns for how long it has been.
@@ -158,6 +163,13 @@
 	return m.shortWaitAt[kind][id].After(since)
 }
 
+// notifies reports whether a peer has reported after the given time that it notifies others of leaving endpoints.
+func (m *membership) notifies(id string, since time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.notifyingAt[id].After(since)
+}
+
 func (m *membership) recordChange(kind, origin string, revision uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/node/node.go
+++ b/node/node.go
@@ -82,9 +82,6 @@
 	cold         *coldLimits
 
 	members      membership
-	watchers     watchers
-	notifies     atomic.Bool  // this instance notified the others of leaving endpoints at the last check
-	follows      atomic.Bool  // it took the changes of the endpoint list from the watchers at the last check
 	gracePeriod  atomic.Int64 // time.Duration; Settings.GracePeriod as last read
 	closing      atomic.Bool
 	stop         atomic.Pointer[forward.Stop] // nil: not stopping
@@ -122,7 +119,6 @@
 	}
 	n.load = newLoadMeter()
 	n.members = newMembership(s.Name, time.Now())
-	n.watchers = newWatchers(s.Name)
 	n.owners = newOwners()
 	n.owners.recordCores(s.Name, s.Cores)
 	n.rollouts = newRollouts(n)
@@ -150,7 +146,6 @@
 	n.feeds[kind] = feed.New(feed.Settings{Kind: kind, Store: n.platform.Objects, Handler: h, Log: n.log, FetchFromPeer: n.fetchCopy,
 		Wait: func() time.Duration { return n.watchWait(kind) }, Pace: func() time.Duration { return n.watchPace(kind) },
 		MayBeStale: func() bool { return n.hasNotifiers(kind, time.Now()) },
-		Follow:     func() bool { return n.followsWatchers(kind, time.Now()) },
 	})
 }
 
--- a/node/peers.go
+++ b/node/peers.go
@@ -54,7 +54,6 @@
 	Watches watching          `cbor:"7,keyasint"`
 	// Evacuated holds the revisions of the evacuations that this instance has read, by zone.
 	Evacuated map[string]uint64 `cbor:"8,keyasint,omitempty"`
-	Uptime    time.Duration     `cbor:"9,keyasint,omitempty"` // of the process
 }
 
 // usageReport holds the counts of the newest windows of a process.
@@ -118,7 +117,7 @@
 	if unreachable := n.quotas.UnreachableInstances(now); n.members.setUnreachable(unreachable) {
 		n.log.WithFields(logrus.Fields{"silent": unreachable, "expected": expected}).Info("number of unreachable instances changed; quotas adjusted")
 	}
-	r := report{Process: n.process, Quotas: n.quotas.Report(now), Changed: map[string]uint64{}, Leaving: n.closing.Load(), Load: n.load.measure(now), Cores: n.settings.Cores, Watches: n.watching(now), Evacuated: n.evacuations.report(), Uptime: now.Sub(n.started)}
+	r := report{Process: n.process, Quotas: n.quotas.Report(now), Changed: map[string]uint64{}, Leaving: n.closing.Load(), Load: n.load.measure(now), Cores: n.settings.Cores, Watches: n.watching(now), Evacuated: n.evacuations.report()}
 	for kind, f := range n.feeds {
 		r.Changed[kind] = f.NewestChange()
 	}
@@ -162,10 +161,6 @@
 		return
 	}
 	n.members.recordWatching(f.Origin, r.Watches, time.Now())
-	n.watchers.receive(f.Origin, watcherReport{
-		process: r.Process, uptime: r.Uptime, held: max(0, reportLifetime-f.TTL),
-		notifies: r.Watches.Notifies, changed: r.Changed[n.platform.Kinds.Endpoints], deletionsAfter: r.Watches.DeletionsAfter,
-	}, time.Now())
 	n.owners.recordCores(f.Origin, r.Cores)
 	n.quotas.Receive(f.Origin, r.Process, r.Quotas, time.Now())
 	n.load.receive(f.Origin, r.Load, time.Now())
@@ -199,8 +194,8 @@
 	return f.Copy(c.After), nil
 }
 
-// fetchCopy asks a peer for what has changed after a revision: a watcher of the kind, else the peer that has reported the
-// newest change, else a random one. It returns an error when there are no peers or the call fails.
+// fetchCopy asks the peer that has reported the newest change, or else a random one, for what has changed after a
+// revision. It returns an error when there are no peers or the call fails.
 func (n *Node) fetchCopy(ctx context.Context, kind string, after uint64) (*feed.Copy, error) {
 	var others []string
 	for _, m := range n.mesh.Members() {
@@ -211,15 +206,7 @@
 	if len(others) == 0 {
 		return nil, errors.New("no peers")
 	}
-	to := ""
-	if kind == n.platform.Kinds.Endpoints {
-		if sources := n.watchers.sources(after, time.Now()); len(sources) > 0 {
-			to = sources[rand.IntN(len(sources))]
-		}
-	}
-	if to == "" {
-		to = n.members.newestPeer(kind, after)
-	}
+	to := n.members.newestPeer(kind, after)
 	if to == "" {
 		to = others[rand.IntN(len(others))]
 	}
--- a/node/register.go
+++ b/node/register.go
@@ -82,8 +82,8 @@
 	return renewInterval
 }
 
-// registerPause returns the time between reads of the register. The watchers of each domain read it for the others, who hear
-// from them of instances that only the register shows.
+// registerPause returns the time between reads of the register. The quick watchers read it for the others, who hear from them
+// of instances that only the register shows.
 func (n *Node) registerPause() time.Duration {
 	shortest := registerPauses[len(registerPauses)-1]
 	if n.isQuickWatcher(n.platform.Kinds.Endpoints) {
--- a/node/state.go
+++ b/node/state.go
@@ -90,13 +90,13 @@
 		}
 	}
 	h.n.fleet.ReplaceAll(entries, settled, now)
-	h.announceChange()
+	h.n.stateChanged.Store(true)
 	h.n.limitConnections()
 }
 
 func (h *endpointHandler) Apply(e feed.Event, settled bool) {
 	now := time.Now()
-	h.announceChange()
+	h.n.stateChanged.Store(true)
 	log := h.n.log.WithFields(logrus.Fields{"endpoint": e.Object.Name, "revision": e.Object.Revision})
 	if e.Deleted {
 		delete(h.skipped, e.Object.Name)
@@ -120,13 +120,6 @@
 	h.n.limitConnections()
 }
 
-// announceChange reports to the peers at once that the list has changed, unless they know it from the same watchers.
-func (h *endpointHandler) announceChange() {
-	if f := h.n.feeds[h.n.platform.Kinds.Endpoints]; f == nil || !f.IsFollowing() {
-		h.n.stateChanged.Store(true)
-	}
-}
-
 // decode decodes an entry. It logs an invalid one, unless known holds its revision, since each list contains it again.
 func (h *endpointHandler) decode(o feed.Object, now time.Time, known map[string]uint64) (fleet.Entry, bool) {
 	e, err := h.n.platform.DecodeEndpoint(o.Name, o.Spec, now)
--- a/node/watch.go
+++ b/node/watch.go
@@ -17,8 +17,8 @@
 	shortWait = 900 * time.Millisecond
 	// shortAnswerAge is the age up to which the store's last answer shows that a short watcher fulfils its duty.
 	shortAnswerAge = 1500 * time.Millisecond
-	// watcherTimeout is the time without a report from a short watcher after which it no longer counts as one: two missed
-	// reports of a large fleet. The next instance takes its place.
+	// watcherTimeout is the time without a report from a short or quick watcher after which it no longer counts as one:
+	// two missed reports of a large fleet. The next instance takes the place of a short watcher.
 	watcherTimeout = 2500 * time.Millisecond
 	// discoveryTime is the time in which a starting instance finds its peers through the store.
 	discoveryTime = 2 * time.Second
@@ -35,15 +35,14 @@
 	// quickPace is short enough for a reclaim, announced 2 s ahead, to be noticed in time to move the running
 	// requests.
 	quickPace = 400 * time.Millisecond
-	// quickWatchers is the number of instances of a large fleet, or more, that watch at quickPace and notify the others of
+	// quickWatchers is the number of instances of a large fleet that watch at quickPace and notify the others of
 	// leaving endpoints. Eight, so that some remain during partitions and restarts.
 	quickWatchers = 8
 	// quickWait bounds the waits of the quick watchers of endpoints, so that a lost connection to the store is
 	// noticed.
 	quickWait = 2 * time.Second
-	// quickAnswerAge is the age up to which the store's last answer shows that a quick watcher reaches the store: the
-	// longest wait, and an answer of a store that is 70 times as slow as usual.
-	quickAnswerAge = 2500 * time.Millisecond
+	// quickAnswerAge is the age up to which the store's last answer shows that a quick watcher reaches the store.
+	quickAnswerAge = 3 * time.Second
 	// minNotifiers is the number of quick watchers that an instance must receive reports from to rely on them: one
 	// may have just lost the store.
 	minNotifiers = 3
@@ -53,8 +52,6 @@
 type watching struct {
 	Short    []string `cbor:"1,keyasint,omitempty"` // kinds of objects that it watches with short waits
 	Notifies bool     `cbor:"2,keyasint,omitempty"` // notifies the others of leaving endpoints
-	// DeletionsAfter is the revision after which a watcher that notifies the others knows all deletions of endpoints.
-	DeletionsAfter uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // watching returns the watch duties that this instance fulfils for the others, as shown by recent answers of the
@@ -66,18 +63,11 @@
 			w.Short = append(w.Short, kind)
 		}
 	}
-	if w.Notifies = n.notifiesOthers(now); w.Notifies {
-		w.DeletionsAfter = n.feeds[n.platform.Kinds.Endpoints].DeletionsAfter()
-	}
+	endpoints := n.platform.Kinds.Endpoints
+	w.Notifies = n.isQuickWatcher(endpoints) && now.Sub(n.feeds[endpoints].LastAnswered()) < quickAnswerAge
 	return w
 }
 
-// notifiesOthers reports whether this instance watches the endpoint list for the others, and the store answers it.
-func (n *Node) notifiesOthers(now time.Time) bool {
-	f := n.feeds[n.platform.Kinds.Endpoints]
-	return f.IsHealthy() && now.Sub(f.LastAnswered()) < quickAnswerAge && n.isQuickWatcher(n.platform.Kinds.Endpoints)
-}
-
 // needsShortWait reports whether this instance has to watch a kind with short waits. It takes the duty on only after
 // those before it in the order have had the time to report that they do; without this, all instances of a fleet that
 // starts would.
@@ -110,7 +100,7 @@
 // isQuickWatcher reports whether this instance of a large fleet watches a kind at quickPace. The holder of the duties
 // does so too, since it sizes pools by its own list.
 func (n *Node) isQuickWatcher(kind string) bool {
-	return n.holdsDuties.Load() || slices.Contains(watcherIDs(kind, n.mesh.Members()), n.settings.Name)
+	return n.holdsDuties.Load() || slices.Contains(rendezvous.Top(kind, n.memberIDs(), quickWatchers), n.settings.Name)
 }
 
 // watchPace returns the mean time between watches of a kind that return changes; 0 means no bound.
@@ -151,19 +141,22 @@
 // hasNotifiers reports whether enough quick watchers notify this instance of leaving endpoints, so that its own list
 // may be seconds behind.
 func (n *Node) hasNotifiers(kind string, now time.Time) bool {
-	if kind != n.platform.Kinds.Endpoints || len(n.memberIDs()) <= largeFleet || n.isQuickWatcher(kind) {
+	ids := n.memberIDs()
+	if kind != n.platform.Kinds.Endpoints || len(ids) <= largeFleet || n.isQuickWatcher(kind) {
 		return false
 	}
-	return n.watchers.areEnough(now)
+	notifiers := 0
+	for _, id := range rendezvous.Top(kind, ids, quickWatchers) {
+		if n.members.notifies(id, now.Add(-watcherTimeout)) {
+			notifiers++
+		}
+	}
+	return notifiers >= minNotifiers
 }
 
 // updateWatches ends the watches that this instance must no longer rely on: long ones when too few peers watch with
 // short waits, and ones that may be stale when too few peers notify it of leaving endpoints.
 func (n *Node) updateWatches(now time.Time) {
-	if notifies := n.notifiesOthers(now); n.notifies.Swap(notifies) && !notifies {
-		n.stateChanged.Store(true) // the peers that rely on this instance must know at once
-	}
-	n.updateFollowing(now)
 	for kind, f := range n.feeds {
 		f.CancelStaleWatch()
 		if n.needsShortWait(kind, now) {
