--- a/e2e/memory/harness_test.go
+++ b/e2e/memory/harness_test.go
@@ -33,7 +33,6 @@
 	largeFds      = 4100
 	reservedFds   = 200
 	nodeBodyLimit = 4 << 20
-	startTime     = 20 * time.Second
 	serveTime     = 30 * time.Second
 	sampleTime    = 20 * time.Millisecond
 	settleTime    = 200 * time.Millisecond
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -122,7 +122,7 @@
 	once    sync.Once
 }
 
-// Bytes returns the content. It must not be used after Release.
+// Bytes returns the content. It no longer counts after Release, so it must not be kept for long then.
 func (b *Body) Bytes() []byte {
 	if b == nil {
 		return nil
