forward: under shortage the route's priority counts within that of a workspace

Cause: a workspace's priority takes the place of the route's, so that requests of all kinds of a workspace had the same rank.

Change: the rank is made of the priority and, within it, that of the route. What engines are told is unchanged.

--- a/forward/admit.go
+++ b/forward/admit.go
@@ -123,7 +123,7 @@
 func (r *exchange) admissionRequest(isShort bool) admission.Request {
 	speed := r.speed().Speed()
 	req := admission.Request{
-		Rank: r.priority(), Arrived: r.req.Arrived, Deadline: r.deadline(), Objective: r.route.TargetLatency,
+		Rank: r.rank(), Arrived: r.req.Arrived, Deadline: r.deadline(), Objective: r.route.TargetLatency,
 		Work: speed.Answer.Seconds(), Service: speed.Answer,
 	}
 	if r.workspace != nil {
@@ -144,6 +144,15 @@
 	return req
 }
 
+// routePriorities is the number of priorities of routes that rank tells apart.
+const routePriorities = 10
+
+// rank returns the rank of the request under shortage: by its priority, and within it by that of its route. The priority of a
+// workspace takes the place of the route's, so that all requests of a workspace would be equal otherwise.
+func (r *exchange) rank() int {
+	return r.priority()*routePriorities + min(max(0, r.route.Priority), routePriorities-1)
+}
+
 // expectedFirst returns the expected time to the answer or its first event at the best endpoint that accepts requests, and
 // 0 without one. Failures and the traffic between zones, which placement.Cost counts as time, are left out.
 func (r *exchange) expectedFirst(now time.Time) time.Duration {
@@ -266,7 +275,7 @@
 			p.of.loggedAt, level = now, logrus.InfoLevel
 		}
 		t := p.ticket
-		fields["priority"], fields["rule"], fields["expected_wait_ms"] = t.Request.Rank, t.Rule, t.Expected.Milliseconds()
+		fields["rank"], fields["rule"], fields["expected_wait_ms"] = t.Request.Rank, t.Rule, t.Expected.Milliseconds()
 		fields["first_ms"], fields["finish_ms"] = t.Request.First.Milliseconds(), t.Request.Finish.Milliseconds()
 		fields["left_ms"], fields["retry_after_ms"] = t.Request.Deadline.Sub(now).Milliseconds(), t.RetryAfter.Milliseconds()
 		addFigures(fields, s)
