forward: a request may be repeated at a tried endpoint while the others are cold

Cause: the endpoints that a request has tried were considered only if there was no other one, before the cold ones without a permit were left out. If all others were cold, a request that may be repeated was refused although an endpoint that it had tried accepted it.

Change: cold endpoints without a permit are left out first.

Evidence: TestServe_RepeatAtTriedEndpointWhileOthersAreCold fails before the change with status 503 and passes after it.

--- a/forward/choose.go
+++ b/forward/choose.go
@@ -156,10 +156,11 @@
 			fresh = append(fresh, e)
 		}
 	}
+	// A cold endpoint without a permit must not keep a request from one that it has tried.
+	fresh = r.withoutCold(fresh, now)
 	if len(fresh) == 0 {
-		fresh = again
+		fresh = r.withoutCold(again, now)
 	}
-	fresh = r.withoutCold(fresh, now)
 	for len(fresh) > 0 {
 		e := r.f.bestOf(r.prompt(), fresh, all)
 		if admission, ok := e.Admit(now); ok {
--- a/forward/cold_test.go
+++ b/forward/cold_test.go
@@ -125,3 +125,20 @@
 	must.Eq(t, http.StatusServiceUnavailable, w.send(t.Context(), "once").status)
 	must.Eq(t, 1, w.arrivalCount())
 }
+
+// Guards against a request that may be repeated and is refused because the only endpoints that it has not tried are cold and
+// without a permit, although the one that it has tried accepts it.
+func TestServe_RepeatAtTriedEndpointWhileOthersAreCold(t *testing.T) {
+	c := &coldPermits{validFor: time.Second}
+	var arrivals atomic.Int32
+	w := newColdHarness(t, 2, c, func(a *arrival) {
+		if arrivals.Add(1) == 1 {
+			a.reply(http.StatusServiceUnavailable, "", "Not-Run", "1")
+			return
+		}
+		a.reply(http.StatusOK, "x")
+	})
+	makeCold(w.fleet.Service(service)[1])
+	must.Eq(t, http.StatusOK, w.send(t.Context(), "safe").status)
+	must.Eq(t, 2, w.arrivalCount())
+}
