forward: a request waits for a permit of its own instance for a cold endpoint

Cause: the time of the next try to get a permit followed from the peers only, which is a second if none is to be asked. An instance that has a share itself and gives a permit sooner refused the request at once, always so where it is the only member.

Change: the time of the next own permit counts too.

Evidence: TestServe_WaitsForOwnColdPermit fails before the change with status 503 and passes after it.

--- a/forward/cold.go
+++ b/forward/cold.go
@@ -130,7 +130,20 @@
 			retry = again
 		}
 	}
-	return nil, fleet.Admission{}, time.Now().Add(max(retry, admitRetry))
+	asked := time.Now()
+	return nil, fleet.Admission{}, earlier(asked.Add(max(retry, admitRetry)), r.nextPermit(endpoints, asked))
+}
+
+// nextPermit returns when this instance can give itself the next permit for one of the endpoints, admitRetry after now at
+// the earliest; zero: never.
+func (r *exchange) nextPermit(endpoints []*fleet.Endpoint, now time.Time) (next time.Time) {
+	for _, e := range endpoints {
+		next = earlier(next, r.f.cfg.Cold.Next(e, now))
+	}
+	if earliest := now.Add(admitRetry); !next.IsZero() && next.Before(earliest) {
+		return earliest
+	}
+	return next
 }
 
 // earlier returns the earlier of two times; a zero time counts as none.
--- a/forward/cold_test.go
+++ b/forward/cold_test.go
@@ -1,6 +1,7 @@
 package forward_test
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -22,6 +23,8 @@
 	own      int
 	peers    int
 	validFor time.Duration
+	nextAt   time.Time // of a further own permit; zero: none
+	askAfter time.Duration
 }
 
 func (c *coldPermits) Next(_ *fleet.Endpoint, now time.Time) time.Time {
@@ -30,12 +33,22 @@
 	if c.own > 0 {
 		return now
 	}
-	return time.Time{}
+	if c.isDue(now) {
+		return now
+	}
+	return c.nextAt
 }
 
+// isDue reports whether the further own permit is to be had at now.
+func (c *coldPermits) isDue(now time.Time) bool { return !c.nextAt.IsZero() && !now.Before(c.nextAt) }
+
 func (c *coldPermits) Take(_ *fleet.Endpoint, now time.Time) (time.Time, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.own <= 0 && c.isDue(now) {
+		c.nextAt = time.Time{}
+		return now.Add(c.validFor), true
+	}
 	c.own--
 	return now.Add(c.validFor), c.own >= 0
 }
@@ -44,7 +57,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.peers--; c.peers < 0 {
-		return nil, time.Time{}, 200 * time.Millisecond
+		return nil, time.Time{}, cmp.Or(c.askAfter, 200*time.Millisecond)
 	}
 	return endpoints[0], time.Now().Add(c.validFor), 0
 }
@@ -142,3 +155,15 @@
 	must.Eq(t, http.StatusOK, w.send(t.Context(), "safe").status)
 	must.Eq(t, 2, w.arrivalCount())
 }
+
+// Guards against a request that is refused, because peers have no permit for a long time, although this instance can give
+// itself one while the request may wait.
+func TestServe_WaitsForOwnColdPermit(t *testing.T) {
+	c := &coldPermits{validFor: time.Second, askAfter: time.Second}
+	w := newColdHarness(t, 2, c, func(a *arrival) { a.reply(http.StatusOK, "x") })
+	w.table.Routes[0].Timeout = time.Minute
+	makeCold(w.fleet.Service(service)...)
+	c.nextAt = time.Now().Add(50 * time.Millisecond)
+	w.table.Routes[0].TargetLatency = 4 * time.Second // so that the request may wait for less than askAfter
+	must.Eq(t, http.StatusOK, w.send(t.Context(), "once").status)
+}
