autoscale: the only zone left in service keeps its reclaimable endpoints

Cause: the plan of a single zone has on-demand endpoints only. With two zones, the evacuation of one made the plan for the other {on-demand 10, reclaimable 0} at a need of 10 and 14 running reclaimable endpoints: these, which carried the whole load, were ordered away at the same time as the on-demand ones were ordered.

Change: while the other zones are evacuated, the last one keeps its reclaimable endpoints, within the maximum of a zone.

Evidence: TestPlan_OnlyZoneLeftKeepsItsEndpoints; Plan(InService()) of the same input returned {10 0}.

--- a/autoscale/evacuated_test.go
+++ b/autoscale/evacuated_test.go
@@ -42,3 +42,17 @@
 	must.Eq(t, autoscale.Want{OnDemand: 2, Reclaimable: 5},
 		autoscale.Want{OnDemand: 1, Reclaimable: 5}.WithoutShrink(autoscale.Zone{OnDemand: 2, Reclaimable: 4}))
 }
+
+// Guards against the removal of the reclaimable endpoints of the only zone left in service, which serve the whole load
+// until on-demand ones have started.
+func TestPlan_OnlyZoneLeftKeepsItsEndpoints(t *testing.T) {
+	s := autoscale.Service{Min: 1, Max: 100, ReclaimablePrice: 0.3, Need: 10, ReclaimableRatio: 1.4, Zones: []autoscale.Zone{
+		{Name: "a", Price: 1, Evacuated: true}, {Name: "b", Price: 2, Reclaimable: 14},
+	}}
+	wants := autoscale.PlanInService(s)
+	must.Len(t, 1, wants)
+	must.Eq(t, 14, wants[0].Reclaimable)
+	must.Positive(t, wants[0].OnDemand)
+	s.Zones[0].Evacuated = false
+	must.Eq(t, autoscale.Plan(s), autoscale.PlanInService(s))
+}
--- a/node/pool.go
+++ b/node/pool.go
@@ -88,9 +88,9 @@
 	if !p.isListComplete(now, listStableTime+s.n.watchPace(s.n.platform.Kinds.Endpoints)) {
 		return
 	}
-	input, mayShrink := input.InService(), s.mayShrink(service.Name, input.Zones, now)
-	for i, want := range autoscale.Plan(input) {
-		zone := input.Zones[i]
+	inService, mayShrink := input.InService(), s.mayShrink(service.Name, input.Zones, now)
+	for i, want := range autoscale.PlanInService(input) {
+		zone := inService.Zones[i]
 		if !mayShrink {
 			want = want.WithoutShrink(zone).WithoutShrink(p.ordered(zone.Name))
 		}
