admission: one rejection begins no shortage

Cause: a rejection counted as an endpoint with a usage of 2.5. At an instance with little traffic no other report is fresh, so that the mean with the usual usage was above the limit at which a shortage begins. In a trial with one request a second that takes 3 s, one rejection while all endpoints reported 5 of 10 slots in use began a shortage of 4 s, in which 2 requests were rejected. Rejections by leaving endpoints counted too.

Change: without another rejection in the last second a rejection counts as a usage of 1; one by a leaving endpoint does not count.

Evidence: TestService_OneRejectionIsNoShortage fails before the change. The load tests of the package pass.

--- a/admission/reports.go
+++ b/admission/reports.go
@@ -30,13 +30,17 @@
 	// answers is a usage of 1.4.
 	answeredUsage = 0.9
 	rejectedUsage = 6.0
-	outcomeWeight = 0.1
+	// firstRejection is the usage of an endpoint that rejects a request when none has rejected one in the last reportAge: one
+	// rejection, as by an endpoint that stops, is no shortage. An instance with little traffic has no report besides it.
+	firstRejection = 1.0
+	outcomeWeight  = 0.1
 )
 
 // Reports holds the latest load reports of the endpoints of a service. The zero value is empty.
 type Reports struct {
 	byEndpoint map[string]report
-	outcomes   float64 // mean of answeredUsage and rejectedUsage over the latest answers
+	rejectedAt time.Time // latest rejection
+	outcomes   float64   // mean of answeredUsage and rejectedUsage over the latest answers
 }
 
 type report struct {
@@ -55,9 +59,18 @@
 // RecordRejection records that an endpoint has rejected a request for lack of room.
 func (r *Reports) RecordRejection(endpoint string, now time.Time) {
 	r.recordOutcome(rejectedUsage)
-	if len(r.byEndpoint) > 0 {
-		r.record(endpoint, maxUsage, now)
+	usage := maxUsage
+	if now.Sub(r.rejectedAt) >= reportAge {
+		usage = firstRejection
 	}
+	r.rejectedAt = now
+	if len(r.byEndpoint) == 0 {
+		return
+	}
+	if old := r.byEndpoint[endpoint]; now.Sub(old.at) < reportAge {
+		usage = max(usage, old.usage)
+	}
+	r.record(endpoint, usage, now)
 }
 
 func (r *Reports) recordOutcome(usage float64) {
--- a/admission/service_test.go
+++ b/admission/service_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -170,6 +171,23 @@
 	must.True(t, s.IsShort())
 }
 
+// Guards against a shortage that one rejection begins at an instance with little traffic, whose last other report is old: it
+// lasted for seconds, in which requests were rejected although all endpoints had room.
+func TestService_OneRejectionIsNoShortage(t *testing.T) {
+	s := NewService(func() float64 { return 0.5 })
+	now := epoch
+	for i := range 20 {
+		now = now.Add(700 * time.Millisecond)
+		s.Answered(strconv.Itoa(i), Load{Running: 5, Slots: 10}, true, now)
+	}
+	now = now.Add(700 * time.Millisecond)
+	s.RejectedBy("x", now)
+	must.False(t, s.IsShort())
+	now = now.Add(100 * time.Millisecond)
+	s.RejectedBy("y", now)
+	must.True(t, s.IsShort())
+}
+
 // BenchmarkOffer measures the decisions about a request under shortage.
 func BenchmarkOffer(b *testing.B) {
 	s, _ := shortService(epoch)
--- a/forward/admit.go
+++ b/forward/admit.go
@@ -208,6 +208,7 @@
 		switch {
 		case !notRun:
 			s.Answered(e.ID, admission.Load{Running: load.Running, Waiting: load.Waiting, Slots: load.Slots}, hasLoad, now)
+		case e.IsLeaving(): // it has no room for another reason than load
 		case reply.Status == http.StatusServiceUnavailable || reply.Status == http.StatusTooManyRequests:
 			s.RejectedBy(e.ID, now)
 		}
