forward: a place in the window of a service is released after a panic

Cause: the place was released after the attempt, which a panic leaves out. The HTTP server recovers from panics of handlers, so that the window lost the place for good, and all requests would be rejected under shortage once none was left.

Change: Serve releases the place when it ends.

Evidence: TestServe_PanicReleasesPlace fails before the change with one request in the window.

--- a/forward/admit_test.go
+++ b/forward/admit_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/trefoillug/trefoillug/forward"
 	"github.com/trefoillug/trefoillug/problem"
 	"github.com/trefoillug/trefoillug/routing"
 )
@@ -80,3 +81,16 @@
 		t.Fatal("requests wait on after their callers have left")
 	}
 }
+
+// Guards against a place in the window of a service that is kept after a panic: the HTTP server recovers, and the window
+// would be full for good under shortage.
+func TestServe_PanicReleasesPlace(t *testing.T) {
+	w := newHarness(t, 1, func(a *arrival) { a.reply(http.StatusOK, "x") }, func(cfg *forward.Config) {
+		cfg.OnStarted = func(string, time.Time) { panic(http.ErrAbortHandler) }
+	})
+	func() {
+		defer func() { must.NotNil(t, recover()) }()
+		w.send(t.Context(), "once")
+	}()
+	must.Eq(t, 0, w.forwarder.Running(service))
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -268,6 +268,7 @@
 		}
 	}
 	f.cfg.RetryBudget.CountRequest(r.service.Name)
+	defer r.leavePlace(nil) // after a panic, from which the server recovers
 	err := attempt.Run(ctx, r)
 	if !r.mayHaveRun {
 		releaseQuota()
