admission: a full queue makes room for a more urgent request

Cause: a request was rejected while 1,024 requests of its service waited, also if all of them were less urgent.

Change: the newest request of the least urgent rank is rejected instead, as package limit does.

Evidence: TestOffer_FullQueueMakesRoomForUrgentRequest fails before the change.

--- a/admission/service.go
+++ b/admission/service.go
@@ -167,7 +167,7 @@
 	switch {
 	case now.Add(t.Expected).After(t.waitEnd):
 		s.reject(t, RuleWait, now)
-	case s.queue.Len() >= maxWaiting:
+	case s.queue.Len() >= maxWaiting && !s.makeRoom(r.Rank, now):
 		s.reject(t, RuleFull, now)
 	default:
 		t.Rule, t.Ready = RuleWindow, make(chan struct{})
@@ -178,6 +178,20 @@
 	return t
 }
 
+// makeRoom rejects a waiting request that is less urgent than the given rank, and reports whether there was one.
+func (s *Service) makeRoom(number int, now time.Time) bool {
+	last := s.queue.Last(number)
+	if last == nil {
+		return false
+	}
+	t := s.byItem[last]
+	s.queue.Remove(last)
+	delete(s.byItem, last)
+	s.reject(t, RuleFull, now)
+	close(t.Ready)
+	return true
+}
+
 // WouldReject reports whether a request that an endpoint has rejected would be rejected here too, so that it needs no
 // further attempt, with the Retry-After.
 func (s *Service) WouldReject(r Request, now time.Time) (retryAfter time.Duration, rejected bool) {
