peer: messages of dialled connections are not kept after their end

Cause: a connection without a bound for its messages counted them in the account that stands for no bound. The account refers to each open message until it is released. Accepted connections release their last message when they are served; dialled ones did so only when the next message was awaited, so that the hello of a member that was already connected, or that had another name, stayed in memory until the end of the process.

Change: without a bound, messages are read without an account.

Evidence: TestWebSocket_DialledMessageIsFreed fails before the change and passes after it; go test -race ./peer passes.

--- a/peer/websocket.go
+++ b/peer/websocket.go
@@ -99,6 +99,10 @@
 }
 
 func (s *socket) Receive() ([]byte, error) {
+	if s.memory == nil {
+		_, b, err := s.c.Read(s.ctx)
+		return b, err
+	}
 	s.release()
 	_, r, err := s.c.Reader(s.ctx)
 	if err != nil {
--- a/peer/websocket_test.go
+++ b/peer/websocket_test.go
@@ -5,9 +5,12 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"runtime"
 	"testing"
 	"time"
 
+	"github.com/coder/websocket"
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
 )
@@ -78,3 +81,36 @@
 	b.Close()
 	eventually(t, 2*time.Second, "b has left", func() bool { return len(a.Members()) == 2 && len(c.Members()) == 2 })
 }
+
+// Guards against the last message of a dialled connection that stays in memory after the connection has ended, such as the
+// hello of a member that turns out to be connected already.
+func TestWebSocket_DialledMessageIsFreed(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, err := websocket.Accept(w, r, nil)
+		if err != nil {
+			return
+		}
+		_ = c.Write(r.Context(), websocket.MessageBinary, make([]byte, 100_000))
+		_ = c.CloseNow()
+	}))
+	defer srv.Close()
+	freed := make(chan struct{})
+	func() {
+		c, err := NewWebSocket().Dial(t.Context(), srv.Listener.Addr().String())
+		must.NoError(t, err)
+		b, err := c.Receive()
+		must.NoError(t, err)
+		must.Len(t, 100_000, b)
+		runtime.AddCleanup(&b[0], func(struct{}) { close(freed) }, struct{}{})
+		must.NoError(t, c.Close())
+	}()
+	eventually(t, 5*time.Second, "the message is freed", func() bool {
+		runtime.GC()
+		select {
+		case <-freed:
+			return true
+		default:
+			return false
+		}
+	})
+}
