graceful: a header that has arrived is not closed as slow at the bound for connections

Cause: at the bound, a connection whose header had begun 1 s before was closed, also if the rest of the header waited in the socket or had been read and was being parsed. A server without processor time for 1 s thus closed requests of callers that had sent everything in time.

Change: a header counts as slow only while the server waits for its bytes and the socket has none.

Evidence: TestCloseSpare_KeepsHeaderThatHasArrived fails in two of three cases before the change and passes after it; go test -race ./graceful passes.

--- a/graceful/conn.go
+++ b/graceful/conn.go
@@ -106,6 +106,7 @@
 	timeout    time.Duration // in force when that phase began
 	bufferSize int           // of net/http's reader
 	waiting    bool          // the server waits for the first byte of a request
+	starved    bool          // the server waits for bytes of a request, and the socket had none
 	closed     bool          // closed because it was idle
 	progress   sendProgress  // used during a shutdown
 
@@ -180,7 +181,8 @@
 		return 0, net.ErrClosed, true
 	}
 	n, err = readNow(fd, b)
-	if errors.Is(err, unix.EAGAIN) {
+	c.starved = errors.Is(err, unix.EAGAIN)
+	if c.starved {
 		if c.endsWithAnswer() {
 			return 0, net.ErrClosed, true
 		}
--- a/graceful/connlimit.go
+++ b/graceful/connlimit.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/trefoillug/trefoillug/sockets"
 )
 
 const (
@@ -99,10 +101,11 @@
 	return 0, time.Time{}, false
 }
 
-// closeSpare closes the connection unless a request has begun meanwhile or its header is now complete.
+// closeSpare closes the connection unless a request has begun meanwhile. A slow header counts only while the server waits for
+// its bytes: a server without processor time reads late what its caller sent in time.
 func (c *conn) closeSpare(now time.Time) bool {
 	c.mu.Lock()
-	isSlow := c.phase == phaseHeader && now.Sub(c.phaseBegan) >= headPatience
+	isSlow := c.phase == phaseHeader && now.Sub(c.phaseBegan) >= headPatience && c.starved && sockets.IsQuiet(c.Conn)
 	if c.closed || !isSlow && !c.isIdle(now) {
 		c.mu.Unlock()
 		return false
--- a/graceful/connlimit_test.go
+++ b/graceful/connlimit_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/trefoillug/trefoillug/sockets"
 )
 
 // serveBounded starts a server for two connections whose handler waits at /wait until the test ends, and hijacks the
@@ -141,3 +143,42 @@
 	}
 	must.Eq(t, http.StatusOK, status)
 }
+
+// Guards against a request that is closed at the bound because the server had no processor time to read or to parse a header
+// that has arrived.
+func TestCloseSpare_KeepsHeaderThatHasArrived(t *testing.T) {
+	for name, test := range map[string]struct {
+		unread, parsing, closed bool
+	}{
+		"waits for bytes":      {closed: true},
+		"bytes are not read":   {unread: true},
+		"header is being read": {parsing: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			must.NoError(t, err)
+			defer l.Close()
+			caller, err := net.Dial("tcp", l.Addr().String())
+			must.NoError(t, err)
+			defer caller.Close()
+			accepted, err := l.Accept()
+			must.NoError(t, err)
+			defer accepted.Close()
+			raw, err := accepted.(*net.TCPConn).SyscallConn()
+			must.NoError(t, err)
+			begin := time.Now()
+			c := &conn{Conn: accepted, raw: raw, server: New(&http.Server{}), state: http.StateNew, phase: phaseHeader, phaseBegan: begin}
+			if !test.parsing { // net/http waits for more of the header
+				must.NoError(t, raw.Control(func(fd uintptr) { _, _, _ = c.tryRead(fd, make([]byte, 1)) }))
+			}
+			if test.unread {
+				_, err = io.WriteString(caller, "rest of the header")
+				must.NoError(t, err)
+				for end := time.Now().Add(5 * time.Second); sockets.IsQuiet(accepted) && time.Now().Before(end); {
+					time.Sleep(time.Millisecond)
+				}
+			}
+			must.Eq(t, test.closed, c.closeSpare(begin.Add(headPatience)))
+		})
+	}
+}
