intake: messages of peers are read while requests hold all memory

Cause: a message of an accepted connection needed memory of the account for its first block. While complete bodies held all of it, which are never evicted, each message waited for 1 s and then ended its connection. An instance with many large requests in progress thus lost the connections that its peers had opened.

Change: the first 4 KiB of a message are not counted, as those of a held answer.

Evidence: TestReadMessage_WhileMemoryIsFull fails before the change (no memory in time) and passes after it; go test -race ./intake ./peer and the tests of e2e/memory with peers pass.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -117,6 +117,7 @@
 	memory  *Memory
 	hold    *memlimit.Hold
 	bytes   []byte
+	exempt  int64  // bytes of the current memory that are not counted
 	evict   func() // ends a read in progress
 	evicted chan struct{}
 	once    sync.Once
@@ -239,10 +240,14 @@
 	}
 }
 
-// ReadMessage reads a message of at most limit bytes. evict ends a read in progress.
+// ReadMessage reads a message of at most limit bytes. evict ends a read in progress. The first block is not counted: it holds
+// most messages, which would else wait for memory and end their connection while requests hold all of it. The bound for
+// connections bounds their sum.
 func (m *Memory) ReadMessage(r io.Reader, limit int64, evict func()) (*Body, error) {
 	m = m.orUnbounded()
 	b := m.open(0, evict)
+	b.exempt = min(firstBlock, limit)
+	b.bytes = make([]byte, 0, b.exempt)
 	if err := b.fill(r, limit, nil); err != nil {
 		b.Release()
 		return nil, err
@@ -306,7 +311,8 @@
 	b.bytes = grown[:len(grown):size]
 	b.memory.mu.Lock()
 	defer b.memory.mu.Unlock()
-	b.memory.account.Shrink(b.hold, int64(have))
+	b.memory.account.Shrink(b.hold, int64(have)-b.exempt)
+	b.exempt = 0
 	return nil
 }
 
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -182,3 +182,27 @@
 	must.Eq(t, minReceiveBuffer, bounds.receiveBuffer(100_000))
 	must.Eq(t, maxReceiveBuffer, ConnBoundsFor(0, 4100).receiveBuffer(1000))
 }
+
+// Guards against connections of peers that end because requests hold all memory, and against long messages that are not counted.
+func TestReadMessage_WhileMemoryIsFull(t *testing.T) {
+	const bound = 64 << 10
+	m := New(bound)
+	full := m.open(0, func() {})
+	must.NoError(t, full.Grow(bound))
+	m.complete(full)
+	for _, n := range []int{0, 100, firstBlock - 1} {
+		message, err := m.ReadMessage(strings.NewReader(strings.Repeat("x", n)), bound, func() {})
+		must.NoError(t, err)
+		must.Len(t, n, message.Bytes())
+		must.Eq(t, bound, m.Used())
+		message.Release()
+	}
+	_, err := m.ReadMessage(strings.NewReader(strings.Repeat("x", firstBlock+1)), bound, func() {})
+	must.ErrorIs(t, err, ErrNoMemory)
+	full.Release()
+	message, err := m.ReadMessage(strings.NewReader(strings.Repeat("x", firstBlock+1)), bound, func() {})
+	must.NoError(t, err)
+	must.Eq(t, 2*firstBlock, m.Used())
+	message.Release()
+	must.Eq(t, 0, m.Used())
+}
