intake: no log line is written under the lock of the account

Cause: a request that got no memory in time was logged while the lock was held, so that a log that is slow to write kept all requests from reading and releasing their bodies.

Change: the lock is released first.

Evidence: TestGrow_SlowLogBlocksNobody fails before the change and passes after it; go test -race ./intake passes.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -343,9 +343,10 @@
 	case <-timer.C:
 	}
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	switch granted := m.account.Cancel(waiter); {
-	case b.hold.IsEvicted():
+	granted, evicted := m.account.Cancel(waiter), b.hold.IsEvicted()
+	m.mu.Unlock() // a log line may take long
+	switch {
+	case evicted:
 		return ErrEvicted
 	case granted:
 		return nil
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
 	"github.com/sirupsen/logrus/hooks/test"
 	"github.com/uber-go/tally/v4"
 
@@ -206,3 +207,34 @@
 	message.Release()
 	must.Eq(t, 0, m.Used())
 }
+
+// blockedWriter blocks the log until it is closed.
+type blockedWriter chan struct{}
+
+func (w blockedWriter) Write(b []byte) (int, error) {
+	<-w
+	return len(b), nil
+}
+
+// Guards against a log that is slow to write and keeps all requests from their memory.
+func TestGrow_SlowLogBlocksNobody(t *testing.T) {
+	m := New(limit)
+	full := m.open(0, func() {})
+	must.NoError(t, full.Grow(limit))
+	m.complete(full)
+	end := make(blockedWriter)
+	defer close(end)
+	log := logrus.New()
+	log.SetOutput(end)
+	m.Report(log, tally.NoopScope)
+	m.events.logged[eventWaited] = time.Now() // so that the first line is that of the refusal
+	go func() { _ = m.open(0, func() {}).Grow(1) }()
+	time.Sleep(maxWait + 200*time.Millisecond)
+	released := make(chan struct{})
+	go func() { full.Release(); close(released) }()
+	select {
+	case <-released:
+	case <-time.After(5 * time.Second):
+		t.Fatal("memory can't be released while a line is logged")
+	}
+}
