memlimit: the cost of a body is computed once for a search

Cause: the searches for bodies to evict computed the costs anew for each comparison of their sort, under the lock.

Change: each cost is computed once. Stalled bodies that cost the same are evicted by priority, as others are.

--- a/memlimit/memlimit.go
+++ b/memlimit/memlimit.go
@@ -191,17 +191,17 @@
 		return w, nil
 	}
 	limit := h.cost(now)
-	var candidates []*Hold
+	var candidates []candidate
 	for other := range a.holds {
-		if other != h && !other.complete && !other.evicted && other.bytes > 0 && other.cost(now) > limit {
-			candidates = append(candidates, other)
+		if other == h || other.complete || other.evicted || other.bytes == 0 {
+			continue
+		}
+		if cost := other.cost(now); cost > limit {
+			candidates = append(candidates, candidate{other, cost})
 		}
 	}
-	slices.SortFunc(candidates, func(x, y *Hold) int {
-		return cmp.Or(cmp.Compare(y.cost(now), x.cost(now)), cmp.Compare(y.Priority, x.Priority))
-	})
 	var victims []*Hold
-	for _, other := range candidates {
+	for _, other := range byCost(candidates) {
 		if need <= 0 {
 			break
 		}
@@ -212,6 +212,24 @@
 	return w, victims
 }
 
+// candidate is a holder that may be evicted with its cost, which takes too long to compute for each comparison.
+type candidate struct {
+	*Hold
+	cost float64
+}
+
+// byCost returns the holders with those that cost most first, and less urgent ones first among equals.
+func byCost(candidates []candidate) []*Hold {
+	slices.SortFunc(candidates, func(x, y candidate) int {
+		return cmp.Or(cmp.Compare(y.cost, x.cost), cmp.Compare(y.Priority, x.Priority))
+	})
+	holds := make([]*Hold, len(candidates))
+	for i, c := range candidates {
+		holds[i] = c.Hold
+	}
+	return holds
+}
+
 // Cancel ends a wait. It reports whether the memory has been granted before.
 func (a *Account) Cancel(w *Waiter) (granted bool) {
 	select {
@@ -256,13 +274,13 @@
 }
 
 func (a *Account) evictStalled(now time.Time, most int) []*Hold {
-	var stalled []*Hold
+	var candidates []candidate
 	for h := range a.holds {
 		if !h.complete && !h.evicted && h.isStalled(now) {
-			stalled = append(stalled, h)
+			candidates = append(candidates, candidate{h, h.cost(now)})
 		}
 	}
-	slices.SortFunc(stalled, func(x, y *Hold) int { return cmp.Compare(y.cost(now), x.cost(now)) })
+	stalled := byCost(candidates)
 	stalled = stalled[:min(len(stalled), most)]
 	for _, h := range stalled {
 		a.evict(h)
--- a/memlimit/memlimit_test.go
+++ b/memlimit/memlimit_test.go
@@ -112,3 +112,23 @@
 	a.Remove(500)
 	must.Eq(t, 0, a.Used())
 }
+
+// Measures the search for bodies to evict, which runs under the lock for each request that waits for memory.
+func BenchmarkWait(b *testing.B) {
+	a := New(1000 << 10)
+	for range 1000 {
+		h := a.Open(start, 1, nil)
+		a.TryGrow(h, 1<<10)
+		a.RecordProgress(start, h, 1024)
+	}
+	later := start.Add(500 * time.Millisecond)
+	next := a.Open(later, 1, nil)
+	for b.Loop() {
+		w, victims := a.Wait(later, next, 1<<10)
+		for _, v := range victims {
+			v.evicted = false
+			a.evicting -= v.bytes
+		}
+		a.Cancel(w)
+	}
+}
