peer: accepted connections for calls end when nothing arrives on them

Cause: the member that dials a connection for calls closes it after 30 s without a call. The accepting side waited for that without end. Connections of members that vanished or froze, and of clients that send only a hello, thus counted against the bound for connections of peers, at which hijacked connections are never closed and other members are refused.

Change: an accepted connection for calls is closed after 60 s without a message. The dialling side pings during calls.

Evidence: TestNode_SilentAcceptedConnEnds fails before the change (2 connections, 1 wanted) and passes after it; go test -race ./peer passes.

--- a/peer/call.go
+++ b/peer/call.go
@@ -33,7 +33,10 @@
 	// maxRunningCalls is the number of handlers that may run concurrently for other members.
 	maxRunningCalls   = 256
 	directIdleTimeout = 30 * time.Second
-	handshakeTimeout  = time.Second
+	// acceptedIdleTimeout is the time without a message after which an accepted connection for calls is closed. The member that
+	// dialled it closes it earlier, and pings during calls, so that only one that has vanished or is frozen is that silent.
+	acceptedIdleTimeout = 2 * directIdleTimeout
+	handshakeTimeout    = time.Second
 )
 
 // directConn is a connection for calls only. s and err are set when the dial has ended and done is closed.
@@ -161,9 +164,14 @@
 	}
 }
 
-// checkDirectConns pings the direct connections with pending calls and closes idle and stalled connections. The caller
-// must hold n.mu.
+// checkDirectConns pings the direct connections with pending calls and closes idle and stalled connections, also accepted
+// ones. The caller must hold n.mu.
 func (n *Node) checkDirectConns(now time.Time) {
+	for s := range n.accepted {
+		if now.Sub(time.Unix(0, s.lastReceived.Load())) >= acceptedIdleTimeout {
+			s.close()
+		}
+	}
 	for member, d := range n.direct {
 		select {
 		case <-d.done:
--- a/peer/node.go
+++ b/peer/node.go
@@ -191,7 +191,7 @@
 
 // checkDirectEverySecond calls checkDirectConns about once a second. The caller must hold n.mu.
 func (n *Node) checkDirectEverySecond(now time.Time) {
-	if len(n.direct) > 0 && now.UnixMilli()/1000 != now.Add(-tickInterval).UnixMilli()/1000 {
+	if len(n.direct)+len(n.accepted) > 0 && now.UnixMilli()/1000 != now.Add(-tickInterval).UnixMilli()/1000 {
 		n.checkDirectConns(now)
 	}
 }
--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -330,3 +330,35 @@
 		must.Zero(t, late)
 	})
 }
+
+// Guards against accepted connections for calls that stay open, and count against the bound for connections, after the member that
+// opened them has vanished without closing them, and against closing those on which calls are made.
+func TestNode_SilentAcceptedConnEnds(t *testing.T) {
+	runVirtual(t, func(t *testing.T, net *memNet) {
+		n := net.start(t, testMember(0, 1, 1))
+		open := func(id string) Conn {
+			c, err := memTransport{net, id}.Dial(t.Context(), n.Self().Address)
+			must.NoError(t, err)
+			must.NoError(t, c.Send(encodeMessage(&message{Kind: kindHello, Hello: &hello{
+				Member: Member{ID: id, Address: id, FailureDomain: "d", Region: "r"}, Start: 1, CallsOnly: true,
+			}})))
+			_, err = readHello(c)
+			must.NoError(t, err)
+			return c
+		}
+		accepted := func() int {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			return len(n.accepted)
+		}
+		open("silent")
+		used := open("used")
+		for range 5 {
+			time.Sleep(acceptedIdleTimeout / 4)
+			must.NoError(t, used.Send(encodeMessage(&message{Kind: kindPing})))
+		}
+		time.Sleep(2 * time.Second)
+		must.Eq(t, 1, accepted())
+		must.NoError(t, used.Close())
+	})
+}
