graceful: receive buffers are shared with hijacked connections

Cause: the share of a connection's receive buffer was computed from the connections that are not hijacked. On the listener for peers, where nearly all are, each got the largest buffer, up to 128 KiB in the kernel, 50 MB at 390 connections.

Change: hijacked connections are counted, as for the bound for connections.

Evidence: TestReceiveBuffer_CountsHijacked fails before the change (0 open, 1 wanted) and passes after it; go test -race ./graceful passes.

--- a/graceful/conn.go
+++ b/graceful/conn.go
@@ -74,7 +74,7 @@
 	}
 	c := &conn{Conn: nc, raw: raw, server: l.server, acceptedAt: time.Now()}
 	if l.server.ReceiveBuffer != nil {
-		c.setReceiveBuffer(l.server.ReceiveBuffer(l.server.openConns()))
+		c.setReceiveBuffer(l.server.ReceiveBuffer(l.server.countedConns()))
 	}
 	l.server.add(c)
 	return c, nil
--- a/graceful/connlimit.go
+++ b/graceful/connlimit.go
@@ -54,9 +54,7 @@
 
 func (s *Server) hasRoom() bool {
 	most := s.MaxConns()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return most <= 0 || len(s.conns)+len(s.hijacked) < most
+	return most <= 0 || s.countedConns() < most
 }
 
 // spare is a connection that may be closed at the bound.
--- a/graceful/connlimit_test.go
+++ b/graceful/connlimit_test.go
@@ -182,3 +182,31 @@
 		})
 	}
 }
+
+// Guards against receive buffers of hijacked connections, such as those of peers, that take more than their share of the machine
+// because only other connections are counted.
+func TestReceiveBuffer_CountsHijacked(t *testing.T) {
+	t.Parallel()
+	opened := make(chan int, 2)
+	s := New(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 101 Switching Protocols\r\n\r\n")
+		_, _ = io.Copy(io.Discard, c)
+		_ = c.Close()
+	})})
+	s.ReceiveBuffer = func(open int) int {
+		opened <- open
+		return 64 << 10
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+	for i := range 2 {
+		open(t, l.Addr().String(), request("/"), true)
+		must.Eq(t, i, <-opened)
+	}
+}
--- a/graceful/server.go
+++ b/graceful/server.go
@@ -43,7 +43,7 @@
 	// It must not block.
 	OnFull func()
 	// ReceiveBuffer returns the SO_RCVBUF for a new connection, of which the kernel keeps up to twice as much until it is
-	// read, while there are open ones; nil or 0: what the kernel sets.
+	// read, while there are open ones, hijacked ones included; nil or 0: what the kernel sets.
 	ReceiveBuffer func(open int) int
 
 	http     *http.Server
@@ -174,6 +174,13 @@
 	return len(s.conns)
 }
 
+// countedConns returns the number of open connections, hijacked ones included.
+func (s *Server) countedConns() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns) + len(s.hijacked)
+}
+
 func (s *Server) add(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
