intake, entry: bodies that no handler reads have a deadline

Cause: before it sends an answer, net/http receives the rest of a body of up to 256 KiB that the handler has not read, without a deadline. On the product's own interface, requests for unknown paths and services, and for /healthz, are answered without reading the body. A client that stopped short of its end kept its connection for good. Such a connection counts as a request in progress and is never closed at the bound, so that a crowd of them kept all other callers out.

Change: a request with a body begins with a read deadline of 2 s, which ReadBody replaces.

Evidence: TestBoundUnreadBodies fails without the deadline (the connection is still open after 10 s) and passes with it, also on a kept connection that is used again; go test -race ./intake ./entry passes.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -167,7 +167,7 @@
 	peerServer := graceful.New(&http.Server{
 		Handler: intake.RefuseBodies(d.peerMux()), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: relay.MaxHeaderBytes,
 	})
-	callerServer := graceful.New(relay.NewServer(d.callerMux()))
+	callerServer := graceful.New(relay.NewServer(intake.BoundUnreadBodies(d.callerMux())))
 	callerServer.OnClose = graceful.Report(d.log, d.metrics.scope)
 	d.boundConns(peerServer, callerServer)
 	group.Go(func() error { return peerServer.Serve(peers) })
--- a/intake/conns.go
+++ b/intake/conns.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/trefoillug/trefoillug/graceful"
 )
@@ -73,6 +74,21 @@
 	}
 }
 
+// unreadBodyTime bounds the time in which net/http receives the rest of a body that its handler has not read.
+const unreadBodyTime = 2 * time.Second
+
+// BoundUnreadBodies returns a handler that serves with next, which may answer without reading the body. Without a deadline a
+// client that stops short of the end of such a body would keep its connection for good.
+func BoundUnreadBodies(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Body != nil && r.Body != http.NoBody {
+			// ReadBody replaces the deadline. The error is ignored: writers without a connection do not support deadlines.
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTime))
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // RefuseBodies returns a handler that serves requests without a body with next, and refuses others before a byte of the body
 // is read.
 func RefuseBodies(next http.Handler) http.Handler {
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"bufio"
 	"bytes"
 	"errors"
 	"fmt"
@@ -238,3 +239,35 @@
 		t.Fatal("memory can't be released while a line is logged")
 	}
 }
+
+// Guards against clients that keep connections for good by bodies that no handler reads, and against a deadline that ends a
+// kept connection on which such a body has arrived.
+func TestBoundUnreadBodies(t *testing.T) {
+	s := graceful.New(&http.Server{Handler: BoundUnreadBodies(http.NotFoundHandler())})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", l.Addr().String())
+		must.NoError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+		return c
+	}
+	const head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n"
+	stalled, kept := dial(), dial()
+	_, _ = io.WriteString(stalled, head+"x")
+	answers := bufio.NewReader(kept)
+	for range 2 {
+		_, err := io.WriteString(kept, head+"body")
+		must.NoError(t, err)
+		resp, err := http.ReadResponse(answers, nil)
+		must.NoError(t, err)
+		must.Eq(t, http.StatusNotFound, resp.StatusCode)
+		_, _ = io.Copy(io.Discard, resp.Body)
+		time.Sleep(unreadBodyTime + 200*time.Millisecond)
+	}
+	_, err = io.Copy(io.Discard, stalled)
+	must.NoError(t, err, must.Sprint("the connection is not closed"))
+}
