--- a/graceful/connlimit_test.go
+++ b/graceful/connlimit_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/trefoillug/trefoillug/sockets"
 )
 
 // serveBounded starts a server for two connections whose handler waits at /wait until the test ends, and hijacks the
@@ -141,3 +143,70 @@
 	}
 	must.Eq(t, http.StatusOK, status)
 }
+
+// Guards against a request that is closed at the bound because the server had no processor time to read or to parse a header
+// that has arrived.
+func TestCloseSpare_KeepsHeaderThatHasArrived(t *testing.T) {
+	for name, test := range map[string]struct {
+		unread, parsing, closed bool
+	}{
+		"waits for bytes":      {closed: true},
+		"bytes are not read":   {unread: true},
+		"header is being read": {parsing: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			must.NoError(t, err)
+			defer l.Close()
+			caller, err := net.Dial("tcp", l.Addr().String())
+			must.NoError(t, err)
+			defer caller.Close()
+			accepted, err := l.Accept()
+			must.NoError(t, err)
+			defer accepted.Close()
+			raw, err := accepted.(*net.TCPConn).SyscallConn()
+			must.NoError(t, err)
+			begin := time.Now()
+			c := &conn{Conn: accepted, raw: raw, server: New(&http.Server{}), state: http.StateNew, phase: phaseHeader, phaseBegan: begin}
+			if !test.parsing { // net/http waits for more of the header
+				must.NoError(t, raw.Control(func(fd uintptr) { _, _, _ = c.tryRead(fd, make([]byte, 1)) }))
+			}
+			if test.unread {
+				_, err = io.WriteString(caller, "rest of the header")
+				must.NoError(t, err)
+				for end := time.Now().Add(5 * time.Second); sockets.IsQuiet(accepted) && time.Now().Before(end); {
+					time.Sleep(time.Millisecond)
+				}
+			}
+			must.Eq(t, test.closed, c.closeSpare(begin.Add(headPatience)))
+		})
+	}
+}
+
+// Guards against receive buffers of hijacked connections, such as those of peers, that take more than their share of the machine
+// because only other connections are counted.
+func TestReceiveBuffer_CountsHijacked(t *testing.T) {
+	t.Parallel()
+	opened := make(chan int, 2)
+	s := New(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 101 Switching Protocols\r\n\r\n")
+		_, _ = io.Copy(io.Discard, c)
+		_ = c.Close()
+	})})
+	s.ReceiveBuffer = func(open int) int {
+		opened <- open
+		return 64 << 10
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+	for i := range 2 {
+		open(t, l.Addr().String(), request("/"), true)
+		must.Eq(t, i, <-opened)
+	}
+}
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"bufio"
 	"bytes"
 	"errors"
 	"fmt"
@@ -12,6 +13,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
 	"github.com/sirupsen/logrus/hooks/test"
 	"github.com/uber-go/tally/v4"
 
@@ -182,3 +184,90 @@
 	must.Eq(t, minReceiveBuffer, bounds.receiveBuffer(100_000))
 	must.Eq(t, maxReceiveBuffer, ConnBoundsFor(0, 4100).receiveBuffer(1000))
 }
+
+// Guards against connections of peers that end because requests hold all memory, and against long messages that are not counted.
+func TestReadMessage_WhileMemoryIsFull(t *testing.T) {
+	const bound = 64 << 10
+	m := New(bound)
+	full := m.open(0, func() {})
+	must.NoError(t, full.Grow(bound))
+	m.complete(full)
+	for _, n := range []int{0, 100, firstBlock - 1} {
+		message, err := m.ReadMessage(strings.NewReader(strings.Repeat("x", n)), bound, func() {})
+		must.NoError(t, err)
+		must.Len(t, n, message.Bytes())
+		must.Eq(t, bound, m.Used())
+		message.Release()
+	}
+	_, err := m.ReadMessage(strings.NewReader(strings.Repeat("x", firstBlock+1)), bound, func() {})
+	must.ErrorIs(t, err, ErrNoMemory)
+	full.Release()
+	message, err := m.ReadMessage(strings.NewReader(strings.Repeat("x", firstBlock+1)), bound, func() {})
+	must.NoError(t, err)
+	must.Eq(t, 2*firstBlock, m.Used())
+	message.Release()
+	must.Eq(t, 0, m.Used())
+}
+
+// blockedWriter blocks the log until it is closed.
+type blockedWriter chan struct{}
+
+func (w blockedWriter) Write(b []byte) (int, error) {
+	<-w
+	return len(b), nil
+}
+
+// Guards against a log that is slow to write and keeps all requests from their memory.
+func TestGrow_SlowLogBlocksNobody(t *testing.T) {
+	m := New(limit)
+	full := m.open(0, func() {})
+	must.NoError(t, full.Grow(limit))
+	m.complete(full)
+	end := make(blockedWriter)
+	defer close(end)
+	log := logrus.New()
+	log.SetOutput(end)
+	m.Report(log, tally.NoopScope)
+	m.events.logged[eventWaited] = time.Now() // so that the first line is that of the refusal
+	go func() { _ = m.open(0, func() {}).Grow(1) }()
+	time.Sleep(maxWait + 200*time.Millisecond)
+	released := make(chan struct{})
+	go func() { full.Release(); close(released) }()
+	select {
+	case <-released:
+	case <-time.After(5 * time.Second):
+		t.Fatal("memory can't be released while a line is logged")
+	}
+}
+
+// Guards against clients that keep connections for good by bodies that no handler reads, and against a deadline that ends a
+// kept connection on which such a body has arrived.
+func TestBoundUnreadBodies(t *testing.T) {
+	s := graceful.New(&http.Server{Handler: BoundUnreadBodies(http.NotFoundHandler())})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", l.Addr().String())
+		must.NoError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+		return c
+	}
+	const head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n"
+	stalled, kept := dial(), dial()
+	_, _ = io.WriteString(stalled, head+"x")
+	answers := bufio.NewReader(kept)
+	for range 2 {
+		_, err := io.WriteString(kept, head+"body")
+		must.NoError(t, err)
+		resp, err := http.ReadResponse(answers, nil)
+		must.NoError(t, err)
+		must.Eq(t, http.StatusNotFound, resp.StatusCode)
+		_, _ = io.Copy(io.Discard, resp.Body)
+		time.Sleep(unreadBodyTime + 200*time.Millisecond)
+	}
+	_, err = io.Copy(io.Discard, stalled)
+	must.NoError(t, err, must.Sprint("the connection is not closed"))
+}
