forward: a stopped run of an evacuated zone is offered again

Cause: a run that has stopped and for which no other endpoint has capacity continues where it came from. In an evacuated zone it may not, so that it was given up at the first refusal, and a stream that can't be resumed broke off.

Change: the run is offered again up to maxMoveRejections times, moveRetryDelay apart, while its zone is evacuated.

Evidence: TestServe_MoveFromEvacuatedZoneIsTriedAgain fails before the change with the first event only. Race tests of moves, leaving endpoints and evacuations pass; the race tests of the whole package did not end in 75 s on a busy machine.

--- a/forward/relocate.go
+++ b/forward/relocate.go
@@ -171,8 +171,30 @@
 	defer l.setCalling(false)
 	// The calls must not be canceled with the stream, which ends before their answers arrive.
 	ctx = context.WithoutCancel(ctx)
-	tried := []*fleet.Endpoint{from}
 	ref := ""
+	for rounds := 0; ; rounds++ {
+		to, got := l.offerRun(ctx, r, from, ref)
+		if to != nil {
+			l.setResult(&moveResult{from: from, to: to, ref: got})
+			return true
+		}
+		if ref = got; ref == "" {
+			return false
+		}
+		// In an evacuated zone the run must not continue where it has stopped.
+		if !from.IsEvacuated() || rounds == maxMoveRejections {
+			break
+		}
+		time.Sleep(moveRetryDelay)
+	}
+	l.setResult(&moveResult{from: from, to: from, ref: ref})
+	return true
+}
+
+// offerRun offers the run to other endpoints. ref is not empty if the run has stopped before. It returns the endpoint that has
+// taken the run, or nil; without a reference the run goes on.
+func (l *relocation) offerRun(ctx context.Context, r *exchange, from *fleet.Endpoint, ref string) (*fleet.Endpoint, string) {
+	tried := []*fleet.Endpoint{from}
 	for range maxMoveTargets {
 		to := r.f.pickMoveTarget(r, tried)
 		if to == nil || ref != "" && !from.PausedUntil(time.Now()).IsZero() {
@@ -181,18 +203,13 @@
 		tried = append(tried, to)
 		got, err := l.callMover(ctx, r, from, to)
 		if err == nil {
-			l.setResult(&moveResult{from: from, to: to, ref: got})
-			return true
+			return to, got
 		}
 		if ref = got; ref == "" {
-			return false
+			break
 		}
 	}
-	if ref == "" {
-		return false
-	}
-	l.setResult(&moveResult{from: from, to: from, ref: ref})
-	return true
+	return nil, ref
 }
 
 func (l *relocation) setResult(m *moveResult) {
--- a/forward/zones_test.go
+++ b/forward/zones_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -308,3 +309,44 @@
 	m(to)
 	return "ref", nil
 }
+
+// fullMover stops the run at its first call, and finds capacity for it only after some calls.
+type fullMover struct {
+	calls   atomic.Int32
+	refuses int32
+	stopped chan struct{} // closed by the first call
+}
+
+func (m *fullMover) Move(context.Context, string, *fleet.Endpoint, *fleet.Endpoint) (string, error) {
+	n := m.calls.Add(1)
+	if n == 1 {
+		close(m.stopped)
+	}
+	if n <= m.refuses {
+		return "ref", errors.New("no capacity")
+	}
+	return "ref", nil
+}
+
+// Guards against a stopped run of an evacuated zone that is given up because no endpoint has capacity for it at the first try.
+func TestServe_MoveFromEvacuatedZoneIsTriedAgain(t *testing.T) {
+	m := &fullMover{refuses: 2, stopped: make(chan struct{})}
+	var w *harness
+	w = newZonedHarness(t, 3, func(a *arrival) {
+		a.stream()
+		if a.from != "" {
+			a.chunk(event(2))
+			a.end()
+			return
+		}
+		a.chunk(event(1))
+		w.fleet.SetEvacuated([]string{a.endpoint}, time.Now())
+		w.fleet.MarkLeaving(a.endpoint, 0, time.Now().Add(moveSoon))
+		<-m.stopped
+		_ = a.conn.Close()
+	}, func(c *forward.Config) { c.Mover = m })
+	w.table.Services[service].Engine = engine()
+	w.table.Routes[2].Timeout = 10 * time.Second
+	must.Eq(t, event(1)+event(2), w.send(t.Context(), "stream").body.String())
+	must.Eq(t, 3, m.calls.Load())
+}
