forward: the start of a long answer is released once it is relayed

Cause: the start of an answer above 256 KiB stayed counted until its end, so that callers that read slowly use up the memory for answers, and others are relayed without the possibility to repeat.

Change: the start is released once it is written.

--- a/forward/answermemory.go
+++ b/forward/answermemory.go
@@ -42,6 +42,7 @@
 
 // release returns the memory.
 func (h *heldAnswer) release() {
+	h.body = nil
 	if h.counted > 0 {
 		h.memory.Remove(h.counted)
 		h.counted = 0
--- a/forward/whole.go
+++ b/forward/whole.go
@@ -43,7 +43,7 @@
 		return outcome{end: lost, reached: true, err: progress.ErrStalled}
 	}
 	if !isWhole {
-		return r.relayLong(ctx, a, reply)
+		return r.relayLong(ctx, a, held, reply)
 	}
 	if len(body) > 0 {
 		r.recordBegun()
@@ -65,14 +65,16 @@
 }
 
 // relayLong relays an answer as it arrives: one that is larger than maxBuffered, or a stream of events on a route of
-// another kind. What the caller has of it can't be continued. a holds the bytes read so far.
-func (r *exchange) relayLong(ctx context.Context, a *answer, reply *upstream.Reply) outcome {
+// another kind. What the caller has of it can't be continued. a holds the bytes read so far, which are released once relayed.
+func (r *exchange) relayLong(ctx context.Context, a *answer, held *heldAnswer, reply *upstream.Reply) outcome {
 	r.stream.started = true
 	r.w.WriteHead(a.status, a.header, reply.Length)
 	if _, err := r.w.Write(a.body); err != nil {
 		return outcome{end: ended, reached: true, err: err}
 	}
 	left := int64(progress.MaxAnswerBytes - len(a.body))
+	a.body = nil
+	held.release()
 	source := &errorRecorder{Reader: io.LimitReader(reply.Body, left+1)}
 	var w io.Writer = r.w
 	if isStream(reply) {
