--- a/cmd/trefoillug/publish.go
+++ b/cmd/trefoillug/publish.go
@@ -95,3 +95,15 @@
 	fmt.Fprintf(cmd.Root().Writer, "revision %d is in force on all %d instances\n", revision, len(members))
 	return nil
 }
+
+// readServices decodes the files named as arguments. It prints all problems and returns an exit error with code 1
+// when there are any.
+func readServices(cmd *cli.Command) ([]config.Service, error) {
+	files, readErr := config.ReadFiles(cmd.Args().Slice())
+	services, decodeErr := config.DecodeFiles(files, time.Now())
+	if err := errors.Join(readErr, decodeErr); err != nil {
+		fmt.Fprintln(cmd.Root().ErrWriter, err)
+		return nil, cli.Exit("", exitRefused)
+	}
+	return services, nil
+}
