--- a/cmd/trefoillug/check_test.go
+++ b/cmd/trefoillug/check_test.go
@@ -51,7 +51,7 @@
 	store.Put(platform.KindManifest, "main", inEffect)
 	server := httptest.NewServer(store)
 	defer server.Close()
-	url := server.URL + "/trefoillug/objects/" + platform.KindManifest + "/main"
+	url := server.URL + standin.PlatformObjectPath(platform.KindManifest, "main")
 	next := writeFile(t, "next.json", strings.Replace(goodManifest, "/a/", "/b/", 1))
 	status, out := runCommand("check", "--json", "--against", url, next)
 	must.Eq(t, 1, status)
--- a/e2e/memory/harness_test.go
+++ b/e2e/memory/harness_test.go
@@ -330,9 +330,7 @@
 		h.PlatformWorker.ServeHTTP(w, r)
 		return
 	}
-	w.Header().Set("X-Trefoillug-Instance-Id", h.ID)
-	w.Header().Set("X-Trefoillug-Attempt-Id", r.Header.Get("X-Trefoillug-Attempt-Id"))
-	w.Header().Set("X-Trefoillug-Response-Seal", standin.SealOf(h.ID))
+	standin.SignAnswer(w.Header(), r, h.ID)
 	w.Header().Set("Content-Length", strconv.Itoa(heldBytes+1))
 	_, _ = w.Write(make([]byte, heldBytes))
 	_ = http.NewResponseController(w).Flush()
--- a/standin/platformstreams.go
+++ b/standin/platformstreams.go
@@ -44,6 +44,16 @@
 // AnswerSeal returns the seal in the header of an answer; empty: none.
 func AnswerSeal(h http.Header) string { return h.Get("X-Trefoillug-Response-Seal") }
 
+// SignAnswer sets the headers that a worker puts on the answer to a request that it ran.
+func SignAnswer(h http.Header, r *http.Request, worker string) {
+	h.Set("X-Trefoillug-Instance-Id", worker)
+	h.Set("X-Trefoillug-Attempt-Id", r.Header.Get("X-Trefoillug-Attempt-Id"))
+	h.Set("X-Trefoillug-Response-Seal", SealOf(worker))
+}
+
+// PlatformObjectPath returns the path of an object in a PlatformStore.
+func PlatformObjectPath(kind, name string) string { return "/trefoillug/objects/" + kind + "/" + name }
+
 // workerStream is a stream in progress.
 type workerStream struct {
 	sent int
