--- a/autoscale/autoscale.go
+++ b/autoscale/autoscale.go
@@ -51,8 +51,8 @@
 	return wants
 }
 
-// CoveredNeed returns the need for which Plan would leave a pool unchanged: its endpoints without the zone whose loss
-// the plan covers and without the surplus of reclaimable endpoints, of which the plan has ratio for each one that is needed. If some but not all zones
+// CoveredNeed returns the need for which Plan would leave a pool unchanged: its endpoints without the zone whose loss the plan
+// covers and without the surplus of reclaimable endpoints. ratio is the ReclaimableRatio of the plan. If some but not all zones
 // have no reclaimable endpoints, these zones have just been reclaimed. They count as if they had as many as the others,
 // and the on-demand endpoints that replace them temporarily do not count in addition.
 func CoveredNeed(zones []Zone, ratio float64) float64 {
--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -155,8 +155,8 @@
 	complete bool
 }
 
-// readStart reads the start of a body, up to one byte above limit or until reserve finds no memory for more. The start of an event stream is not buffered, since
-// its caller waits for each event.
+// readStart reads the start of a body, up to one byte above limit or until reserve finds no memory for more. The start
+// of an event stream is not buffered, since its caller waits for each event.
 func readStart(resp *http.Response, a *attempt, limit int, reserve func(int) bool) (startOfBody, error) {
 	if progress.IsEventStream(resp.Header) {
 		limit = 0
