--- a/review/cmd/case2/forgottencrashes.go
+++ b/review/cmd/case2/forgottencrashes.go
@@ -14,7 +14,7 @@
 const (
 	deadlyPath     = "/look/deadly"
 	deadlyInterval = 5 * time.Second // between two sends of the deadly request
-	deadlySends    = 13
+	deadlySends    = 10
 	// contactTime is contactMs of the small deployments, and allowedRetries the number of retries that the rule allows.
 	contactTime    = 3 * time.Second
 	allowedRetries = 3
@@ -84,7 +84,8 @@
 			return
 		case <-time.After(20 * time.Millisecond):
 		}
-		a := lab.Call(client, n.Machine.Front, http.MethodPost, "/book/order", "one van", 1500*time.Millisecond, nil)
+		path := fmt.Sprintf("/book/order-%d", sent.Add(1)) // no two bookings are alike
+		a := lab.Call(client, n.Machine.Front, http.MethodPost, path, "one van", 1500*time.Millisecond, nil)
 		switch {
 		case a.Status == http.StatusOK:
 			booked.Add(1)
--- a/review/cmd/case2/main.go
+++ b/review/cmd/case2/main.go
@@ -12,6 +12,8 @@
 var cases = map[string]func(r *lab.Record, trouble bool) (lab.ExitCode, error){
 	"badroute":         badRoute,
 	"forgottencrashes": forgottenCrashes,
+	"forgottenremoval": forgottenRemoval,
+	"missingroute":     missingRoute,
 	"slowevents":       slowEvents,
 	"timedoutanswers":  timedOutAnswers,
 }
--- a/review/cmd/case2/rollout.go
+++ b/review/cmd/case2/rollout.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/trefoillug/trefoillug/review/lab"
@@ -21,7 +22,7 @@
 	rollbackTime = 5 * time.Second
 	// usualTime is for how long requests come before the order, and watchTime for how long they go on after it.
 	usualTime = 10 * time.Second
-	watchTime = 55 * time.Second
+	watchTime = 62 * time.Second
 	// drainTime is from the state "reverted" to the end of the new workers.
 	drainTime = 3 * time.Second
 )
@@ -116,6 +117,9 @@
 	return status.State
 }
 
+// sent counts the requests of all loads.
+var sent atomic.Int64
+
 // send sends requests to an instance with a mean rate until stop is closed, and waits for their answers.
 func (l load) send(r *lab.Record, n *lab.Node, stop chan struct{}, rate float64, seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, uint64(len(l.path))))
@@ -129,9 +133,10 @@
 		case <-time.After(time.Duration(rng.ExpFloat64() / rate * float64(time.Second))):
 		}
 		open.Go(func() {
-			a := lab.Call(client, n.Machine.Front, l.method, l.path, l.body, l.deadline, l.header)
+			path := fmt.Sprintf("%s-%d", l.path, sent.Add(1)) // no two requests are alike
+			a := lab.Call(client, n.Machine.Front, l.method, path, l.body, l.deadline, l.header)
 			if a.Status != http.StatusOK || a.Err != nil {
-				r.Add("caller: %s %s to %s: %s", l.path, a.ID, n.Machine.Name, a.Text())
+				r.Add("caller: %s %s to %s: %s", path, a.ID, n.Machine.Name, a.Text())
 			}
 		})
 	}
--- a/review/cmd/case2/rollouts.go
+++ b/review/cmd/case2/rollouts.go
@@ -27,7 +27,7 @@
 
 // badRoute: the new version fails a part of its answers on one route.
 func badRoute(r *lab.Record, trouble bool) (lab.ExitCode, error) {
-	const share = 0.3
+	const share = 0.15
 	c := ordersApp()
 	c.spoil = func(w *lab.Worker) {
 		w.Fails = func(r *http.Request) bool { return strings.HasPrefix(r.URL.Path, "/look/") && rand.Float64() < share }
@@ -35,6 +35,16 @@
 	return c.run(r, trouble)
 }
 
+// missingRoute: the new version answers all requests of one route with 404.
+func missingRoute(r *lab.Record, trouble bool) (lab.ExitCode, error) {
+	c := ordersApp()
+	c.spoil = func(w *lab.Worker) {
+		w.FailStatus = http.StatusNotFound
+		w.Fails = func(r *http.Request) bool { return strings.HasPrefix(r.URL.Path, "/look/") }
+	}
+	return c.run(r, trouble)
+}
+
 // timedOutAnswers: a part of the new version's answers take eight times as long, which is more than the route's timeout.
 func timedOutAnswers(r *lab.Record, trouble bool) (lab.ExitCode, error) {
 	const share, factor = 0.4, 8
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -91,11 +91,15 @@
 	}
 	var seeds []string
 	for i := range o.Nodes {
+		link, err := standin.NewForwarderAt(standin.FreeAddress(), storeAddress)
+		if err != nil {
+			return d, err
+		}
 		m := standin.PlatformMachine{
 			Name: fmt.Sprintf("edge-%d", i+1), Zone: string(rune('a' + i%4)), Front: standin.FreeAddress(), Ready: standin.FreeAddress(),
-			Control: standin.FreeAddress(), StoreAddress: storeAddress, CloudAddress: apiAddress,
+			Control: standin.FreeAddress(), StoreAddress: link.Address(), CloudAddress: apiAddress,
 		}
-		d.Nodes = append(d.Nodes, &Node{Machine: m, dir: d.dir, record: record})
+		d.Nodes = append(d.Nodes, &Node{Machine: m, StoreLink: link, dir: d.dir, record: record})
 		seeds = append(seeds, m.Control)
 	}
 	for _, n := range d.Nodes {
@@ -130,6 +134,7 @@
 func (d *Deployment) Close() {
 	for _, n := range d.Nodes {
 		n.Kill()
+		n.StoreLink.Close()
 	}
 	for _, w := range d.Workers {
 		w.stop()
@@ -143,6 +148,8 @@
 // Node is an instance, which runs as a process.
 type Node struct {
 	Machine standin.PlatformMachine
+	// StoreLink is the path from the instance to the store.
+	StoreLink *standin.Forwarder
 
 	dir    string
 	record *Record
@@ -192,6 +199,20 @@
 	return dir
 }
 
+// CutFromStore cuts the instance's path to the store: open connections are reset and new ones refused.
+func (n *Node) CutFromStore() error {
+	err := n.StoreLink.SetAcceptance(standin.Refuses)
+	n.StoreLink.CloseConnections()
+	n.record.Add("%s: cut from the store", n.Machine.Name)
+	return err
+}
+
+// RestoreStore ends a cut.
+func (n *Node) RestoreStore() error {
+	n.record.Add("%s: path to the store restored", n.Machine.Name)
+	return n.StoreLink.SetAcceptance(standin.Accepts)
+}
+
 // Signal sends a signal to the process.
 func (n *Node) Signal(s syscall.Signal) {
 	n.mu.Lock()
--- a/review/lab/worker.go
+++ b/review/lab/worker.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -24,6 +25,8 @@
 	Version           string // of the worker's software; empty: v1
 	// Fails reports whether the worker answers a request with a failure of its own; nil: it never does.
 	Fails func(r *http.Request) bool
+	// FailStatus is the status of such a failure; 0: 500.
+	FailStatus int
 	// Slowness returns the factor on the time that a request takes; nil: always 1.
 	Slowness func(r *http.Request) float64
 	// Events, if not 0, is the number of events of a stream. The worker then answers with streams, whose first event comes
@@ -213,7 +216,7 @@
 	text := fmt.Sprintf("%s %s %d", w.ID, r.RequestURI, len(body))
 	h.Set("Content-Length", fmt.Sprint(len(text)))
 	if failed {
-		rw.WriteHeader(http.StatusInternalServerError)
+		rw.WriteHeader(cmp.Or(w.FailStatus, http.StatusInternalServerError))
 	}
 	_, _ = io.WriteString(rw, text) // the caller may have gone
 }
@@ -222,8 +225,8 @@
 func (w *Worker) finish(n int) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.runs[n].Done = !w.down
-	return !w.down
+	w.runs[n].Done = !w.down && !w.closed
+	return w.runs[n].Done
 }
 
 // stream answers run n with events.
