--- a/review/cmd/case2/forgottencrashes.go
+++ b/review/cmd/case2/forgottencrashes.go
@@ -13,6 +13,7 @@
 
 const (
 	deadlyPath     = "/look/deadly"
+	silentPath     = "/book/deadly"
 	deadlyInterval = 5 * time.Second // between two sends of the deadly request
 	deadlySends    = 10
 	// contactTime is contactMs of the small deployments, and allowedRetries the number of retries that the rule allows.
@@ -75,6 +76,44 @@
 	return judgeCrashes(r, workers, inTouch, booked.Load(), lost.Load()), nil
 }
 
+// silentCrashes sends a request that crashes its workers, which then are silent, to each instance in turn.
+func silentCrashes(r *lab.Record, trouble bool) (lab.ExitCode, error) {
+	var workers []*lab.Worker
+	for i := range 4 {
+		workers = append(workers, &lab.Worker{
+			ID: fmt.Sprintf("i-%d", i+1), Service: "orders", Zone: string(rune('a' + i)), Slots: 6, Work: 60 * time.Millisecond,
+			Deadly: silentPath, RestartAfter: 3 * time.Second, Silent: trouble,
+		})
+	}
+	d, err := lab.Start(lab.Options{Nodes: 3, Workers: workers, Manifest: lab.Manifest(1,
+		[]any{lab.Route("book", "non_idempotent", "orders", nil)}, []any{lab.Service("orders")})}, r)
+	if d != nil {
+		defer d.Close()
+	}
+	if err != nil {
+		return lab.NotRun, err
+	}
+	time.Sleep(contactTime)
+	stop := make(chan struct{})
+	var others sync.WaitGroup
+	var booked, lost atomic.Int64
+	for _, n := range d.Nodes {
+		others.Go(func() { book(r, n, stop, &booked, &lost) })
+	}
+	var inTouch []time.Time
+	for i := range deadlySends {
+		began := time.Now()
+		inTouch = append(inTouch, began)
+		node := d.Nodes[i%len(d.Nodes)]
+		a := lab.Call(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, node.Machine.Front, http.MethodPost, silentPath, "one van", 1500*time.Millisecond, nil)
+		r.Add("caller: deadly request %s to %s: %s", a.ID, node.Machine.Name, a.Text())
+		time.Sleep(time.Until(began.Add(deadlyInterval)))
+	}
+	close(stop)
+	others.Wait()
+	return judgeCrashes(r, workers, inTouch, booked.Load(), lost.Load()), nil
+}
+
 // book sends bookings, which may run once only, to an instance until stop is closed.
 func book(r *lab.Record, n *lab.Node, stop chan struct{}, booked, lost *atomic.Int64) {
 	client := &http.Client{}
@@ -91,8 +130,8 @@
 			booked.Add(1)
 		case a.Status != http.StatusServiceUnavailable:
 			lost.Add(1)
-			r.Add("caller: booking %s to %s: %s", a.ID, n.Machine.Name, a.Text())
 		}
+		r.Add("caller: booking %s to %s: %s", a.ID, n.Machine.Name, a.Text())
 	}
 }
 
--- a/review/cmd/case2/main.go
+++ b/review/cmd/case2/main.go
@@ -14,6 +14,7 @@
 	"forgottencrashes": forgottenCrashes,
 	"forgottenremoval": forgottenRemoval,
 	"missingroute":     missingRoute,
+	"silentcrashes":    silentCrashes,
 	"slowevents":       slowEvents,
 	"timedoutanswers":  timedOutAnswers,
 }
--- a/review/cmd/case2/rollout.go
+++ b/review/cmd/case2/rollout.go
@@ -135,9 +135,7 @@
 		open.Go(func() {
 			path := fmt.Sprintf("%s-%d", l.path, sent.Add(1)) // no two requests are alike
 			a := lab.Call(client, n.Machine.Front, l.method, path, l.body, l.deadline, l.header)
-			if a.Status != http.StatusOK || a.Err != nil {
-				r.Add("caller: %s %s to %s: %s", path, a.ID, n.Machine.Name, a.Text())
-			}
+			r.Add("caller: %s %s %s to %s, sent %v before: %s", a.ID, l.method, path, n.Machine.Name, time.Since(a.Sent).Round(time.Millisecond), a.Text())
 		})
 	}
 }
--- a/review/lab/worker.go
+++ b/review/lab/worker.go
@@ -22,7 +22,10 @@
 	Work              time.Duration
 	Deadly            string
 	RestartAfter      time.Duration
-	Version           string // of the worker's software; empty: v1
+	// Silent means that a crash takes the worker's machine with it: nothing answers any more on open connections or to new
+	// ones. Otherwise they are reset and refused.
+	Silent  bool
+	Version string // of the worker's software; empty: v1
 	// Fails reports whether the worker answers a request with a failure of its own; nil: it never does.
 	Fails func(r *http.Request) bool
 	// FailStatus is the status of such a failure; 0: 500.
@@ -37,6 +40,7 @@
 	store   *standin.PlatformStore
 	record  *Record
 	address string
+	link    *standin.Forwarder // before a silent worker; nil: none
 
 	mu       sync.Mutex
 	born     int64
@@ -74,6 +78,9 @@
 	}
 	w.address, w.listener, w.conns, w.down = l.Addr().String(), l, map[net.Conn]bool{}, false
 	w.born = time.Now().UnixMilli()
+	if err := w.openLink(); err != nil {
+		return err
+	}
 	server := &http.Server{Handler: w, ConnState: w.recordConn}
 	go func() { _ = server.Serve(l) }()
 	w.PutEntry("ready", nil)
@@ -83,7 +90,11 @@
 
 // PutEntry writes the worker's entry.
 func (w *Worker) PutEntry(state string, extra map[string]any) {
-	e := standin.PlatformEntry(w.Service, w.address, w.Zone, state, w.born)
+	address := w.address
+	if w.link != nil {
+		address = w.link.Address()
+	}
+	e := standin.PlatformEntry(w.Service, address, w.Zone, state, w.born)
 	e["slots"] = w.Slots
 	if w.Version != "" {
 		e["version"] = w.Version
@@ -94,6 +105,21 @@
 	w.store.Put("servers", w.ID, e)
 }
 
+// openLink opens the path to a silent worker, new or again.
+func (w *Worker) openLink() error {
+	switch {
+	case !w.Silent:
+		return nil
+	case w.link == nil:
+		link, err := standin.NewForwarderAt(standin.FreeAddress(), w.address)
+		w.link = link
+		return err
+	}
+	w.link.Hold(false)
+	w.link.CloseConnections()
+	return w.link.SetAcceptance(standin.Accepts)
+}
+
 func (w *Worker) recordConn(c net.Conn, s http.ConnState) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -117,6 +143,10 @@
 	}
 	w.down = true
 	w.crashes = append(w.crashes, time.Now())
+	if w.link != nil {
+		w.link.Hold(true)
+		_ = w.link.SetAcceptance(standin.Hangs) // fails only if the address is taken
+	}
 	_ = w.listener.Close()
 	for c := range w.conns {
 		if t, ok := c.(*net.TCPConn); ok {
@@ -147,6 +177,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.closed = true
+	if w.link != nil {
+		w.link.Close()
+	}
 	if w.listener != nil {
 		_ = w.listener.Close()
 	}
@@ -188,6 +221,7 @@
 	deadly := w.Deadly != "" && strings.Contains(r.URL.Path, w.Deadly)
 	w.runs = append(w.runs, Run{ID: id, URI: r.RequestURI, Worker: w.ID, At: time.Now(), Crashed: deadly})
 	w.mu.Unlock()
+	w.record.Add("%s: runs %s %s %s", w.ID, id, r.Method, r.RequestURI)
 	if deadly {
 		w.crash(id)
 		panic(http.ErrAbortHandler)
@@ -203,8 +237,12 @@
 		w.stream(rw, r, n, slowness)
 		return
 	}
+	h.Set("X-Trefoillug-Response-Seal", standin.SealOf(w.ID))
 	select {
 	case <-time.After(time.Duration(float64(w.Work) * slowness)):
+	case <-deadlineOf(r):
+		rw.WriteHeader(http.StatusGatewayTimeout)
+		return
 	case <-r.Context().Done(): // the caller has gone
 		return
 	}
@@ -212,7 +250,6 @@
 		panic(http.ErrAbortHandler)
 	}
 	h.Set("X-Trefoillug-Worker-Load", fmt.Sprintf("1,0,%d", w.Slots))
-	h.Set("X-Trefoillug-Response-Seal", standin.SealOf(w.ID))
 	text := fmt.Sprintf("%s %s %d", w.ID, r.RequestURI, len(body))
 	h.Set("Content-Length", fmt.Sprint(len(text)))
 	if failed {
@@ -221,6 +258,15 @@
 	_, _ = io.WriteString(rw, text) // the caller may have gone
 }
 
+// deadlineOf returns a channel that receives at the deadline of a request, at which a worker stops work on it.
+func deadlineOf(r *http.Request) <-chan time.Time {
+	ms, err := strconv.Atoi(r.Header.Get("X-Trefoillug-Deadline-Ms"))
+	if err != nil {
+		return nil
+	}
+	return time.After(time.Duration(ms) * time.Millisecond)
+}
+
 // finish records that run n is done, and reports false if the worker has crashed.
 func (w *Worker) finish(n int) bool {
 	w.mu.Lock()
