feed: log what a copy from a peer holds

The line said only that a copy was used. The line now has the revision since which the copy holds changes, its revision, and the numbers of objects and deletions.

--- a/feed/copy.go
+++ b/feed/copy.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"github.com/sirupsen/logrus"
 )
 
 // Copy holds all objects of a kind, or what has changed in them since a revision, for a peer.
@@ -68,27 +70,30 @@
 	if !ask {
 		return
 	}
-	if err := f.fetchFromPeer(ctx, after); err != nil {
+	c, err := f.fetchFromPeer(ctx, after)
+	if err != nil {
 		f.settings.Log.WithError(err).WithField("kind", f.settings.Kind).Debug("no copy received from a peer")
 		return
 	}
-	f.settings.Log.WithField("kind", f.settings.Kind).Info("state copied from a peer")
+	f.settings.Log.WithFields(logrus.Fields{
+		"kind": f.settings.Kind, "since": c.Since, "revision": c.Revision, "objects": len(c.Objects), "deleted": len(c.Deleted),
+	}).Info("state copied from a peer")
 }
 
 // fetchFromPeer fetches and applies what a peer has received after a revision. It returns an error if the peer does
 // not answer or has nothing newer.
-func (f *Feed) fetchFromPeer(ctx context.Context, after uint64) error {
+func (f *Feed) fetchFromPeer(ctx context.Context, after uint64) (*Copy, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancel()
 	c, err := f.settings.FetchFromPeer(ctx, f.settings.Kind, after)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if c == nil {
-		return errors.New("the peer has nothing newer")
+		return nil, errors.New("the peer has nothing newer")
 	}
 	f.replace(f.merged(c), true)
-	return nil
+	return c, nil
 }
 
 // peerCallTimeout bounds a call to a peer; peers answer within milliseconds.
