feed: a copy for a peer holds all deletions, or all objects

Cause: a feed answered a peer with its changes since a revision if it had kept all deletions since then, and it assumed so from revision 0 on. It knows none from before its newest list. The asking instance adopted the revision of the copy, so that neither its watch nor another copy brought the deletion. Three more ways to the same state came with it: a feed that lists again after lost history, one that takes over a whole copy, and a copy between two events of one watch.

Change: a list, or a whole copy, begins what a feed knows of deletions; peers that lag further get all objects. A copy of changes states from where its deletions are known; one without, from an earlier release, is not applied and all objects are fetched. The events of a watch are applied together.

--- a/feed/copy.go
+++ b/feed/copy.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -18,6 +20,14 @@
 	Deleted []string `cbor:"5,keyasint,omitempty"` // names; only in a copy with Since
 	// Settled means that the peer's store has been healthy for a while, so that a missing object counts as deleted.
 	Settled bool `cbor:"6,keyasint,omitempty"`
+	// DeletionsAfter is the revision after which the sender knows all deletions. Releases that left deletions out after a
+	// restart do not send it; their changes are not complete.
+	DeletionsAfter uint64 `cbor:"7,keyasint,omitempty"`
+}
+
+// isComplete reports whether the copy holds all objects, or all changes after Since.
+func (c *Copy) isComplete() bool {
+	return c.Since == 0 || c.DeletionsAfter > 0 && c.DeletionsAfter <= c.Since
 }
 
 // deletion is an object that was deleted.
@@ -38,7 +48,7 @@
 	if !f.listed || f.changed <= after && !hasNothing {
 		return nil
 	}
-	c := &Copy{Revision: f.revision, NewestChange: f.changed, Settled: f.settled()}
+	c := &Copy{Revision: f.revision, NewestChange: f.changed, Settled: f.settled(), DeletionsAfter: f.deletionsAfter}
 	if after >= f.deletionsAfter {
 		c.Since = after
 	}
@@ -80,36 +90,32 @@
 	}).Info("state copied from a peer")
 }
 
-// fetchFromPeer fetches and applies what a peer has received after a revision. It returns an error if the peer does
-// not answer or has nothing newer.
+// fetchFromPeer fetches and applies what a peer has received after a revision, or all objects if the peer does not know
+// all deletions since. It returns an error if the peer does not answer or has nothing newer.
 func (f *Feed) fetchFromPeer(ctx context.Context, after uint64) (*Copy, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancel()
 	c, err := f.settings.FetchFromPeer(ctx, f.settings.Kind, after)
+	if err == nil && c != nil && !c.isComplete() {
+		c, err = f.settings.FetchFromPeer(ctx, f.settings.Kind, 0)
+	}
 	if err != nil {
 		return nil, err
 	}
 	if c == nil {
 		return nil, errors.New("the peer has nothing newer")
 	}
-	f.replace(f.merged(c), true)
+	f.replace(c, true)
 	return c, nil
 }
 
 // peerCallTimeout bounds a call to a peer; peers answer within milliseconds.
 const peerCallTimeout = time.Second
 
-// merged returns a full copy: a copy that holds only changes is applied to the feed's objects.
-func (f *Feed) merged(c *Copy) *Copy {
-	if c.Since == 0 {
-		return c
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	objects := make(map[string]Object, len(f.objects)+len(c.Objects))
-	for name, o := range f.objects {
-		objects[name] = o
-	}
+// withChanges returns the feed's objects with the changes of a copy, and records the deletions among them. Callers must
+// hold f.mu.
+func (f *Feed) withChanges(c *Copy) []Object {
+	objects := maps.Clone(f.objects)
 	for _, o := range c.Objects {
 		objects[o.Name] = o
 	}
@@ -117,11 +123,7 @@
 		delete(objects, name)
 		f.recordDeletion(name, c.NewestChange)
 	}
-	whole := &Copy{Revision: c.Revision, NewestChange: c.NewestChange, Settled: c.Settled}
-	for _, o := range objects {
-		whole.Objects = append(whole.Objects, o)
-	}
-	return whole
+	return slices.Collect(maps.Values(objects))
 }
 
 // recordDeletion keeps a deletion for copies to peers. Callers must hold f.mu.
@@ -132,3 +134,9 @@
 		f.deletions = f.deletions[1:]
 	}
 }
+
+// forgetDeletions records that the deletions up to a revision are not known: a list shows what exists, but not what was
+// deleted before it. Callers must hold f.mu.
+func (f *Feed) forgetDeletions(revision uint64) {
+	f.deletions, f.deletionsAfter = nil, revision
+}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -128,7 +128,6 @@
 	ready          chan struct{}
 	deletions      []deletion // newest last
 	deletionsAfter uint64     // all deletions after this revision are kept
-	deletedNames   []string   // deleted by the events that are being applied
 }
 
 // New returns a feed without objects; Run fills it.
@@ -201,7 +200,7 @@
 	return nil
 }
 
-// replace replaces the feed's objects by those of a copy, unless the feed's objects are newer.
+// replace replaces the feed's objects by those of a copy, or applies its changes to them, unless they are newer.
 func (f *Feed) replace(c *Copy, fromPeer bool) {
 	f.mu.Lock()
 	first := !f.listed
@@ -212,22 +211,27 @@
 		return
 	}
 	settled := first || fromPeer && c.Settled || !fromPeer && f.settled()
-	objects := make(map[string]Object, len(c.Objects))
-	for _, o := range c.Objects {
+	all := c.Objects
+	if c.Since > 0 {
+		all = f.withChanges(c)
+	} else {
+		f.forgetDeletions(c.Revision)
+	}
+	objects := make(map[string]Object, len(all))
+	for _, o := range all {
 		objects[o.Name] = o
 	}
 	if !fromPeer {
 		for name := range f.objects {
 			if _, still := objects[name]; !still {
 				c.NewestChange = max(c.NewestChange, c.Revision) // so that peers receive the deletion too
-				f.recordDeletion(name, c.NewestChange)
 			}
 		}
 	}
 	f.objects = objects
 	f.revision, f.changed, f.listed, f.mustList = c.Revision, max(f.changed, c.NewestChange), true, false
 	f.mu.Unlock()
-	f.settings.Handler.Replace(c.Objects, settled)
+	f.settings.Handler.Replace(all, settled)
 	if first {
 		close(f.ready)
 	}
@@ -275,21 +279,26 @@
 	return nil
 }
 
-// applyEvents applies the events of a watch.
+// applyEvents applies the events of a watch and passes them on. A copy for a peer holds all of them or none: it has one
+// revision and one newest change for all its objects and deletions.
 func (f *Feed) applyEvents(events []Event, revision uint64) {
-	for _, e := range events {
-		f.apply(e)
-	}
 	f.mu.Lock()
-	defer f.mu.Unlock()
+	settled := f.settled()
 	f.revision = max(f.revision, revision)
-	if len(f.deletedNames) > 0 {
+	for _, e := range events {
+		f.changed = max(f.changed, e.Object.Revision)
+		if !e.Deleted {
+			f.objects[e.Object.Name] = e.Object
+			continue
+		}
+		delete(f.objects, e.Object.Name)
 		f.changed = max(f.changed, revision) // a deleted object holds the revision of its last change only
+		f.recordDeletion(e.Object.Name, f.changed)
 	}
-	for _, name := range f.deletedNames {
-		f.recordDeletion(name, f.changed)
+	f.mu.Unlock()
+	for _, e := range events {
+		f.settings.Handler.Apply(e, settled)
 	}
-	f.deletedNames = nil
 }
 
 // keepPace waits after a watch that returned changes, so that further ones arrive together.
@@ -316,20 +325,6 @@
 	return rate.Every(pace)
 }
 
-func (f *Feed) apply(e Event) {
-	f.mu.Lock()
-	settled := f.settled()
-	if e.Deleted {
-		delete(f.objects, e.Object.Name)
-		f.deletedNames = append(f.deletedNames, e.Object.Name)
-	} else {
-		f.objects[e.Object.Name] = e.Object
-	}
-	f.changed = max(f.changed, e.Object.Revision)
-	f.mu.Unlock()
-	f.settings.Handler.Apply(e, settled)
-}
-
 // settled reports whether the store has been healthy for settleTime. Callers must hold f.mu.
 func (f *Feed) settled() bool {
 	return !f.healthySince.IsZero() && time.Since(f.healthySince) > settleTime
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"slices"
 	"strconv"
 	"sync"
@@ -65,6 +66,13 @@
 	return s.revision
 }
 
+// names returns the sorted names of all objects.
+func (s *store) names() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.objects))
+}
+
 func (s *store) put(name, spec string) {
 	s.update(func() {
 		s.revision++
@@ -138,7 +146,8 @@
 type recorder struct {
 	mu        sync.Mutex
 	names     []string
-	unsettled int // removals while the store had not been healthy for long
+	unsettled int    // removals while the store had not been healthy for long
+	onApply   func() // called for each event; may be nil
 }
 
 func (r *recorder) Replace(objects []feed.Object, settled bool) {
@@ -154,6 +163,9 @@
 }
 
 func (r *recorder) Apply(e feed.Event, settled bool) {
+	if r.onApply != nil {
+		r.onApply()
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.names = slices.DeleteFunc(r.names, func(n string) bool { return n == e.Object.Name })
@@ -178,11 +190,7 @@
 
 // startWith starts a feed of the store with the given settings.
 func startWith(t *testing.T, s *store, settings feed.Settings) (*feed.Feed, *recorder) {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	r := &recorder{}
-	settings.Kind, settings.Store, settings.Handler, settings.Log = "k", s, r, log
-	f := feed.New(settings)
+	f, r := newFeed(s, settings)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() { defer close(done); f.Run(ctx) }()
@@ -190,6 +198,15 @@
 	return f, r
 }
 
+// newFeed returns a feed of the store that passes its changes to the recorder. Its Run is not called yet.
+func newFeed(s feed.Store, settings feed.Settings) (*feed.Feed, *recorder) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	r := &recorder{}
+	settings.Kind, settings.Store, settings.Handler, settings.Log = "k", s, r, log
+	return feed.New(settings), r
+}
+
 // Guards against changes that are missed or applied late while the store is healthy, and against needless lists.
 func TestFeed_FollowsChanges(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
