--- a/move/status.go
+++ b/move/status.go
@@ -1,6 +1,10 @@
 package move
 
-import "time"
+import (
+	"fmt"
+	"strings"
+	"time"
+)
 
 // State is the progress of a move as this instance has recorded it.
 type State string
@@ -52,3 +56,29 @@
 		return Running, ""
 	}
 }
+
+// Evidence describes, for the log, the attempts of all instances that the current move of a service is judged by. It lists
+// for each route the failed and all attempts on the old and on the new version.
+func (s *System) Evidence(name string) string {
+	x := s.services[name]
+	if x == nil || x.current == nil {
+		return ""
+	}
+	var routes []string
+	for _, r := range x.current.routes {
+		routes = append(routes, fmt.Sprintf("%s: failed %s", r.name, r.total.compare(func(c *cell) (k, n uint32) { return c.failed, c.n })))
+	}
+	return strings.Join(routes, "; ")
+}
+
+// compare formats the sums of k and n over all load classes as "k/n old, k/n new".
+func (c *counters) compare(count func(c *cell) (k, n uint32)) string {
+	var k, n [sides]uint32
+	for s := range c {
+		for i := range c[s] {
+			ki, ni := count(&c[s][i])
+			k[s], n[s] = k[s]+ki, n[s]+ni
+		}
+	}
+	return fmt.Sprintf("%d/%d old, %d/%d new", k[oldSide], n[oldSide], k[newSide], n[newSide])
+}
--- a/node/rollouts.go
+++ b/node/rollouts.go
@@ -211,7 +211,9 @@
 		if p.Outcome == move.Done {
 			o.State = RolloutComplete
 		}
-		r.n.log.WithFields(logrus.Fields{"service": o.Service, "target": o.Target, "outcome": p.Outcome, "reason": p.Reason}).Info("rollout decided")
+		r.n.log.WithFields(logrus.Fields{
+			"service": o.Service, "target": o.Target, "outcome": p.Outcome, "reason": p.Reason, "evidence": r.moves.Evidence(o.Service),
+		}).Info("rollout decided")
 		proposals = append(proposals, o)
 	}
 	r.logFaults(now)
