move: answers that are no success are compared, and short moves tested exactly

Cause, of two parts. Only a status from 500 on counted against a version, as the claim says; a quick 404 even counted for it. The batches that hold the whole move were open at the decision and left out.

Change: complete answers with 3xx or 4xx are evidence of their own; the rates of both versions are compared apart from failures, and their times are left out. The deadline closes the open batches and tests a few events once by their exact distribution, for half of the stated error rate of that decision. The counters of answers are a fact of their own, which earlier releases ignore. relay reports the same. Failures too large to be held count as failures.

--- a/core/core_test.go
+++ b/core/core_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/trefoillug/trefoillug/cloud"
 	"github.com/trefoillug/trefoillug/config"
+	"github.com/trefoillug/trefoillug/move"
 	"github.com/trefoillug/trefoillug/peer"
 	"github.com/trefoillug/trefoillug/table"
 )
@@ -103,3 +104,12 @@
 	must.Eq(t, int64(90_000), live.FirstToken.Load())
 	must.Eq(t, int64(16_000), live.PerToken.Load())
 }
+
+// Guards against answers such as 404 that count for a version: they are compared with those of the other version.
+func TestCore_UnsuccessfulAnswersAreEvidence(t *testing.T) {
+	c := newCore()
+	must.Eq(t, move.OK, c.evidence(AttemptDone{Result: Succeeded}))
+	must.Eq(t, move.Unsuccessful, c.evidence(AttemptDone{Result: Succeeded, Unsuccessful: true}))
+	must.Eq(t, move.Failed, c.evidence(AttemptDone{Result: Failed, Unsuccessful: true}))
+	must.Eq(t, move.Excluded, c.evidence(AttemptDone{Result: Cancelled, Unsuccessful: true}))
+}
--- a/core/events.go
+++ b/core/events.go
@@ -53,15 +53,16 @@
 type AttemptDone struct {
 	Endpoint, Service, Version, Route, Workspace string
 
-	Result      Result
-	Started     time.Time
-	FirstToken  time.Duration // time to the first token, or to the response header of a plain service
-	PerToken    time.Duration // mean time between tokens; 0 for plain services
-	Total       time.Duration
-	InFlight    int    // attempts in flight at the endpoint when this one was dispatched
-	Fingerprint uint64 // fingerprint of the request content
-	Tokens      int    // tokens generated
-	Recomputed  int    // prefix tokens computed again because of a resume
+	Result       Result
+	Unsuccessful bool // the answer is complete and no success, such as 404
+	Started      time.Time
+	FirstToken   time.Duration // time to the first token, or to the response header of a plain service
+	PerToken     time.Duration // mean time between tokens; 0 for plain services
+	Total        time.Duration
+	InFlight     int    // attempts in flight at the endpoint when this one was dispatched
+	Fingerprint  uint64 // fingerprint of the request content
+	Tokens       int    // tokens generated
+	Recomputed   int    // prefix tokens computed again because of a resume
 	// Refused is the cause for which the answer was not relayed as the continuation of a stream; empty: it was.
 	Refused continuation.Cause
 }
--- a/core/moves.go
+++ b/core/moves.go
@@ -39,6 +39,9 @@
 func (c *Core) evidence(e AttemptDone) move.AttemptOutcome {
 	switch e.Result {
 	case Succeeded:
+		if e.Unsuccessful {
+			return move.Unsuccessful
+		}
 		return move.OK
 	case Failed, TimedOut:
 		return move.Failed
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -38,6 +38,7 @@
 	reached   bool     // a byte may have reached the endpoint
 	delivered bool     // the answer was relayed to the caller
 	partial   bool     // the caller has a part of an answer that can't be continued
+	status    int      // of the answer; 0: there is none
 	answer    *answer  // complete answer that reports a failure; not relayed yet
 	refusal   *Refusal // of another instance, for the caller
 	err       error
@@ -52,11 +53,14 @@
 // isFailedAnswer reports whether the endpoint answered with a failure, or with a success that is no event stream where one
 // was to be continued.
 func (o *outcome) isFailedAnswer() bool {
-	if o.answer == nil {
-		return false
-	}
 	var refused *continuation.Error
-	return o.answer.status >= http.StatusInternalServerError || errors.As(o.err, &refused) && o.answer.status < http.StatusMultipleChoices
+	return o.end == answered && (o.status >= http.StatusInternalServerError || errors.As(o.err, &refused) && o.status < http.StatusMultipleChoices)
+}
+
+// isUnsuccessful reports whether the endpoint gave a complete answer that is neither a success nor a failure, such as 404.
+// That may be the right answer to the request.
+func (o *outcome) isUnsuccessful() bool {
+	return o.end == answered && o.status >= http.StatusMultipleChoices && o.status < http.StatusInternalServerError
 }
 
 // answer is a complete answer held in memory.
@@ -168,6 +172,7 @@
 	}
 	defer reply.Finish()
 	r.recordReply(e, reply)
+	defer func() { out.status = reply.Status }()
 	if r.f.cfg.Wire.IsNotRun(reply.Status, reply.Header) {
 		return notRun(reply)
 	}
@@ -436,7 +441,8 @@
 	failed := out.end == lost || out.isFailedAnswer()
 	r.targetFailed = r.targetFailed || failed
 	r.f.cfg.Versions.Observe(Observation{
-		Service: r.service.Name, Version: e.Version, Route: r.route.Name, Failed: failed, TimeToFirst: r.timeToFirst, Load: r.load,
+		Service: r.service.Name, Version: e.Version, Route: r.route.Name, Failed: failed, Unsuccessful: out.isUnsuccessful(),
+		TimeToFirst: r.timeToFirst, Load: r.load,
 		Excluded: out.end == unreachable || out.end == rejected || out.end == ended || r.pendingMove != nil || e.IsLeaving(),
 	})
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -138,6 +138,7 @@
 type Observation struct {
 	Service, Version, Route string
 	Failed                  bool
+	Unsuccessful            bool          // the answer is complete and no success, such as 404
 	Excluded                bool          // the attempt is no evidence for the version
 	TimeToFirst             time.Duration // time to the answer or the first event; 0: not measured
 	Load                    int           // this instance's other requests at the endpoint when the attempt was sent
--- a/move/assess.go
+++ b/move/assess.go
@@ -11,8 +11,11 @@
 // evaluate the same evidence at different times.
 const (
 	falseAbortRate    = 0.005 // that a good version is aborted, over the whole move
-	falseRollbackRate = 0.003 // that a good version is rolled back by the test at the deadline
-	falseSoundRate    = 0.03  // that a bad version is taken for sound on a route
+	falseRollbackRate = 0.003 // that a good version is rolled back by the tests at the deadline
+	// sequentialRollbackRate is the part of falseRollbackRate for the tests by likelihood ratios. The rest is for the
+	// exact tests, which need fewer events and are valid only once.
+	sequentialRollbackRate = falseRollbackRate / 2
+	falseSoundRate         = 0.03 // that a bad version is taken for sound on a route
 )
 
 const (
@@ -48,14 +51,17 @@
 // event is a binary outcome of an attempt. Its frequencies on both versions are compared.
 type event int
 
-// The events are a failure, and a latency above a quantile of the old version's latencies.
+// The events are a failure, an answer that is no success, and a latency above a quantile of the old version's latencies.
 const (
 	failure event = iota
+	unsuccessful
 	firstTokenMedian
 	firstTokenP80
 	perTokenMedian
 	perTokenP80
 	events
+
+	countedEvents = firstTokenMedian // the events before it are counted as such
 )
 
 // quantileOf holds, for each latency event, the quantile of the old version's latencies that it exceeds.
@@ -74,6 +80,7 @@
 	events []event
 }{
 	{"failures", []event{failure}},
+	{"unsuccessful answers", []event{unsuccessful}},
 	{"first token", []event{firstTokenMedian, firstTokenP80}},
 	{"time per token", []event{perTokenMedian, perTokenP80}},
 }
@@ -83,7 +90,7 @@
 type tally struct {
 	worseLogRatios  [strata][events][len(worseOddsRatios)]float64
 	betterLogRatios [events][len(betterOddsRatios)]float64 // against "1.5 times slower"; only for medians
-	failed          [strata]sample
+	counted         [countedEvents][strata]sample
 }
 
 func (t *tally) addScaled(o *tally, factor float64) {
@@ -93,10 +100,12 @@
 				t.worseLogRatios[i][e][g] += factor * o.worseLogRatios[i][e][g]
 			}
 		}
-		if factor < 0 {
-			t.failed[i] = t.failed[i].subtract(o.failed[i])
-		} else {
-			t.failed[i].add(o.failed[i])
+		for e := range countedEvents {
+			if factor < 0 {
+				t.counted[e][i] = t.counted[e][i].subtract(o.counted[e][i])
+			} else {
+				t.counted[e][i].add(o.counted[e][i])
+			}
 		}
 	}
 }
@@ -182,11 +191,18 @@
 	return v
 }
 
-// testAtDeadline tests the whole move once at the deadline, with falseRollbackRate as its error rate.
+// testAtDeadline tests the whole move once at the deadline, with falseRollbackRate as its error rate. It includes the
+// attempts of the open batches: a short move may end before its large batches close.
 func (a *assessment) testAtDeadline(routes []*routeEvidence) verdict {
+	for _, r := range routes {
+		r.closeOpenBatches()
+	}
 	var v verdict
 	for x := range scales {
-		v.testWindow(routes, x, -1, math.Log(a.testCount(routes)/falseRollbackRate))
+		v.testWindow(routes, x, -1, math.Log(a.testCount(routes)/sequentialRollbackRate))
+	}
+	if !v.fault {
+		v.testExact(routes, (falseRollbackRate-sequentialRollbackRate)/float64(int(countedEvents)*(max(a.routes, len(routes))+1)))
 	}
 	return v
 }
@@ -230,25 +246,29 @@
 	n := 0
 	for _, e := range es {
 		var all [len(worseOddsRatios)]float64
-		var failed sample
+		var counted sample
 		for i := range t.worseLogRatios {
-			logEValues[n] = t.eventLogEValue(e, &t.worseLogRatios[i][e], &t.failed[i])
+			if e < countedEvents {
+				counted.add(t.counted[e][i])
+				logEValues[n] = eventLogEValue(&t.worseLogRatios[i][e], &t.counted[e][i])
+			} else {
+				logEValues[n] = eventLogEValue(&t.worseLogRatios[i][e], nil)
+			}
 			n++
-			failed.add(t.failed[i])
 			for g := range all {
 				all[g] += t.worseLogRatios[i][e][g]
 			}
 		}
-		logEValues[n] = t.eventLogEValue(e, &all, &failed)
+		logEValues[n] = eventLogEValue(&all, &counted)
 		n++
 	}
 	return logMean(logEValues[:n])
 }
 
-// eventLogEValue returns the logarithm of the e-value for one event. It ignores an excess of failures below failMargin;
-// ignoring it can only lower the error rate.
-func (t *tally) eventLogEValue(e event, logs *[len(worseOddsRatios)]float64, failed *sample) float64 {
-	if e == failure && failed.n[oldSide] > 0 && failed.excess() < failMargin {
+// eventLogEValue returns the logarithm of the e-value for one event. It ignores an excess of counted events below
+// failMargin; ignoring it can only lower the error rate.
+func eventLogEValue(logs *[len(worseOddsRatios)]float64, counted *sample) float64 {
+	if counted != nil && counted.n[oldSide] > 0 && counted.excess() < failMargin {
 		return 0
 	}
 	return logMean(logs[:])
@@ -277,22 +297,35 @@
 	return closed
 }
 
+// closeOpenBatches closes all batches, whatever their size and age.
+func (r *routeEvidence) closeOpenBatches() {
+	for i := range r.scales {
+		r.scales[i].addBatch(r)
+	}
+}
+
 // addBatch adds the attempts that are not in the tally yet.
 func (x *batchSeries) addBatch(r *routeEvidence) {
 	delta := r.total
 	delta.apply(&x.tallied, sub)
 	for i := range strata {
 		oldCell, newCell := &delta[oldSide][i], &delta[newSide][i]
-		if oldCell.n == 0 && newCell.n == 0 {
+		if oldCell.n+newCell.n+oldCell.answered+newCell.answered == 0 {
 			continue
 		}
-		s := failures(oldCell, newCell)
-		x.tally.failed[i].add(s)
+		var counts [countedEvents]sample
+		for e := range countedEvents {
+			counts[e] = countsOf(e, oldCell, newCell)
+			x.tally.counted[e][i].add(counts[e])
+		}
 		if r.beforeAllOnNew != nil {
 			x.tally.addPast(r.beforeAllOnNew, i, newCell)
 			continue
 		}
-		addConditional(x.tally.worseLogRatios[i][failure][:], worseLogOdds, s)
+		for e, s := range counts {
+			addConditional(x.tally.worseLogRatios[i][e][:], worseLogOdds, s)
+			x.exact[e].add(s)
+		}
 		for e := firstTokenMedian; e < events; e++ {
 			if edge, ok := x.binEdge(r, i, e); ok {
 				x.tally.addLatency(i, e, edge, oldCell, newCell)
@@ -302,11 +335,11 @@
 	x.tallied = r.total
 }
 
-func failures(oldCell, newCell *cell) sample {
-	return sample{
-		n: [sides]float64{float64(oldCell.n), float64(newCell.n)},
-		k: [sides]float64{float64(oldCell.failed), float64(newCell.failed)},
-	}
+func countsOf(e event, oldCell, newCell *cell) sample {
+	var s sample
+	s.k[oldSide], s.n[oldSide] = oldCell.count(e)
+	s.k[newSide], s.n[newSide] = newCell.count(e)
+	return s
 }
 
 // addLatency compares how often both versions exceed a bin edge. For the fault tests the new version's latencies are
@@ -338,15 +371,20 @@
 // addPast compares the new version with the attempts on both versions before all traffic went to the new one.
 func (t *tally) addPast(past *counters, stratum int, newCell *cell) {
 	old, before := &past[oldSide][stratum], &past[newSide][stratum]
-	if old.n < minPastAttempts || before.n < minPastAttempts {
-		p := pastRate(past) + badFailGap
-		addReference(t.worseLogRatios[stratum][failure][:], worseLogOdds,
-			float64(newCell.n), float64(newCell.failed), min(p, 0.99))
+	enough := old.n >= minPastAttempts && before.n >= minPastAttempts
+	for e := range countedEvents {
+		p := past.rate(e) + badFailGap
+		if enough {
+			oldK, oldN := old.count(e)
+			k, n := before.count(e)
+			p = max(oldK/max(oldN, 1), k/max(n, 1)) + pastFailMargin
+		}
+		k, n := newCell.count(e)
+		addReference(t.worseLogRatios[stratum][e][:], worseLogOdds, n, k, min(p, 0.99))
+	}
+	if !enough {
 		return
 	}
-	p := max(float64(old.failed)/float64(old.n), float64(before.failed)/float64(before.n)) + pastFailMargin
-	addReference(t.worseLogRatios[stratum][failure][:], worseLogOdds,
-		float64(newCell.n), float64(newCell.failed), min(p, 0.99))
 	for e := firstTokenMedian; e < events; e++ {
 		s, f := e.histogram(before), e.histogram(newCell)
 		n := above(s, 0)
@@ -359,16 +397,16 @@
 	}
 }
 
-// pastRate returns the higher failure rate of the two versions over all load classes.
-func pastRate(c *counters) float64 {
+// rate returns the higher rate of a counted event of the two versions over all load classes.
+func (c *counters) rate(e event) float64 {
 	rate := 0.0
 	for s := range c {
-		n, failed := 0.0, 0.0
+		all, events := 0.0, 0.0
 		for i := range c[s] {
-			n += float64(c[s][i].n)
-			failed += float64(c[s][i].failed)
+			k, n := c[s][i].count(e)
+			all, events = all+n, events+k
 		}
-		rate = max(rate, failed/max(n, 1))
+		rate = max(rate, events/max(all, 1))
 	}
 	return rate
 }
--- a/move/doc.go
+++ b/move/doc.go
@@ -5,7 +5,8 @@
 // The share of the new version depends on plan, time and evidence. It stays small until enough attempts have been
 // observed on each route with traffic, and then rises fast. It rises only while the evidence of the other instances is
 // fresh and nothing indicates a fault. Both versions are compared per route and load class by conditional likelihood
-// ratios of batches of attempts. These tests stay valid however often they are evaluated.
+// ratios of batches of attempts. These tests stay valid however often they are evaluated. At the deadline, exact tests that
+// need fewer events are evaluated once.
 //
 // A fault aborts the move: the instance that finds it sets its share to zero, notifies the others, and proposes the
 // outcome "rolled back". An abort is never withdrawn. Without a fault, each instance decides on its own at the end of
--- a/move/evidence.go
+++ b/move/evidence.go
@@ -42,8 +42,17 @@
 
 // cell holds the cumulative counters of a version on a route in one load class.
 type cell struct {
-	n, failed            uint32
-	firstToken, perToken histogram
+	n, failed              uint32
+	answered, unsuccessful uint32 // of instances that count them; n includes the attempts of earlier releases
+	firstToken, perToken   histogram
+}
+
+// count returns how many of the attempts that could show a counted event did so.
+func (c *cell) count(e event) (k, n float64) {
+	if e == unsuccessful {
+		return float64(c.unsuccessful), float64(c.answered)
+	}
+	return float64(c.failed), float64(c.n)
 }
 
 // counters are the cumulative counters of a route by version and load class.
@@ -66,6 +75,11 @@
 		x.failed++
 		return
 	}
+	x.answered++
+	if r.Outcome == Unsuccessful {
+		x.unsuccessful++ // its latency is not that of the work
+		return
+	}
 	if r.FirstToken > 0 {
 		x.firstToken.add(r.FirstToken)
 	}
@@ -96,6 +110,7 @@
 
 func (c *cell) apply(o *cell, f func(a, b uint32) uint32) {
 	c.n, c.failed = f(c.n, o.n), f(c.failed, o.failed)
+	c.answered, c.unsuccessful = f(c.answered, o.answered), f(c.unsuccessful, o.unsuccessful)
 	for b := range bins {
 		c.firstToken[b] = f(c.firstToken[b], o.firstToken[b])
 		c.perToken[b] = f(c.perToken[b], o.perToken[b])
@@ -132,6 +147,41 @@
 	Counts []byte // unsigned varints
 }
 
+// answersFact publishes an instance's counters of answers on a route. It is a fact of its own because earlier releases
+// reject a cellFact with more fields; they ignore facts of a kind that they don't know.
+type answersFact struct {
+	_       struct{} `cbor:",toarray"`
+	Service string
+	Move    string
+	Epoch   uint64 // see routeFact
+	Route   string
+	Cells   []answersCell // only those with answers
+}
+
+type answersCell struct {
+	_            struct{} `cbor:",toarray"`
+	Side         uint8
+	Stratum      uint8
+	Answered     uint32
+	Unsuccessful uint32
+}
+
+func (a *answersCell) isValid() bool {
+	return a.Side < uint8(sides) && a.Stratum < strata && a.Unsuccessful <= a.Answered
+}
+
+func encodeAnswers(c *counters) []answersCell {
+	var out []answersCell
+	for s := range c {
+		for i := range c[s] {
+			if x := &c[s][i]; x.answered > 0 {
+				out = append(out, answersCell{Side: uint8(s), Stratum: uint8(i), Answered: x.answered, Unsuccessful: x.unsuccessful})
+			}
+		}
+	}
+	return out
+}
+
 func encodeCells(c *counters) []cellFact {
 	var out []cellFact
 	for s := range c {
@@ -196,6 +246,7 @@
 	own     counters
 	dirty   bool // own has changed since it was published
 	origins map[string]*[sides][strata]cellFact
+	answers map[string]*[sides][strata]answersCell // by origin
 
 	total          counters
 	beforeAllOnNew *counters // total at the time when all traffic went to the new version
@@ -208,10 +259,11 @@
 	closedAt  time.Time
 	tally     tally
 	baselines []tally // tally at the start of each open window
+	exact     [countedEvents]exactTest
 }
 
 func newRouteEvidence(name string) *routeEvidence {
-	return &routeEvidence{name: name, origins: map[string]*[sides][strata]cellFact{}}
+	return &routeEvidence{name: name, origins: map[string]*[sides][strata]cellFact{}, answers: map[string]*[sides][strata]answersCell{}}
 }
 
 func (r *routeEvidence) observe(s side, res Result) {
@@ -258,3 +310,27 @@
 	r.origins[origin] = latest
 	return nil
 }
+
+// mergeAnswers is merge for the counters of answers.
+func (r *routeEvidence) mergeAnswers(origin string, cells []answersCell) error {
+	for i := range cells {
+		if !cells[i].isValid() {
+			return oops.Errorf("move: answers of version %d, load class %d are out of range", cells[i].Side, cells[i].Stratum)
+		}
+	}
+	latest := r.answers[origin]
+	if latest == nil {
+		latest = new([sides][strata]answersCell)
+		r.answers[origin] = latest
+	}
+	for _, a := range cells {
+		k, total := &latest[a.Side][a.Stratum], &r.total[a.Side][a.Stratum]
+		if a.Answered <= k.Answered {
+			continue
+		}
+		total.answered += a.Answered - k.Answered
+		total.unsuccessful += sub(a.Unsuccessful, k.Unsuccessful)
+		*k = a
+	}
+	return nil
+}
--- a/move/facts.go
+++ b/move/facts.go
@@ -14,6 +14,7 @@
 	keyHeartbeat = "beat"
 	keyAbort     = "abort"
 	keyEvidence  = "evidence"
+	keyAnswers   = "answers"
 	keySettled   = "settled"
 )
 
@@ -79,11 +80,18 @@
 		}
 		r.dirty = false
 		f := routeFact{Service: t.service, Move: t.id(), Epoch: s.settings.Epoch, Route: r.name, Cells: encodeCells(&r.own)}
-		s.queued = append(s.queued, Fact{Key: FactPrefix + keyEvidence + "/" + t.service + "/" + t.id() + "/" + epoch + "/" + r.name,
-			Value: marshal(f), TTL: t.plan.length + t.plan.watchPeriod()})
+		s.publishFor(t, keyEvidence, epoch, r.name, f)
+		a := answersFact{Service: t.service, Move: t.id(), Epoch: s.settings.Epoch, Route: r.name, Cells: encodeAnswers(&r.own)}
+		s.publishFor(t, keyAnswers, epoch, r.name, a)
 	}
 }
 
+// publishFor publishes evidence on a route, which the peers keep as long as it counts.
+func (s *System) publishFor(t *tracker, kind, epoch, route string, v any) {
+	s.queued = append(s.queued, Fact{Key: FactPrefix + kind + "/" + t.service + "/" + t.id() + "/" + epoch + "/" + route,
+		Value: marshal(v), TTL: t.plan.length + t.plan.watchPeriod()})
+}
+
 // Receive applies a fact of another member. It returns an error and changes nothing when the value doesn't decode. It
 // ignores facts of this instance, oversized values and unknown kinds.
 func (s *System) Receive(now time.Time, origin, key string, value []byte) error {
@@ -102,6 +110,8 @@
 		return s.receiveAbort(now, origin, value)
 	case keyEvidence:
 		return s.receiveEvidence(now, origin, value)
+	case keyAnswers:
+		return s.receiveAnswers(now, origin, value)
 	case keySettled:
 		return s.receiveSettled(now, origin, value)
 	}
@@ -156,6 +166,22 @@
 	return t.route(f.Route).merge(origin+"/"+strconv.FormatUint(f.Epoch, 36), f.Cells)
 }
 
+func (s *System) receiveAnswers(now time.Time, origin string, value []byte) error {
+	var f answersFact
+	if err := cbor.Unmarshal(value, &f); err != nil {
+		return oops.Wrapf(err, "move: decode answers of %s", origin)
+	}
+	t := s.tracker(f.Service, f.Move)
+	if t == nil {
+		s.keepEarly(now, origin, keyAnswers, f.Service, f.Move, value)
+		return nil
+	}
+	if t.finished(now) {
+		return nil
+	}
+	return t.route(f.Route).mergeAnswers(origin+"/"+strconv.FormatUint(f.Epoch, 36), f.Cells)
+}
+
 func (s *System) receiveSettled(now time.Time, origin string, value []byte) error {
 	var f settledFact
 	if err := cbor.Unmarshal(value, &f); err != nil {
@@ -183,12 +209,17 @@
 func (s *System) keepEarly(now time.Time, origin, kind, service, id string, value []byte) {
 	f := earlyFact{origin: origin, kind: kind, value: value, until: now.Add(earlyEvidenceTTL)}
 	key := kind + "/" + service + "/" + id
-	if kind == keyAbort {
+	switch kind {
+	case keyAbort:
 		f.until = now.Add(earlyAbortTTL)
-	} else {
+	case keyEvidence:
 		var r routeFact
 		_ = cbor.Unmarshal(value, &r) // the caller has decoded it without error
 		key += "/" + origin + "/" + strconv.FormatUint(r.Epoch, 36) + "/" + r.Route
+	case keyAnswers:
+		var a answersFact
+		_ = cbor.Unmarshal(value, &a)
+		key += "/" + origin + "/" + strconv.FormatUint(a.Epoch, 36) + "/" + a.Route
 	}
 	if len(s.early) >= maxEarly {
 		s.evictEarly(now, kind == keyAbort)
--- a/move/sound.go
+++ b/move/sound.go
@@ -2,20 +2,23 @@
 
 import "math"
 
-// sound reports whether the evidence of the route shows that the new version isn't bad: that its failure rate isn't
-// higher by badFailGap, and that it isn't 1.5 times slower.
+// sound reports whether the evidence of the route shows that the new version isn't bad: that its rates of failures and of
+// unsuccessful answers aren't higher by badFailGap, and that it isn't 1.5 times slower.
 func (r *routeEvidence) sound() bool {
-	return r.failuresSound() && r.latencySound(firstTokenMedian) && r.latencySound(perTokenMedian)
+	return r.rateSound(failure) && r.rateSound(unsuccessful) && r.latencySound(firstTokenMedian) && r.latencySound(perTokenMedian)
 }
 
-// failuresSound reports whether one of several tests shows the failure rate to be sound. The error rate is divided
-// equally among them. One test for each batch size shows that the odds of failing are below those of a bad version; a
-// further one shows that failures are rare on the new version, whatever the old one's.
-func (r *routeEvidence) failuresSound() bool {
+// rateSound reports whether one of several tests shows the rate of a counted event to be sound. The error rate is divided
+// equally among them. One test for each batch size shows that the odds of the event are below those of a bad version; a
+// further one shows that it is rare on the new version, whatever the old one's rate.
+func (r *routeEvidence) rateSound(e event) bool {
 	limit := math.Log((scales + 1) / falseSoundRate)
 	var f sample
 	for i := range strata {
-		f.add(failures(&r.total[oldSide][i], &r.total[newSide][i]))
+		f.add(countsOf(e, &r.total[oldSide][i], &r.total[newSide][i]))
+	}
+	if f.n[oldSide]+f.n[newSide] == 0 {
+		return true // no instance counts it
 	}
 	if logRare(f.n[newSide], f.k[newSide], badFailGap) >= limit {
 		return true
@@ -27,7 +30,7 @@
 	for x := range r.scales {
 		log := 0.0
 		for i := range strata {
-			log -= r.scales[x].tally.worseLogRatios[i][failure][g]
+			log -= r.scales[x].tally.worseLogRatios[i][e][g]
 		}
 		if log >= limit {
 			return true
--- a/move/status.go
+++ b/move/status.go
@@ -58,7 +58,7 @@
 }
 
 // Evidence describes, for the log, the attempts of all instances that the current move of a service is judged by. It lists
-// for each route the failed and all attempts on the old and on the new version.
+// for each route, on the old and on the new version, the failed of all attempts and the unsuccessful of all answers.
 func (s *System) Evidence(name string) string {
 	x := s.services[name]
 	if x == nil || x.current == nil {
@@ -66,19 +66,19 @@
 	}
 	var routes []string
 	for _, r := range x.current.routes {
-		routes = append(routes, fmt.Sprintf("%s: failed %s", r.name, r.total.compare(func(c *cell) (k, n uint32) { return c.failed, c.n })))
+		routes = append(routes, fmt.Sprintf("%s: failed %s, unsuccessful %s", r.name, r.total.compare(failure), r.total.compare(unsuccessful)))
 	}
 	return strings.Join(routes, "; ")
 }
 
-// compare formats the sums of k and n over all load classes as "k/n old, k/n new".
-func (c *counters) compare(count func(c *cell) (k, n uint32)) string {
-	var k, n [sides]uint32
+// compare formats the numbers of a counted event over all load classes.
+func (c *counters) compare(e event) string {
+	var k, n [sides]float64
 	for s := range c {
 		for i := range c[s] {
-			ki, ni := count(&c[s][i])
+			ki, ni := c[s][i].count(e)
 			k[s], n[s] = k[s]+ki, n[s]+ni
 		}
 	}
-	return fmt.Sprintf("%d/%d old, %d/%d new", k[oldSide], n[oldSide], k[newSide], n[newSide])
+	return fmt.Sprintf("%.0f/%.0f old, %.0f/%.0f new", k[oldSide], n[oldSide], k[newSide], n[newSide])
 }
--- a/move/system.go
+++ b/move/system.go
@@ -36,12 +36,15 @@
 // Outcomes of an attempt.
 const (
 	OK AttemptOutcome = iota
-	// Failed attempts failed because of the version: wrong status, broken stream, time-out, endpoint crash on a surviving
-	// instance.
+	// Failed attempts failed because of the version: status of a server error, broken stream, time-out, endpoint crash on
+	// a surviving instance.
 	Failed
 	// Excluded attempts are no evidence about the version: the endpoint was leaving or reclaimed, the caller gave up,
 	// or a quarantined request crashed the endpoint.
 	Excluded
+	// Unsuccessful attempts got a complete answer that is no success, such as 404. It may be right for the request, so
+	// it counts against a version only if the other one gives fewer.
+	Unsuccessful
 )
 
 // Result describes one finished attempt of this instance.
--- a/node/rollouts.go
+++ b/node/rollouts.go
@@ -307,6 +307,8 @@
 		outcome = move.Excluded
 	case o.Failed:
 		outcome = move.Failed
+	case o.Unsuccessful:
+		outcome = move.Unsuccessful
 	}
 	r.moves.Observe(r.n.wall.Now(), move.Result{
 		Service: o.Service, Version: version, Route: strings.Clone(o.Route), Outcome: outcome, FirstToken: o.TimeToFirst, Load: o.Load,
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -252,7 +252,8 @@
 	done := core.AttemptDone{
 		Endpoint: acquired.endpoint.ID, Service: call.Service.Name, Version: acquired.endpoint.Version,
 		Route: call.Route.Name, Workspace: call.Workspace, Result: attemptResult(result), Started: stats.started,
-		FirstToken: stats.firstToken, Total: total,
+		Unsuccessful: result.End == dispatch.Complete && result.Status >= http.StatusMultipleChoices,
+		FirstToken:   stats.firstToken, Total: total,
 		InFlight: acquired.inFlight, Fingerprint: call.Fingerprint, Tokens: stats.tokens, Recomputed: stats.recomputed,
 	}
 	if stats.tokens > 1 {
--- a/relay/plain_test.go
+++ b/relay/plain_test.go
@@ -13,6 +13,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/trefoillug/trefoillug/cloud"
+	"github.com/trefoillug/trefoillug/core"
 	"github.com/trefoillug/trefoillug/standin"
 )
 
@@ -225,3 +226,24 @@
 	_, url := env.startRelay(Config{RetryBudget: emptyUntil{time.Now().Add(time.Hour)}})
 	must.Eq(t, 200, send("GET", url+"/services/orders/short", "").status)
 }
+
+// Guards against answers such as 404 that are reported as successes, so that a version which gives them looks sound.
+func TestPlain_AnswersAsEvidence(t *testing.T) {
+	for status, unsuccessful := range map[int]bool{0: false, 302: true, 404: true, 429: true, 500: false} {
+		env := newTestEnv(t)
+		env.startService("s", standin.ServiceConfig{}).SetFaults(standin.ServiceFaults{Status: status})
+		_, url := env.startRelay(Config{})
+		send("GET", url+"/services/orders/list", "")
+		var done []core.AttemptDone
+		env.mu.Lock()
+		for _, e := range env.events {
+			if d, ok := e.(core.AttemptDone); ok {
+				done = append(done, d)
+			}
+		}
+		env.mu.Unlock()
+		must.Len(t, 1, done)
+		must.Eq(t, unsuccessful, done[0].Unsuccessful)
+		must.Eq(t, status == 500, done[0].Result == core.Failed)
+	}
+}
--- a/standin/platformworker.go
+++ b/standin/platformworker.go
@@ -44,8 +44,8 @@
 
 	draining atomic.Bool
 	leaving  atomic.Bool
-	full     atomic.Bool // rejects each request without running it
-	failing  atomic.Bool // answers with status 500
+	full     atomic.Bool  // rejects each request without running it
+	status   atomic.Int32 // see SetStatus
 
 	retryAfter  atomic.Value // string: the Retry-After of rejections; empty: none
 	answerFault atomic.Value // an AnswerFault
@@ -105,7 +105,16 @@
 func (u *PlatformWorker) SetFull(on bool) { u.full.Store(on) }
 
 // SetFailing sets whether the worker answers with status 500.
-func (u *PlatformWorker) SetFailing(on bool) { u.failing.Store(on) }
+func (u *PlatformWorker) SetFailing(on bool) {
+	status := 0
+	if on {
+		status = http.StatusInternalServerError
+	}
+	u.SetStatus(status)
+}
+
+// SetStatus makes the worker answer each request with a status and no body; 0: it answers as usual.
+func (u *PlatformWorker) SetStatus(status int) { u.status.Store(int32(status)) }
 
 // Runs returns the requests that the worker has run so far.
 func (u *PlatformWorker) Runs() []PlatformRun {
@@ -188,8 +197,8 @@
 	case u.CrashPath != "" && strings.Contains(r.URL.Path, u.CrashPath):
 		u.OnCrash()
 		panic(http.ErrAbortHandler)
-	case u.failing.Load():
-		w.WriteHeader(http.StatusInternalServerError)
+	case u.status.Load() != 0:
+		w.WriteHeader(int(u.status.Load()))
 	case hasEvents(r):
 		u.serveStream(w, r)
 	default:
