node: log how many requests an instance suspects when an endpoint crashes

"endpoint crashed" now has the number of requests with crashes that the instance knew before.

Timeline of a run with it, edge-1: 0.0 s start; 3.1 s two crashes, highest 1 and 2; 9.6 s restart; 13.1 s known 0, highest 1, then 2; 24.6 s restart; 28.1 s known 1, highest 1, then 2; 39.6 s restart; 43.1 s known 2, highest 1, then 2. The one and two requests known are those whose crash edge-2 saw at 13.1 s and 28.1 s: the facts of living processes have arrived 3.5 s after the start, and none of its own earlier process. edge-2 and edge-3 refuse the request all the while.

--- a/node/suspects.go
+++ b/node/suspects.go
@@ -83,7 +83,7 @@
 	if err == nil || e.IsLeaving() || !reachesOthers {
 		return
 	}
-	notBegun, highest := 0, 0
+	notBegun, highest, known := 0, 0, s.Len()
 	var blocks []quarantine.Fingerprint
 	for _, r := range lost {
 		count := s.Crashed(r.Fingerprint, r.Sent, r.ended)
@@ -100,7 +100,7 @@
 	}
 	s.n.metrics.scope.Counter("endpoint_crashes").Inc(1)
 	s.n.log.WithError(err).WithFields(logrus.Fields{
-		"endpoint": e.ID, "service": e.Service, "requests": len(lost), "not_begun": notBegun, "highest": highest,
+		"endpoint": e.ID, "service": e.Service, "requests": len(lost), "not_begun": notBegun, "highest": highest, "known": known,
 	}).Info("endpoint crashed; the requests on it are suspected")
 }
 
--- a/quarantine/crashes.go
+++ b/quarantine/crashes.go
@@ -43,6 +43,13 @@
 	return len(s.counts) > 0
 }
 
+// Len returns the number of requests with crashes.
+func (s *Crashes) Len() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.counts)
+}
+
 // IsRefused reports whether requests with the fingerprint are refused because of their crashes.
 func (s *Crashes) IsRefused(fp Fingerprint, now time.Time) bool {
 	s.mu.Lock()
