peer, node, entry: what is known of crashing requests outlives the process that saw it

Cause: a count of crashes was published as a fact of the instance that saw them. Peers drop the facts of an earlier process when a later one starts, and those of a member that is gone. The others kept the count for themselves.

Change: a fact can be shared: it belongs to no member, is kept by all until it expires, and reaches those that start. Counts of crashes and evidence against prompt blocks are shared facts; earlier releases accept them, and a count that one of them reports is published again. A count keeps its age, so that a restart does not prolong a refusal. Refused requests are stored, as refused blocks were, for the case that all instances are killed.

Our own interface had the fault too and uses shared facts now. Its fact that cleared a request replaced the one that listed the others of the crash, so that an instance that started later refused a harmless request; it holds the whole crash now.

--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -312,6 +312,44 @@
 	}
 }
 
+// Guards against a request that crashes further endpoints at an instance that was restarted since it saw the crashes, and
+// against harmless requests that are refused there.
+func TestCrash_RestartedInstanceKnowsSuspects(t *testing.T) {
+	env := startCluster(t)
+	for i := range 3 {
+		env.startEngine(fmt.Sprint("extra-", i), "c", "v1")
+	}
+	first := env.entries[0]
+	env.eventually(10*time.Second, "five engines listed", func() bool {
+		st := first.status()
+		return len(st.Services) > 0 && len(st.Services[0].Endpoints) == 5
+	})
+	for _, e := range env.engines {
+		e.SetFaults(standin.EngineFaults{CrashMarker: "poison", CrashMS: 60000})
+	}
+	down := func() (n int) {
+		for _, e := range env.engines {
+			if e.Down() {
+				n++
+			}
+		}
+		return n
+	}
+	must.StrContains(t, first.chat("poison pill", 10).body, "the request crashed its endpoints")
+	must.Eq(t, 2, down())
+	time.Sleep(300 * time.Millisecond) // the crashes are reported
+	env.kill(first)
+	again := env.startInstance(first.id, first.domain)
+	env.awaitReady(again)
+	env.eventually(10*time.Second, "the members are listed", func() bool { return len(again.status().Members) == 3 })
+	time.Sleep(time.Second) // it receives what the others know
+	must.StrContains(t, again.chat("poison pill", 10).body, "quarantined")
+	must.Eq(t, 2, down())
+	for i := range 9 {
+		must.Eq(t, wantAnswer(fmt.Sprint("innocent ", i), 10), again.chat(fmt.Sprint("innocent ", i), 10).text())
+	}
+}
+
 // Guards against requests lost, or delayed beyond their deadline, when an endpoint crashes while it runs many: each is
 // then suspected of the crash and is repeated alone on an endpoint.
 func TestCrash_ManySuspects(t *testing.T) {
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -29,7 +29,8 @@
 // suspects adapts the quarantine table to the request path and the peers.
 type suspects struct {
 	table   *quarantine.Table
-	publish func(key string, value []byte, ttl time.Duration)
+	process string // of this instance, no other one has its name
+	publish func(key string, rank uint8, value []byte, ttl time.Duration)
 }
 
 // IsQuarantined implements relay.Quarantine.
@@ -83,12 +84,13 @@
 	}
 }
 
+// publishFact publishes what this process knows of a crash, also for the time after this process.
 func (s suspects) publishFact(f quarantine.Fact) {
 	value, err := cbor.Marshal(f)
 	if err != nil {
 		return // Fact holds only types that CBOR can encode
 	}
-	s.publish(fmt.Sprintf("%s%s/%d", factCrash, f.Crash.Endpoint, f.Crash.Number), value, quarantine.DefaultTTL)
+	s.publish(fmt.Sprintf("%s%s/%d/%s", factCrash, f.Crash.Endpoint, f.Crash.Number, s.process), 0, value, quarantine.DefaultTTL)
 }
 
 // merge applies a fact of another member and returns the endpoint that crashed. The endpoint is empty for facts that
--- a/node/blocks.go
+++ b/node/blocks.go
@@ -1,9 +1,6 @@
 package node
 
 import (
-	"context"
-	"encoding/json"
-	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -12,7 +9,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/trefoillug/trefoillug/fleet"
-	"github.com/trefoillug/trefoillug/objstore"
 	"github.com/trefoillug/trefoillug/peer"
 	"github.com/trefoillug/trefoillug/placement"
 	"github.com/trefoillug/trefoillug/quarantine"
@@ -23,7 +19,7 @@
 	// factBlocks is the key prefix of facts about the prompt blocks of crashed endpoints. It must not begin with
 	// factCrash, whose facts earlier versions decode differently.
 	factBlocks = "blocks/"
-	// evidenceKeys and refusedKeys bound the facts about blocks that the peers store for each instance. New facts
+	// evidenceKeys and refusedKeys bound the facts about blocks that the peers store for each process. New facts
 	// replace the oldest.
 	evidenceKeys = 128
 	refusedKeys  = 32
@@ -31,9 +27,6 @@
 	evidenceTTL = 10 * time.Minute
 	// refusedTTL is how long peers keep the crashes of a block that is refused.
 	refusedTTL = 24 * time.Hour
-	// recordPrefix is the key prefix of the stored blocks; there are refusedKeys at most.
-	recordPrefix     = "refused-blocks/"
-	recordRetryPause = 2 * time.Second
 	// clearDelay is how long cleared blocks are gathered before they are reported together.
 	clearDelay = 100 * time.Millisecond
 	// maxReportFacts bounds the facts about cleared blocks in a report to 8 KiB.
@@ -57,9 +50,9 @@
 	}
 }
 
-// publishEvidence reports to the peers. The caller must hold s.mu.
+// publishEvidence reports to the peers, also for the time after this process. The caller must hold s.mu.
 func (s *suspects) publishEvidence(facts []quarantine.BlockFact) {
-	s.n.publishFor(fmt.Sprintf("%s%d", factBlocks, s.evidenceCount%evidenceKeys), facts, evidenceTTL)
+	s.n.publishShared(fmt.Sprintf("%s%s/%d", factBlocks, s.n.process, s.evidenceCount%evidenceKeys), 0, facts, evidenceTTL)
 	s.evidenceCount++
 }
 
@@ -71,7 +64,7 @@
 	facts, wereRefused := s.blocks.Begun(service, fingerprints(service, shared), time.Now())
 	for _, fp := range wereRefused {
 		s.n.log.WithField("service", service).Info("prompt block is served again: a request with it has begun")
-		s.storeLater(blockRecord{Block: fp})
+		s.storeLater(blockRecord{Block: fp, RecordedMs: s.n.wall.Now().UnixMilli()})
 	}
 	if len(facts) == 0 {
 		return
@@ -131,107 +124,7 @@
 	defer s.mu.Unlock()
 	s.n.publishFor(fmt.Sprintf("%srefused/%d", factBlocks, s.refusedCount%refusedKeys), facts[:min(len(facts), maxReportFacts)], refusedTTL)
 	s.refusedCount++
-	s.storeLater(blockRecord{Block: facts[0].Blocks[0], Facts: facts})
-}
-
-// blockRecord is stored so that instances that are started while no other runs know the blocks that are refused. A
-// block that is served again has no facts.
-type blockRecord struct {
-	Block      quarantine.Fingerprint `json:"block"`
-	RecordedMs int64                  `json:"recorded_ms"` // time of day in Unix milliseconds
-	Facts      []quarantine.BlockFact `json:"facts"`
-}
-
-func (s *suspects) storeLater(r blockRecord) {
-	select {
-	case s.toStore <- r:
-	default:
-		s.n.log.Warn("refused prompt block not stored: too many are waiting")
-	}
-}
-
-// maintainRecords reads the stored blocks and then stores changes. While the store fails, it tries again.
-func (s *suspects) maintainRecords(ctx context.Context) {
-	retry(ctx, s.readRecords, func(err error) { s.n.log.WithError(err).Info("refused prompt blocks not read") })
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case r := <-s.toStore:
-			r.RecordedMs = s.n.wall.Now().UnixMilli()
-			retry(ctx, func(ctx context.Context) error { return s.writeRecord(ctx, r) },
-				func(err error) { s.n.log.WithError(err).Info("refused prompt block not stored") })
-		}
-	}
-}
-
-// retry calls do until it succeeds or ctx is done.
-func retry(ctx context.Context, do func(context.Context) error, failed func(error)) {
-	for {
-		err := do(ctx)
-		if err == nil || ctx.Err() != nil {
-			return
-		}
-		failed(err)
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(recordRetryPause):
-		}
-	}
-}
-
-func (s *suspects) readRecords(ctx context.Context) error {
-	objects, err := s.n.platform.Records.List(ctx, recordPrefix)
-	if err != nil {
-		return err
-	}
-	for _, o := range objects {
-		var r blockRecord
-		if err := json.Unmarshal(o.Value, &r); err != nil {
-			s.n.log.WithError(err).WithField("object", o.Key).Warn("invalid record of a refused prompt block skipped")
-			continue
-		}
-		if s.n.wall.Now().Sub(time.UnixMilli(r.RecordedMs)) >= refusedTTL {
-			continue
-		}
-		for _, f := range r.Facts {
-			s.blocks.Merge(f, time.Now())
-		}
-	}
-	return nil
-}
-
-// writeRecord replaces the record in the slot of a block, unless it is an equal one.
-func (s *suspects) writeRecord(ctx context.Context, r blockRecord) error {
-	value, err := json.Marshal(r)
-	if err != nil {
-		return err
-	}
-	key := fmt.Sprintf("%s%d", recordPrefix, uint64(r.Block)%refusedKeys)
-	_, err = s.n.platform.Records.Put(ctx, key, value, 0)
-	if !errors.Is(err, objstore.ErrConflict) && !errors.Is(err, objstore.ErrUnknownResult) {
-		return err
-	}
-	old, err := s.n.platform.Records.Get(ctx, key)
-	if err != nil {
-		return err
-	}
-	var stored blockRecord
-	if err := json.Unmarshal(old.Value, &stored); err == nil && !r.replaces(stored) {
-		return nil
-	}
-	_, err = s.n.platform.Records.Put(ctx, key, value, old.Version)
-	return err
-}
-
-// replaces reports whether r has to replace a stored record. A block that is served again replaces only its own.
-func (r blockRecord) replaces(stored blockRecord) bool {
-	if stored.Block != r.Block {
-		return len(r.Facts) > 0
-	}
-	isRecent := r.RecordedMs-stored.RecordedMs < refusedTTL.Milliseconds()/2
-	return len(stored.Facts) != len(r.Facts) || !isRecent
+	s.storeLater(blockRecord{Block: facts[0].Blocks[0], RecordedMs: s.n.wall.Now().UnixMilli(), Facts: facts})
 }
 
 func (s *suspects) receiveBlocks(f peer.Fact) {
--- a/node/peers.go
+++ b/node/peers.go
@@ -158,6 +158,16 @@
 	n.mesh.Publish(key, text, lifetime)
 }
 
+// publishShared publishes a fact that the peers keep for the given time, also if this process ends.
+func (n *Node) publishShared(key string, rank uint8, value any, lifetime time.Duration) {
+	text, err := cbor.Marshal(value)
+	if err != nil {
+		n.log.WithError(err).WithField("fact", key).Error("fact not encoded")
+		return
+	}
+	n.mesh.PublishShared(key, rank, text, lifetime)
+}
+
 func (n *Node) receiveReport(f peer.Fact) {
 	var r report
 	if err := cbor.Unmarshal(f.Value, &r); err != nil {
--- a/node/suspects.go
+++ b/node/suspects.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"sync"
 	"syscall"
 	"time"
@@ -37,7 +38,7 @@
 	evidenceCount int                               // reports published
 	refusedCount  int
 
-	toStore chan blockRecord
+	toStore chan suspectRecord
 }
 
 type lostRequest struct {
@@ -52,7 +53,7 @@
 }
 
 func newSuspects(n *Node) *suspects {
-	return &suspects{Crashes: quarantine.NewCrashes(), n: n, blocks: quarantine.NewBlocks(), lost: map[*fleet.Endpoint][]lostRequest{}, toStore: make(chan blockRecord, refusedKeys)}
+	return &suspects{Crashes: quarantine.NewCrashes(), n: n, blocks: quarantine.NewBlocks(), lost: map[*fleet.Endpoint][]lostRequest{}, toStore: make(chan suspectRecord, refusedKeys)}
 }
 
 // IsRefused implements forward.Suspects.
@@ -88,6 +89,9 @@
 	for _, r := range lost {
 		count := s.Crashed(r.Fingerprint, r.Sent, r.ended)
 		s.publish(crashReport{Fingerprint: r.Fingerprint, Crashes: count})
+		if quarantine.Refuses(count) {
+			s.storeLater(requestRecord{Request: r.Fingerprint, Crashes: count, RecordedMs: s.n.wall.Now().UnixMilli()})
+		}
 		highest = max(highest, count)
 		if !r.Begun {
 			notBegun++
@@ -106,13 +110,20 @@
 
 // RecordAnswered implements forward.Suspects.
 func (s *suspects) RecordAnswered(fp quarantine.Fingerprint) {
-	if s.Crashes.Answered(fp) {
-		s.publish(crashReport{Fingerprint: fp})
+	crashes := s.Crashes.Answered(fp)
+	if crashes == 0 {
+		return
+	}
+	s.publish(crashReport{Fingerprint: fp})
+	if quarantine.Refuses(crashes) {
+		s.storeLater(requestRecord{Request: fp, RecordedMs: s.n.wall.Now().UnixMilli()})
 	}
 }
 
+// publish reports to the peers for this process and all later ones: the count is about the request and its endpoints, and
+// a request that has crashed some is not to crash more because the instance that saw it was restarted.
 func (s *suspects) publish(report crashReport) {
-	s.n.publishFor(fmt.Sprintf("%s%x", factCrash, uint64(report.Fingerprint)), report, quarantine.CrashTTL)
+	s.n.publishShared(fmt.Sprintf("%s%x", factCrash, uint64(report.Fingerprint)), uint8(min(report.Crashes, math.MaxUint8)), report, quarantine.CrashTTL)
 }
 
 func (s *suspects) receive(f peer.Fact) {
@@ -125,5 +136,9 @@
 		s.Crashes.Answered(report.Fingerprint)
 		return
 	}
-	s.MergeCount(report.Fingerprint, report.Crashes, time.Now())
+	age := max(0, quarantine.CrashTTL-f.TTL)
+	isNew := s.MergeCount(report.Fingerprint, report.Crashes, time.Now().Add(-age))
+	if isNew && f.Origin != "" {
+		s.publish(report) // of an earlier release, whose report ends with its process
+	}
 }
--- /dev/null
+++ b/node/suspects_test.go
@@ -0,0 +1,49 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus/hooks/test"
+
+	"github.com/trefoillug/trefoillug/peer"
+	"github.com/trefoillug/trefoillug/quarantine"
+)
+
+// Guards against a count that ends with the process which reported it because that is of an earlier release, and against a
+// refusal that begins anew with each instance that learns of it.
+func TestSuspects_ReportOfEarlierRelease(t *testing.T) {
+	log, _ := test.NewNullLogger()
+	mesh, err := peer.New(peer.Settings{Self: peer.Member{ID: "a", Address: "127.0.0.1:1"}, Transport: peer.NewWebSocket(), Log: log})
+	must.NoError(t, err)
+	mesh.Start()
+	defer mesh.Close()
+	s := newSuspects(&Node{mesh: mesh, log: log})
+	report := func(fp quarantine.Fingerprint, crashes int, origin string, left time.Duration) {
+		value, err := cbor.Marshal(crashReport{Fingerprint: fp, Crashes: crashes})
+		must.NoError(t, err)
+		s.receive(peer.Fact{Origin: origin, Key: factCrash, Value: value, TTL: left})
+	}
+	report(7, 2, "b", quarantine.CrashTTL)
+	report(7, 2, "c", quarantine.CrashTTL)
+	report(8, 2, "", time.Second)
+	must.True(t, s.IsRefused(7))
+	must.True(t, s.IsRefused(8))
+	must.False(t, s.Crashes.IsRefused(8, time.Now().Add(2*time.Second)))
+	shared := make(chan peer.Fact, 8)
+	mesh.Subscribe(factCrash, func(f peer.Fact) { shared <- f })
+	select {
+	case f := <-shared:
+		must.Eq(t, factCrash+"7", f.Key)
+		must.Eq(t, "", f.Origin)
+	case <-time.After(10 * time.Second):
+		t.Fatal("the count was not published")
+	}
+	select {
+	case f := <-shared:
+		t.Fatal("published besides: ", f.Key)
+	case <-time.After(50 * time.Millisecond):
+	}
+}
--- a/peer/api.go
+++ b/peer/api.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 )
 
@@ -20,13 +21,16 @@
 // Fact is a versioned value that is disseminated to every member. For each origin and key, only the highest version
 // counts.
 type Fact struct {
-	Origin  string        `cbor:"1,keyasint"` // member that published it
+	Origin  string        `cbor:"1,keyasint"` // member that published it; empty: shared, see Node.PublishShared
 	Key     string        `cbor:"2,keyasint"`
 	Version uint64        `cbor:"3,keyasint"`
 	Value   []byte        `cbor:"4,keyasint"`
 	TTL     time.Duration `cbor:"5,keyasint"` // remaining lifetime when sent; 0: valid until replaced
 }
 
+// isShared reports whether the fact belongs to no member and is none of package peer itself.
+func (f *Fact) isShared() bool { return f.Origin == "" && !strings.HasPrefix(f.Key, reservedPrefix) }
+
 // Handler runs a direct call from the member with ID from and returns the body of the reply.
 type Handler func(ctx context.Context, from string, body []byte) ([]byte, error)
 
--- a/peer/facts.go
+++ b/peer/facts.go
@@ -13,6 +13,8 @@
 	bucketCount = 64
 	// maxOriginFacts is the maximum number of facts of one origin.
 	maxOriginFacts = 512
+	// maxSharedFacts is the maximum number of shared facts: those of 32 members with as many as they may have themselves.
+	maxSharedFacts = 32 * maxOriginFacts
 	// maxFactBytes is the maximum of the approximate memory of all facts.
 	maxFactBytes = 24 << 20
 	// frequentInterval is the interval between two versions below which a fact counts as frequent.
@@ -86,7 +88,7 @@
 		return nil
 	}
 	n := &storedFact{Fact: f, id: id}
-	if old == nil && (s.bytes+n.size() > maxFactBytes || len(s.byOrigin[f.Origin]) >= maxOriginFacts) {
+	if old == nil && (s.bytes+n.size() > maxFactBytes || len(s.byOrigin[f.Origin]) >= maxFacts(&f)) {
 		return nil
 	}
 	n.storedAt = now
@@ -101,6 +103,18 @@
 	return n
 }
 
+// maxFacts returns the maximum number of facts of the origin of a fact. The state of failure domains, which has no origin
+// either, must not be kept out by shared facts.
+func maxFacts(f *Fact) int {
+	switch {
+	case f.isShared():
+		return maxSharedFacts
+	case f.Origin == "":
+		return maxSharedFacts + maxOriginFacts
+	}
+	return maxOriginFacts
+}
+
 func (s *factStore) add(f *storedFact) {
 	s.byID[f.id] = f
 	set := s.byOrigin[f.Origin]
--- a/peer/machine_test.go
+++ b/peer/machine_test.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -142,3 +144,83 @@
 	must.Less(t, 4000*seconds, sent)
 	must.Between(t, 0, rareAt.Sub(machineStart)-seconds*40*20*time.Millisecond, 2*flushWindow)
 }
+
+// allFacts returns the stored facts of a machine in the form in which they are sent.
+func allFacts(m *machine, now time.Time) (facts []wireFact) {
+	for id := range m.facts.byID {
+		if w, ok := m.toWire(id, now); ok {
+			facts = append(facts, w)
+		}
+	}
+	return facts
+}
+
+// exchange passes all facts of a machine to another one and returns the keys of those that reach its subscribers.
+func exchange(from, to *machine, now time.Time) (keys []string) {
+	to.linkUp(1, &hello{Member: from.self, Facts: 5}, true, now)
+	to.receive(1, &message{Kind: kindDelta, Facts: allFacts(from, now)}, now)
+	return emittedFacts(to)
+}
+
+func emittedFacts(m *machine) (keys []string) {
+	for _, o := range m.takeOutputs() {
+		if f, ok := o.(factOutput); ok {
+			keys = append(keys, f.fact.Key)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// Guards against knowledge of others that is lost with the process which published it: the facts of an earlier process are
+// dropped at the start of a later one, and those of a member with the member.
+func TestMachine_SharedFactsOutliveProcess(t *testing.T) {
+	first := newMachine(testMember(0, 2, 1), nil, machineStart, 1)
+	first.publish("own", nil, time.Minute, machineStart)
+	first.publishShared("shared", 1, []byte("x"), time.Minute, machineStart)
+	must.SliceEmpty(t, emittedFacts(first)) // a member is not told what it has published itself
+	other := newMachine(testMember(1, 2, 1), nil, machineStart, 1)
+	must.Eq(t, []string{"own", "shared"}, exchange(first, other, machineStart))
+
+	later := machineStart.Add(10 * time.Second)
+	second := newMachine(testMember(0, 2, 1), nil, later, 1)
+	other.receive(1, &message{Kind: kindDelta, Facts: allFacts(second, later)}, later)
+	must.Nil(t, other.facts.byID[factID(first.self.ID, "own")])
+	must.Eq(t, []string{"shared"}, exchange(other, second, later))
+	must.Eq(t, 50*time.Second, second.facts.byID[factID("", "shared")].expiresAt.Sub(later))
+
+	other.removeMember(first.self.ID, later)
+	third := newMachine(testMember(2, 2, 1), nil, later, 1)
+	must.Eq(t, []string{"shared"}, exchange(other, third, later))
+	late := newMachine(testMember(3, 2, 1), nil, later, 1)
+	must.SliceEmpty(t, exchange(third, late, machineStart.Add(time.Minute))) // it has expired
+}
+
+// Guards against members that keep different versions of a shared fact which they published at the same time.
+func TestMachine_SharedFactsConverge(t *testing.T) {
+	value := func(m *machine) string { return string(m.facts.byID[factID("", "k")].Value) }
+	a := newMachine(testMember(0, 2, 1), nil, machineStart, 1)
+	b := newMachine(testMember(1, 2, 1), nil, machineStart, 1)
+	a.publishShared("k", 1, []byte("one"), time.Minute, machineStart)
+	b.publishShared("k", 2, []byte("two"), time.Minute, machineStart)
+	exchange(a, b, machineStart)
+	exchange(b, a, machineStart)
+	must.Eq(t, "two", value(a))
+	must.Eq(t, "two", value(b))
+	a.publishShared("k", 0, []byte("none"), time.Minute, machineStart) // a later version counts whatever its rank
+	exchange(a, b, machineStart)
+	must.Eq(t, "none", value(b))
+}
+
+// Guards against shared facts that use unbounded memory, or that keep out the state of failure domains.
+func TestMachine_BoundedSharedFacts(t *testing.T) {
+	m := newMachine(testMember(0, 2, 1), nil, machineStart, 1)
+	for i := range 2 * maxSharedFacts {
+		m.publishShared(strconv.Itoa(i), 0, nil, time.Minute, machineStart)
+	}
+	must.MapLen(t, maxSharedFacts, m.facts.byOrigin[""])
+	member := testMember(1, 2, 1)
+	lost := member.domain()
+	m.store(Fact{Key: lost.key(), Version: 3, TTL: deadRetention}, nil, machineStart)
+	must.MapLen(t, maxSharedFacts+1, m.facts.byOrigin[""])
+}
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -30,8 +30,23 @@
 func (n *Node) Members() []Member { return *n.members.Load() }
 
 // Publish implements Mesh. Values of more than 8 KiB, keys of more than 256 bytes, more than 512 keys of one member
-// and keys that begin with "peer/" are not published; an error is logged.
+// and keys that begin with "peer/" are not published; an error is logged. A fact ends with its process: the peers drop it when a
+// later process of this member starts.
 func (n *Node) Publish(key string, value []byte, ttl time.Duration) {
+	value = slices.Clone(value)
+	n.publish(n.id, key, value, func(m *machine, now time.Time) { m.publish(key, value, ttl, now) })
+}
+
+// PublishShared disseminates a fact that belongs to no member, so that it outlives this process: what is known of others
+// than the member itself, such as crashes of endpoints. Each call publishes the next version for all members; of versions that
+// members publish at the same time, the one with the highest rank counts. The limits are those of Publish, with 16384
+// keys in all.
+func (n *Node) PublishShared(key string, rank uint8, value []byte, ttl time.Duration) {
+	value = slices.Clone(value)
+	n.publish("", key, value, func(m *machine, now time.Time) { m.publishShared(key, rank, value, ttl, now) })
+}
+
+func (n *Node) publish(origin, key string, value []byte, publish func(m *machine, now time.Time)) {
 	log := n.log.WithFields(logrus.Fields{"key": key, "bytes": len(value)})
 	switch {
 	case strings.HasPrefix(key, reservedPrefix):
@@ -41,11 +56,10 @@
 		log.Error("fact exceeds a limit and is not published")
 		return
 	}
-	value = slices.Clone(value)
 	done, full := false, false
 	n.do(func(m *machine, now time.Time) {
-		m.publish(key, value, ttl, now)
-		done, full = true, m.facts.byID[factID(m.self.ID, key)] == nil
+		publish(m, now)
+		done, full = true, m.facts.byID[factID(origin, key)] == nil
 	})
 	switch {
 	case !done:
@@ -62,7 +76,7 @@
 	sub := &subscription{keyPrefix, fn}
 	n.subs = append(slices.Clone(n.subs), sub)
 	for _, f := range n.m.facts.byID {
-		if f.Origin != n.id && f.Origin != "" && f.Key != memberKey && strings.HasPrefix(f.Key, keyPrefix) {
+		if f.Origin != n.id && (f.Origin != "" || f.isShared()) && f.Key != memberKey && strings.HasPrefix(f.Key, keyPrefix) {
 			n.notify(event{fact: f.Fact, recipient: sub})
 		}
 	}
--- a/peer/spread.go
+++ b/peer/spread.go
@@ -12,6 +12,19 @@
 	m.store(f, nil, now)
 }
 
+// rankBits is the number of low bits of a shared fact's version that hold its rank.
+const rankBits = 8
+
+// publishShared stores value as the next version of the shared fact with the key. Of versions that members publish at the
+// same time, the one with the highest rank counts.
+func (m *machine) publishShared(key string, rank uint8, value []byte, ttl time.Duration, now time.Time) {
+	next := uint64(1)
+	if old := m.facts.byID[factID("", key)]; old != nil {
+		next = old.Version>>rankBits + 1
+	}
+	m.store(Fact{Key: key, Version: next<<rankBits | uint64(rank), Value: value, TTL: ttl}, nil, now)
+}
+
 // publishSelf publishes the member fact of this member with its incarnation and status.
 func (m *machine) publishSelf(now time.Time) {
 	w := wireMember{
@@ -41,7 +54,7 @@
 	if s == nil {
 		return false
 	}
-	m.dispatchFact(s, now)
+	m.dispatchFact(s, from != nil, now)
 	for _, l := range m.links {
 		if l != from {
 			m.queue(l, s, now)
@@ -50,14 +63,14 @@
 	return true
 }
 
-// dispatchFact applies a membership fact, or emits another member's fact for the subscribers.
-func (m *machine) dispatchFact(f *storedFact, now time.Time) {
+// dispatchFact applies a membership fact, or emits a fact that was received from another member for the subscribers.
+func (m *machine) dispatchFact(f *storedFact, received bool, now time.Time) {
 	switch {
 	case f.Key == memberKey:
 		m.applyMember(f, now)
 	case strings.HasPrefix(f.Key, domainPrefix):
 		m.applyDomain(f, now)
-	case f.Origin != m.self.ID:
+	case received:
 		m.emit(factOutput{f.Fact})
 	}
 }
@@ -175,6 +188,9 @@
 	if strings.HasPrefix(f.Key, domainPrefix) {
 		return f.Origin == ""
 	}
+	if f.isShared() {
+		return true
+	}
 	if f.Key == memberKey {
 		var w wireMember
 		if err := decMode.Unmarshal(f.Value, &w); err != nil || w.ID != f.Origin || w.ID == "" {
--- a/quarantine/crashes.go
+++ b/quarantine/crashes.go
@@ -55,7 +55,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	k := s.counts[fp]
-	return k != nil && k.count >= maxCrashes && now.Sub(k.last) < CrashTTL
+	return k != nil && Refuses(k.count) && now.Sub(k.last) < CrashTTL
 }
 
 // Crashed counts the crash of an endpoint at the time at, while it ran a request that was sent to it at the time sent,
@@ -80,13 +80,17 @@
 	return b
 }
 
-// MergeCount sets the count of a fingerprint to that of a peer if the peer's is higher.
-func (s *Crashes) MergeCount(fp Fingerprint, count int, now time.Time) {
+// MergeCount sets the count of a fingerprint to that of a peer, whose latest crash was at the time at, if the peer's is
+// higher. It reports whether it was.
+func (s *Crashes) MergeCount(fp Fingerprint, count int, at time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if k := s.countFor(fp, now); count > k.count {
-		k.count, k.first, k.last = count, now, now
+	k := s.countFor(fp, at)
+	if count <= k.count {
+		return false
 	}
+	k.count, k.first, k.last = count, at, at
+	return true
 }
 
 // countFor returns the count of a fingerprint, a new one if it has none. While maxCounted counts are stored, a new one
@@ -106,15 +110,21 @@
 	return k
 }
 
-// Answered drops the crashes of a request that an endpoint has answered, and reports whether there were any.
-func (s *Crashes) Answered(fp Fingerprint) bool {
+// Answered drops the crashes of a request that an endpoint has answered, and returns how many there were.
+func (s *Crashes) Answered(fp Fingerprint) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_, found := s.counts[fp]
+	k := s.counts[fp]
+	if k == nil {
+		return 0
+	}
 	delete(s.counts, fp)
-	return found
+	return k.count
 }
 
+// Refuses reports whether requests with the given number of crashes are refused.
+func Refuses(crashes int) bool { return crashes >= maxCrashes }
+
 // expire drops the counts whose last crash is older than CrashTTL. The caller must hold s.mu.
 func (s *Crashes) expire(now time.Time) {
 	s.swept = now
--- a/quarantine/crashes_test.go
+++ b/quarantine/crashes_test.go
@@ -39,9 +39,9 @@
 		at := now.Add(time.Duration(i) * 3 * time.Second)
 		s.Crashed(1, at.Add(-time.Second), at)
 		must.False(t, s.IsRefused(1, at))
-		must.True(t, s.Answered(1))
+		must.Eq(t, 1, s.Answered(1))
 	}
-	must.False(t, s.Answered(1))
+	must.Eq(t, 0, s.Answered(1))
 }
 
 // Guards against memory that grows with the number of requests that were running during crashes.
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -89,3 +89,18 @@
 	must.False(t, table.Begin(5, "e", time.Minute, t0.Add(time.Second)))
 	must.True(t, table.Begin(5, "e", time.Minute, t0.Add(time.Minute)))
 }
+
+// Guards against an instance that starts later and takes a harmless request for the only one on a crashed endpoint, because
+// the fact that clears it has replaced the one that lists the others.
+func TestTable_ClearingFactHoldsWholeCrash(t *testing.T) {
+	table, now := New(Options{}), t0.Add(time.Minute)
+	_, _ = table.Crashed("e1", attempts(1, 2), t0)
+	_, _ = table.Crashed("e2", attempts(1, 2), t0) // request 1 is the cause
+	late := New(Options{})
+	for _, f := range table.Completed(2, "e3", now) {
+		late.Merge(f, now)
+	}
+	later := now.Add(DefaultSettle)
+	must.Eq(t, Run, late.Decide(2, later).Action)
+	must.Eq(t, Refuse, late.Decide(1, later).Action)
+}
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -237,6 +237,9 @@
 
 // Completed records that a request completed on an endpoint. It returns the facts to publish that clear it as a
 // suspect. A request that was the only one on a crashed endpoint stays a suspect until that crash expires.
+//
+// The facts hold all that is known of their crashes, since they replace the earlier ones: to an instance that starts later, a
+// request that is named alone would be the only possible cause.
 func (t *Table) Completed(fp Fingerprint, endpoint string, now time.Time) []Fact {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -244,15 +247,25 @@
 	var facts []Fact
 	for _, id := range t.byFingerprint[fp] {
 		if c := t.crashes[id]; len(c.running) > 1 && !c.running[fp] {
-			facts = append(facts, Fact{Crash: id, Running: []Fingerprint{fp}, Cleared: []Fingerprint{fp}})
+			c.running[fp] = true
+			facts = append(facts, t.fact(id))
 		}
 	}
-	for _, f := range facts {
-		t.merge(f, now)
-	}
 	return facts
 }
 
+// fact returns all that is known of a crash. The caller must hold t.mu.
+func (t *Table) fact(id CrashID) Fact {
+	f := Fact{Crash: id}
+	for running, cleared := range t.crashes[id].running {
+		f.Running = append(f.Running, running)
+		if cleared {
+			f.Cleared = append(f.Cleared, running)
+		}
+	}
+	return f
+}
+
 // Owner returns the owner of a fingerprint: the member that runs its isolated requests, or "" without members.
 func Owner(fp Fingerprint, members []string) string {
 	return rendezvous.First("quarantine/"+strconv.FormatUint(uint64(fp), 16), members)
@@ -264,14 +277,7 @@
 	defer t.mu.Unlock()
 	var facts []Fact
 	for _, id := range t.byFingerprint[fp] {
-		f := Fact{Crash: id}
-		for running, cleared := range t.crashes[id].running {
-			f.Running = append(f.Running, running)
-			if cleared {
-				f.Cleared = append(f.Cleared, running)
-			}
-		}
-		facts = append(facts, f)
+		facts = append(facts, t.fact(id))
 	}
 	return facts
 }
