move: unsuccessful answers are compared only with a past that counted them

What callers could see: after an upgrade within the watch period of a move, a good version with usual 404s moved back on our own interface.

Cause: after all traffic has moved, the new version is compared with the attempts before. Where no instance had counted answers, as instances of earlier releases don't, the rate before was taken for zero.

Evidence: TestTally_PastAnswers failed in two of four cases before. go test ./move passes.

--- a/move/assess.go
+++ b/move/assess.go
@@ -373,7 +373,11 @@
 	old, before := &past[oldSide][stratum], &past[newSide][stratum]
 	enough := old.n >= minPastAttempts && before.n >= minPastAttempts
 	for e := range countedEvents {
-		p := past.rate(e) + badFailGap
+		rate, observed := past.rate(e)
+		if e == unsuccessful && observed < minPastAttempts {
+			continue // how usual such answers are is not known, for example after an upgrade from a release that didn't count them
+		}
+		p := rate + badFailGap
 		if enough {
 			oldK, oldN := old.count(e)
 			k, n := before.count(e)
@@ -397,18 +401,18 @@
 	}
 }
 
-// rate returns the higher rate of a counted event of the two versions over all load classes.
-func (c *counters) rate(e event) float64 {
-	rate := 0.0
+// rate returns the higher rate of a counted event of the two versions over all load classes, and the number of attempts on
+// both that could show it.
+func (c *counters) rate(e event) (rate, observed float64) {
 	for s := range c {
-		all, events := 0.0, 0.0
+		all, with := 0.0, 0.0
 		for i := range c[s] {
 			k, n := c[s][i].count(e)
-			all, events = all+n, events+k
+			all, with = all+n, with+k
 		}
-		rate = max(rate, events/max(all, 1))
+		rate, observed = max(rate, with/max(all, 1)), observed+all
 	}
-	return rate
+	return rate, observed
 }
 
 // above counts the latencies in the bin edge and the slower bins.
--- a/move/evidence.go
+++ b/move/evidence.go
@@ -258,8 +258,8 @@
 	tallied   counters // attempts that are in the tally
 	closedAt  time.Time
 	tally     tally
-	baselines []tally // tally at the start of each open window
-	exact     [countedEvents]exactTest
+	baselines []tally                  // tally at the start of each open window
+	exact     [countedEvents]exactTest // those of the largest batches are used, which compare the most attempts
 }
 
 func newRouteEvidence(name string) *routeEvidence {
--- a/move/short_test.go
+++ b/move/short_test.go
@@ -210,3 +210,25 @@
 		Service: "quotes", Move: "m1", Route: "review", Cells: []answersCell{{Side: 2, Answered: 1}},
 	})))
 }
+
+// Guards against a good version that is rolled back after all traffic went to it, because its usual 404s are compared with
+// attempts whose answers no instance had counted.
+func TestTally_PastAnswers(t *testing.T) {
+	for name, c := range map[string]struct {
+		answered, before, after uint32 // before: unsuccessful of answered; after: of 1000
+		isWorse                 bool
+	}{
+		"not counted":      {0, 0, 300, false},
+		"few counted":      {20, 0, 300, false},
+		"as usual":         {1000, 300, 300, false},
+		"more than before": {1000, 300, 600, true},
+	} {
+		var past counters
+		for s := range past {
+			past[s][0] = cell{n: 1000, answered: c.answered, unsuccessful: c.before}
+		}
+		var evidence tally
+		evidence.addPast(&past, 0, &cell{n: 1000, answered: 1000, unsuccessful: c.after})
+		must.Eq(t, c.isWorse, evidence.faultLogEValue([]event{unsuccessful}) > 10, must.Sprint(name))
+	}
+}
