--- a/move/facts.go
+++ b/move/facts.go
@@ -155,15 +155,10 @@
 	if err := cbor.Unmarshal(value, &f); err != nil {
 		return oops.Wrapf(err, "move: decode evidence of %s", origin)
 	}
-	t := s.tracker(f.Service, f.Move)
-	if t == nil {
-		s.keepEarly(now, origin, keyEvidence, f.Service, f.Move, value)
-		return nil
-	}
-	if t.finished(now) {
-		return nil
+	if r := s.receivedFor(now, origin, keyEvidence, f.Service, f.Move, f.Route, value); r != nil {
+		return r.merge(origin+"/"+strconv.FormatUint(f.Epoch, 36), f.Cells)
 	}
-	return t.route(f.Route).merge(origin+"/"+strconv.FormatUint(f.Epoch, 36), f.Cells)
+	return nil
 }
 
 func (s *System) receiveAnswers(now time.Time, origin string, value []byte) error {
@@ -171,15 +166,24 @@
 	if err := cbor.Unmarshal(value, &f); err != nil {
 		return oops.Wrapf(err, "move: decode answers of %s", origin)
 	}
-	t := s.tracker(f.Service, f.Move)
+	if r := s.receivedFor(now, origin, keyAnswers, f.Service, f.Move, f.Route, value); r != nil {
+		return r.mergeAnswers(origin+"/"+strconv.FormatUint(f.Epoch, 36), f.Cells)
+	}
+	return nil
+}
+
+// receivedFor returns the evidence on the route that a received fact is about. It returns nil if the move has ended, or if it
+// isn't configured here yet, for which the fact is kept.
+func (s *System) receivedFor(now time.Time, origin, kind, service, id, route string, value []byte) *routeEvidence {
+	t := s.tracker(service, id)
 	if t == nil {
-		s.keepEarly(now, origin, keyAnswers, f.Service, f.Move, value)
+		s.keepEarly(now, origin, kind, service, id, value)
 		return nil
 	}
 	if t.finished(now) {
 		return nil
 	}
-	return t.route(f.Route).mergeAnswers(origin+"/"+strconv.FormatUint(f.Epoch, 36), f.Cells)
+	return t.route(route)
 }
 
 func (s *System) receiveSettled(now time.Time, origin string, value []byte) error {
