--- a/node/peers.go
+++ b/node/peers.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -112,6 +113,7 @@
 	if dropped := n.platform.DroppedLogLines; dropped != nil {
 		n.metrics.scope.Gauge("dropped_log_lines").Update(float64(dropped()))
 	}
+	n.metrics.scope.Gauge("suspected_requests").Update(float64(n.suspects.Len()))
 	n.forwarder.UpdateSpeedMetrics(now)
 	n.members.update(n.mesh.Members(), now)
 	n.owners.update(n.memberIDs())
@@ -225,7 +227,11 @@
 	if to == "" {
 		to = others[rand.IntN(len(others))]
 	}
-	return callPeer[*feed.Copy](ctx, n, to, callCopy, copyCall{Kind: kind, After: after})
+	c, err := callPeer[*feed.Copy](ctx, n, to, callCopy, copyCall{Kind: kind, After: after})
+	if c != nil {
+		n.metrics.scope.Tagged(map[string]string{"kind": kind, "whole": strconv.FormatBool(c.Since == 0)}).Counter("peer_copies").Inc(1)
+	}
+	return c, err
 }
 
 func (n *Node) peerMux() http.Handler {
--- a/node/rollouts.go
+++ b/node/rollouts.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/trefoillug/trefoillug/config"
 	"github.com/trefoillug/trefoillug/feed"
@@ -73,12 +74,14 @@
 	orders map[string]Rollout // by service
 	shares map[string][]table.Share
 	faults map[string]string // by service: ID of the complete move whose fault was logged
+
+	attempts map[[2]string]tally.Counter // see countAttempt
 }
 
 func newRollouts(n *Node) *rollouts {
 	return &rollouts{
 		n: n, moves: move.New(move.Settings{MemberID: n.settings.Name, Epoch: seedFor(n.process)}), orders: map[string]Rollout{},
-		shares: map[string][]table.Share{}, faults: map[string]string{},
+		shares: map[string][]table.Share{}, faults: map[string]string{}, attempts: map[[2]string]tally.Counter{},
 	}
 }
 
@@ -289,6 +292,15 @@
 	return slices.ContainsFunc(r.n.fleet.Service(o.Service), func(e *fleet.Endpoint) bool { return e.Version != o.Target })
 }
 
+// countAttempt counts an attempt as evidence on a version, old or target. r.mu must be held.
+func (r *rollouts) countAttempt(version, result string) {
+	key := [2]string{version, result}
+	if r.attempts[key] == nil {
+		r.attempts[key] = r.n.metrics.scope.Tagged(map[string]string{"version": version, "result": result}).Counter("rollout_attempts")
+	}
+	r.attempts[key].Inc(1)
+}
+
 // Observe implements forward.Versions.
 func (r *rollouts) Observe(o forward.Observation) {
 	r.mu.Lock()
@@ -297,19 +309,20 @@
 	if !ok {
 		return
 	}
-	version := oldVersion
+	version, side := oldVersion, "old"
 	if o.Version == order.Target {
-		version = order.Target
+		version, side = order.Target, "target"
 	}
-	outcome := move.OK
+	outcome, result := move.OK, "ok"
 	switch {
 	case o.Excluded:
-		outcome = move.Excluded
+		outcome, result = move.Excluded, "excluded"
 	case o.Failed:
-		outcome = move.Failed
+		outcome, result = move.Failed, "failed"
 	case o.Unsuccessful:
-		outcome = move.Unsuccessful
+		outcome, result = move.Unsuccessful, "unsuccessful"
 	}
+	r.countAttempt(side, result)
 	r.moves.Observe(r.n.wall.Now(), move.Result{
 		Service: o.Service, Version: version, Route: strings.Clone(o.Route), Outcome: outcome, FirstToken: o.TimeToFirst, Load: o.Load,
 	})
