--- a/review/lab3/world.go
+++ b/review/lab3/world.go
@@ -102,10 +102,21 @@
 	name                  string
 	front, ready, control string
 	settings, log         string
+	held                  []net.Listener // on its addresses, until its first start
 	cmd                   *exec.Cmd
 	done                  chan struct{}
 }
 
+// holdAddress takes a free address. Nothing else gets it before the instance starts.
+func (x *node) holdAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	x.held = append(x.held, l)
+	return l.Addr().String(), nil
+}
+
 func freeAddress() (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -115,6 +126,14 @@
 	return l.Addr().String(), nil
 }
 
+// releaseAddresses closes the listeners of holdAddress.
+func (x *node) releaseAddresses() {
+	for _, l := range x.held {
+		_ = l.Close() // no connection was accepted
+	}
+	x.held = nil
+}
+
 // addNodes prepares n instances that have each other as seeds, and starts them.
 func (w *world) addNodes(n int) error {
 	var seeds []string
@@ -122,7 +141,7 @@
 		x := &node{w: w, name: fmt.Sprintf("edge-%c-1", 'a'+i)}
 		for _, a := range []*string{&x.front, &x.ready, &x.control} {
 			var err error
-			if *a, err = freeAddress(); err != nil {
+			if *a, err = x.holdAddress(); err != nil {
 				return err
 			}
 		}
@@ -222,6 +241,7 @@
 	x.cmd = exec.Command(x.w.program, "node")
 	x.cmd.Env = append(os.Environ(), "TREFOILLUG_SETTINGS="+x.settings)
 	x.cmd.Stdout, x.cmd.Stderr = log, log
+	x.releaseAddresses()
 	if err := x.cmd.Start(); err != nil {
 		return err
 	}
