feed: log a list of the store that is older than what was read before

A list that is ignored for its revision was an informational line without the feed's own revision, like a peer's older copy. It is a warning of its own with both revisions now, which tells a store whose revisions went back from a history that was dropped, a stalled connection, and a peer's copy. No behaviour changes.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -206,8 +206,14 @@
 	first := !f.listed
 	if !first && (fromPeer && c.NewestChange <= f.changed || !fromPeer && c.Revision < f.revision) {
 		f.mustList = false
+		known := f.revision
 		f.mu.Unlock()
-		f.settings.Log.WithFields(logrus.Fields{"kind": f.settings.Kind, "revision": c.Revision, "peer": fromPeer}).Info("older copy ignored")
+		log := f.settings.Log.WithFields(logrus.Fields{"kind": f.settings.Kind, "revision": c.Revision, "known": known, "peer": fromPeer})
+		if fromPeer {
+			log.Info("older copy of a peer ignored")
+		} else {
+			log.Warn("older list of the store ignored: its revisions have gone back")
+		}
 		return
 	}
 	settled := first || fromPeer && c.Settled || !fromPeer && f.settled()
