standin: drills of the platform's store

A store that is away for a moment and comes back from a copy some seconds old, as the users' pages describe it: revisions go back, what calls wrote since is gone, what the operator and the endpoints wrote is written again, connections end, and a watch from a revision that the store does not have gets 410. The header with the era is optional.

--- a/standin/platformstore.go
+++ b/standin/platformstore.go
@@ -29,6 +29,15 @@
 	writes      int  // since loseAnswers was set
 	calls       int
 	rawSpecs    sync.Map // text of specs that encoding/json can't handle; by placeholder
+
+	// Of drills; see Run.
+	era          uint64
+	announcesEra bool
+	isAway       bool
+	returned     *sync.Cond        // s.mu is its lock
+	past         []pastChange      // oldest first
+	inCall       bool              // the change that is being made comes from a call
+	connEras     map[string]uint64 // by remote address: era in which the connection was opened
 }
 
 // platformObject is an object as the store encodes it.
@@ -57,7 +66,9 @@
 
 // NewPlatformStore returns an empty store.
 func NewPlatformStore() *PlatformStore {
-	return &PlatformStore{revision: 1, objects: map[string]map[string]*platformObject{}, changed: make(chan struct{})}
+	s := &PlatformStore{revision: 1, objects: map[string]map[string]*platformObject{}, changed: make(chan struct{}), connEras: map[string]uint64{}}
+	s.returned = sync.NewCond(&s.mu)
+	return s
 }
 
 // FailCalls makes each call fail with an HTTP status, until it is called with 0.
@@ -146,18 +157,15 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	o := s.objects[kind][name]
-	if o == nil {
-		o = &platformObject{}
-		o.Metadata.Name = name
-	}
-	s.write(kind, o, text, o.Status)
+	s.awaitReturn()
+	s.putSpec(kind, name, text)
 }
 
 // Remove deletes an object if it exists.
 func (s *PlatformStore) Remove(kind, name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.awaitReturn()
 	s.remove(kind, name)
 }
 
@@ -209,6 +217,7 @@
 	if old.Metadata.Revision > 0 && string(old.Spec) == string(spec) && string(old.Status) == string(status) {
 		return old
 	}
+	s.recordChange(kind, old.Metadata.Name)
 	s.revision++
 	o := *old
 	o.Spec, o.Status, o.Metadata.Revision = spec, status, s.revision
@@ -230,6 +239,7 @@
 	if o == nil {
 		return
 	}
+	s.recordChange(kind, name)
 	delete(s.objects[kind], name)
 	s.revision++
 	s.events = append(s.events, platformEvent{kind: kind, revision: s.revision, Deleted: true, Object: *o})
@@ -246,6 +256,9 @@
 
 // ServeHTTP implements http.Handler.
 func (s *PlatformStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !s.admit(w, r) {
+		panic(http.ErrAbortHandler) // ends the connection
+	}
 	s.mu.Lock()
 	s.calls++
 	failStatus := s.failStatus
@@ -280,7 +293,12 @@
 	case r.Method == http.MethodPut:
 		s.serveReplace(w, r, kind, name, isStatus)
 	case r.Method == http.MethodDelete:
-		s.Remove(kind, name)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.beginCall(w) {
+			defer s.endCall()
+			s.remove(kind, name)
+		}
 	default:
 		w.WriteHeader(http.StatusMethodNotAllowed)
 	}
@@ -322,6 +340,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(wait)*time.Millisecond)
 	defer cancel()
+	era := s.Era()
 	for {
 		s.mu.Lock()
 		events := []platformEvent{}
@@ -330,9 +349,12 @@
 				events = append(events, e)
 			}
 		}
-		historyMissing, revision, changed, failStatus := after < s.compacted, s.revision, s.changed, s.failStatus
+		historyMissing, revision, changed, failStatus := after < s.compacted || after > s.revision, s.revision, s.changed, s.failStatus
+		cut := s.isAway || s.era != era
 		s.mu.Unlock()
 		switch {
+		case cut:
+			panic(http.ErrAbortHandler) // as all connections of a store that is restarted
 		case failStatus != 0:
 			w.WriteHeader(failStatus)
 			return
@@ -358,6 +380,10 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.beginCall(w) {
+		return
+	}
+	defer s.endCall()
 	if old := s.objects[kind][o.Metadata.Name]; old != nil {
 		writeJSONStatus(w, http.StatusConflict, old)
 		return
@@ -374,6 +400,10 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.beginCall(w) {
+		return
+	}
+	defer s.endCall()
 	old := s.objects[kind][name]
 	switch {
 	case old == nil:
--- a/standin/platformstore_test.go
+++ b/standin/platformstore_test.go
@@ -60,3 +60,52 @@
 		}
 	}
 }
+
+// Guards against a drill of the stand-in that loses what it must keep, keeps what it must lose, or lets connections of
+// the earlier era go on.
+func TestPlatformStore_Drill(t *testing.T) {
+	s := standin.NewPlatformStore()
+	s.AnnounceEra(7)
+	server := httptest.NewServer(s)
+	defer server.Close()
+	call := func(method, path, body string) (int, string, string) {
+		req, err := http.NewRequestWithContext(t.Context(), method, server.URL+"/trefoillug/objects/"+path, strings.NewReader(body))
+		must.NoError(t, err)
+		resp, err := http.DefaultClient.Do(req)
+		must.NoError(t, err)
+		defer resp.Body.Close()
+		text, err := io.ReadAll(resp.Body)
+		must.NoError(t, err)
+		return resp.StatusCode, string(text), resp.Header.Get("Store-Era")
+	}
+	s.Put("servers", "stays", "old")
+	s.Put("servers", "removed", "old")
+	time.Sleep(50 * time.Millisecond)
+	s.Put("servers", "new", "new")
+	s.Put("servers", "stays", "newer")
+	s.Remove("servers", "removed")
+	status, _, _ := call(http.MethodPost, "lease", `{"metadata":{"name":"duties"},"spec":1}`)
+	must.Eq(t, http.StatusOK, status)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.Run(standin.Drill{Age: 25 * time.Millisecond, Away: 20 * time.Millisecond, RewriteAfter: 200 * time.Millisecond})
+	}()
+	time.Sleep(100 * time.Millisecond)
+	status, body, era := call(http.MethodGet, "servers", "")
+	must.Eq(t, http.StatusOK, status)
+	must.Eq(t, "8", era)
+	must.StrContains(t, body, `"currentRev":3`)
+	must.Eq(t, `"old"`, string(s.Spec("servers", "stays")))
+	must.Nil(t, s.Spec("servers", "new"))
+	must.NotNil(t, s.Spec("servers", "removed"))
+	must.Nil(t, s.Spec("lease", "duties"))
+	status, _, era = call(http.MethodGet, "servers?watch=6&waitMs=10", "")
+	must.Eq(t, http.StatusGone, status)
+	must.Eq(t, "8", era)
+	<-done
+	must.Eq(t, `"newer"`, string(s.Spec("servers", "stays")))
+	must.Eq(t, `"new"`, string(s.Spec("servers", "new")))
+	must.Nil(t, s.Spec("servers", "removed"))
+	must.Nil(t, s.Spec("lease", "duties"))
+}
