soak, feed: tests of a store that is restored from a copy

The soak plays drills of the store: it is away, comes back from a copy, and states its era or not; the holder of the duties, or all instances, may be killed beside it, or the holder frozen. The stand-in of the platform's API reports a fencing token that two holders use. Restarted instances no longer get settings that say that the whole system starts for the first time.

--- a/cmd/trefoillug-soak/main.go
+++ b/cmd/trefoillug-soak/main.go
@@ -42,7 +42,7 @@
 	var runs, parallel, instances int
 	var length time.Duration
 	var program, site string
-	var planned, soundContinuations bool
+	var planned, soundContinuations, drills bool
 	return &cli.Command{
 		Name:  "trefoillug-soak",
 		Usage: "inject seeded faults into real processes and check the guarantees",
@@ -54,6 +54,7 @@
 			&cli.IntFlag{Name: "nodes", Usage: "number of instances; that of the site if 0", Destination: &instances},
 			&cli.BoolFlag{Name: "planned", Usage: "planned work only, by which no request may be interrupted", Destination: &planned},
 			&cli.BoolFlag{Name: "sound-continuations", Usage: "endpoints answer requests for the rest of a stream soundly", Destination: &soundContinuations},
+			&cli.BoolFlag{Name: "drills", Usage: "the store also comes back from an older copy of itself", Destination: &drills},
 			&cli.StringFlag{Name: "program", Aliases: []string{"binary"}, Usage: "path of the program to run as an instance; built if empty", Destination: &program},
 			&cli.StringFlag{Name: "site", Usage: "shape of the installation: " + strings.Join(siteNames(), ", "), Value: "standard", Destination: &site},
 		},
@@ -79,6 +80,9 @@
 			for n := range plans {
 				s := seed + uint64(n)
 				plans[n] = soak.Options{Plan: newPlan(s, length, instances), Program: program, Dir: filepath.Join(dir, fmt.Sprint(s)), SoundContinuations: soundContinuations}
+				if drills {
+					plans[n].Plan.AddDrills()
+				}
 			}
 			results := runPlans(ctx, plans, parallel)
 			failed, err := soak.WriteSummary(os.Stdout, results)
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -127,7 +127,7 @@
 		switch {
 		case down:
 			return nil, 0, errDown
-		case after < floor:
+		case after < floor || after > revision:
 			return nil, 0, feed.ErrHistoryExpired
 		case len(events) > 0 && !stalled:
 			return events, revision, nil
--- a/soak/environment.go
+++ b/soak/environment.go
@@ -47,6 +47,8 @@
 	lifetimes int
 	ended     []*standin.PlatformWorker // endpoints that have ended
 	closing   bool
+
+	restoring sync.Mutex // held while the store is restored
 }
 
 // instance is a trefoillug process with its own forwarder to the store.
@@ -97,6 +99,9 @@
 		dir: o.Dir, program: o.Program, site: o.Plan.Site, evidence: newEvidence(o.Plan.Site.EventTokens), oddities: standin.NewOddities(o.Plan.Seed),
 		store: standin.NewPlatformStore(), api: standin.NewPlatformAPI(),
 	}
+	if o.Plan.StatesEra {
+		env.store.AnnounceEra(firstEra)
+	}
 	var err error
 	if env.storeAddress, err = env.serve(env.store); err != nil {
 		return nil, err
@@ -262,6 +267,10 @@
 		}
 		end := env.evidence.openSpan(FaultSpan{From: time.Now(), Kind: InstanceStop, Instance: i.machine.Name, Planned: err == nil})
 		time.Sleep(restartDelay)
+		i.machine.Restarted = true
+		if err := os.WriteFile(i.file, []byte(i.machine.Settings()), 0o600); err != nil {
+			env.evidence.update(func() { env.evidence.Leaks = append(env.evidence.Leaks, "settings not written: "+err.Error()) })
+		}
 		if err := env.spawn(i); err != nil {
 			env.evidence.update(func() { env.evidence.Leaks = append(env.evidence.Leaks, "instance not restarted: "+err.Error()) })
 			close(i.done)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -35,6 +35,10 @@
 		env.injectInstanceFault(f, env.instances[f.Target%len(env.instances)])
 	case f.Kind.onEndpoint():
 		env.injectEndpointFault(f, env.endpoints[f.Target%len(env.endpoints)])
+	case f.Kind.onAllInstances():
+		env.injectHolderFault(f)
+	case f.Kind == StoreRestored:
+		env.restoreStore(f)
 	case f.Kind == StreamsBreak:
 		env.breakStreams(f)
 	case f.Kind == RollOut:
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -27,6 +27,10 @@
 	StoreDown                 Kind = "store-down"            // each call fails
 	StoreLosesAnswers         Kind = "store-loses"           // some writes take effect, now or later, and get no answer
 	StoreCompacts             Kind = "store-forgets"         // watches miss a change, then the history is dropped
+	StoreRestored             Kind = "store-restored"        // it is away and comes back from an older copy; see Drill
+	InstanceHolderKill        Kind = "holder-kill"           // SIGKILL of the instance that made the latest call of the API
+	InstanceHolderFreeze      Kind = "holder-freeze"         // SIGSTOP of that instance, and SIGCONT at the end
+	InstanceKillAll           Kind = "kill-all"              // SIGKILL of all instances at the same moment
 	EndpointCrash             Kind = "endpoint-crash"        // its connections are closed; it restarts under another ID
 	EndpointLeave             Kind = "endpoint-leave"        // it announces that it is draining, serves on, and ends
 	EndpointReset             Kind = "endpoint-reset"        // its connections are closed
@@ -89,6 +93,11 @@
 
 func (k Kind) onStore() bool { return strings.HasPrefix(string(k), "store-") }
 
+// onAllInstances reports whether the kind affects instances that it determines itself.
+func (k Kind) onAllInstances() bool {
+	return k == InstanceHolderKill || k == InstanceHolderFreeze || k == InstanceKillAll
+}
+
 func (k Kind) onEndpoint() bool { return strings.HasPrefix(string(k), "endpoint-") }
 
 // Fault is an entry of a plan.
@@ -97,6 +106,8 @@
 	For    time.Duration
 	Kind   Kind
 	Target int // index of the target, modulo the number of targets of the kind
+	// CopyAge is how old the copy is from which a restored store comes back.
+	CopyAge time.Duration
 }
 
 const (
@@ -129,6 +140,7 @@
 	Instances int
 	Site      Site
 	Faults    []Fault // in order of At
+	StatesEra bool    // the store states its era in its answers
 }
 
 // NewPlan returns the plan for a seed. The same arguments give the same plan.
--- a/standin/platformsite.go
+++ b/standin/platformsite.go
@@ -78,6 +78,8 @@
 	Front, Ready, Control      string // host:port
 	Seeds                      []string
 	StoreAddress, CloudAddress string // host:port
+	// Restarted is set once the machine has run an instance before.
+	Restarted bool
 }
 
 // Settings returns the machine's settings file.
@@ -92,7 +94,7 @@
 zone = %q
 region = "r"
 seeds = [%s]
-bootstrap = true
+bootstrap = %t
 [listen]
 front = %q
 ready = %q
@@ -119,7 +121,7 @@
 [cloud]
 address = %q
 duties = ["usage_report"]
-`, m.Name, m.Zone, strings.Join(quoted, ","), m.Front, m.Ready, m.Control, PlatformQuotaSlack, m.StoreAddress, m.CloudAddress)
+`, m.Name, m.Zone, strings.Join(quoted, ","), !m.Restarted, m.Front, m.Ready, m.Control, PlatformQuotaSlack, m.StoreAddress, m.CloudAddress)
 }
 
 // ReadyURL returns the URL of the readiness check that the balancer calls.
--- a/standin/platformworker.go
+++ b/standin/platformworker.go
@@ -288,11 +288,20 @@
 	Orders     []string                     // bodies of the scaling orders
 	Violations []string                     // descriptions of calls that violated a guarantee
 	tokens     map[string]uint64            // by path: latest fencing token
+	holders    map[uint64]string            // by fencing token: the holder that used it
+	holder     string                       // of the latest call
 }
 
 // NewPlatformAPI returns an API that has received no calls.
 func NewPlatformAPI() *PlatformAPI {
-	return &PlatformAPI{Usage: map[uint64]map[string]uint64{}, tokens: map[string]uint64{}}
+	return &PlatformAPI{Usage: map[uint64]map[string]uint64{}, tokens: map[string]uint64{}, holders: map[uint64]string{}}
+}
+
+// Holder returns the name of the holder that made the latest call; empty: none.
+func (a *PlatformAPI) Holder() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.holder
 }
 
 // Reports returns the number of windows that were reported, and descriptions of the calls that violated a guarantee.
@@ -319,6 +328,11 @@
 		a.Violations = append(a.Violations, "token "+strconv.FormatUint(token, 10)+" after a higher one")
 	}
 	a.tokens[r.URL.Path] = token
+	a.holder = r.Header.Get("X-Trefoillug-Duty-Holder")
+	if other := a.holders[token]; other != "" && other != a.holder {
+		a.Violations = append(a.Violations, fmt.Sprintf("token %d used by %s and by %s", token, other, a.holder))
+	}
+	a.holders[token] = a.holder
 	switch r.URL.Path {
 	case "/usage":
 		a.recordUsage(body)
