feed, platform: follow a store that was restored from an older copy

Callers got 404 on routes that had been added, and leaving endpoints got requests, long after the store was back: a feed ignored each list below its own revision and went on from that revision until the store's counter had passed it, and then missed what had been written up to it.

Cause: revisions of two eras of the store were compared. Package era tracks the eras now. A new one is noticed by the store's header where it states one, by a current answer with a lower revision, by an object that contradicts what was read up to a later revision, or by a peer. All feeds then list again and believe that list; answers to calls that began before are dropped; copies and reports of peers count within one era only. A revision may also be passed before an instance calls again, without a 410. So a feed lists after each failed call, and when an answer comes over a connection that was opened after the one before it, which net/http does without telling.

Objects that the first list of an era lacks are kept until a list 3 s later confirms that they are gone, except for endpoints, whose entries expire.

--- a/feed/copy.go
+++ b/feed/copy.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/trefoillug/trefoillug/era"
 )
 
 // Copy holds all objects of a kind, or what has changed in them since a revision, for a peer.
@@ -23,6 +25,8 @@
 	// DeletionsAfter is the revision after which the sender knows all deletions. Releases that left deletions out after a
 	// restart do not send it; their changes are not complete.
 	DeletionsAfter uint64 `cbor:"7,keyasint,omitempty"`
+	// Era is the era of the store in which the sender has read the objects.
+	Era era.State `cbor:"8,keyasint,omitzero"`
 }
 
 // isComplete reports whether the copy holds all objects, or all changes after Since.
@@ -45,10 +49,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	hasNothing := f.changed == 0 && after == 0 // a peer without a list needs to know that there are no objects
-	if !f.listed || f.changed <= after && !hasNothing {
+	state := f.settings.Eras.State()
+	if !f.listed || f.objectsEra != state.Number || f.changed <= after && !hasNothing {
 		return nil
 	}
-	c := &Copy{Revision: f.revision, NewestChange: f.changed, Settled: f.settled(), DeletionsAfter: f.deletionsAfter}
+	c := &Copy{
+		Revision: f.revision, NewestChange: f.changed, Settled: f.settled(), DeletionsAfter: f.deletionsAfter, Era: state,
+	}
 	if after >= f.deletionsAfter {
 		c.Since = after
 	}
@@ -73,7 +80,7 @@
 	f.mu.Lock()
 	ask := !f.listed || f.mustList
 	after := f.changed
-	if f.listed {
+	if f.listed && f.objectsEra == f.era {
 		after = max(after, 1) // an empty list is nothing newer
 	}
 	f.mu.Unlock()
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -6,16 +6,23 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 	"golang.org/x/time/rate"
+
+	"github.com/trefoillug/trefoillug/era"
 )
 
 // ErrHistoryExpired means that a watch starts from a revision before the history that the store keeps.
 var ErrHistoryExpired = errors.New("revision is older than the history of the store")
 
+// ErrDiscontinuous means that the store may have been restored since the revision that a watch starts from, so that the
+// revision may stand for another state.
+var ErrDiscontinuous = errors.New("connection to the store was opened after the revision was read")
+
 // Object is an object of the store.
 type Object struct {
 	Name            string `cbor:"1,keyasint"`
@@ -24,6 +31,7 @@
 	Status          []byte `cbor:"4,keyasint"`
 	Deleting        bool   `cbor:"5,keyasint"` // will be deleted once its finalizers are removed
 	CreatedRevision uint64 `cbor:"6,keyasint"` // revision at which it was created
+	Era             uint64 `cbor:"-"`          // number of the store's era in which this instance read it
 }
 
 // Event is a change of an object.
@@ -37,7 +45,8 @@
 	// List returns all objects of a kind and a revision; a watch from that revision misses no change.
 	List(ctx context.Context, kind string) ([]Object, uint64, error)
 	// Watch waits for changes and returns them with the revision to continue from. It returns ErrHistoryExpired when the
-	// store no longer keeps the changes after w.After.
+	// store no longer keeps the changes after w.After, or has not reached that revision, and ErrDiscontinuous when the
+	// revision may be of an earlier era.
 	Watch(ctx context.Context, w Watch) ([]Event, uint64, error)
 }
 
@@ -67,6 +76,11 @@
 	Log     logrus.FieldLogger
 	// FetchFromPeer asks a peer for what has changed after a revision; nil: no peers.
 	FetchFromPeer func(ctx context.Context, kind string, after uint64) (*Copy, error)
+	// Eras tracks the eras of the store; nil: only what the feed itself notices.
+	Eras *era.Tracker
+	// KeepsMissing is set for kinds whose objects do not expire. Those that are missing in the first list of an era are
+	// passed on to the handler, since their writers write them again, until a list confirms that they are gone.
+	KeepsMissing bool
 	// Wait returns the longest wait of the next watch; nil: MaxWait. A watch may miss changes while it waits, so some
 	// of the peers must use short waits only, and notify the others.
 	Wait func() time.Duration
@@ -99,6 +113,12 @@
 	minBatchPause = 50 * time.Millisecond
 	// maxStaleness is how far a watch with MayBeStale can be behind; the store's documentation says seconds.
 	maxStaleness = 5 * time.Second
+	// maxConfirmDelay bounds the random time by which the instances list later than settleTime after a new era, so that they
+	// do not all list at once.
+	maxConfirmDelay = time.Second
+	// staleBan is the time after a new era in which no watch may be stale: twice maxStaleness, since a stale answer may be of
+	// the earlier era.
+	staleBan = 2 * maxStaleness
 	// minCutWatch is the time after which a failed watch may merely have been cut off while it waited, so that its
 	// failure does not show that the store fails.
 	minCutWatch = 200 * time.Millisecond
@@ -110,9 +130,14 @@
 
 	mu             sync.Mutex
 	objects        map[string]Object
-	revision       uint64 // a watch from it misses no change; changes of other kinds raise it too
-	changed        uint64 // of the newest change of an object of this kind
-	notified       uint64 // newest change that a peer has reported
+	era            uint64    // number of the store's era
+	eraSince       time.Time // when this instance noticed it; zero for the first one
+	objectsEra     uint64    // era in which the objects were read
+	unconfirmed    []Object  // kept though the list of the new era lacks them; see KeepsMissing
+	discontinuous  bool      // the store may have been restored since the revision, so that the next call is a list
+	revision       uint64    // a watch from it misses no change; changes of other kinds raise it too
+	changed        uint64    // of the newest change of an object of this kind
+	notified       uint64    // newest change that a peer has reported
 	listed         bool
 	healthySince   time.Time // when calls started to succeed; zero: calls fail
 	lastAnswered   time.Time // newest call that succeeded
@@ -141,7 +166,12 @@
 	if s.Pace == nil {
 		s.Pace = func() time.Duration { return 0 }
 	}
-	return &Feed{settings: s, pace: rate.NewLimiter(rate.Inf, paceBurst), objects: map[string]Object{}, ready: make(chan struct{})}
+	if s.Eras == nil {
+		s.Eras = era.NewTracker()
+	}
+	f := &Feed{settings: s, pace: rate.NewLimiter(rate.Inf, paceBurst), objects: map[string]Object{}, ready: make(chan struct{})}
+	s.Eras.OnChange(func(st era.State, _ era.Cause) { f.beginEra(st.Number) })
+	return f
 }
 
 // Ready returns a channel that is closed once the first copy has been received.
@@ -154,6 +184,16 @@
 	return f.changed
 }
 
+// NewestChangeIn is NewestChange in the era with the given number, 0 if the objects are of another one.
+func (f *Feed) NewestChangeIn(number uint64) uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.era != number || f.objectsEra != number {
+		return 0
+	}
+	return f.changed
+}
+
 // LastAnswered returns when the store last answered a call; the zero time means never.
 func (f *Feed) LastAnswered() time.Time {
 	f.mu.Lock()
@@ -165,15 +205,15 @@
 func (f *Feed) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		f.mu.Lock()
-		list := !f.listed || f.mustList
+		list := !f.listed || f.mustList || f.discontinuous
 		f.mu.Unlock()
 		next := f.watch
 		if list {
 			next = f.list
 		}
 		err := next(ctx)
-		if err == nil || ctx.Err() != nil {
-			continue
+		if err == nil || ctx.Err() != nil || errors.Is(err, era.ErrChanged) {
+			continue // in a new era the feed lists at once
 		}
 		f.recordFailure(err)
 		f.recoverFromPeer(ctx)
@@ -185,12 +225,16 @@
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	f.mu.Lock()
-	c := &Copy{NewestChange: f.notified} // a list that starts now includes what peers reported before
+	c := &Copy{NewestChange: f.notified, Era: f.settings.Eras.State()} // a list that starts now includes what peers reported before
 	f.mu.Unlock()
 	var err error
 	if c.Objects, c.Revision, err = f.settings.Store.List(ctx, f.settings.Kind); err != nil {
 		return err
 	}
+	if cause, restored := f.contradicts(c); restored {
+		f.settings.Eras.Restored(c.Era.Number, cause)
+		return era.ErrChanged
+	}
 	for _, o := range c.Objects {
 		c.NewestChange = max(c.NewestChange, o.Revision)
 	}
@@ -200,23 +244,41 @@
 	return nil
 }
 
+// contradicts reports whether a list can't come from the store that the feed has read before, so that the store was
+// restored in between. A feed knows all changes up to its revision. After an unbroken connection an unknown one was missed
+// by a stalled watch, and is no evidence.
+func (f *Feed) contradicts(c *Copy) (era.Cause, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.listed || f.objectsEra != c.Era.Number {
+		return "", false
+	}
+	if c.Revision < f.revision {
+		return era.CauseRevisions, true
+	}
+	for _, o := range c.Objects {
+		if f.discontinuous && o.Revision <= f.revision && f.objects[o.Name].Revision != o.Revision {
+			return era.CauseObjects, true
+		}
+	}
+	return "", false
+}
+
 // replace replaces the feed's objects by those of a copy, or applies its changes to them, unless they are newer.
 func (f *Feed) replace(c *Copy, fromPeer bool) {
+	if fromPeer {
+		f.settings.Eras.Merge(c.Era)
+	}
 	f.mu.Lock()
-	first := !f.listed
-	if !first && (fromPeer && c.NewestChange <= f.changed || !fromPeer && c.Revision < f.revision) {
-		f.mustList = false
-		known := f.revision
+	first, restored := !f.listed, f.listed && f.objectsEra != f.era
+	if c.Era.Number != f.era || fromPeer && !first && !restored && c.NewestChange <= f.changed || restored && c.Since > 0 {
+		f.mustList = restored || c.Era.Number != f.era
+		log := f.settings.Log.WithFields(logrus.Fields{"kind": f.settings.Kind, "revision": c.Revision, "known": f.revision, "era": f.era, "peer": fromPeer})
 		f.mu.Unlock()
-		log := f.settings.Log.WithFields(logrus.Fields{"kind": f.settings.Kind, "revision": c.Revision, "known": known, "peer": fromPeer})
-		if fromPeer {
-			log.Info("older copy of a peer ignored")
-		} else {
-			log.Warn("older list of the store ignored: its revisions have gone back")
-		}
+		log.Info("older copy ignored")
 		return
 	}
-	settled := first || fromPeer && c.Settled || !fromPeer && f.settled()
+	settled := first || !restored && (fromPeer && c.Settled || !fromPeer && f.settled())
 	all := c.Objects
 	if c.Since > 0 {
 		all = f.withChanges(c)
@@ -224,18 +286,28 @@
 		f.forgetDeletions(c.Revision)
 	}
 	objects := make(map[string]Object, len(all))
-	for _, o := range all {
-		objects[o.Name] = o
+	for i := range all {
+		all[i].Era = c.Era.Number
+		objects[all[i].Name] = all[i]
 	}
-	if !fromPeer {
+	if !fromPeer && !restored {
 		for name := range f.objects {
 			if _, still := objects[name]; !still {
 				c.NewestChange = max(c.NewestChange, c.Revision) // so that peers receive the deletion too
 			}
 		}
 	}
+	f.keepMissing(objects, restored, settled && !fromPeer)
+	if restored || len(f.unconfirmed) > 0 {
+		time.AfterFunc(settleTime+rand.N(maxConfirmDelay), func() { f.confirm(c.Era.Number) })
+	}
+	all = append(slices.Clone(all), f.unconfirmed...)
 	f.objects = objects
 	f.revision, f.changed, f.listed, f.mustList = c.Revision, max(f.changed, c.NewestChange), true, false
+	f.objectsEra = f.era
+	if !fromPeer {
+		f.discontinuous = false
+	}
 	f.mu.Unlock()
 	f.settings.Handler.Replace(all, settled)
 	if first {
@@ -249,8 +321,8 @@
 	defer cancel()
 	start := time.Now()
 	f.mu.Lock()
-	after := f.revision
-	f.mayBeStale = f.settings.MayBeStale()
+	after, number := f.revision, f.era
+	f.mayBeStale = f.settings.MayBeStale() && time.Since(f.eraSince) > staleBan
 	mayBeStale := f.mayBeStale
 	f.cancel, f.watchEnd = cancel, start.Add(wait)
 	f.mu.Unlock()
@@ -267,18 +339,20 @@
 		f.mustList = true
 		f.mu.Unlock()
 		return nil // list at once; if the list's revision is too old as well, the next list waits
-	case err != nil && (interrupted || healthy && time.Since(start) > minCutWatch):
-		return nil // cancelled by interrupt, or cut off while waiting; the next call shows whether the store is healthy
+	case err != nil && interrupted, errors.Is(err, era.ErrChanged):
+		return nil
 	case err != nil:
-		if errors.Is(err, ErrHistoryExpired) {
-			f.mu.Lock()
-			f.mustList = true
-			f.mu.Unlock()
+		f.mu.Lock()
+		f.mustList = f.mustList || errors.Is(err, ErrHistoryExpired)
+		f.discontinuous = true
+		f.mu.Unlock()
+		if errors.Is(err, ErrDiscontinuous) || healthy && time.Since(start) > minCutWatch {
+			return nil // the answer can't be used, or was cut off while waiting; the list shows whether the store is healthy
 		}
 		return err
 	}
 	f.recordSuccess()
-	f.applyEvents(events, revision)
+	f.applyEvents(events, revision, number)
 	if len(events) > 0 {
 		f.keepPace(parent)
 	}
@@ -287,11 +361,19 @@
 
 // applyEvents applies the events of a watch and passes them on. A copy for a peer holds all of them or none: it has one
 // revision and one newest change for all its objects and deletions.
-func (f *Feed) applyEvents(events []Event, revision uint64) {
+func (f *Feed) applyEvents(events []Event, revision, number uint64) {
 	f.mu.Lock()
+	if f.era != number {
+		f.mu.Unlock()
+		return
+	}
 	settled := f.settled()
 	f.revision = max(f.revision, revision)
+	for i := range events {
+		events[i].Object.Era = number
+	}
 	for _, e := range events {
+		f.unconfirmed = slices.DeleteFunc(f.unconfirmed, func(o Object) bool { return o.Name == e.Object.Name })
 		f.changed = max(f.changed, e.Object.Revision)
 		if !e.Deleted {
 			f.objects[e.Object.Name] = e.Object
@@ -352,7 +434,7 @@
 	if !f.healthySince.IsZero() || f.pause == 0 {
 		f.settings.Log.WithError(err).WithFields(logrus.Fields{"kind": f.settings.Kind, "revision": f.revision}).Warn("call to store failed")
 	}
-	f.healthySince = time.Time{}
+	f.healthySince, f.discontinuous = time.Time{}, true
 	f.pause = min(max(minPause, 2*f.pause), maxPause)
 }
 
--- a/feed/notify.go
+++ b/feed/notify.go
@@ -2,12 +2,21 @@
 
 import "time"
 
-// NotifyChange tells the feed that a peer has received a change; changed is its revision. If the feed's own watch does
-// not return the change soon, the watch may be stalled, and the objects are listed again.
+// NotifyChange is NotifyChangeIn for a change in the era in which the feed is.
 func (f *Feed) NotifyChange(changed uint64) {
+	f.mu.Lock()
+	number := f.era
+	f.mu.Unlock()
+	f.NotifyChangeIn(number, changed)
+}
+
+// NotifyChangeIn tells the feed that a peer has received a change; changed is its revision in the era with the given
+// number. If the feed's own watch does not return the change soon, the watch may be stalled, and the objects are listed
+// again. A revision of another era says nothing.
+func (f *Feed) NotifyChangeIn(number, changed uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.changed >= changed || f.notified >= changed {
+	if f.era != number || f.changed >= changed || f.notified >= changed {
 		return
 	}
 	f.notified = changed
@@ -19,7 +28,7 @@
 	time.AfterFunc(delay, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		if !f.listed || f.changed >= changed {
+		if !f.listed || f.era != number || f.changed >= changed {
 			return
 		}
 		f.mustList = true
--- a/fleet/cold.go
+++ b/fleet/cold.go
@@ -13,6 +13,7 @@
 	until atomic.Int64 // Unix nanoseconds of the end; 0: was never cold
 
 	mu       sync.Mutex
+	era      uint64 // of the newest entry, as in Entry
 	revision uint64 // of the newest entry
 	window   cold.Window
 }
@@ -22,10 +23,10 @@
 func (c *coldState) readEntry(e *Entry) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.revision != 0 && e.Revision <= c.revision {
+	if c.revision != 0 && (e.Revision == c.revision || e.Era == c.era && e.Revision < c.revision) {
 		return
 	}
-	c.revision = e.Revision
+	c.era, c.revision = e.Era, e.Revision
 	if !e.ColdUntil.IsZero() {
 		c.until.Store(e.ColdUntil.UnixNano())
 	}
@@ -63,9 +64,15 @@
 
 // Revision returns the revision of the newest entry.
 func (e *Endpoint) Revision() uint64 {
+	_, revision := e.newestEntry()
+	return revision
+}
+
+// newestEntry returns the era and the revision of the newest entry.
+func (e *Endpoint) newestEntry() (era, revision uint64) {
 	e.cold.mu.Lock()
 	defer e.cold.mu.Unlock()
-	return e.cold.revision
+	return e.cold.era, e.cold.revision
 }
 
 // LimitCold shortens the cold time of the endpoint to an end that a peer knows, which may have read the same entry earlier.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -31,6 +31,7 @@
 	Reclaimable bool
 	StartedMs   int64 // start of this lifetime, in Unix milliseconds
 	Revision    uint64
+	Era         uint64    // number of the store's era in which the entry was read
 	ColdUntil   time.Time // see Endpoint.ColdUntil; zero: not cold
 }
 
--- a/node/evacuations.go
+++ b/node/evacuations.go
@@ -24,14 +24,14 @@
 	newest func() uint64 // revision of the newest change that was read
 
 	mu          sync.Mutex
-	read        map[string]uint64 // by zone: revision of the evacuation, from the store or a peer's copy
-	reported    map[string]uint64 // like read, from reports of peers that were ahead of read
-	inEffect    []string          // sorted
-	listedSince time.Time         // see allowReady
+	read        map[string]uint64      // by zone: revision of the evacuation, from the store or a peer's copy
+	reported    map[string]eraRevision // like read, from reports of peers that were ahead of read
+	inEffect    []string               // sorted
+	listedSince time.Time              // see allowReady
 }
 
 func newEvacuations(n *Node) *evacuations {
-	e := &evacuations{n: n, read: map[string]uint64{}, reported: map[string]uint64{}}
+	e := &evacuations{n: n, read: map[string]uint64{}, reported: map[string]eraRevision{}}
 	e.newest = func() uint64 { return e.feed().NewestChange() }
 	return e
 }
@@ -77,16 +77,17 @@
 
 // receive records the evacuations that a peer reports. One that is older than the newest change that this instance has read
 // says nothing: it was read as well, or was removed since.
-func (e *evacuations) receive(zones map[string]uint64) {
-	if len(zones) == 0 || e.feed() == nil {
+// Revisions of an earlier era say nothing either. number is that of the reported revisions' era.
+func (e *evacuations) receive(number uint64, zones map[string]uint64) {
+	if len(zones) == 0 || e.feed() == nil || number != e.n.eras.Number() {
 		return
 	}
 	newest := e.newest()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for zone, revision := range zones {
-		if revision > newest && revision > e.reported[zone] {
-			e.reported[zone] = revision
+		if r := (eraRevision{number, revision}); revision > newest && r.compare(e.reported[zone]) > 0 {
+			e.reported[zone] = r
 		}
 	}
 	e.apply()
@@ -103,10 +104,14 @@
 // apply puts the evacuations into effect and logs changes. e.mu must be held.
 func (e *evacuations) apply() {
 	newest := e.newest()
-	maps.DeleteFunc(e.reported, func(_ string, revision uint64) bool { return revision <= newest })
+	// What was reported in an earlier era stays in effect until the first list of this one, which sets newest.
+	number := e.n.eras.Number()
+	maps.DeleteFunc(e.reported, func(_ string, r eraRevision) bool {
+		return newest > 0 && (r.era != number || r.revision <= newest)
+	})
 	zones := maps.Clone(e.read)
-	for zone, revision := range e.reported {
-		zones[zone] = max(zones[zone], revision)
+	for zone, r := range e.reported {
+		zones[zone] = max(zones[zone], r.revision)
 	}
 	before := e.inEffect
 	e.inEffect = slices.Sorted(maps.Keys(zones))
--- a/node/evacuations_test.go
+++ b/node/evacuations_test.go
@@ -8,6 +8,7 @@
 	"github.com/shoenig/test/must"
 	"github.com/sirupsen/logrus"
 
+	"github.com/trefoillug/trefoillug/era"
 	"github.com/trefoillug/trefoillug/feed"
 	"github.com/trefoillug/trefoillug/fleet"
 	"github.com/trefoillug/trefoillug/upstream"
@@ -18,7 +19,7 @@
 func TestEvacuations_ReportsOfPeers(t *testing.T) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	n := &Node{log: log, metrics: newMetrics(), platform: Platform{
+	n := &Node{log: log, metrics: newMetrics(), eras: era.NewTracker(), platform: Platform{
 		Kinds:            Kinds{Evacuations: "evacuations"},
 		DecodeEvacuation: func(o feed.Object) (string, error) { return o.Name, nil },
 	}}
@@ -38,20 +39,20 @@
 	begun := time.Now()
 	must.False(t, n.evacuations.allowReady(begun))
 	must.True(t, n.evacuations.allowReady(begun.Add(2*time.Second)))
-	n.evacuations.receive(map[string]uint64{"a": 5})
+	n.evacuations.receive(0, map[string]uint64{"a": 5})
 	inEffect("a")
 	must.MapEmpty(t, n.evacuations.report()) // not read yet
 	newest = 5
 	n.evacuations.Replace([]feed.Object{{Name: "a", Revision: 5}}, true)
 	inEffect("a")
-	n.evacuations.receive(map[string]uint64{"b": 7})
+	n.evacuations.receive(0, map[string]uint64{"b": 7})
 	inEffect("a", "b")
 	apply("c", 6, false)
 	inEffect("a", "b", "c")
 	apply("b", 7, false)
 	apply("b", 7, true)
 	inEffect("a", "c")
-	n.evacuations.receive(map[string]uint64{"b": 7}) // late
+	n.evacuations.receive(0, map[string]uint64{"b": 7}) // late
 	inEffect("a", "c")
 	must.Eq(t, map[string]uint64{"a": 5, "c": 6}, n.evacuations.report())
 }
--- a/node/membership.go
+++ b/node/membership.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -33,7 +34,15 @@
 // newestChange is the newest change of a kind and the peers that reported it.
 type newestChange struct {
 	origins  []string
-	revision uint64
+	revision eraRevision
+}
+
+// eraRevision is a revision of the store in an era, by its number.
+type eraRevision struct{ era, revision uint64 }
+
+// compare returns the order of two revisions: an era's revisions are after all those of earlier eras.
+func (r eraRevision) compare(other eraRevision) int {
+	return cmp.Or(cmp.Compare(r.era, other.era), cmp.Compare(r.revision, other.revision))
 }
 
 // maxOrigins bounds the peers among which calls for a copy are spread.
@@ -216,12 +225,12 @@
 	return reachable
 }
 
-func (m *membership) recordChange(kind, origin string, revision uint64) {
+func (m *membership) recordChange(kind, origin string, revision eraRevision) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	newest := m.newestChanges[kind]
 	switch {
-	case revision > newest.revision:
+	case revision.compare(newest.revision) > 0:
 		m.newestChanges[kind] = newestChange{[]string{origin}, revision}
 	case revision == newest.revision && len(newest.origins) < maxOrigins && !slices.Contains(newest.origins, origin):
 		newest.origins = append(newest.origins, origin)
@@ -231,11 +240,11 @@
 
 // newestPeer returns one of the peers that reported the newest change of a kind, or "" if no change after the given
 // revision was reported.
-func (m *membership) newestPeer(kind string, after uint64) string {
+func (m *membership) newestPeer(kind string, after eraRevision) string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	newest := m.newestChanges[kind]
-	if newest.revision <= after || len(newest.origins) == 0 {
+	if newest.revision.compare(after) <= 0 || len(newest.origins) == 0 {
 		return ""
 	}
 	return newest.origins[rand.IntN(len(newest.origins))]
--- a/node/node.go
+++ b/node/node.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/trefoillug/trefoillug/clock"
+	"github.com/trefoillug/trefoillug/era"
 	"github.com/trefoillug/trefoillug/feed"
 	"github.com/trefoillug/trefoillug/fleet"
 	"github.com/trefoillug/trefoillug/forward"
@@ -64,6 +65,7 @@
 	started  time.Time
 
 	table        atomic.Pointer[routing.Table]
+	eras         *era.Tracker
 	fleet        *fleet.Table
 	feeds        map[string]*feed.Feed
 	mesh         *peer.Node
@@ -102,6 +104,10 @@
 		process: fmt.Sprintf("%s.%x", s.Name, wall.Now().UnixMilli()),
 		metrics: newMetrics(),
 	}
+	n.eras = p.Eras
+	if n.eras == nil {
+		n.eras = era.NewTracker()
+	}
 	n.memory = n.newMemory(s.MemoryBytes)
 	n.setMemory(s.MemoryBytes)
 	n.gracePeriod.Store(int64(s.GracePeriod))
@@ -139,19 +145,22 @@
 		OnStarted: func(workspace string, _ time.Time) { n.usage.CountStarted(workspace, wall.Now()) },
 	})
 	n.feeds = map[string]*feed.Feed{}
-	n.addFeed(p.Kinds.Configuration, configHandler{n})
-	n.addFeed(p.Kinds.Endpoints, &endpointHandler{n: n})
-	n.addFeed(p.Kinds.Rollouts, n.rollouts)
+	n.addFeed(p.Kinds.Configuration, configHandler{n}, true)
+	n.addFeed(p.Kinds.Endpoints, &endpointHandler{n: n}, false)
+	n.addFeed(p.Kinds.Rollouts, n.rollouts, true)
 	n.evacuations = newEvacuations(n)
 	if s.EvacuationTime > 0 {
-		n.addFeed(p.Kinds.Evacuations, n.evacuations)
+		n.addFeed(p.Kinds.Evacuations, n.evacuations, true)
 	}
+	n.followEras()
 	n.subscribe()
 	return n, nil
 }
 
-func (n *Node) addFeed(kind string, h feed.Handler) {
+// addFeed adds the feed of a kind. keepsMissing is feed.Settings.KeepsMissing.
+func (n *Node) addFeed(kind string, h feed.Handler, keepsMissing bool) {
 	n.feeds[kind] = feed.New(feed.Settings{Kind: kind, Store: n.platform.Objects, Handler: h, Log: n.log, FetchFromPeer: n.fetchCopy,
+		Eras: n.eras, KeepsMissing: keepsMissing,
 		Wait: func() time.Duration { return n.watchWait(kind) }, Pace: func() time.Duration { return n.watchPace(kind) },
 		MayBeStale: func() bool { return n.hasNotifiers(kind, time.Now()) },
 	})
--- a/node/peers.go
+++ b/node/peers.go
@@ -14,6 +14,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 
+	"github.com/trefoillug/trefoillug/era"
 	"github.com/trefoillug/trefoillug/feed"
 	"github.com/trefoillug/trefoillug/move"
 	"github.com/trefoillug/trefoillug/peer"
@@ -58,6 +59,8 @@
 	Isolated  bool              `cbor:"9,keyasint,omitempty"` // can reach no endpoint
 	// Proxies is set if this instance serves requests that peers send on. Older builds answer them like unknown paths.
 	Proxies bool `cbor:"10,keyasint,omitempty"`
+	// Era is the era of the store in which the revisions above were read. Older builds send none; they count as in the first.
+	Era era.State `cbor:"11,keyasint,omitzero"`
 }
 
 // usageReport holds the counts of the newest windows of a process.
@@ -70,6 +73,7 @@
 type copyCall struct {
 	Kind  string `cbor:"1,keyasint"`
 	After uint64 `cbor:"2,keyasint"`
+	Era   uint64 `cbor:"3,keyasint,omitempty"` // number of the era of After
 }
 
 func (n *Node) subscribe() {
@@ -123,9 +127,9 @@
 	if unreachable := n.quotas.UnreachableInstances(now); n.members.setUnreachable(unreachable) {
 		n.log.WithFields(logrus.Fields{"silent": unreachable, "expected": expected}).Info("number of unreachable instances changed; quotas adjusted")
 	}
-	r := report{Process: n.process, Quotas: n.quotas.Report(now), Changed: map[string]uint64{}, Leaving: n.closing.Load(), Load: n.load.measure(now), Cores: n.settings.Cores, Watches: n.watching(now), Evacuated: n.evacuations.report(), Isolated: n.reachability.IsIsolated(), Proxies: true}
+	r := report{Process: n.process, Quotas: n.quotas.Report(now), Changed: map[string]uint64{}, Leaving: n.closing.Load(), Load: n.load.measure(now), Cores: n.settings.Cores, Watches: n.watching(now), Evacuated: n.evacuations.report(), Isolated: n.reachability.IsIsolated(), Proxies: true, Era: n.eras.State()}
 	for kind, f := range n.feeds {
-		r.Changed[kind] = f.NewestChange()
+		r.Changed[kind] = f.NewestChangeIn(r.Era.Number)
 	}
 	n.publishFact(factReport, r)
 	perUsage := reportsPerUsage
@@ -176,6 +180,7 @@
 		n.log.WithError(err).WithField("peer", f.Origin).Warn("report from peer could not be decoded")
 		return
 	}
+	n.eras.Merge(r.Era)
 	n.members.recordWatching(f.Origin, r.Watches, time.Now())
 	n.members.recordProxying(f.Origin, r.Proxies && !r.Isolated && !r.Leaving)
 	n.owners.recordCores(f.Origin, r.Cores)
@@ -184,11 +189,11 @@
 	if r.Leaving {
 		n.quotas.ProcessEnded(r.Process)
 	}
-	n.evacuations.receive(r.Evacuated)
+	n.evacuations.receive(r.Era.Number, r.Evacuated)
 	for kind, changed := range r.Changed {
 		if own := n.feeds[kind]; own != nil {
-			n.members.recordChange(kind, f.Origin, changed)
-			own.NotifyChange(changed)
+			n.members.recordChange(kind, f.Origin, eraRevision{r.Era.Number, changed})
+			own.NotifyChangeIn(r.Era.Number, changed)
 		}
 	}
 }
@@ -208,7 +213,7 @@
 	if f == nil {
 		return nil, fmt.Errorf("no objects of kind %q", c.Kind)
 	}
-	return f.Copy(c.After), nil
+	return f.CopyFor(c.Era, c.After), nil
 }
 
 // fetchCopy asks the peer that has reported the newest change, or else a random one, for what has changed after a
@@ -223,11 +228,12 @@
 	if len(others) == 0 {
 		return nil, errors.New("no peers")
 	}
-	to := n.members.newestPeer(kind, after)
+	number := n.eras.Number()
+	to := n.members.newestPeer(kind, eraRevision{number, after})
 	if to == "" {
 		to = others[rand.IntN(len(others))]
 	}
-	c, err := callPeer[*feed.Copy](ctx, n, to, callCopy, copyCall{Kind: kind, After: after})
+	c, err := callPeer[*feed.Copy](ctx, n, to, callCopy, copyCall{Kind: kind, After: after, Era: number})
 	if c != nil {
 		n.metrics.scope.Tagged(map[string]string{"kind": kind, "whole": strconv.FormatBool(c.Since == 0)}).Counter("peer_copies").Inc(1)
 	}
--- a/node/settings.go
+++ b/node/settings.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"github.com/trefoillug/trefoillug/era"
 	"github.com/trefoillug/trefoillug/feed"
 	"github.com/trefoillug/trefoillug/fleet"
 	"github.com/trefoillug/trefoillug/forward"
@@ -35,6 +36,7 @@
 	MaxFds      int     // descriptors that the process may open, some of them for files; 0: no bound
 	Cores       float64 // processor cores of the machine
 
+	FirstStart      bool              // no instance has run before
 	StoreHistory    time.Duration     // how long the store keeps changes for watches; 0: unknown
 	GracePeriod     time.Duration     // from the signal to stop to the end of the process
 	DutyReturnDelay time.Duration     // a duty doesn't return to an earlier holder within this time
@@ -82,6 +84,7 @@
 	OnStoreCall func(func(StoreCall))
 
 	Kinds          Kinds
+	Eras           *era.Tracker // of the store; learns from all calls
 	Objects        feed.Store
 	Records        objstore.Store
 	API            DutyAPI // nil: this instance takes on no duties
--- a/node/state.go
+++ b/node/state.go
@@ -125,7 +125,7 @@
 	e, err := h.n.platform.DecodeEndpoint(o.Name, o.Spec, now)
 	if err == nil {
 		delete(h.skipped, o.Name)
-		e.Revision = o.Revision
+		e.Revision, e.Era = o.Revision, o.Era
 		return e, true
 	}
 	if revision, ok := known[o.Name]; !ok || revision != o.Revision {
