lease: grant no token twice and have one holder when the store forgets grants

After a drill in which the duties had changed hands, the next holder used the fencing token of the one before, and instances that had seen a later version of the lease object could not use it at all until its version had caught up.

Cause: the next token was the stored one plus 1, versions of two eras were compared, and a lease that is missing or free was acquired at once, though its holder may only have been forgotten.

Now all grants end with an era; no candidate acquires the lease before it has known the object for a term, without a connection to the store that was opened since (the first start of the whole system excepted); and a token is above all that the process or its peers, by their reports, know as granted.

--- a/cmd/trefoillug/node.go
+++ b/cmd/trefoillug/node.go
@@ -65,7 +65,7 @@
 			Configuration: platform.KindManifest, Endpoints: platform.KindEndpoints, Rollouts: platform.KindRollouts,
 			Evacuations: platform.KindEvacuations,
 		},
-		Eras: store.Eras(), Objects: store, Records: platform.Records{Store: store}, ListRecords: platform.Records{Store: store}.ListCurrent, Wire: platform.Wire{}, Mover: platform.Mover{},
+		Eras: store.Eras(), StoreConnections: store.Connections, Objects: store, Records: platform.Records{Store: store}, ListRecords: platform.Records{Store: store}.ListCurrent, Wire: platform.Wire{}, Mover: platform.Mover{},
 		DecodeTable: platform.DecodeManifest, DecodeEndpoint: platform.DecodeEndpoint, Ready: platform.ReadyHandler,
 		DecodeRollout: platform.DecodeRollout, DecodeEvacuation: platform.DecodeEvacuation, Rollouts: platform.Rollouts{Store: store},
 		Ingress: func(f *forward.Forwarder, maxBody func() int64, closing func() bool, memory *intake.Memory) http.Handler {
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -1,5 +1,6 @@
 // Package lease assigns a duty to one instance at a time through a lease object in the object store. Each grant carries
-// a fencing token that is greater than all earlier ones. The lease alone does not guarantee mutual exclusion; it only
+// a fencing token that is greater than all earlier ones, also if the store is restored from an older copy (see Restores).
+// The lease alone does not guarantee mutual exclusion; it only
 // avoids conflicting work. The holder's actions must be protected by conditional updates or by fencing at the receiver.
 package lease
 
@@ -59,6 +60,8 @@
 	Stagger   time.Duration
 	// Now is the clock; nil means time.Now. Where instances can be suspended, it must include suspended time.
 	Now func() time.Time
+	// Restores is set if the store may be restored from an older copy of itself, so that it forgets grants.
+	Restores *Restores
 }
 
 // Grant permits its holder to carry out the duty until ValidUntil, a time of this process's clock.
@@ -78,6 +81,13 @@
 	observed observation
 	grant    Grant // Token 0: not held
 	pending  pendingWrite
+
+	// For a store that may be restored; see Restores.
+	started     time.Time
+	era         uint64
+	firstRead   time.Time // since when the object is known; zero: not read in this era
+	connections uint64    // opened to the store when the object was last read
+	highest     uint64    // token known to have been granted
 }
 
 // observation is the newest version of the lease object that this candidate read or wrote.
@@ -108,13 +118,14 @@
 	if s.Now == nil {
 		s.Now = time.Now
 	}
-	return &Lease{settings: s}
+	return &Lease{settings: s, started: s.Now()}
 }
 
 // Held returns the current grant and whether it is still valid by Settings.Now.
 func (l *Lease) Held() (Grant, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.enterEra()
 	return l.grant, l.grant.Token != 0 && l.settings.Now().Before(l.grant.ValidUntil)
 }
 
@@ -192,6 +203,7 @@
 	l.callMu.Lock()
 	defer l.callMu.Unlock()
 	l.mu.Lock()
+	l.enterEra()
 	held, version := l.grant, l.observed.version
 	l.grant, l.pending = Grant{}, pendingWrite{}
 	l.mu.Unlock()
--- a/lease/steps.go
+++ b/lease/steps.go
@@ -9,6 +9,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/trefoillug/trefoillug/era"
 	"github.com/trefoillug/trefoillug/objstore"
 	"github.com/trefoillug/trefoillug/rendezvous"
 )
@@ -53,12 +54,13 @@
 	if l.observed.version > 0 && !l.observed.record.Free {
 		wait += max(l.observed.record.Term, l.settings.Term)
 	}
-	return l.settings.Now().Sub(l.observed.firstSeen) >= wait
+	now := l.settings.Now()
+	return now.Sub(l.observed.firstSeen) >= wait && now.Sub(l.firstRead) >= l.minReadTime()
 }
 
 func (l *Lease) acquire(ctx context.Context) error {
 	l.mu.Lock()
-	next := pendingWrite{token: l.observed.record.Token + 1, sentAt: l.settings.Now()}
+	next := pendingWrite{token: l.nextToken(), sentAt: l.settings.Now()}
 	if l.observed.version > 0 {
 		next.previousEnd = l.observed.firstSeen.Add(l.observed.record.Term)
 	}
@@ -77,6 +79,11 @@
 // reads the object back; a grant found there counts from the earliest write with its token that may have taken effect.
 func (l *Lease) write(ctx context.Context, next pendingWrite) error {
 	l.mu.Lock()
+	number := l.era
+	if l.enterEra(); l.era != number {
+		l.mu.Unlock()
+		return fmt.Errorf("write lease of %s: %w", l.settings.Duty, era.ErrChanged) // decided by what an earlier era showed
+	}
 	earlier := l.pending
 	if earlier.token != next.token {
 		l.pending = next
@@ -87,7 +94,7 @@
 	switch {
 	case err == nil:
 		l.setPending(next)
-		return l.observe(version, rec)
+		return l.observe(number, version, rec)
 	case errors.Is(err, objstore.ErrUnavailable):
 		l.setPending(earlier)
 		return fmt.Errorf("write lease of %s: %w", l.settings.Duty, err)
@@ -115,9 +122,10 @@
 func (l *Lease) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, l.callTimeout())
 	defer cancel()
+	number := l.currentEra()
 	object, err := l.settings.Store.Get(ctx, l.key())
 	if errors.Is(err, objstore.ErrNotFound) {
-		return l.observe(0, record{})
+		return l.observe(number, 0, record{})
 	}
 	if err != nil {
 		return fmt.Errorf("read lease of %s: %w", l.settings.Duty, err)
@@ -126,21 +134,37 @@
 	if err := cbor.Unmarshal(object.Value, &rec); err != nil {
 		return fmt.Errorf("decode lease of %s: %w", l.settings.Duty, err)
 	}
-	return l.observe(object.Version, rec)
+	return l.observe(number, object.Version, rec)
 }
 
 // observe records a version of the object after it was read or written. A grant counts from before its write was sent,
 // and a successor counts the term from after it observed that write, so the grant always ends first.
-func (l *Lease) observe(version uint64, rec record) error {
+//
+// number is the era in which the call began. In a new era nothing is known of the object yet.
+func (l *Lease) observe(number, version uint64, rec record) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.enterEra(); l.era != number {
+		return fmt.Errorf("%s: %w", l.key(), era.ErrChanged)
+	}
+	l.highest = max(l.highest, rec.Token)
+	if l.firstRead.IsZero() {
+		l.firstRead = l.settings.Now()
+	}
 	if version < l.observed.version {
+		l.reportRestored()
 		return fmt.Errorf("%s: version %d after %d: %w", l.key(), version, l.observed.version, ErrStaleRead)
 	}
 	if version == l.observed.version && !l.observed.firstSeen.IsZero() {
+		l.noteConnections(l.settings.Now())
+		if l.settings.Restores != nil && rec != l.observed.record {
+			l.reportRestored()
+			return fmt.Errorf("%s: version %d was given out again: %w", l.key(), version, ErrStaleRead)
+		}
 		return nil
 	}
 	l.observed = observation{version: version, record: rec, firstSeen: l.settings.Now()}
+	l.noteConnections(l.settings.Now())
 	isOwn := rec.Holder == l.settings.Candidate && rec.Process == l.settings.Process && !rec.Free
 	if !isOwn || rec.Token != l.pending.token || rec.Token == 0 {
 		l.grant, l.pending = Grant{}, pendingWrite{}
--- a/node/duties.go
+++ b/node/duties.go
@@ -48,11 +48,7 @@
 
 // runDuties competes for the duty lease and does the holder's work while the lease is held.
 func (n *Node) runDuties(ctx context.Context) {
-	d := &duties{n: n, reported: map[uint64]bool{}, lastActed: clock.Now()}
-	d.lease = lease.New(lease.Settings{
-		Store: n.platform.Records, Duty: "duties", Candidate: n.settings.Name, Process: seedFor(n.process),
-		Members: n.memberIDs, Term: dutyLeaseTerm, Margin: dutyLeaseMargin, Stagger: dutyCandidateStagger, Now: clock.Now,
-	})
+	d := &duties{n: n, lease: n.dutyLease, reported: map[uint64]bool{}, lastActed: clock.Now()}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -67,6 +63,14 @@
 	<-done
 }
 
+func (n *Node) newDutyLease() *lease.Lease {
+	return lease.New(lease.Settings{
+		Store: n.platform.Records, Duty: "duties", Candidate: n.settings.Name, Process: seedFor(n.process),
+		Members: n.memberIDs, Term: dutyLeaseTerm, Margin: dutyLeaseMargin, Stagger: dutyCandidateStagger, Now: clock.Now,
+		Restores: &lease.Restores{Eras: n.eras, IsFirstStart: n.settings.FirstStart, Connections: n.platform.StoreConnections, MinToken: n.minToken},
+	})
+}
+
 // memberIDs returns the IDs of the members that are not leaving.
 func (n *Node) memberIDs() []string {
 	var ids []string
--- a/node/node.go
+++ b/node/node.go
@@ -20,6 +20,7 @@
 	"github.com/trefoillug/trefoillug/forward"
 	"github.com/trefoillug/trefoillug/graceful"
 	"github.com/trefoillug/trefoillug/intake"
+	"github.com/trefoillug/trefoillug/lease"
 	"github.com/trefoillug/trefoillug/limit"
 	"github.com/trefoillug/trefoillug/peer"
 	"github.com/trefoillug/trefoillug/quota"
@@ -66,6 +67,7 @@
 
 	table        atomic.Pointer[routing.Table]
 	eras         *era.Tracker
+	dutyLease    *lease.Lease // nil: this instance takes on no duties
 	fleet        *fleet.Table
 	feeds        map[string]*feed.Feed
 	mesh         *peer.Node
@@ -135,6 +137,9 @@
 	n.owners.recordCores(s.Name, s.Cores)
 	n.rollouts = newRollouts(n)
 	n.suspects = newSuspects(n)
+	if p.API != nil {
+		n.dutyLease = n.newDutyLease()
+	}
 	n.cold = newColdLimits(n)
 	n.proxies = newProxies(&s, n.metrics.scope, n.IsIsolated, n.reachableInstances)
 	n.brittle = newBrittleServices(n)
--- a/node/peers.go
+++ b/node/peers.go
@@ -60,7 +60,8 @@
 	// Proxies is set if this instance serves requests that peers send on. Older builds answer them like unknown paths.
 	Proxies bool `cbor:"10,keyasint,omitempty"`
 	// Era is the era of the store in which the revisions above were read. Older builds send none; they count as in the first.
-	Era era.State `cbor:"11,keyasint,omitzero"`
+	Era       era.State `cbor:"11,keyasint,omitzero"`
+	DutyToken uint64    `cbor:"12,keyasint,omitempty"` // highest fencing token of the duties that is known as granted
 }
 
 // usageReport holds the counts of the newest windows of a process.
@@ -131,6 +132,9 @@
 	for kind, f := range n.feeds {
 		r.Changed[kind] = f.NewestChangeIn(r.Era.Number)
 	}
+	if n.dutyLease != nil {
+		r.DutyToken = n.dutyLease.HighestToken()
+	}
 	n.publishFact(factReport, r)
 	perUsage := reportsPerUsage
 	if expected > largeFleet {
@@ -181,6 +185,9 @@
 		return
 	}
 	n.eras.Merge(r.Era)
+	if n.dutyLease != nil {
+		n.dutyLease.RecordToken(r.DutyToken)
+	}
 	n.members.recordWatching(f.Origin, r.Watches, time.Now())
 	n.members.recordProxying(f.Origin, r.Proxies && !r.Isolated && !r.Leaving)
 	n.owners.recordCores(f.Origin, r.Cores)
--- a/node/settings.go
+++ b/node/settings.go
@@ -83,16 +83,18 @@
 	// OnStoreCall sets the function that is called before each call of the store or the API; nil: calls are not counted.
 	OnStoreCall func(func(StoreCall))
 
-	Kinds          Kinds
-	Eras           *era.Tracker // of the store; learns from all calls
-	Objects        feed.Store
-	Records        objstore.Store
-	API            DutyAPI // nil: this instance takes on no duties
-	Wire           forward.Wire
-	Mover          forward.Mover // nil: running requests can't be moved
-	DecodeTable    func(spec []byte) (*routing.Table, error)
-	DecodeEndpoint func(id string, spec []byte, now time.Time) (fleet.Entry, error)
-	DecodeRollout  func(o feed.Object) (Rollout, error)
+	Kinds Kinds
+	Eras  *era.Tracker // of the store; learns from all calls
+	// StoreConnections returns how many connections to the store have been opened.
+	StoreConnections func() uint64
+	Objects          feed.Store
+	Records          objstore.Store
+	API              DutyAPI // nil: this instance takes on no duties
+	Wire             forward.Wire
+	Mover            forward.Mover // nil: running requests can't be moved
+	DecodeTable      func(spec []byte) (*routing.Table, error)
+	DecodeEndpoint   func(id string, spec []byte, now time.Time) (fleet.Entry, error)
+	DecodeRollout    func(o feed.Object) (Rollout, error)
 	// DecodeEvacuation returns the zone to which nothing more may be sent.
 	DecodeEvacuation func(o feed.Object) (zone string, err error)
 	Rollouts         RolloutStore
