soak: a drill that shows all three rules, and endpoints that leave without saying so

Right before the drill a route is added and an endpoint leaves, so that no instance's revisions are older than the copy; instances with older ones passed the changes on to the others. Endpoints may leave by their entry only, and serve on.

--- a/soak/drills.go
+++ b/soak/drills.go
@@ -36,7 +36,7 @@
 			At: at, For: time.Duration(rng.Int64N(int64(maxAway))), Kind: StoreRestored, Target: rng.IntN(1000),
 			CopyAge: minCopyAge + time.Duration(rng.Int64N(int64(maxCopyAge-minCopyAge))),
 		})
-		for _, kind := range []Kind{ConfigRoute, ConfigKey, EndpointLeave, InstanceHolderKill, InstanceHolderFreeze, InstanceKillAll} {
+		for _, kind := range []Kind{ConfigRoute, ConfigKey, EndpointLeavesQuietly, InstanceHolderKill, InstanceHolderFreeze, InstanceKillAll} {
 			if kind.onAllInstances() && rng.IntN(4) > 0 {
 				continue
 			}
--- a/soak/drills_test.go
+++ b/soak/drills_test.go
@@ -15,15 +15,18 @@
 	return soak.Fault{At: at, For: 1500 * time.Millisecond, Kind: soak.StoreRestored, Target: 400, CopyAge: copyAge}
 }
 
-// drillPlan returns a plan with a drill after 13 s, after which a route is added and an endpoint leaves, and other faults. It
-// changes nothing else that would raise the revisions of the store above those of before.
+// drillPlan returns a plan with a drill after 13 s, and other faults. A route is added and an endpoint leaves right before it,
+// so that the revisions of all instances are newer than the copy, and after it. Nothing else raises the revisions of the
+// store above those of before.
 func drillPlan(statesEra bool, others ...soak.Fault) soak.Plan {
 	p := soak.NewPlannedWork(1, 36*time.Second, 4)
 	p.StatesEra = statesEra
 	p.Faults = slices.SortedFunc(slices.Values(append([]soak.Fault{
+		{At: 12 * time.Second, Kind: soak.ConfigRoute, Target: 3},
+		{At: 12200 * time.Millisecond, Kind: soak.EndpointLeave, Target: 5},
 		drill(13*time.Second, 9*time.Second),
 		{At: 15 * time.Second, Kind: soak.ConfigRoute, Target: 1},
-		{At: 15800 * time.Millisecond, Kind: soak.EndpointLeave, Target: 1},
+		{At: 15800 * time.Millisecond, Kind: soak.EndpointLeavesQuietly, Target: 6},
 	}, others...)), func(a, b soak.Fault) int { return int(a.At - b.At) })
 	return p
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -15,6 +15,8 @@
 const (
 	// drainTime is how long a leaving endpoint continues to serve: the 2 s of the users' pages and a margin.
 	drainTime = 3 * time.Second
+	// quietDrainTime is drainTime of one whose answers do not say that it leaves: some serve on for longer.
+	quietDrainTime = 2 * drainTime
 	// crashRemovalDelay is how long a crashed endpoint stays on the list: three intervals of its heartbeat.
 	crashRemovalDelay = 1200 * time.Millisecond
 )
@@ -104,6 +106,10 @@
 		env.crashEndpoint(e, worker, min(f.For, crashRemovalDelay))
 	case EndpointLeave:
 		env.leaveEndpoint(e, worker, anyAddress)
+	case EndpointLeavesQuietly:
+		env.announceLeaving(e, worker, quietDrainTime)
+		time.Sleep(quietDrainTime)
+		env.endLeaving(e, worker, anyAddress)
 	case EndpointLeavesEarly:
 		worker.SetLeaving(true)
 		time.Sleep(f.For)
@@ -168,6 +174,11 @@
 	}
 	env.drainEndpoint(e, worker)
 	time.Sleep(drainTime)
+	env.endLeaving(e, worker, next)
+}
+
+// endLeaving ends an endpoint that has left and starts the next lifetime at an address.
+func (env *environment) endLeaving(e *endpoint, worker *standin.PlatformWorker, next string) {
 	if !e.claimEnd(worker) {
 		return
 	}
@@ -178,11 +189,16 @@
 
 // drainEndpoint makes an endpoint announce that it is draining.
 func (env *environment) drainEndpoint(e *endpoint, worker *standin.PlatformWorker) {
-	entry := env.entry(e, e.proxy.Address(), "draining", startedMs(env.store, worker.ID))
-	entry["leaves_ms"] = drainTime.Milliseconds()
-	env.store.Put(platform.KindEndpoints, worker.ID, entry)
+	env.announceLeaving(e, worker, drainTime)
 	worker.SetDraining(true)
 	worker.SetLeaving(true)
+}
+
+// announceLeaving makes the entry of an endpoint say that it leaves.
+func (env *environment) announceLeaving(e *endpoint, worker *standin.PlatformWorker, in time.Duration) {
+	entry := env.entry(e, e.proxy.Address(), "draining", startedMs(env.store, worker.ID))
+	entry["leaves_ms"] = in.Milliseconds()
+	env.store.Put(platform.KindEndpoints, worker.ID, entry)
 	env.evidence.update(func() { env.evidence.Leaving[worker.ID] = time.Now() })
 }
 
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -33,6 +33,7 @@
 	InstanceKillAll           Kind = "kill-all"              // SIGKILL of all instances at the same moment
 	EndpointCrash             Kind = "endpoint-crash"        // its connections are closed; it restarts under another ID
 	EndpointLeave             Kind = "endpoint-leave"        // it announces that it is draining, serves on, and ends
+	EndpointLeavesQuietly     Kind = "endpoint-leave-quiet"  // only its entry says that it leaves, and it serves on for longer
 	EndpointReset             Kind = "endpoint-reset"        // its connections are closed
 	EndpointStalled           Kind = "endpoint-silent"       // its open connections stall
 	EndpointFull              Kind = "endpoint-full"         // it rejects each request without running it
@@ -84,7 +85,7 @@
 // isPlanned reports whether a kind is planned work, or slow but sound work, which must not interrupt any request.
 func (k Kind) isPlanned() bool {
 	return slices.Contains([]Kind{
-		InstanceStop, InstanceReload, InstanceSignals, EndpointLeave, EndpointLeavesEarly, EndpointSlow, EndpointPauses, EndpointUnframed,
+		InstanceStop, InstanceReload, InstanceSignals, EndpointLeave, EndpointLeavesEarly, EndpointLeavesQuietly, EndpointSlow, EndpointPauses, EndpointUnframed,
 		ListOddEntry, WeightsChange, ConfigRoute, ConfigKey,
 	}, k)
 }
