node: report one count for a window when the store forgets the final counts

TestRun_StoreRestored/two_holders: 'two reports of window differ'. A holder stores the final counts of a window before it reports them, so that its successor reports the same. A restored store has lost them, and the successor stored its own sum.

A holder that knows them repeats them without the store.

--- a/node/duties.go
+++ b/node/duties.go
@@ -143,7 +143,11 @@
 		if d.reported[window] {
 			continue
 		}
-		if err := d.reportWindow(ctx, window); err != nil {
+		err := d.reportWindow(ctx, window)
+		if errors.Is(err, errCountsSpreading) {
+			continue
+		}
+		if err != nil {
 			n.log.WithError(err).WithField("window", window).Info("usage not reported")
 			continue
 		}
@@ -155,13 +159,23 @@
 // keptReportedWindows is the number of recent windows that are recorded as reported; older ones are no longer due.
 const keptReportedWindows = 16
 
-// reportWindow stores the final counts of a window before it reports them, so that every holder reports the same
-// counts.
+// errCountsSpreading means that the final counts of a window have not reached the peers yet.
+var errCountsSpreading = errors.New("the final counts are being sent to the peers")
+
+// reportWindow stores the final counts of a window, and sends them to the peers, before it reports them, so that every
+// holder reports the same counts, also if the store has forgotten them.
 func (d *duties) reportWindow(ctx context.Context, window uint64) error {
-	d.n.collectMissing(ctx, window)
-	counts, err := d.finalCounts(ctx, window)
-	if err != nil {
-		return err
+	counts, known := d.n.finals.get(window)
+	if !known {
+		d.n.collectMissing(ctx, window)
+		var err error
+		if counts, err = d.finalCounts(ctx, window); err != nil {
+			return err
+		}
+		d.n.publishFinalCounts(window, counts)
+	}
+	if !d.n.finals.hasSpread(window, time.Now()) {
+		return errCountsSpreading
 	}
 	if !d.mayAct() {
 		return lease.ErrNotHeld
--- a/node/node.go
+++ b/node/node.go
@@ -68,6 +68,7 @@
 	table        atomic.Pointer[routing.Table]
 	eras         *era.Tracker
 	dutyLease    *lease.Lease // nil: this instance takes on no duties
+	finals       finalCountsTable
 	fleet        *fleet.Table
 	feeds        map[string]*feed.Feed
 	mesh         *peer.Node
--- a/node/peers.go
+++ b/node/peers.go
@@ -80,6 +80,7 @@
 func (n *Node) subscribe() {
 	n.mesh.Subscribe(factReport, n.receiveReport)
 	n.mesh.Subscribe(factUsage, n.receiveUsage)
+	n.mesh.Subscribe(factFinalCounts, n.receiveFinalCounts)
 	n.mesh.Subscribe(factLeaving, n.receiveNotices)
 	n.mesh.Subscribe(factCold, n.cold.receiveNotices)
 	n.mesh.Subscribe(factBrittle, n.brittle.receive)
