node: keep the decision on a rollout that a restored store has forgotten

A store that comes back from a copy lacks the status that was written since, or shows an earlier order until the operator writes the latest one again. An order is identified by its revision, so it counted as a new one: a version that had been taken back got traffic again, and the status of a decided rollout stayed 'in_progress' for good, since a recorded decision is not proposed again.

An order of a later era with the same target and ramp is the same order now. Its start and its decision are carried over, and a forgotten decision is written again. In one era orders stay apart by their revisions as before.

--- a/node/eras.go
+++ b/node/eras.go
@@ -29,6 +29,11 @@
 	n.eras.OnProblem(func(err error) { n.log.WithError(err).Warn("era of the store can't be used") })
 }
 
+// recordedAgain counts a part of the state that this instance writes again because a restored store has forgotten it.
+func (n *Node) recordedAgain(part string) {
+	n.metrics.scope.Tagged(map[string]string{"part": part}).Counter("store_written_again").Inc(1)
+}
+
 // minToken returns a fencing token of the duties above all that may have been granted without this instance's knowledge. A
 // store that states its eras gives each one a range of tokens; one that was restored lacks the grants of earlier eras only.
 // Without that the wall clock takes the place of the era, which is advanced by the boot clock and differs between instances
--- a/node/rollouts.go
+++ b/node/rollouts.go
@@ -31,6 +31,8 @@
 	State    RolloutState
 	Started  time.Time // time of day at which the first instance saw the order; zero: not recorded
 	Reason   string    // of the decision; empty before
+
+	era uint64 // number of the store's era in which it was read
 }
 
 // RolloutState is the recorded state of a rollout.
@@ -44,6 +46,8 @@
 	RolloutReverted
 )
 
+func (s RolloutState) isDecided() bool { return s == RolloutComplete || s == RolloutReverted }
+
 // RolloutStore records the states of rollouts.
 type RolloutStore interface {
 	// Record writes the state of a rollout if the object still has the revision of r, and returns an error otherwise.
@@ -72,6 +76,7 @@
 	mu     sync.Mutex
 	moves  *move.System
 	orders map[string]Rollout // by service
+	ended  map[string]Rollout // by service: the order of an earlier era that a restored store lacks, with what was decided
 	shares map[string][]table.Share
 	faults map[string]string // by service: ID of the complete move whose fault was logged
 
@@ -80,7 +85,7 @@
 
 func newRollouts(n *Node) *rollouts {
 	return &rollouts{
-		n: n, moves: move.New(move.Settings{MemberID: n.settings.Name, Epoch: seedFor(n.process)}), orders: map[string]Rollout{},
+		n: n, moves: move.New(move.Settings{MemberID: n.settings.Name, Epoch: seedFor(n.process)}), orders: map[string]Rollout{}, ended: map[string]Rollout{},
 		shares: map[string][]table.Share{}, faults: map[string]string{}, attempts: map[[2]string]tally.Counter{},
 	}
 }
@@ -114,11 +119,21 @@
 
 // remove drops the rollout of a service. Callers must hold r.mu.
 func (r *rollouts) remove(service string) {
+	r.end(service)
 	delete(r.orders, service)
 	delete(r.faults, service)
 	r.moves.Remove(service)
 }
 
+// end notes that the order of a service is removed or replaced. Only one of an earlier era may come back as the same order.
+// Callers must hold r.mu.
+func (r *rollouts) end(service string) {
+	delete(r.ended, service)
+	if o, ok := r.orders[service]; ok && o.era < r.n.eras.Number() {
+		r.ended[service] = o
+	}
+}
+
 func (r *rollouts) update(o feed.Object) {
 	order, err := r.n.platform.DecodeRollout(o)
 	log := r.n.log.WithField("object", o.Name)
@@ -129,7 +144,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.n.wall.Now()
+	order.era = o.Era
 	old, known := r.orders[order.Service]
+	isForgotten := r.carryOver(&order)
 	isNew := !known || moveID(old) != moveID(order)
 	if order.Started.IsZero() {
 		order.Started = now
@@ -140,6 +157,9 @@
 	if isNew || old.State != order.State {
 		log.WithFields(logrus.Fields{"service": order.Service, "target": order.Target, "state": order.State, "ramp": order.Ramp.String()}).Info("rollout")
 	}
+	if isNew {
+		r.end(order.Service)
+	}
 	r.orders[order.Service] = order
 	r.moves.Configure(now, r.service(order))
 	if known && isNew {
@@ -148,11 +168,36 @@
 		r.moves.ApplyRecord(now, replaced, &move.Record{Service: old.Service, Move: replaced.Move, Outcome: move.Superseded, At: now})
 	}
 	r.recordOutcome(now, order)
-	if order.State == RolloutNew {
+	switch {
+	case isForgotten:
+		log.WithFields(logrus.Fields{"service": order.Service, "target": order.Target, "state": order.State}).
+			Info("the restored store has forgotten the state of the rollout; it is recorded again")
+		r.n.recordedAgain("rollout")
+		go r.record(order, order.State)
+	case order.State == RolloutNew:
 		go r.record(order, RolloutInProgress)
 	}
 }
 
+// carryOver gives an order the start and the decision that are known of it from an earlier era of the store, and reports
+// whether the store has forgotten the decision. In another era an order has another revision, so that its content
+// identifies it: a store that was restored contains it as it was, or its writer writes it again.
+func (r *rollouts) carryOver(order *Rollout) (isForgotten bool) {
+	for _, old := range []Rollout{r.orders[order.Service], r.ended[order.Service]} {
+		if old.Target != order.Target || old.Ramp != order.Ramp || old.era >= order.era && old.Order != order.Order {
+			continue
+		}
+		if order.Started.IsZero() || !old.Started.IsZero() && old.Started.Before(order.Started) {
+			order.Started = old.Started
+		}
+		if !order.State.isDecided() && old.State.isDecided() {
+			order.State, order.Reason = old.State, old.Reason
+			return true
+		}
+	}
+	return false
+}
+
 // service converts an order to the configuration that package move works on.
 func (r *rollouts) service(o Rollout) *config.Service {
 	svc := &config.Service{Name: o.Service, ServingVersion: oldVersion, Move: &config.Move{
@@ -207,7 +252,7 @@
 	var proposals []Rollout
 	for _, p := range out.Proposals {
 		o, ok := r.orders[p.Service]
-		if !ok || moveID(o) != p.Move || o.State == RolloutComplete || o.State == RolloutReverted {
+		if !ok || moveID(o) != p.Move || o.State.isDecided() {
 			continue
 		}
 		o.State, o.Reason = RolloutReverted, p.Reason
