node: write the register entry again when a restored store has forgotten it

The conditional write of an instance's entry answered a conflict by reading the entry, and an entry that did not exist was an error, again and again: the instance stayed out of the register for as long as it ran, and instances that start find their peers there. The entry is created again now, at once in a new era.

TestWriteRegisterEntry_StoreForgot failed before: 'object not found'.

--- a/node/eras.go
+++ b/node/eras.go
@@ -25,6 +25,10 @@
 		n.log.WithFields(logrus.Fields{"era": s.Number, "stated": s.Stated, "cause": cause}).
 			Warn("the store was restored from an older copy; all state is read again")
 		n.stateChanged.Store(true) // so that the peers learn of it
+		select {
+		case n.registerSoon <- struct{}{}:
+		default:
+		}
 	})
 	n.eras.OnProblem(func(err error) { n.log.WithError(err).Warn("era of the store can't be used") })
 }
--- a/node/node.go
+++ b/node/node.go
@@ -69,6 +69,7 @@
 	eras         *era.Tracker
 	dutyLease    *lease.Lease // nil: this instance takes on no duties
 	finals       finalCountsTable
+	registerSoon chan struct{} // see maintainRegister
 	fleet        *fleet.Table
 	feeds        map[string]*feed.Feed
 	mesh         *peer.Node
@@ -107,7 +108,7 @@
 		process: fmt.Sprintf("%s.%x", s.Name, wall.Now().UnixMilli()),
 		metrics: newMetrics(),
 	}
-	n.eras = p.Eras
+	n.eras, n.registerSoon = p.Eras, make(chan struct{}, 1)
 	if n.eras == nil {
 		n.eras = era.NewTracker()
 	}
--- a/node/register.go
+++ b/node/register.go
@@ -70,6 +70,9 @@
 		}
 		select {
 		case <-ctx.Done():
+		case <-n.registerSoon:
+			written = time.Time{} // the store may have forgotten the entry
+			n.recordedAgain("register")
 		case <-time.After(pause):
 		}
 	}
@@ -115,9 +118,10 @@
 		return stored, err
 	}
 	old, err := n.platform.Records.Get(ctx, key)
-	if err != nil {
+	if err != nil && !errors.Is(err, objstore.ErrNotFound) {
 		return 0, err
 	}
+	// An entry that a restored store lacks is created again.
 	return n.platform.Records.Put(ctx, key, value, old.Version)
 }
 
--- a/node/register_test.go
+++ b/node/register_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/trefoillug/trefoillug/clock"
+	"github.com/trefoillug/trefoillug/objstore"
 )
 
 // Guards against reads of the register that grow with the fleet, and against an instance that reads it rarely in a
@@ -23,3 +26,17 @@
 		must.Eq(t, c.want, registerPause(shortest, c.live, c.registered), must.Sprintf("%d of %d", c.live, c.registered))
 	}
 }
+
+// Guards against an instance whose entry is missing for as long as it runs, after a restored store has forgotten it.
+func TestWriteRegisterEntry_StoreForgot(t *testing.T) {
+	store := &records{objects: map[string]objstore.Object{}}
+	n := &Node{settings: Settings{Name: "i", PeerListen: "127.0.0.1:1"}, wall: clock.NewWall(), platform: Platform{Records: store}}
+	version, err := n.writeRegisterEntry(t.Context(), 0)
+	must.NoError(t, err)
+	version, err = n.writeRegisterEntry(t.Context(), version)
+	must.NoError(t, err)
+	clear(store.objects)
+	_, err = n.writeRegisterEntry(t.Context(), version)
+	must.NoError(t, err)
+	must.MapContainsKey(t, store.objects, "instances/i")
+}
