node: store again what is refused when a restored store has forgotten it

Records of refused requests and prompt blocks that were written since the copy were gone. Their instances still refused them, but one that starts when all others have ended did not. Each instance stores again in a new era what it has stored before; a record that is newer, or the same, is kept as it is.

TestSuspects_StoreForgot fails without it.

--- a/node/duties_test.go
+++ b/node/duties_test.go
@@ -33,6 +33,8 @@
 	delayNext    bool // delay the next write
 }
 
+func (r *records) List(context.Context, string) ([]objstore.Object, error) { return nil, nil }
+
 func (r *records) Get(_ context.Context, key string) (objstore.Object, error) {
 	o, ok := r.objects[key]
 	if !ok {
--- a/node/eras.go
+++ b/node/eras.go
@@ -29,6 +29,7 @@
 		case n.registerSoon <- struct{}{}:
 		default:
 		}
+		n.suspects.storeAgain()
 	})
 	n.eras.OnProblem(func(err error) { n.log.WithError(err).Warn("era of the store can't be used") })
 }
--- a/node/rollouts_test.go
+++ b/node/rollouts_test.go
@@ -2,12 +2,11 @@
 
 import (
 	"context"
-	"io"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
-	"github.com/sirupsen/logrus"
+	"github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/trefoillug/trefoillug/clock"
 	"github.com/trefoillug/trefoillug/era"
@@ -62,8 +61,7 @@
 		t.Run(name, func(t *testing.T) {
 			recorded := make(rolloutRecorder, 10)
 			var shown Rollout
-			log := logrus.New()
-			log.SetOutput(io.Discard)
+			log, _ := test.NewNullLogger()
 			n := &Node{log: log, metrics: newMetrics(), eras: era.NewTracker(), wall: clock.NewWall(), platform: Platform{
 				Rollouts: recorded, DecodeRollout: func(feed.Object) (Rollout, error) { return shown, nil },
 			}}
--- a/node/suspectrecords.go
+++ b/node/suspectrecords.go
@@ -82,6 +82,18 @@
 	}
 }
 
+// storeAgain stores what this process has stored before, since a restored store may have forgotten it.
+func (s *suspects) storeAgain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.stored {
+		s.storeLater(r)
+	}
+	if len(s.stored) > 0 {
+		s.n.recordedAgain("refused")
+	}
+}
+
 // maintainRecords reads what is stored and then stores changes. While the store fails, it tries again.
 func (s *suspects) maintainRecords(ctx context.Context) {
 	retry(ctx, s.readRecords, func(err error) { s.n.log.WithError(err).Info("refused requests and prompt blocks not read") })
@@ -94,6 +106,9 @@
 				func(err error) {
 					s.n.log.WithError(err).WithField("record", r.slot()).Info("refused request or prompt block not stored")
 				})
+			s.mu.Lock()
+			s.stored[r.slot()] = r
+			s.mu.Unlock()
 		}
 	}
 }
--- a/node/suspects.go
+++ b/node/suspects.go
@@ -39,6 +39,7 @@
 	refusedCount  int
 
 	toStore chan suspectRecord
+	stored  map[string]suspectRecord // by slot: the latest one that this process has stored
 }
 
 type lostRequest struct {
@@ -53,7 +54,7 @@
 }
 
 func newSuspects(n *Node) *suspects {
-	return &suspects{Crashes: quarantine.NewCrashes(), n: n, blocks: quarantine.NewBlocks(), lost: map[*fleet.Endpoint][]lostRequest{}, toStore: make(chan suspectRecord, refusedKeys)}
+	return &suspects{Crashes: quarantine.NewCrashes(), n: n, blocks: quarantine.NewBlocks(), lost: map[*fleet.Endpoint][]lostRequest{}, toStore: make(chan suspectRecord, 2*refusedKeys), stored: map[string]suspectRecord{}}
 }
 
 // IsRefused implements forward.Suspects.
--- a/node/suspects_test.go
+++ b/node/suspects_test.go
@@ -1,13 +1,18 @@
 package node
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/shoenig/test/must"
 	"github.com/sirupsen/logrus/hooks/test"
 
+	"github.com/trefoillug/trefoillug/clock"
+	"github.com/trefoillug/trefoillug/era"
+	"github.com/trefoillug/trefoillug/objstore"
 	"github.com/trefoillug/trefoillug/peer"
 	"github.com/trefoillug/trefoillug/quarantine"
 )
@@ -47,3 +52,27 @@
 	case <-time.After(50 * time.Millisecond):
 	}
 }
+
+// Guards against a refused request that instances which start later run again, because a restored store has forgotten its
+// record.
+func TestSuspects_StoreForgot(t *testing.T) {
+	metrics := newMetrics() // reports outside the bubble
+	synctest.Test(t, func(t *testing.T) {
+		store := &records{objects: map[string]objstore.Object{}}
+		log, _ := test.NewNullLogger()
+		n := &Node{log: log, metrics: metrics, eras: era.NewTracker(), registerSoon: make(chan struct{}, 1), wall: clock.NewWall(), platform: Platform{Records: store}}
+		n.suspects = newSuspects(n)
+		n.followEras()
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go n.suspects.maintainRecords(ctx)
+		r := requestRecord{Request: 7, Crashes: 2, RecordedMs: n.wall.Now().UnixMilli()}
+		n.suspects.storeLater(r)
+		synctest.Wait()
+		must.MapContainsKey(t, store.objects, r.slot())
+		clear(store.objects)
+		n.eras.Restored(0, era.CauseRevisions)
+		synctest.Wait()
+		must.MapContainsKey(t, store.objects, r.slot())
+	})
+}
