fleet: send nothing to an endpoint that a restored store lists again

The copy lists endpoints whose entries were removed since, as ready, until the removal is written again. An instance that had read the removal, and is bound by it, sent them requests. An entry of a later era that was written no later than the removed one names no endpoint to use; one that is written again does.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -32,6 +32,7 @@
 	StartedMs   int64 // start of this lifetime, in Unix milliseconds
 	Revision    uint64
 	Era         uint64    // number of the store's era in which the entry was read
+	IsWritten   bool      // the entry was read as a change, and not in a list
 	ColdUntil   time.Time // see Endpoint.ColdUntil; zero: not cold
 }
 
@@ -98,6 +99,7 @@
 	byID     map[string]*row
 	byAddr   map[string]string // address -> ID of the latest endpoint that uses it
 	departed departures
+	removed  map[string]removal // by ID
 	services atomic.Pointer[map[string][]*Endpoint]
 	zones    zones
 	brittle  map[string]*brittleService // by service
@@ -256,7 +258,7 @@
 		t.departed.add(e.ID, e.StartedMs, e.Address)
 		old.endpoint.leave(e.LeavesAt)
 	}
-	if t.departed.includes(&e) {
+	if t.departed.includes(&e) || t.removed[e.ID].includes(&e) {
 		old.endpoint.leave(time.Time{})
 	}
 }
@@ -282,6 +284,7 @@
 	switch {
 	case r == nil:
 	case settled || r.endpoint.IsLeaving():
+		t.recordRemoval(r.endpoint, now)
 		t.deleteRow(id)
 	case r.removeAt.IsZero():
 		r.removeAt = now.Add(UnlistedGrace)
--- /dev/null
+++ b/fleet/removals_test.go
@@ -0,0 +1,41 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/trefoillug/trefoillug/fleet"
+	"github.com/trefoillug/trefoillug/upstream"
+)
+
+// Guards against an endpoint that gets work after its entry was removed, because a store that was restored from a copy lists
+// the entry again, and against one that is left out though it has written its entry since.
+func TestTable_EntryOfRestoredStore(t *testing.T) {
+	entry := func(era, revision uint64, isWritten bool) fleet.Entry {
+		return fleet.Entry{ID: "e", Service: "s", Address: "127.0.0.1:1", Slots: 1, StartedMs: 5, Era: era, Revision: revision, IsWritten: isWritten}
+	}
+	for name, c := range map[string]struct {
+		settled bool
+		next    fleet.Entry
+		isUsed  bool
+	}{
+		"as_removed":             {true, entry(1, 9, false), false},
+		"older":                  {true, entry(1, 7, false), false},
+		"written_since":          {true, entry(1, 10, false), true},
+		"written_since_is_lower": {true, entry(1, 8, true), true},
+		"removed_in_outage":      {false, entry(1, 9, false), true},
+		"same_era":               {true, entry(0, 9, false), true},
+		"next_lifetime":          {true, fleet.Entry{ID: "e", Service: "s", Address: "127.0.0.1:1", Slots: 1, StartedMs: 6, Era: 1, Revision: 8}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := fleet.NewTable(func(address string) *upstream.Pool { return upstream.NewPool(address, upstream.Settings{}) })
+			now := time.Now()
+			table.Put(entry(0, 9, true))
+			table.Remove("e", c.settled, now)
+			table.ReplaceAll([]fleet.Entry{c.next}, false, now)
+			must.Eq(t, c.isUsed, len(table.Service("s")) == 1)
+		})
+	}
+}
--- a/node/state.go
+++ b/node/state.go
@@ -115,6 +115,7 @@
 		log.WithField("leaves_at", entry.LeavesAt).Info("endpoint is leaving")
 		h.n.announceLeaving(entry, now)
 	}
+	entry.IsWritten = true
 	h.n.fleet.Put(entry)
 	h.n.cold.announce(entry, now)
 	h.n.limitConnections()
