node: report an evacuation to the peers in the era of the store that shows it

After a restore an evacuation that the store lacks is kept until a list confirms that it is gone, with its revision of the era before. Peers took that for a newer one of the new era and kept it until the store's revisions had passed it.

--- a/node/evacuations.go
+++ b/node/evacuations.go
@@ -24,14 +24,14 @@
 	newest func() uint64 // revision of the newest change that was read
 
 	mu          sync.Mutex
-	read        map[string]uint64      // by zone: revision of the evacuation, from the store or a peer's copy
+	read        map[string]eraRevision // by zone: revision of the evacuation, from the store or a peer's copy
 	reported    map[string]eraRevision // like read, from reports of peers that were ahead of read
 	inEffect    []string               // sorted
 	listedSince time.Time              // see allowReady
 }
 
 func newEvacuations(n *Node) *evacuations {
-	e := &evacuations{n: n, read: map[string]uint64{}, reported: map[string]eraRevision{}}
+	e := &evacuations{n: n, read: map[string]eraRevision{}, reported: map[string]eraRevision{}}
 	e.newest = func() uint64 { return e.feed().NewestChange() }
 	return e
 }
@@ -44,7 +44,7 @@
 func (e *evacuations) Replace(objects []feed.Object, _ bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.read = map[string]uint64{}
+	e.read = map[string]eraRevision{}
 	for _, o := range objects {
 		e.add(o)
 	}
@@ -72,7 +72,7 @@
 		e.n.log.WithError(err).WithFields(logrus.Fields{"object": o.Name, "revision": o.Revision}).Warn("invalid evacuation skipped")
 		return
 	}
-	e.read[zone] = o.Revision
+	e.read[zone] = eraRevision{o.Era, o.Revision}
 }
 
 // receive records the evacuations that a peer reports. One that is older than the newest change that this instance has read
@@ -94,11 +94,18 @@
 }
 
 // report returns the evacuations for a report to the peers: those that were read only, so that a removed one can't be
-// reported in turn by instances that have it from each other.
-func (e *evacuations) report() map[string]uint64 {
+// reported in turn by instances that have it from each other, and of the given era only: one that the store's list lacks
+// may be gone.
+func (e *evacuations) report(number uint64) map[string]uint64 {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return maps.Clone(e.read)
+	zones := map[string]uint64{}
+	for zone, r := range e.read {
+		if r.era == number {
+			zones[zone] = r.revision
+		}
+	}
+	return zones
 }
 
 // apply puts the evacuations into effect and logs changes. e.mu must be held.
@@ -109,7 +116,10 @@
 	maps.DeleteFunc(e.reported, func(_ string, r eraRevision) bool {
 		return newest > 0 && (r.era != number || r.revision <= newest)
 	})
-	zones := maps.Clone(e.read)
+	zones := map[string]uint64{}
+	for zone, r := range e.read {
+		zones[zone] = r.revision
+	}
 	for zone, r := range e.reported {
 		zones[zone] = max(zones[zone], r.revision)
 	}
@@ -122,7 +132,7 @@
 	for _, zone := range e.inEffect {
 		if !slices.Contains(before, zone) {
 			e.record(zone, 1)
-			e.n.log.WithFields(logrus.Fields{"evacuated": zone, "revision": zones[zone], "from_peer": e.read[zone] == 0}).
+			e.n.log.WithFields(logrus.Fields{"evacuated": zone, "revision": zones[zone], "from_peer": e.read[zone] == eraRevision{}}).
 				Info("zone evacuated: its endpoints get no requests")
 		}
 	}
--- a/node/evacuations_test.go
+++ b/node/evacuations_test.go
@@ -41,7 +41,7 @@
 	must.True(t, n.evacuations.allowReady(begun.Add(2*time.Second)))
 	n.evacuations.receive(0, map[string]uint64{"a": 5})
 	inEffect("a")
-	must.MapEmpty(t, n.evacuations.report()) // not read yet
+	must.MapEmpty(t, n.evacuations.report(0)) // not read yet
 	newest = 5
 	n.evacuations.Replace([]feed.Object{{Name: "a", Revision: 5}}, true)
 	inEffect("a")
@@ -54,5 +54,5 @@
 	inEffect("a", "c")
 	n.evacuations.receive(0, map[string]uint64{"b": 7}) // late
 	inEffect("a", "c")
-	must.Eq(t, map[string]uint64{"a": 5, "c": 6}, n.evacuations.report())
+	must.Eq(t, map[string]uint64{"a": 5, "c": 6}, n.evacuations.report(0))
 }
--- a/node/peers.go
+++ b/node/peers.go
@@ -129,7 +129,8 @@
 	if unreachable := n.quotas.UnreachableInstances(now); n.members.setUnreachable(unreachable) {
 		n.log.WithFields(logrus.Fields{"silent": unreachable, "expected": expected}).Info("number of unreachable instances changed; quotas adjusted")
 	}
-	r := report{Process: n.process, Quotas: n.quotas.Report(now), Changed: map[string]uint64{}, Leaving: n.closing.Load(), Load: n.load.measure(now), Cores: n.settings.Cores, Watches: n.watching(now), Evacuated: n.evacuations.report(), Isolated: n.reachability.IsIsolated(), Proxies: true, Era: n.eras.State()}
+	state := n.eras.State()
+	r := report{Process: n.process, Quotas: n.quotas.Report(now), Changed: map[string]uint64{}, Leaving: n.closing.Load(), Load: n.load.measure(now), Cores: n.settings.Cores, Watches: n.watching(now), Evacuated: n.evacuations.report(state.Number), Isolated: n.reachability.IsIsolated(), Proxies: true, Era: state}
 	for kind, f := range n.feeds {
 		r.Changed[kind] = f.NewestChangeIn(r.Era.Number)
 	}
