--- a/feed/feed.go
+++ b/feed/feed.go
@@ -346,6 +346,9 @@
 		f.mustList = f.mustList || errors.Is(err, ErrHistoryExpired)
 		f.discontinuous = true
 		f.mu.Unlock()
+		if errors.Is(err, ErrDiscontinuous) && time.Since(f.listedAt) < maxPause {
+			f.waitToRetry(parent) // the store may end all connections soon
+		}
 		if errors.Is(err, ErrDiscontinuous) || healthy && time.Since(start) > minCutWatch {
 			return nil // the answer can't be used, or was cut off while waiting; the list shows whether the store is healthy
 		}
@@ -441,7 +444,7 @@
 // waitToRetry waits for the pause after a failed call, with jitter.
 func (f *Feed) waitToRetry(ctx context.Context) {
 	f.mu.Lock()
-	pause := f.pause
+	pause := max(minPause, f.pause)
 	f.mu.Unlock()
 	select {
 	case <-ctx.Done():
