feed: an object older than the known one shows that the store was restored

A list was checked for objects that contradict the feed only after an error that marked the feed as discontinuous. Two paths lost that mark: a watch that got 410 over a repeated connection, and one that was cancelled for a notification just as its connection ended. If the store's revisions had passed those of the feed by the time of the list, and the store stated no era, the list was applied in the old era and the handler got an older state after a newer one. Handlers that compare revisions within an era then ignore the state of the store.

A list that is current can't hold an older state of a known object, however the connection was. Only the other evidence, an unknown object, may come from a stalled watch and still depends on it.

The model test plays random restores, outages, broken connections, restarts and peer copies.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -246,7 +246,7 @@
 
 // contradicts reports whether a list can't come from the store that the feed has read before, so that the store was
 // restored in between. A feed knows all changes up to its revision. After an unbroken connection an unknown one was missed
-// by a stalled watch, and is no evidence.
+// by a stalled watch, and is no evidence; an object that is older than the known one always is.
 func (f *Feed) contradicts(c *Copy) (era.Cause, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -257,7 +257,8 @@
 		return era.CauseRevisions, true
 	}
 	for _, o := range c.Objects {
-		if f.discontinuous && o.Revision <= f.revision && f.objects[o.Name].Revision != o.Revision {
+		known := f.objects[o.Name].Revision
+		if o.Revision < known || f.discontinuous && o.Revision <= f.revision && known != o.Revision {
 			return era.CauseObjects, true
 		}
 	}
