feed: ignore an era that is not later than the known one

The tracker passes changes on after it has released its lock, so that two concurrent changes can reach a feed in the wrong order, for example a restored store noticed in an answer and a peer's report with a higher number. The feed then stayed in the earlier era: it ignored each list as of another era and listed again without pause, until the next era.

Measured: TestFeed_EraChangesOutOfOrder fails without the change (the objects stay those of era 0) and passes with it.

--- a/feed/restore.go
+++ b/feed/restore.go
@@ -11,6 +11,9 @@
 func (f *Feed) beginEra(number uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if number <= f.era {
+		return // the tracker passes on concurrent changes in any order
+	}
 	f.era, f.eraSince = number, time.Now()
 	f.changed, f.notified = 0, 0
 	f.forgetDeletions(0)
