fleet: use an endpoint again that writes its entry after a restore

Cause: an entry can expire while its endpoint is alive but can't reach the store. If the store is then restored from a copy that still has the entry, the first list of the era marks the endpoint as leaving, and that mark lasted for the endpoint's lifetime, also after the endpoint had written its entry in the new era.

Change: such a mark is kept apart from what the endpoint or a peer has said. It ends when the entry is read as a change and nothing else says that the endpoint leaves.

Measured: TestTable_EntryOfRestoredStoreIsWrittenAgain/ready failed before; the tests of the package pass now.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -111,6 +111,8 @@
 type row struct {
 	endpoint *Endpoint
 	removeAt time.Time // end of the grace of an endpoint that is no longer listed; zero: listed
+	// wasRemoved means that the endpoint is leaving only because a restored store lists the entry as it was before its removal.
+	wasRemoved bool
 }
 
 // NewTable returns an empty table.
@@ -196,7 +198,12 @@
 func (t *Table) MarkLeaving(id string, startedMs int64, at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r := t.byID[id]; r != nil && r.endpoint.StartedMs == startedMs && !r.endpoint.IsLeaving() {
+	r := t.byID[id]
+	if r == nil || r.endpoint.StartedMs != startedMs {
+		return
+	}
+	r.wasRemoved = false
+	if !r.endpoint.IsLeaving() {
 		r.endpoint.leave(at)
 		t.publish(time.Now())
 	}
@@ -236,7 +243,7 @@
 	if old != nil && e.StartedMs < old.endpoint.StartedMs {
 		return // the entry is of an earlier lifetime
 	}
-	if old != nil && !sameLifetime(&old.endpoint.Entry, &e) {
+	if old != nil && (!sameLifetime(&old.endpoint.Entry, &e) || old.wasRemoved && e.IsWritten) {
 		t.deleteRow(e.ID)
 		old = nil
 	}
@@ -258,7 +265,11 @@
 		t.departed.add(e.ID, e.StartedMs, e.Address)
 		old.endpoint.leave(e.LeavesAt)
 	}
-	if t.departed.includes(&e) || t.removed[e.ID].includes(&e) {
+	if t.departed.includes(&e) {
+		old.endpoint.leave(time.Time{})
+	}
+	if !old.endpoint.IsLeaving() && t.removed[e.ID].includes(&e) {
+		old.wasRemoved = true
 		old.endpoint.leave(time.Time{})
 	}
 }
--- a/fleet/removals_test.go
+++ b/fleet/removals_test.go
@@ -39,3 +39,36 @@
 		})
 	}
 }
+
+// Guards against an endpoint that gets no more work because a restored store listed it as it was before its removal, though
+// it has written its entry since: its entry may have expired while it could not reach the store.
+func TestTable_EntryOfRestoredStoreIsWrittenAgain(t *testing.T) {
+	entry := func(era, revision uint64, isWritten, isDraining bool) fleet.Entry {
+		return fleet.Entry{
+			ID: "e", Service: "s", Address: "127.0.0.1:1", Slots: 1, StartedMs: 5, Era: era, Revision: revision, IsWritten: isWritten, Draining: isDraining,
+		}
+	}
+	for name, c := range map[string]struct {
+		before func(*fleet.Table)
+		next   fleet.Entry
+		isUsed bool
+	}{
+		"ready":        {func(*fleet.Table) {}, entry(1, 8, true, false), true},
+		"draining":     {func(*fleet.Table) {}, entry(1, 8, true, true), false},
+		"listed_again": {func(*fleet.Table) {}, entry(1, 7, false, false), false},
+		"peer_knows":   {func(t *fleet.Table) { t.MarkLeaving("e", 5, time.Time{}) }, entry(1, 8, true, false), false},
+		"has_said_so":  {func(t *fleet.Table) { t.MarkDeparted("e", 5, time.Time{}) }, entry(1, 8, true, false), false},
+		"was_draining": {func(t *fleet.Table) { t.Put(entry(1, 8, true, true)) }, entry(1, 9, true, false), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := fleet.NewTable(func(address string) *upstream.Pool { return upstream.NewPool(address, upstream.Settings{}) })
+			now := time.Now()
+			table.Put(entry(0, 9, true, false))
+			table.Remove("e", true, now)
+			table.ReplaceAll([]fleet.Entry{entry(1, 7, false, false)}, false, now)
+			c.before(table)
+			table.Put(c.next)
+			must.Eq(t, c.isUsed, len(table.Service("s")) == 1)
+		})
+	}
+}
