--- a/era/era.go
+++ b/era/era.go
@@ -59,7 +59,8 @@
 // NewTracker returns a tracker that has seen no answer.
 func NewTracker() *Tracker { return &Tracker{problems: map[string]bool{}} }
 
-// OnChange adds a function that is called after each change of the era. It must be added before the first call.
+// OnChange adds a function that is called after each change of the era, without a lock, so that the calls for two changes
+// may come in the reverse order. It must be added before the first call.
 func (t *Tracker) OnChange(fn func(State, Cause)) { t.onChange = append(t.onChange, fn) }
 
 // OnProblem sets a function that is called once for each kind of problem with the eras that the store states. It must be
