lease: count no connections of a store that states its era

Cause: a candidate that opened a connection to the store between two reads began to count the term of the holder anew. Cut-off watches open connections every few seconds, so that after the holder's death nobody took the duties over until they stayed open for a term. A store that states its era proves with each answer that it has forgotten nothing in between.

Change: connections are counted only while no era has been stated.

--- a/lease/restore.go
+++ b/lease/restore.go
@@ -15,7 +15,8 @@
 	// IsFirstStart is set if no instance has run before, so that no grant can have been forgotten in the first era.
 	IsFirstStart bool
 	// Connections returns how many connections to the store have been opened. A restored store ends all, so that a candidate
-	// which has opened another one since it last read the object does not know what was written in between.
+	// which has opened another one since it last read the object does not know what was written in between. It is not used
+	// once the store has stated its era.
 	Connections func() uint64
 	// MinToken returns a token above all that may have been granted earlier without the process knowing of them, given the
 	// highest that it knows.
@@ -35,10 +36,11 @@
 }
 
 // noteConnections begins the time anew in which the object has been known, if a connection to the store was opened since.
+// A store that states its era proves with each answer that it was not restored, whatever becomes of its connections.
 // l.mu must be held.
 func (l *Lease) noteConnections(now time.Time) {
 	r := l.settings.Restores
-	if r == nil || r.Connections == nil {
+	if r == nil || r.Connections == nil || r.Eras.State().IsStated {
 		return
 	}
 	if opened := r.Connections(); opened != l.connections {
--- a/lease/restore_test.go
+++ b/lease/restore_test.go
@@ -98,6 +98,13 @@
 	return c.connections
 }
 
+// reconnect opens another connection, as a call does while the others are in use.
+func (c *restorableClient) reconnect() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.connections++
+}
+
 func (c *restorableClient) isDead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -359,3 +366,24 @@
 		})
 	}
 }
+
+// Guards against duties that nobody takes over for as long as connections to the store end now and then, as those of watches
+// that are cut off do, although the store states its era in each answer and so shows that it has forgotten nothing.
+func TestLease_TakenOverWhileConnectionsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRestorableFleet(t, true)
+		f.run(8 * time.Second)
+		old := f.holder()
+		f.kill(old)
+		for range 10 {
+			for _, p := range f.processes {
+				p.client.reconnect()
+			}
+			f.run(3 * time.Second)
+		}
+		_, held := f.processes[f.holder()].lease.Held()
+		must.True(t, held)
+		must.NotEq(t, old, f.holder())
+		f.end()
+	})
+}
