feed: take no copy of an earlier era from a peer

Cause: an instance that has missed a restore counts fewer eras than its peers. Its number of the latest era is then the one that a peer which has not noticed the latest restore gives to the era before. If the store failed for this instance right after it had noticed the restore, it took the peer's state of the earlier era, and the next list, whose revision was lower, was taken for another restore.

Change: a copy whose stated era is lower than the one that is known is ignored.

Measured: TestFeed_CopyOfEarlierStatedEra failed before; the tests of feed and era pass now.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -270,10 +270,12 @@
 	if fromPeer {
 		f.settings.Eras.Merge(c.Era)
 	}
+	// Instances that have missed different restores may give one number to two eras.
+	isEarlier := fromPeer && c.Era.IsStated && c.Era.Stated < f.settings.Eras.State().Stated
 	f.mu.Lock()
 	first, restored := !f.listed, f.listed && f.objectsEra != f.era
-	if c.Era.Number != f.era || fromPeer && !first && !restored && c.NewestChange <= f.changed || restored && c.Since > 0 {
-		f.mustList = restored || c.Era.Number != f.era
+	if c.Era.Number != f.era || isEarlier || fromPeer && !first && !restored && c.NewestChange <= f.changed || restored && c.Since > 0 {
+		f.mustList = restored || isEarlier || c.Era.Number != f.era
 		log := f.settings.Log.WithFields(logrus.Fields{"kind": f.settings.Kind, "revision": c.Revision, "known": f.revision, "era": f.era, "peer": fromPeer})
 		f.mu.Unlock()
 		log.Info("older copy ignored")
