soak: a leaving endpoint keeps its start when the store has forgotten its entry

An endpoint took its start from its own entry. After a drill the store lacks the entries of endpoints that started since the copy, until they are written again; one that announced its leave in this time stated 0 as its start. Instances ignore an entry with an earlier start than the known one, as the users' pages define the start, so that the check of leaving endpoints would blame them for requests that are allowed.

An endpoint now keeps its start.

--- a/soak/environment.go
+++ b/soak/environment.go
@@ -73,8 +73,9 @@
 	worker  *standin.PlatformWorker
 	server  *http.Server
 	proxy   *standin.Forwarder
-	busy    bool // a fault is in progress
-	ending  bool // the current lifetime is being ended
+	started time.Time // when the current lifetime started
+	busy    bool      // a fault is in progress
+	ending  bool      // the current lifetime is being ended
 }
 
 // claimEnd reports whether the calling goroutine is the one that ends a lifetime.
@@ -168,10 +169,11 @@
 	if err != nil {
 		return err
 	}
+	started := time.Now()
 	e.mu.Lock()
-	e.worker, e.server, e.proxy, e.ending = worker, server, proxy, false
+	e.worker, e.server, e.proxy, e.started, e.ending = worker, server, proxy, started, false
 	e.mu.Unlock()
-	env.store.Put(platform.KindEndpoints, id, env.entry(e, proxy.Address(), "ready", time.Now().UnixMilli()))
+	env.store.Put(platform.KindEndpoints, id, env.entry(e, proxy.Address(), "ready", started.UnixMilli()))
 	env.evidence.startLifetime(id, e.service, time.Now())
 	return nil
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -194,22 +194,20 @@
 	worker.SetLeaving(true)
 }
 
-// announceLeaving makes the entry of an endpoint say that it leaves.
+// announceLeaving makes the entry of an endpoint say that it leaves, unless the lifetime has been replaced meanwhile.
 func (env *environment) announceLeaving(e *endpoint, worker *standin.PlatformWorker, in time.Duration) {
-	entry := env.entry(e, e.proxy.Address(), "draining", startedMs(env.store, worker.ID))
+	e.mu.Lock()
+	proxy, started, isCurrent := e.proxy, e.started, e.worker == worker
+	e.mu.Unlock()
+	if !isCurrent {
+		return
+	}
+	entry := env.entry(e, proxy.Address(), "draining", started.UnixMilli())
 	entry["leaves_ms"] = in.Milliseconds()
 	env.store.Put(platform.KindEndpoints, worker.ID, entry)
 	env.evidence.update(func() { env.evidence.Leaving[worker.ID] = time.Now() })
 }
 
-func startedMs(store *standin.PlatformStore, id string) int64 {
-	e, err := platform.DecodeEndpoint(id, store.Spec(platform.KindEndpoints, id), time.Now())
-	if err != nil {
-		return 0 // can't happen, as the entries are valid; with 0, instances would not see the endpoint leave
-	}
-	return e.StartedMs
-}
-
 func (env *environment) removeEntry(id string) {
 	env.store.Remove(platform.KindEndpoints, id)
 	env.evidence.update(func() { env.evidence.Leaving[id] = time.Now() })
--- a/soak/rollout.go
+++ b/soak/rollout.go
@@ -71,7 +71,7 @@
 	env.removeEntry(worker.ID)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.worker, e.server, e.proxy, e.ending = next.worker, next.server, next.proxy, false
+	e.worker, e.server, e.proxy, e.started, e.ending = next.worker, next.server, next.proxy, next.started, false
 	return true
 }
 
