forward: a moved run that is given up counts as a run

Cause: a run that is moved is not counted, since it continues as the same run; when the move was given up, after rejections or because both zones are evacuated, nothing counted it any more.

A run whose move is given up now counts.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -158,7 +158,9 @@
 		}
 		r.pendingMove = moved
 		if out.end == rejected || out.end == unreachable {
-			r.pendingMove = move.afterRejection(out.end == unreachable)
+			if r.pendingMove = move.afterRejection(out.end == unreachable); r.pendingMove == nil && move != nil {
+				r.giveUpMove()
+			}
 		}
 	}()
 	onStall := func() {
--- a/forward/relocate.go
+++ b/forward/relocate.go
@@ -60,6 +60,12 @@
 	return &again
 }
 
+// giveUpMove gives up a moved run. It was not counted as long as it was to continue.
+func (r *exchange) giveUpMove() {
+	r.pendingMove = nil
+	r.runs++
+}
+
 // endpoint returns where the run continues at a time. The endpoint that has stopped it keeps its memory, and gets it back
 // if the other one was not reached, wants no requests, or is in an evacuated zone. It returns nil if both are.
 func (m *moveResult) endpoint(now time.Time) *fleet.Endpoint {
--- a/forward/serve_test.go
+++ b/forward/serve_test.go
@@ -240,6 +240,50 @@
 	}
 }
 
+// Guards against a run more than the route allows: a stopped run that goes on nowhere is given up without being counted.
+func TestServe_StoppedRunThatIsGivenUpCounts(t *testing.T) {
+	for _, name := range []string{"rejected", "zones evacuated"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			stopped := make(chan struct{})
+			evacuating := &evacuatingMover{both: true, stopped: stopped}
+			var m forward.Mover = evacuating
+			if name == "rejected" {
+				m = &mover{ref: "ref", stop: sync.OnceFunc(func() { close(stopped) })}
+			}
+			began := make(chan string, 1)
+			var runs atomic.Int32
+			w := newZonedHarness(t, 5, func(a *arrival) {
+				if a.from != "" {
+					a.reply(http.StatusServiceUnavailable, "", "Not-Run", "1")
+					return
+				}
+				n := int(runs.Add(1))
+				a.stream()
+				a.chunk(event(n))
+				switch n {
+				case 1:
+					reset(a)
+				case 2:
+					began <- a.endpoint
+					<-stopped
+					_ = a.conn.Close()
+				default:
+					a.end()
+				}
+			}, func(c *forward.Config) { c.Mover = m })
+			evacuating.fleet = w.fleet
+			w.setPatient()
+			w.table.Services[service].Engine = engine()
+			go func() { w.fleet.MarkLeaving(<-began, 0, time.Now().Add(moveSoon)) }()
+			got := w.sendRequest(t.Context(), "resume", &forward.Request{Deadline: time.Now().Add(20 * time.Second)})
+			must.Error(t, got.broken)
+			must.Eq(t, event(1)+event(2), got.body.String())
+			must.Eq(t, 2, runs.Load()) // what the route allows
+		})
+	}
+}
+
 // slowMover calls lost, which breaks the run's connection, and fails 50 ms later.
 type slowMover struct{ lost func() }
 
--- a/forward/zones.go
+++ b/forward/zones.go
@@ -99,7 +99,7 @@
 // dropMove gives up the move of a run that may continue neither where it was moved to nor where it came from. Only a request
 // that may be repeated can go on, after the last event that the caller has, as a repeat.
 func (r *exchange) dropMove(ctx context.Context) *Refusal {
-	r.pendingMove = nil
+	r.giveUpMove()
 	refusal := &Refusal{Err: problem.New(problem.NoEndpoint, "the zones of a moved run are evacuated"), RetryAfter: jitter(evacuatedRetryAfter)}
 	if !r.route.MayRepeat() || r.runs >= r.maxRuns() || !r.acquireRetry(ctx) {
 		return refusal
