soak: a frozen holder of the duties counts as disturbed

Time bounds hold only for instances that no freeze has disturbed for 3 s. The checks did not count holder-freeze, the fault of drills, as such a freeze: its name has no prefix of an instance fault. A holder that answers by a revoked key 2.25 s after the revocation because it was frozen, or that sends to a full endpoint in the moment of its thaw, was a breach.

It counts now as instance-freeze does. The three new cases of TestCheck_AllowedCases fail without the change; no run of the soak has shown one yet.

--- a/soak/checks.go
+++ b/soak/checks.go
@@ -123,10 +123,9 @@
 	return "open"
 }
 
-// settled reports whether an instance was undisturbed for the whole settleTime before a time. A reload doesn't disturb
-// an instance.
+// settled reports whether an instance was undisturbed for the whole settleTime before a time.
 func (e *Evidence) settled(instance string, at time.Time) bool {
-	return !e.disturbed(instance, at.Add(-settleTime), at, func(s FaultSpan) bool { return s.Kind.onInstance() && s.Kind != InstanceReload || s.Kind.onStore() })
+	return !e.unsettled(instance, at, at)
 }
 
 // checkConfiguration finds requests that a settled instance handled by an outdated configuration.
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -188,6 +188,21 @@
 			late.Call.Key = "k"
 			addServed(e, late)
 		},
+		"a revoked key at a holder of the duties that was frozen": func(e *Evidence) {
+			e.Revoked = []ConfigChange{{At: at(40), Name: "k"}}
+			e.Spans = []FaultSpan{{From: at(39), To: at(41), Kind: InstanceHolderFreeze, Instance: "n01"}}
+			late := servedAttempt("b", "book", at(43))
+			late.Call.Key = "k"
+			addServed(e, late)
+		},
+		"a full endpoint and a holder of the duties that was frozen": func(e *Evidence) {
+			addFull(e, "2", 3)
+			e.Spans = []FaultSpan{{From: at(30.1), To: at(30.9), Kind: InstanceHolderFreeze, Instance: "n01"}}
+		},
+		"deadly requests from a holder of the duties that was frozen": func(e *Evidence) {
+			addDeadlyBlock(e, 4)
+			e.Spans = []FaultSpan{{From: at(20), To: at(23), Kind: InstanceHolderFreeze, Instance: "n01"}}
+		},
 		"a request interrupted by a crash during a planned stop": func(e *Evidence) {
 			e.Spans = []FaultSpan{
 				{From: at(30), To: at(35), Kind: InstanceStop, Instance: "n01", Planned: true}, {From: at(30), To: at(31), Kind: EndpointCrash},
--- a/soak/endpointchecks.go
+++ b/soak/endpointchecks.go
@@ -50,16 +50,14 @@
 
 // unsettled reports whether an instance was disturbed between the settleTime before a time and another time.
 func (e *Evidence) unsettled(instance string, from, to time.Time) bool {
-	return e.disturbed(instance, from.Add(-settleTime), to, func(s FaultSpan) bool {
-		return s.Kind.onInstance() && s.Kind != InstanceReload || s.Kind.onStore()
-	})
+	return e.disturbed(instance, from.Add(-settleTime), to, func(s FaultSpan) bool { return s.Kind.disturbsInstances() })
 }
 
 // unconnected reports whether an instance may not have heard of its peers in the settleTime before a time. Faults of the
 // store don't matter for that.
 func (e *Evidence) unconnected(instance string, at time.Time) bool {
 	return e.disturbed(instance, at.Add(-settleTime), at, func(s FaultSpan) bool {
-		return slices.Contains([]Kind{InstanceKill, InstanceFreeze, InstanceStop, InstanceSignals}, s.Kind)
+		return slices.Contains([]Kind{InstanceKill, InstanceFreeze, InstanceStop, InstanceSignals, InstanceHolderFreeze}, s.Kind)
 	})
 }
 
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -99,6 +99,12 @@
 	return k == InstanceHolderKill || k == InstanceHolderFreeze || k == InstanceKillAll
 }
 
+// disturbsInstances reports whether time bounds hold for the instances that a kind affects only once settleTime has passed
+// since its end. A reload doesn't disturb an instance.
+func (k Kind) disturbsInstances() bool {
+	return k.onInstance() && k != InstanceReload || k.onAllInstances() || k.onStore()
+}
+
 func (k Kind) onEndpoint() bool { return strings.HasPrefix(string(k), "endpoint-") }
 
 // Fault is an entry of a plan.
