node: report final counts once a peer has confirmed them

Final counts waited 0.8 s for their fact to spread before they were reported. The holder asks up to three peers to keep the counts, and reports them when one has confirmed; each of them sends the fact on, so that it spreads also if the holder ends. Without a confirmation the wait stays.

--- a/node/duties.go
+++ b/node/duties.go
@@ -172,7 +172,7 @@
 		if counts, err = d.finalCounts(ctx, window); err != nil {
 			return err
 		}
-		d.n.publishFinalCounts(window, counts)
+		d.n.shareFinalCounts(ctx, window, counts)
 	}
 	if !d.n.finals.hasSpread(window, time.Now()) {
 		return errCountsSpreading
--- a/node/finalcounts.go
+++ b/node/finalcounts.go
@@ -1,7 +1,10 @@
 package node
 
 import (
+	"context"
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,7 +16,13 @@
 
 const (
 	factFinalCounts = "final-counts/"
-	// finalCountsSpread is the time in which the final counts of a window reach the peers: twice the time of a fact.
+	callFinalCounts = "final-counts"
+	// finalCountsPeers is the number of peers that are asked to confirm the final counts of a window; one suffices.
+	finalCountsPeers = 3
+	// finalCountsTimeout bounds these calls. Peers answer within milliseconds.
+	finalCountsTimeout = 300 * time.Millisecond
+	// finalCountsSpread is the time in which the final counts of a window reach the peers if none confirms them: twice the
+	// time of a fact.
 	finalCountsSpread = 800 * time.Millisecond
 )
 
@@ -22,7 +31,7 @@
 type finalCountsTable struct {
 	mu     sync.Mutex
 	counts map[uint64]usage.Counts
-	since  map[uint64]time.Time // when they were sent to the peers, or came from one
+	since  map[uint64]time.Time // when they were sent to the peers; zero: one has them
 }
 
 // finalCountsFact is the fact that holds the final counts of a window.
@@ -58,7 +67,7 @@
 	return counts, known
 }
 
-// hasSpread reports whether the peers have had the time to receive the final counts of a window.
+// hasSpread reports whether a peer has the final counts of a window, or all have had the time to receive them.
 func (c *finalCountsTable) hasSpread(window uint64, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -66,10 +75,53 @@
 	return known && now.Sub(since) >= finalCountsSpread
 }
 
-// publishFinalCounts sends the final counts of a window to the peers, which keep them also if this process ends.
-func (n *Node) publishFinalCounts(window uint64, counts usage.Counts) {
+// confirmed records that a peer has the final counts of a window.
+func (c *finalCountsTable) confirmed(window uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.since[window] = time.Time{}
+}
+
+// shareFinalCounts sends the final counts of a window to the peers, which keep them also if this process ends. It returns
+// once a peer has confirmed them, or none of those asked did.
+func (n *Node) shareFinalCounts(ctx context.Context, window uint64, counts usage.Counts) {
+	fact := finalCountsFact{window, counts}
 	n.finals.set(window, counts, time.Now())
-	n.publishShared(fmt.Sprintf("%s%d", factFinalCounts, window), 0, finalCountsFact{window, counts}, reportLifetime)
+	n.publishFinalCounts(fact)
+	ids := slices.DeleteFunc(n.memberIDs(), func(id string) bool { return id == n.settings.Name })
+	rand.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	ids = ids[:min(len(ids), finalCountsPeers)]
+	if len(ids) == 0 {
+		n.finals.confirmed(window) // there is nobody to keep them
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, finalCountsTimeout)
+	defer cancel()
+	results := make(chan error, len(ids))
+	for _, id := range ids {
+		go func() {
+			_, err := callPeer[empty](ctx, n, id, callFinalCounts, fact)
+			results <- err
+		}()
+	}
+	for range ids {
+		if err := <-results; err == nil {
+			n.finals.confirmed(window)
+			return
+		}
+	}
+}
+
+func (n *Node) publishFinalCounts(fact finalCountsFact) {
+	n.publishShared(fmt.Sprintf("%s%d", factFinalCounts, fact.Window), 0, fact, reportLifetime)
+}
+
+// handleFinalCounts keeps the final counts of a window for a holder that is about to report them, and sends them on: the
+// holder may end before its own fact has spread.
+func (n *Node) handleFinalCounts(fact finalCountsFact) (empty, error) {
+	n.finals.set(fact.Window, fact.Counts, time.Time{})
+	n.publishFinalCounts(fact)
+	return empty{}, nil
 }
 
 func (n *Node) receiveFinalCounts(f peer.Fact) {
@@ -78,5 +130,5 @@
 		n.log.WithError(err).WithField("peer", f.Origin).Warn("final counts from peer could not be decoded")
 		return
 	}
-	n.finals.set(fact.Window, fact.Counts, time.Now())
+	n.finals.set(fact.Window, fact.Counts, time.Time{})
 }
