feed: ask a peer at once while the store fails, and list only over a new connection

Peers had reported the change at once.

A reported change ends the pause now, and a list that hangs; the copy of the peer, whose store is sound, removes the endpoint without the 1.7 s. After a failed call the feed watches again instead of listing: Store.Watch itself tells when the connection is another one, and over the same one nothing was missed. So a store that refuses an instance for a time costs it no lists.

TestFeed_PeerChangeDuringRetryPause failed before.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -150,6 +150,7 @@
 	listedAt       time.Time          // newest list; used by Run only
 	pace           *rate.Limiter      // of watches that return changes; used by Run only
 	pausedUntil    time.Time          // the next watch starts then
+	retryWake      chan struct{}      // a peer has reported a change while the store fails
 	ready          chan struct{}
 	deletions      []deletion // newest last
 	deletionsAfter uint64     // all deletions after this revision are kept
@@ -169,7 +170,9 @@
 	if s.Eras == nil {
 		s.Eras = era.NewTracker()
 	}
-	f := &Feed{settings: s, pace: rate.NewLimiter(rate.Inf, paceBurst), objects: map[string]Object{}, ready: make(chan struct{})}
+	f := &Feed{
+		settings: s, pace: rate.NewLimiter(rate.Inf, paceBurst), objects: map[string]Object{}, ready: make(chan struct{}), retryWake: make(chan struct{}, 1),
+	}
 	s.Eras.OnChange(func(st era.State, _ era.Cause) { f.beginEra(st.Number) })
 	return f
 }
@@ -224,11 +227,21 @@
 func (f *Feed) list(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
+	start := time.Now()
 	f.mu.Lock()
+	f.cancel = func() {
+		if time.Since(start) > minCutWatch {
+			cancel() // it is stalled
+		}
+	}
 	c := &Copy{NewestChange: f.notified, Era: f.settings.Eras.State()} // a list that starts now includes what peers reported before
 	f.mu.Unlock()
 	var err error
-	if c.Objects, c.Revision, err = f.settings.Store.List(ctx, f.settings.Kind); err != nil {
+	c.Objects, c.Revision, err = f.settings.Store.List(ctx, f.settings.Kind)
+	f.mu.Lock()
+	f.cancel, f.interrupted = nil, false
+	f.mu.Unlock()
+	if err != nil {
 		return err
 	}
 	if cause, restored := f.contradicts(c); restored {
@@ -347,7 +360,7 @@
 	case err != nil:
 		f.mu.Lock()
 		f.mustList = f.mustList || errors.Is(err, ErrHistoryExpired)
-		f.discontinuous = true
+		f.discontinuous = f.discontinuous || errors.Is(err, ErrDiscontinuous)
 		f.mu.Unlock()
 		if errors.Is(err, ErrDiscontinuous) && time.Since(f.listedAt) < maxPause {
 			f.waitToRetry(parent) // the store may end all connections soon
@@ -440,17 +453,25 @@
 	if !f.healthySince.IsZero() || f.pause == 0 {
 		f.settings.Log.WithError(err).WithFields(logrus.Fields{"kind": f.settings.Kind, "revision": f.revision}).Warn("call to store failed")
 	}
-	f.healthySince, f.discontinuous = time.Time{}, true
+	f.healthySince = time.Time{}
 	f.pause = min(max(minPause, 2*f.pause), maxPause)
 }
 
-// waitToRetry waits for the pause after a failed call, with jitter.
+// waitToRetry waits for the pause after a failed call, with jitter. When a peer reports a change meanwhile, it asks the peer:
+// an endpoint may be leaving.
 func (f *Feed) waitToRetry(ctx context.Context) {
 	f.mu.Lock()
 	pause := max(minPause, f.pause)
 	f.mu.Unlock()
-	select {
-	case <-ctx.Done():
-	case <-time.After(pause/2 + rand.N(pause)):
+	end := time.After(pause/2 + rand.N(pause))
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-end:
+			return
+		case <-f.retryWake:
+			f.recoverFromPeer(ctx)
+		}
 	}
 }
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -25,6 +25,7 @@
 type store struct {
 	mu         sync.Mutex
 	revision   uint64
+	run        int // raised when the store is restored
 	events     []feed.Event
 	objects    map[string]feed.Object
 	down       bool
@@ -142,6 +143,38 @@
 	}
 }
 
+// connection is a feed's connection to the store, which ends when the store is restored.
+type connection struct {
+	*store
+	run int // of the store, that the connection leads to
+}
+
+func (c *connection) List(ctx context.Context, kind string) ([]feed.Object, uint64, error) {
+	objects, revision, err := c.store.List(ctx, kind)
+	if err == nil {
+		c.run = c.store.currentRun()
+	}
+	return objects, revision, err
+}
+
+func (c *connection) Watch(ctx context.Context, w feed.Watch) ([]feed.Event, uint64, error) {
+	run := c.store.currentRun()
+	events, revision, err := c.store.Watch(ctx, w)
+	switch {
+	case err == nil && c.run != run:
+		return nil, 0, feed.ErrDiscontinuous
+	case err == nil && run != c.store.currentRun():
+		return nil, 0, errDown // cut off
+	}
+	return events, revision, err
+}
+
+func (s *store) currentRun() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.run
+}
+
 // recorder records what the feed passed on.
 type recorder struct {
 	mu        sync.Mutex
@@ -200,6 +233,9 @@
 
 // newFeed returns a feed of the store that passes its changes to the recorder. Its Run is not called yet.
 func newFeed(s feed.Store, settings feed.Settings) (*feed.Feed, *recorder) {
+	if fake, ok := s.(*store); ok {
+		s = &connection{store: fake}
+	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	r := &recorder{}
@@ -449,3 +485,26 @@
 		must.False(t, mayBeStale())
 	})
 }
+
+// Guards against a change that a peer has reported, such as an endpoint that leaves, and that waits for the end of a pause
+// between calls while the store fails.
+func TestFeed_PeerChangeDuringRetryPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.put("a", "1")
+		var revision atomic.Uint64
+		f, r := start(t, s, func(context.Context, string, uint64) (*feed.Copy, error) {
+			n := revision.Load()
+			return &feed.Copy{Revision: n, NewestChange: n, Objects: []feed.Object{{Name: strconv.FormatUint(n, 10), Revision: n}}}, nil
+		})
+		time.Sleep(5 * time.Second)
+		s.update(func() { s.down = true })
+		time.Sleep(10 * time.Second)
+		for n := uint64(10); n < 40; n++ {
+			revision.Store(n)
+			f.NotifyChange(n)
+			time.Sleep(160 * time.Millisecond)
+			must.Eq(t, []string{strconv.FormatUint(n, 10)}, r.now())
+		}
+	})
+}
--- a/feed/notify.go
+++ b/feed/notify.go
@@ -33,6 +33,10 @@
 		}
 		f.mustList = true
 		f.interrupt()
+		select {
+		case f.retryWake <- struct{}{}:
+		default:
+		}
 	})
 }
 
--- a/feed/restore_test.go
+++ b/feed/restore_test.go
@@ -25,6 +25,7 @@
 			}
 		}
 		s.revision = revision
+		s.run++
 	})
 }
 
