node: drop evacuations reported in an earlier era at the first list

Cause: an evacuation that only a peer's report had shown stayed in effect until the feed knew a change in the new era. If the restored store has no evacuation, there is none, and the zone got no requests until the next evacuation.

Change: each list drops what was reported in an earlier era.

Measured: TestEvacuations_ReportOfEarlierEra failed before; the tests of the evacuations pass now.

--- a/node/evacuations.go
+++ b/node/evacuations.go
@@ -45,6 +45,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.read = map[string]eraRevision{}
+	// A list of this era without any evacuation leaves newest at 0, so that apply would keep the reports of earlier eras.
+	number := e.n.eras.Number()
+	maps.DeleteFunc(e.reported, func(_ string, r eraRevision) bool { return r.era < number })
 	for _, o := range objects {
 		e.add(o)
 	}
--- a/node/evacuations_test.go
+++ b/node/evacuations_test.go
@@ -56,3 +56,26 @@
 	inEffect("a", "c")
 	must.Eq(t, map[string]uint64{"a": 5, "c": 6}, n.evacuations.report(0))
 }
+
+// Guards against a zone that stays evacuated because a peer reported it before the store was restored, although the store's list
+// has no evacuation.
+func TestEvacuations_ReportOfEarlierEra(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	n := &Node{log: log, metrics: newMetrics(), eras: era.NewTracker(), platform: Platform{
+		Kinds:            Kinds{Evacuations: "evacuations"},
+		DecodeEvacuation: func(o feed.Object) (string, error) { return o.Name, nil },
+	}}
+	n.fleet = fleet.NewTable(func(address string) *upstream.Pool { return upstream.NewPool(address, upstream.Settings{}) })
+	n.feeds = map[string]*feed.Feed{n.platform.Kinds.Evacuations: feed.New(feed.Settings{Eras: n.eras, Log: log})}
+	n.evacuations = newEvacuations(n)
+	n.evacuations.receive(0, map[string]uint64{"a": 5})
+	n.eras.Restored(0, era.CauseRevisions)
+	n.evacuations.receive(1, nil)
+	must.Eq(t, []string{"a"}, n.evacuations.inEffect)
+	n.evacuations.Replace(nil, false)
+	must.SliceEmpty(t, n.evacuations.inEffect)
+	n.evacuations.receive(1, map[string]uint64{"b": 3})
+	n.evacuations.Replace(nil, false)
+	must.Eq(t, []string{"b"}, n.evacuations.inEffect)
+}
