node: share no cold endpoints while the store lacks the register entry

Cause: an instance uses its share of the requests to cold endpoints once the store has had its entry without interruption for longer than any list of the members is old. After a restore from a copy without the entry, other instances list the members without it and take over its share, while it went on to use the share as before.

Change: when the entry has to be created again, that time begins anew.

Measured: TestWriteRegisterEntry_StoreForgot, which now checks this too, failed without the change; it and the tests of cold pass now.

--- a/cold/cold.go
+++ b/cold/cold.go
@@ -89,6 +89,9 @@
 	m.Renewed = now
 }
 
+// RecordLost records that the store has lost the entry of this instance, so that lists of others may lack it.
+func (m *Membership) RecordLost() { m.Confirmed = time.Time{} }
+
 // SetMembers records a list whose reading began at listed.
 func (m *Membership) SetMembers(members []string, listed time.Time) {
 	if listed.Before(m.listed) {
--- a/node/cold.go
+++ b/node/cold.go
@@ -118,6 +118,13 @@
 	c.membership.RecordRenewed(now)
 }
 
+// recordLost records that the store has lost this instance's entry in the register.
+func (c *coldLimits) recordLost() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.membership.RecordLost()
+}
+
 // permitCall asks for a permit for one of the endpoints of a service.
 type permitCall struct {
 	Service   string   `cbor:"1,keyasint"`
--- a/node/register.go
+++ b/node/register.go
@@ -121,6 +121,9 @@
 	if err != nil && !errors.Is(err, objstore.ErrNotFound) {
 		return 0, err
 	}
+	if old.Version == 0 && version > 0 {
+		n.cold.recordLost()
+	}
 	// An entry that a restored store lacks is created again.
 	return n.platform.Records.Put(ctx, key, value, old.Version)
 }
--- a/node/register_test.go
+++ b/node/register_test.go
@@ -7,6 +7,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/trefoillug/trefoillug/clock"
+	"github.com/trefoillug/trefoillug/cold"
 	"github.com/trefoillug/trefoillug/objstore"
 )
 
@@ -27,16 +28,31 @@
 	}
 }
 
-// Guards against an instance whose entry is missing for as long as it runs, after a restored store has forgotten it.
+// Guards against an instance whose entry is missing for as long as it runs, after a restored store has forgotten it, and
+// against one that goes on to use shares of cold endpoints, which those that list the members meanwhile use too.
 func TestWriteRegisterEntry_StoreForgot(t *testing.T) {
 	store := &records{objects: map[string]objstore.Object{}}
 	n := &Node{settings: Settings{Name: "i", PeerListen: "127.0.0.1:1"}, wall: clock.NewWall(), platform: Platform{Records: store}}
+	n.cold = newColdLimits(n)
+	start := time.Now()
+	mayUse := func(at time.Time) bool {
+		n.cold.setMembers([]string{"i"}, at)
+		return n.cold.membership.MayUse(at)
+	}
 	version, err := n.writeRegisterEntry(t.Context(), 0)
 	must.NoError(t, err)
+	n.cold.recordRenewed(start)
 	version, err = n.writeRegisterEntry(t.Context(), version)
 	must.NoError(t, err)
+	n.cold.recordRenewed(start.Add(cold.MaxListAge))
+	must.True(t, mayUse(start.Add(cold.MaxListAge)))
 	clear(store.objects)
 	_, err = n.writeRegisterEntry(t.Context(), version)
 	must.NoError(t, err)
 	must.MapContainsKey(t, store.objects, "instances/i")
+	again := start.Add(cold.MaxListAge + time.Second)
+	must.False(t, mayUse(again))
+	n.cold.recordRenewed(again)
+	must.False(t, mayUse(again))
+	must.True(t, mayUse(again.Add(cold.MaxListAge)))
 }
