--- a/feed/contradiction_test.go
+++ b/feed/contradiction_test.go
@@ -21,30 +21,33 @@
 }
 
 // startModelFeed starts a feed that ends with the test.
-func startModelFeed(t *testing.T, client *modelClient) *modelHandler {
+func startModelFeed(t *testing.T, client *modelClient) (*feed.Feed, *modelHandler) {
 	h := &modelHandler{newest: map[string]feed.Object{}}
 	f := feed.New(feed.Settings{Kind: "k", Store: client, Handler: h, Log: silentLog(), Eras: client.eras, Wait: func() time.Duration { return time.Second }})
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
 	go func() { defer close(ended); f.Run(ctx) }()
 	t.Cleanup(func() { cancel(); <-ended })
-	return h
+	return f, h
 }
 
-// Guards against an object that is set back within an era: the store came back before a call failed, so that the feed did
-// not know that its connection had ended, and the revisions had passed those of the feed before it listed.
+// Guards against an object that is set back within an era: the store was restored after a notification had cancelled the
+// watch, before the connection of the list was opened, and its revisions have passed those of the feed.
 func TestFeed_OlderObjectShowsRestore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &modelStore{revision: 1, changed: make(chan struct{})}
-		s.write("a", "first")
+		s.update(func() { s.write("a", "first") })
 		client := newModelClient(s, era.NewTracker())
-		h := startModelFeed(t, client)
-		time.Sleep(time.Second + 500*time.Millisecond)
+		f, h := startModelFeed(t, client)
+		time.Sleep(1500 * time.Millisecond)
 		s.update(func() { s.write("a", "lost") })
 		time.Sleep(100 * time.Millisecond)
+		client.set(func() { client.link = linkHanging })
+		f.NotifyChangeIn(0, 9)
+		time.Sleep(300 * time.Millisecond) // the watch has been cancelled
 		s.restore(2, 0, false)
-		time.Sleep(3*time.Millisecond + 500*time.Microsecond) // the watch is repeated and gets 410
 		s.update(func() { s.write("b", "1"); s.write("b", "2") })
+		client.set(func() { client.link = linkOpen })
 		time.Sleep(time.Second)
 		must.Eq(t, 1, client.eras.Number())
 		h.mu.Lock()
--- a/feed/restore_model_test.go
+++ b/feed/restore_model_test.go
@@ -43,12 +43,32 @@
 	run      uint64 // number of the process; a connection ends with it
 	away     bool
 	changed  chan struct{}
+	reached  []reachedRevision // oldest first
 }
 
+// reachedRevision is when the store of the present run reached a revision.
+type reachedRevision struct {
+	at       time.Time
+	revision uint64
+}
+
+// staleRevision returns a revision that the store has reached some time ago. The caller holds s.mu.
+func (s *modelStore) staleRevision() uint64 {
+	i := len(s.reached) - 1
+	for i > 0 && time.Since(s.reached[i].at) < maxLag {
+		i--
+	}
+	return s.reached[i].revision
+}
+
+// maxLag is how far answers that may be stale are behind.
+const maxLag = 3 * time.Second
+
 func (s *modelStore) update(fn func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	fn()
+	s.reached = append(s.reached, reachedRevision{time.Now(), s.revision})
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -99,6 +119,7 @@
 		s.era++
 		s.run++
 		s.away = false
+		s.reached = []reachedRevision{{time.Now(), revision}}
 		s.revision += raise
 		if !rewrites {
 			return
@@ -349,6 +370,7 @@
 	var events []feed.Event
 	var answer era.Answer
 	var gone bool
+	var revision uint64
 	var end time.Time // the store waits from the arrival of the request
 	m, err := c.call(ctx, true, func() bool {
 		if end.IsZero() {
@@ -358,9 +380,15 @@
 		if gone = w.After < c.store.floor || w.After > c.store.revision; gone {
 			return true
 		}
-		answer.Revision, events = c.store.revision, nil
+		newest := c.store.revision
+		if answer.IsStale = w.MayBeStale; !w.MayBeStale {
+			answer.Revision = newest
+		} else {
+			newest = c.store.staleRevision()
+		}
+		events, revision = nil, newest
 		for _, e := range c.store.history {
-			if at(e) > w.After {
+			if at(e) > w.After && at(e) <= newest {
 				events = append(events, e)
 			}
 		}
@@ -375,7 +403,7 @@
 	if gone {
 		return nil, 0, feed.ErrHistoryExpired
 	}
-	if answer.Revision < w.After {
+	if !w.MayBeStale && revision < w.After {
 		c.eras.Restored(number, era.CauseRevisions)
 		return nil, 0, era.ErrChanged
 	}
@@ -383,7 +411,7 @@
 		return nil, 0, feed.ErrDiscontinuous
 	}
 	c.record(m)
-	return events, answer.Revision, nil
+	return events, revision, nil
 }
 
 // modelHandler checks that no list returns an older state of an object after a newer one in the same era.
@@ -474,6 +502,7 @@
 	choice := rand.New(rand.NewPCG(f.rng.Uint64(), 0)) // used by the feed's goroutine only
 	process := feed.New(feed.Settings{
 		Kind: "k", Store: i.client, Handler: handler, Log: silentLog(), Eras: tracker, KeepsMissing: f.scenario.KeepsMissing, Wait: func() time.Duration { return i.wait },
+		MayBeStale: func() bool { return f.scenario.MayBeStale && i.wait == feed.MaxWait }, // the others notify it of changes
 		FetchFromPeer: func(_ context.Context, _ string, after uint64) (*feed.Copy, error) {
 			number := tracker.Number()
 			time.Sleep(2 * time.Millisecond)
@@ -560,6 +589,7 @@
 	Seed         uint64
 	StatesEra    bool
 	KeepsMissing bool
+	MayBeStale   bool // long watches may be stale
 	PageSize     int
 	Waits        []time.Duration
 	Steps        []restoreStep
@@ -570,7 +600,7 @@
 func drawRestoreScenario(t *rapid.T) restoreScenario {
 	s := restoreScenario{
 		Seed: rapid.Uint64().Draw(t, "seed"), StatesEra: rapid.Bool().Draw(t, "statesEra"), KeepsMissing: rapid.Bool().Draw(t, "keepsMissing"),
-		PageSize: rapid.SampledFrom([]int{100, 2}).Draw(t, "pageSize"), Waits: []time.Duration{time.Second},
+		MayBeStale: rapid.Bool().Draw(t, "mayBeStale"), PageSize: rapid.SampledFrom([]int{100, 2}).Draw(t, "pageSize"), Waits: []time.Duration{time.Second},
 	}
 	for range rapid.IntRange(1, 3).Draw(t, "others") {
 		s.Waits = append(s.Waits, rapid.SampledFrom([]time.Duration{time.Second, feed.MaxWait}).Draw(t, "wait"))
@@ -657,7 +687,7 @@
 // playRestores plays a scenario and returns what is wrong at its end.
 func playRestores(s restoreScenario) (faults []string) {
 	f := &modelFleet{scenario: s, rng: rand.New(rand.NewPCG(s.Seed, 0)), store: &modelStore{revision: 1, changed: make(chan struct{})}}
-	f.store.write("a", "first")
+	f.store.update(func() { f.store.write("a", "first") })
 	for _, wait := range s.Waits {
 		f.instances = append(f.instances, &modelInstance{fleet: f, wait: wait})
 	}
