fleet: keep an endpoint that has written its entry after a restore

Cause: an entry that was removed and then written again in the next era was recognized as new while it was read as a change, but not in the next list, in which its revision may be below that of the removed entry. Each new era is followed by a second list after 3 to 4 s, which took the endpoint out of use for its lifetime.

Change: a removal is forgotten when the entry is read as a change.

Measured: TestTable_EntryOfRestoredStoreIsWrittenAgain/ready, which now reads a list as well, failed without the change; the tests of the package pass now.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -260,6 +260,9 @@
 		t.byAddr[e.Address] = e.ID
 	}
 	old.removeAt = time.Time{}
+	if e.IsWritten {
+		delete(t.removed, e.ID) // lists show this entry from now on
+	}
 	old.endpoint.cold.readEntry(&e)
 	if e.Draining {
 		t.departed.add(e.ID, e.StartedMs, e.Address)
--- a/fleet/removals_test.go
+++ b/fleet/removals_test.go
@@ -69,6 +69,9 @@
 			c.before(table)
 			table.Put(c.next)
 			must.Eq(t, c.isUsed, len(table.Service("s")) == 1)
+			c.next.IsWritten = false
+			table.ReplaceAll([]fleet.Entry{c.next}, true, now) // the next list shows the same entry
+			must.Eq(t, c.isUsed, len(table.Service("s")) == 1)
 		})
 	}
 }
