fleet: use endpoints again that a restored store goes on to list

Cause: entries expire while their endpoints can't reach the store, those of a whole zone at once if its link is cut. If the store is then restored from a copy that still has them, they are listed as before, and the table leaves their endpoints out, as if they were gone. An entry whose endpoint stays as it is does not change, so that nothing ended this.

Change: such an endpoint is used again once the store has listed it for 10 s and has been healthy as long. The time is chosen, not measured: the writer of an entry that is gone has to remove it again within it.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -204,6 +204,13 @@
 	return f.lastAnswered
 }
 
+// HealthySince returns when calls to the store started to succeed in this era; the zero time means that they fail.
+func (f *Feed) HealthySince() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.healthySince
+}
+
 // Run follows the store until ctx is done.
 func (f *Feed) Run(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -111,8 +111,8 @@
 type row struct {
 	endpoint *Endpoint
 	removeAt time.Time // end of the grace of an endpoint that is no longer listed; zero: listed
-	// wasRemoved means that the endpoint is leaving only because a restored store lists the entry as it was before its removal.
-	wasRemoved bool
+	// relistedAt is set if the endpoint is leaving only because a restored store lists the entry as it was before its removal.
+	relistedAt time.Time
 }
 
 // NewTable returns an empty table.
@@ -202,7 +202,7 @@
 	if r == nil || r.endpoint.StartedMs != startedMs {
 		return
 	}
-	r.wasRemoved = false
+	r.relistedAt = time.Time{}
 	if !r.endpoint.IsLeaving() {
 		r.endpoint.leave(at)
 		t.publish(time.Now())
@@ -243,7 +243,7 @@
 	if old != nil && e.StartedMs < old.endpoint.StartedMs {
 		return // the entry is of an earlier lifetime
 	}
-	if old != nil && (!sameLifetime(&old.endpoint.Entry, &e) || old.wasRemoved && e.IsWritten) {
+	if old != nil && (!sameLifetime(&old.endpoint.Entry, &e) || !old.relistedAt.IsZero() && e.IsWritten) {
 		t.deleteRow(e.ID)
 		old = nil
 	}
@@ -272,7 +272,7 @@
 		old.endpoint.leave(time.Time{})
 	}
 	if !old.endpoint.IsLeaving() && t.removed[e.ID].includes(&e) {
-		old.wasRemoved = true
+		old.relistedAt = time.Now()
 		old.endpoint.leave(time.Time{})
 	}
 }
--- a/fleet/removals_test.go
+++ b/fleet/removals_test.go
@@ -75,3 +75,46 @@
 		})
 	}
 }
+
+// Guards against endpoints that get no more work although a restored store goes on to list them: their entries, which have
+// expired while they could not reach the store, are in the copy and don't change. Also guards against the use of one that is
+// gone while the store can't say so.
+func TestTable_UseRelisted(t *testing.T) {
+	entry := func(era uint64) fleet.Entry {
+		return fleet.Entry{ID: "e", Service: "s", Address: "127.0.0.1:1", Slots: 1, StartedMs: 5, Era: era, Revision: 9}
+	}
+	for name, c := range map[string]struct {
+		healthyFor, after time.Duration
+		between           func(*fleet.Table)
+		isUsed            bool
+	}{
+		"goes_on":                  {20 * time.Second, 11 * time.Second, func(*fleet.Table) {}, true},
+		"too_early":                {20 * time.Second, 9 * time.Second, func(*fleet.Table) {}, false},
+		"store_fails":              {0, 11 * time.Second, func(*fleet.Table) {}, false},
+		"store_fails_until_lately": {9 * time.Second, 20 * time.Second, func(*fleet.Table) {}, false},
+		"removed_again":            {20 * time.Second, 11 * time.Second, func(t *fleet.Table) { t.Remove("e", false, time.Now()) }, false},
+		"peer_knows":               {20 * time.Second, 11 * time.Second, func(t *fleet.Table) { t.MarkLeaving("e", 5, time.Time{}) }, false},
+		"has_said_so":              {20 * time.Second, 11 * time.Second, func(t *fleet.Table) { t.MarkDeparted("e", 5, time.Time{}) }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := fleet.NewTable(func(address string) *upstream.Pool { return upstream.NewPool(address, upstream.Settings{}) })
+			table.Put(entry(0))
+			table.Remove("e", true, time.Now())
+			table.ReplaceAll([]fleet.Entry{entry(1)}, false, time.Now())
+			table.ReplaceAll([]fleet.Entry{entry(1)}, true, time.Now())
+			c.between(table)
+			must.SliceEmpty(t, table.Service("s"))
+			now := time.Now().Add(c.after)
+			healthySince := time.Time{}
+			if c.healthyFor > 0 {
+				healthySince = now.Add(-c.healthyFor)
+			}
+			table.UseRelisted(healthySince, now)
+			must.Eq(t, c.isUsed, len(table.Service("s")) == 1)
+			if name != "removed_again" {
+				table.ReplaceAll([]fleet.Entry{entry(1)}, true, now) // the next list shows the same entry
+			}
+			must.Eq(t, c.isUsed, len(table.Service("s")) == 1)
+		})
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -198,7 +198,10 @@
 		group.Go(func() error { f.Run(serveCtx); return nil })
 	}
 	group.Go(func() error {
-		return every(serveCtx, expireInterval, func(context.Context) { n.fleet.Expire(time.Now()) })
+		return every(serveCtx, expireInterval, func(context.Context) {
+			n.fleet.Expire(time.Now())
+			n.fleet.UseRelisted(n.feeds[n.platform.Kinds.Endpoints].HealthySince(), time.Now())
+		})
 	})
 	group.Go(func() error { return every(serveCtx, reportTick, n.report) })
 	group.Go(func() error { return every(serveCtx, metricsInterval, n.reportMemory) })
