node: store no refusal of a block again that was lifted since

Cause: after a restore each instance stores the records again that it has stored before. One that had stored the refusal of a prompt block does so even if another instance has stored since that the block is served again, and a record with other facts replaced the stored one whatever its time. Instances that started later refused the block, for up to 24 hours.

Change: a record does not replace a newer one of the same block.

Measured: TestSuspects_StoredAgainAfterNewerRecord failed before; the tests of the suspects pass now.

--- a/node/suspectrecords.go
+++ b/node/suspectrecords.go
@@ -47,6 +47,9 @@
 	if stored.Block != r.Block {
 		return len(r.Facts) > 0
 	}
+	if r.RecordedMs < stored.RecordedMs {
+		return false // r is stored again after a restore, and another instance knows more
+	}
 	isRecent := r.RecordedMs-stored.RecordedMs < refusedTTL.Milliseconds()/2
 	return len(stored.Facts) != len(r.Facts) || !isRecent
 }
--- a/node/suspects_test.go
+++ b/node/suspects_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -76,3 +77,36 @@
 		must.MapContainsKey(t, store.objects, r.slot())
 	})
 }
+
+// Guards against a block that instances which start later refuse although it is served again: after a restore, each instance
+// stores what it has stored before, also what another one has replaced since.
+func TestSuspects_StoredAgainAfterNewerRecord(t *testing.T) {
+	metrics := newMetrics() // reports outside the bubble
+	synctest.Test(t, func(t *testing.T) {
+		store := &records{objects: map[string]objstore.Object{}}
+		log, _ := test.NewNullLogger()
+		now := time.Now().UnixMilli()
+		refused := blockRecord{Block: 7, RecordedMs: now, Facts: []quarantine.BlockFact{{}}}
+		served := blockRecord{Block: 7, RecordedMs: now + 1000}
+		var first *Node
+		for _, r := range []blockRecord{refused, served} {
+			n := &Node{log: log, metrics: metrics, eras: era.NewTracker(), registerSoon: make(chan struct{}, 1), wall: clock.NewWall(), platform: Platform{Records: store}}
+			n.suspects = newSuspects(n)
+			n.followEras()
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			go n.suspects.maintainRecords(ctx)
+			n.suspects.storeLater(r)
+			synctest.Wait()
+			if first == nil {
+				first = n
+			}
+		}
+		first.eras.Restored(0, era.CauseRevisions)
+		synctest.Wait()
+		var stored blockRecord
+		must.NoError(t, json.Unmarshal(store.objects[served.slot()].Value, &stored))
+		must.Eq(t, served.RecordedMs, stored.RecordedMs)
+		must.SliceEmpty(t, stored.Facts)
+	})
+}
