lease, node: say which connections are counted

Only those over which the lease object may be read are counted since lists and watches have connections of their own. Comments only; not tested.

--- a/lease/restore.go
+++ b/lease/restore.go
@@ -14,9 +14,9 @@
 	Eras *era.Tracker
 	// IsFirstStart is set if no instance has run before, so that no grant can have been forgotten in the first era.
 	IsFirstStart bool
-	// Connections returns how many connections to the store have been opened. A restored store ends all, so that a candidate
-	// which has opened another one since it last read the object does not know what was written in between. It is not used
-	// once the store has stated its era.
+	// Connections returns how many connections have been opened over which the object may be read. A restored store ends all,
+	// so that a candidate which has opened another one since it last read the object does not know what was written in
+	// between. It is not used once the store has stated its era.
 	Connections func() uint64
 	// MinToken returns a token above all that may have been granted earlier without the process knowing of them, given the
 	// highest that it knows.
--- a/node/settings.go
+++ b/node/settings.go
@@ -85,7 +85,7 @@
 
 	Kinds Kinds
 	Eras  *era.Tracker // of the store; learns from all calls
-	// StoreConnections returns how many connections to the store have been opened.
+	// StoreConnections returns how many connections to the store have been opened over which a record may be read.
 	StoreConnections func() uint64
 	Objects          feed.Store
 	Records          objstore.Store
