node: report counts that no peer has confirmed only at the end of their due time

Found by the review: a holder that reaches the store and the API, but none of its peers, reported the final counts after 0.8 s. If the store then forgets them, a successor reports its own sum for the window. Such counts lack the usage of the peers anyhow. They wait now, and the peers are asked again each second, until 1 s before the last attempt to report the window. An instance without peers reports at once.

--- a/node/duties.go
+++ b/node/duties.go
@@ -165,17 +165,19 @@
 // reportWindow stores the final counts of a window, and sends them to the peers, before it reports them, so that every
 // holder reports the same counts, also if the store has forgotten them.
 func (d *duties) reportWindow(ctx context.Context, window uint64) error {
-	counts, known := d.n.finals.get(window)
+	counts, known, isConfirmed := d.n.finals.get(window)
 	if !known {
 		d.n.collectMissing(ctx, window)
 		var err error
 		if counts, err = d.finalCounts(ctx, window); err != nil {
 			return err
 		}
-		d.n.shareFinalCounts(ctx, window, counts)
 	}
-	if !d.n.finals.hasSpread(window, time.Now()) {
-		return errCountsSpreading
+	if !isConfirmed {
+		d.n.shareFinalCounts(ctx, window, counts)
+		if _, _, isConfirmed = d.n.finals.get(window); !isConfirmed && !d.isLastChance(window) {
+			return errCountsSpreading
+		}
 	}
 	if !d.mayAct() {
 		return lease.ErrNotHeld
@@ -187,6 +189,12 @@
 	return nil
 }
 
+// isLastChance reports whether the time to report a window is nearly over.
+func (d *duties) isLastChance(window uint64) bool {
+	left := d.n.settings.UsageDueTime - usageDueMargin - d.n.wall.Now().Sub(d.n.usage.End(window))
+	return left < unconfirmedMargin
+}
+
 // usageSlots is the number of objects that hold the final counts of windows, in rotation. When an object is reused,
 // its previous window is long past: 320 s at 5 s a window.
 const usageSlots = 64
--- a/node/finalcounts.go
+++ b/node/finalcounts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -21,17 +22,25 @@
 	finalCountsPeers = 3
 	// finalCountsTimeout bounds these calls. Peers answer within milliseconds.
 	finalCountsTimeout = 300 * time.Millisecond
-	// finalCountsSpread is the time in which the final counts of a window reach the peers if none confirms them: twice the
-	// time of a fact.
-	finalCountsSpread = 800 * time.Millisecond
+	// finalCountsRetry is the time between two attempts to have the counts confirmed.
+	finalCountsRetry = time.Second
+	// unconfirmedMargin is the time before the last attempt to report a window from which its counts are reported without a
+	// confirmation: a missing report costs less than two that differ, and a successor has hardly time left for another one.
+	unconfirmedMargin = time.Second
 )
 
 // finalCountsTable holds the final counts of windows as their holders have stored them. A store that was restored may have
 // forgotten counts that were reported already.
 type finalCountsTable struct {
-	mu     sync.Mutex
-	counts map[uint64]usage.Counts
-	since  map[uint64]time.Time // when they were sent to the peers; zero: one has them
+	mu      sync.Mutex
+	windows map[uint64]*finalWindowCounts
+}
+
+// finalWindowCounts are the final counts of a window.
+type finalWindowCounts struct {
+	counts      usage.Counts
+	isConfirmed bool      // a peer has them, or there is none
+	sentAt      time.Time // to the peers for the last time; zero: never
 }
 
 // finalCountsFact is the fact that holds the final counts of a window.
@@ -41,60 +50,67 @@
 }
 
 // set records the final counts of a window unless some are known, and drops those that are no longer due.
-func (c *finalCountsTable) set(window uint64, counts usage.Counts, now time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.counts == nil {
-		c.counts, c.since = map[uint64]usage.Counts{}, map[uint64]time.Time{}
+func (t *finalCountsTable) set(window uint64, counts usage.Counts) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.windows == nil {
+		t.windows = map[uint64]*finalWindowCounts{}
 	}
-	if _, known := c.counts[window]; known {
-		return
-	}
-	c.counts[window], c.since[window] = counts, now
-	for k := range c.counts {
-		if k+keptReportedWindows < window {
-			delete(c.counts, k)
-			delete(c.since, k)
-		}
+	if t.windows[window] == nil {
+		t.windows[window] = &finalWindowCounts{counts: counts}
 	}
+	maps.DeleteFunc(t.windows, func(k uint64, _ *finalWindowCounts) bool { return k+keptReportedWindows < window })
 }
 
-// get returns the final counts of a window, if they are known.
-func (c *finalCountsTable) get(window uint64) (counts usage.Counts, known bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	counts, known = c.counts[window]
-	return counts, known
+// get returns the final counts of a window, if they are known, and whether a peer has confirmed them.
+func (t *finalCountsTable) get(window uint64) (counts usage.Counts, known, isConfirmed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	w := t.windows[window]
+	if w == nil {
+		return nil, false, false
+	}
+	return w.counts, true, w.isConfirmed
 }
 
-// hasSpread reports whether a peer has the final counts of a window, or all have had the time to receive them.
-func (c *finalCountsTable) hasSpread(window uint64, now time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	since, known := c.since[window]
-	return known && now.Sub(since) >= finalCountsSpread
+// beginSending reports whether the final counts of a window are to be sent to the peers now, and records it.
+func (t *finalCountsTable) beginSending(window uint64, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	w := t.windows[window]
+	if w == nil || w.isConfirmed || !w.sentAt.IsZero() && now.Sub(w.sentAt) < finalCountsRetry {
+		return false
+	}
+	w.sentAt = now
+	return true
 }
 
-// confirmed records that a peer has the final counts of a window.
-func (c *finalCountsTable) confirmed(window uint64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.since[window] = time.Time{}
+// confirm records that a peer has the final counts of a window, or that there is none to have them.
+func (t *finalCountsTable) confirm(window uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if w := t.windows[window]; w != nil {
+		w.isConfirmed = true
+	}
 }
 
 // shareFinalCounts sends the final counts of a window to the peers, which keep them also if this process ends. It returns
 // once a peer has confirmed them, or none of those asked did.
 func (n *Node) shareFinalCounts(ctx context.Context, window uint64, counts usage.Counts) {
 	fact := finalCountsFact{window, counts}
-	n.finals.set(window, counts, time.Now())
+	now := time.Now()
+	n.finals.set(window, counts)
+	if !n.finals.beginSending(window, now) {
+		return
+	}
+	if len(n.members.sending(now)) == 1 {
+		n.finals.confirm(window)
+		return
+	}
 	n.publishFinalCounts(fact)
 	ids := slices.DeleteFunc(n.memberIDs(), func(id string) bool { return id == n.settings.Name })
 	rand.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
 	ids = ids[:min(len(ids), finalCountsPeers)]
-	if len(ids) == 0 {
-		n.finals.confirmed(window) // there is nobody to keep them
-		return
-	}
 	ctx, cancel := context.WithTimeout(ctx, finalCountsTimeout)
 	defer cancel()
 	results := make(chan error, len(ids))
@@ -106,7 +122,7 @@
 	}
 	for range ids {
 		if err := <-results; err == nil {
-			n.finals.confirmed(window)
+			n.finals.confirm(window)
 			return
 		}
 	}
@@ -119,7 +135,8 @@
 // handleFinalCounts keeps the final counts of a window for a holder that is about to report them, and sends them on: the
 // holder may end before its own fact has spread.
 func (n *Node) handleFinalCounts(fact finalCountsFact) (empty, error) {
-	n.finals.set(fact.Window, fact.Counts, time.Time{})
+	n.finals.set(fact.Window, fact.Counts)
+	n.finals.confirm(fact.Window)
 	n.publishFinalCounts(fact)
 	return empty{}, nil
 }
@@ -130,5 +147,6 @@
 		n.log.WithError(err).WithField("peer", f.Origin).Warn("final counts from peer could not be decoded")
 		return
 	}
-	n.finals.set(fact.Window, fact.Counts, time.Time{})
+	n.finals.set(fact.Window, fact.Counts)
+	n.finals.confirm(fact.Window)
 }
