node: write a forgotten decision on a rollout until the store has it

Found by the review: the decision was written at the first list of an era and at the one that confirms it. Writes fail around a restore, and nothing repeated it after that. It is written again each second while the store lacks it.

TestRollouts_StoreForgetsDecision checks the repetition; there was none before.

--- a/node/rollouts.go
+++ b/node/rollouts.go
@@ -65,6 +65,8 @@
 	decisionLead = 500 * time.Millisecond
 	// moveLead is the lead that package move keeps before its own deadline on short moves.
 	moveLead = time.Second
+	// forgottenRetry is the time between two attempts to write a decision again that a restored store has forgotten.
+	forgottenRetry = time.Second
 	// rolloutTick is how often rollouts are advanced.
 	rolloutTick = 100 * time.Millisecond
 )
@@ -77,15 +79,17 @@
 	moves  *move.System
 	orders map[string]Rollout // by service
 	ended  map[string]Rollout // by service: the order of an earlier era that a restored store lacks, with what was decided
-	shares map[string][]table.Share
-	faults map[string]string // by service: ID of the complete move whose fault was logged
+	// forgotten holds by service when a decision that the restored store has forgotten was last written again.
+	forgotten map[string]time.Time
+	shares    map[string][]table.Share
+	faults    map[string]string // by service: ID of the complete move whose fault was logged
 
 	attempts map[[2]string]tally.Counter // see countAttempt
 }
 
 func newRollouts(n *Node) *rollouts {
 	return &rollouts{
-		n: n, moves: move.New(move.Settings{MemberID: n.settings.Name, Epoch: seedFor(n.process)}), orders: map[string]Rollout{}, ended: map[string]Rollout{},
+		n: n, moves: move.New(move.Settings{MemberID: n.settings.Name, Epoch: seedFor(n.process)}), orders: map[string]Rollout{}, ended: map[string]Rollout{}, forgotten: map[string]time.Time{},
 		shares: map[string][]table.Share{}, faults: map[string]string{}, attempts: map[[2]string]tally.Counter{},
 	}
 }
@@ -121,6 +125,7 @@
 func (r *rollouts) remove(service string) {
 	r.end(service)
 	delete(r.orders, service)
+	delete(r.forgotten, service)
 	delete(r.faults, service)
 	r.moves.Remove(service)
 }
@@ -168,8 +173,10 @@
 		r.moves.ApplyRecord(now, replaced, &move.Record{Service: old.Service, Move: replaced.Move, Outcome: move.Superseded, At: now})
 	}
 	r.recordOutcome(now, order)
+	delete(r.forgotten, order.Service)
 	switch {
 	case isForgotten:
+		r.forgotten[order.Service] = now
 		log.WithFields(logrus.Fields{"service": order.Service, "target": order.Target, "state": order.State}).
 			Info("the restored store has forgotten the state of the rollout; it is recorded again")
 		r.n.recordedAgain("rollout")
@@ -264,6 +271,7 @@
 		}).Info("rollout decided")
 		proposals = append(proposals, o)
 	}
+	proposals = append(proposals, r.repeatForgotten(now)...)
 	r.logFaults(now)
 	r.mu.Unlock()
 	for _, f := range out.Facts {
@@ -274,6 +282,18 @@
 	}
 }
 
+// repeatForgotten returns the decisions to write again that the store still lacks: the write of one may have failed, as
+// others do around a restore. Callers must hold r.mu.
+func (r *rollouts) repeatForgotten(now time.Time) (due []Rollout) {
+	for service, at := range r.forgotten {
+		if now.Sub(at) >= forgottenRetry {
+			r.forgotten[service] = now
+			due = append(due, r.orders[service])
+		}
+	}
+	return due
+}
+
 // logFaults logs once for each complete rollout that its target was found faulty afterwards. The requests then go to the
 // old version while endpoints of it are listed, and to the target once they are gone. r.mu must be held.
 func (r *rollouts) logFaults(now time.Time) {
--- a/node/rollouts_test.go
+++ b/node/rollouts_test.go
@@ -87,6 +87,13 @@
 			must.Eq(t, RolloutReverted, written.State)
 			must.Eq(t, last.Revision, written.Revision)
 			must.Eq(t, decided.Reason, written.Reason)
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			now := n.wall.Now()
+			must.SliceEmpty(t, r.repeatForgotten(now.Add(forgottenRetry/2)))
+			repeated := r.repeatForgotten(now.Add(2 * forgottenRetry))
+			must.Len(t, 1, repeated)
+			must.Eq(t, RolloutReverted, repeated[0].State)
 		})
 	}
 }
