--- a/feed/feed.go
+++ b/feed/feed.go
@@ -285,22 +285,44 @@
 	return "", false
 }
 
-// replace replaces the feed's objects by those of a copy, or applies its changes to them, unless they are newer.
+// isFirstOfEra reports whether no objects were read in the store's era yet. Callers must hold f.mu.
+func (f *Feed) isFirstOfEra() bool { return !f.listed || f.objectsEra != f.era }
+
+// isOfEra reports whether a copy is of the store's era. Instances that have missed different restores may give one number to
+// two eras, which the store itself tells apart. Callers must hold f.mu.
+func (f *Feed) isOfEra(c *Copy, fromPeer bool) bool {
+	isEarlier := fromPeer && c.Era.IsStated && c.Era.Stated < f.settings.Eras.State().Stated
+	return c.Era.Number == f.era && !isEarlier
+}
+
+// isUsable reports whether a copy may replace the objects. Callers must hold f.mu.
+func (f *Feed) isUsable(c *Copy, fromPeer bool) bool {
+	switch {
+	case !f.isOfEra(c, fromPeer):
+		return false
+	case f.isFirstOfEra():
+		return c.Since == 0
+	default:
+		return !fromPeer || c.NewestChange > f.changed
+	}
+}
+
+// replace replaces the feed's objects by those of a copy, or applies its changes to them, unless they are newer or of
+// another era.
 func (f *Feed) replace(c *Copy, fromPeer bool) {
 	if fromPeer {
 		f.settings.Eras.Merge(c.Era)
 	}
-	// Instances that have missed different restores may give one number to two eras.
-	isEarlier := fromPeer && c.Era.IsStated && c.Era.Stated < f.settings.Eras.State().Stated
 	f.mu.Lock()
-	first, restored := !f.listed, f.listed && f.objectsEra != f.era
-	if c.Era.Number != f.era || isEarlier || fromPeer && !first && !restored && c.NewestChange <= f.changed || restored && c.Since > 0 {
-		f.mustList = restored || isEarlier || c.Era.Number != f.era
+	if !f.isUsable(c, fromPeer) {
+		f.mustList = f.isFirstOfEra() || !f.isOfEra(c, fromPeer)
 		log := f.settings.Log.WithFields(logrus.Fields{"kind": f.settings.Kind, "revision": c.Revision, "known": f.revision, "era": f.era, "peer": fromPeer})
 		f.mu.Unlock()
 		log.Info("older copy ignored")
 		return
 	}
+	first := !f.listed
+	restored := !first && f.isFirstOfEra()
 	settled := first || !restored && (fromPeer && c.Settled || !fromPeer && f.settled())
 	all := c.Objects
 	if c.Since > 0 {
@@ -373,7 +395,7 @@
 			f.waitToRetry(parent) // the store may end all connections soon
 		}
 		if errors.Is(err, ErrDiscontinuous) || healthy && time.Since(start) > minCutWatch {
-			return nil // the answer can't be used, or was cut off while waiting; the list shows whether the store is healthy
+			return nil // the answer can't be used, or was cut off while waiting; the next call shows whether the store is healthy
 		}
 		return err
 	}
