--- a/feed/feed.go
+++ b/feed/feed.go
@@ -264,37 +264,6 @@
 	return nil
 }
 
-// contradicts reports whether a list can't come from the store that the feed has read before, so that the store was
-// restored in between. A feed knows all changes up to its revision. After an unbroken connection an unknown one was missed
-// by a stalled watch, and is no evidence; an object that is older than the known one always is.
-func (f *Feed) contradicts(c *Copy) (era.Cause, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if !f.listed || f.objectsEra != c.Era.Number {
-		return "", false
-	}
-	if c.Revision < f.revision {
-		return era.CauseRevisions, true
-	}
-	for _, o := range c.Objects {
-		known := f.objects[o.Name].Revision
-		if o.Revision < known || f.discontinuous && o.Revision <= f.revision && known != o.Revision {
-			return era.CauseObjects, true
-		}
-	}
-	return "", false
-}
-
-// isFirstOfEra reports whether no objects were read in the store's era yet. Callers must hold f.mu.
-func (f *Feed) isFirstOfEra() bool { return !f.listed || f.objectsEra != f.era }
-
-// isOfEra reports whether a copy is of the store's era. Instances that have missed different restores may give one number to
-// two eras, which the store itself tells apart. Callers must hold f.mu.
-func (f *Feed) isOfEra(c *Copy, fromPeer bool) bool {
-	isEarlier := fromPeer && c.Era.IsStated && c.Era.Stated < f.settings.Eras.State().Stated
-	return c.Era.Number == f.era && !isEarlier
-}
-
 // isUsable reports whether a copy may replace the objects. Callers must hold f.mu.
 func (f *Feed) isUsable(c *Copy, fromPeer bool) bool {
 	switch {
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -143,38 +143,6 @@
 	}
 }
 
-// connection is a feed's connection to the store, which ends when the store is restored.
-type connection struct {
-	*store
-	run int // of the store, that the connection leads to
-}
-
-func (c *connection) List(ctx context.Context, kind string) ([]feed.Object, uint64, error) {
-	objects, revision, err := c.store.List(ctx, kind)
-	if err == nil {
-		c.run = c.store.currentRun()
-	}
-	return objects, revision, err
-}
-
-func (c *connection) Watch(ctx context.Context, w feed.Watch) ([]feed.Event, uint64, error) {
-	run := c.store.currentRun()
-	events, revision, err := c.store.Watch(ctx, w)
-	switch {
-	case err == nil && c.run != run:
-		return nil, 0, feed.ErrDiscontinuous
-	case err == nil && run != c.store.currentRun():
-		return nil, 0, errDown // cut off
-	}
-	return events, revision, err
-}
-
-func (s *store) currentRun() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.run
-}
-
 // recorder records what the feed passed on.
 type recorder struct {
 	mu        sync.Mutex
--- a/feed/restore.go
+++ b/feed/restore.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/trefoillug/trefoillug/era"
 )
 
 // beginEra makes the feed list again, because the store was restored from an older copy: its revisions in the era before
@@ -24,6 +26,37 @@
 	f.interrupt()
 }
 
+// contradicts reports whether a list can't come from the store that the feed has read before, so that the store was
+// restored in between. A feed knows all changes up to its revision. After an unbroken connection an unknown one was missed
+// by a stalled watch, and is no evidence; an object that is older than the known one always is.
+func (f *Feed) contradicts(c *Copy) (era.Cause, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.listed || f.objectsEra != c.Era.Number {
+		return "", false
+	}
+	if c.Revision < f.revision {
+		return era.CauseRevisions, true
+	}
+	for _, o := range c.Objects {
+		known := f.objects[o.Name].Revision
+		if o.Revision < known || f.discontinuous && o.Revision <= f.revision && known != o.Revision {
+			return era.CauseObjects, true
+		}
+	}
+	return "", false
+}
+
+// isFirstOfEra reports whether no objects were read in the store's era yet. Callers must hold f.mu.
+func (f *Feed) isFirstOfEra() bool { return !f.listed || f.objectsEra != f.era }
+
+// isOfEra reports whether a copy is of the store's era. Instances that have missed different restores may give one number to
+// two eras, which the store itself tells apart. Callers must hold f.mu.
+func (f *Feed) isOfEra(c *Copy, fromPeer bool) bool {
+	isEarlier := fromPeer && c.Era.IsStated && c.Era.Stated < f.settings.Eras.State().Stated
+	return c.Era.Number == f.era && !isEarlier
+}
+
 // keepMissing determines the objects that are kept though a list lacks them: the first list of an era lacks what will be
 // written again, and one that is confirmed shows what is gone. Callers must hold f.mu.
 func (f *Feed) keepMissing(listed map[string]Object, isFirst, isConfirmed bool) {
@@ -57,12 +90,12 @@
 // in a later era none.
 func (f *Feed) CopyFor(number, after uint64) *Copy {
 	f.mu.Lock()
-	era, isRead := f.era, f.objectsEra == f.era
+	current, isRead := f.era, f.objectsEra == f.era
 	f.mu.Unlock()
 	switch {
-	case number > era || !isRead:
+	case number > current || !isRead:
 		return nil
-	case number < era:
+	case number < current:
 		return f.Copy(0)
 	default:
 		return f.Copy(after)
--- a/feed/restore_test.go
+++ b/feed/restore_test.go
@@ -1,6 +1,7 @@
 package feed_test
 
 import (
+	"context"
 	"maps"
 	"slices"
 	"testing"
@@ -12,6 +13,38 @@
 	"github.com/trefoillug/trefoillug/feed"
 )
 
+// connection is a feed's connection to the store, which ends when the store is restored.
+type connection struct {
+	*store
+	run int // of the store, that the connection leads to
+}
+
+func (c *connection) List(ctx context.Context, kind string) ([]feed.Object, uint64, error) {
+	objects, revision, err := c.store.List(ctx, kind)
+	if err == nil {
+		c.run = c.store.currentRun()
+	}
+	return objects, revision, err
+}
+
+func (c *connection) Watch(ctx context.Context, w feed.Watch) ([]feed.Event, uint64, error) {
+	run := c.store.currentRun()
+	events, revision, err := c.store.Watch(ctx, w)
+	switch {
+	case err == nil && c.run != run:
+		return nil, 0, feed.ErrDiscontinuous
+	case err == nil && run != c.store.currentRun():
+		return nil, 0, errDown // cut off
+	}
+	return events, revision, err
+}
+
+func (s *store) currentRun() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.run
+}
+
 // restore replaces the store's state by a copy of itself at a revision, which it gives out again.
 func (s *store) restore(revision uint64) {
 	s.update(func() {
