node: a holder adopts the final counts that a peer knows

A new holder that had not received the final counts of a window, and whose store has forgotten them, asked a peer to keep its own ones, which differed from those already reported. The peer replies with the counts that it knows, and the holder reports these.

TestHandleFinalCounts_KnownAreKept and TestFinalCountsTable_Cases fail without it.

--- a/node/duties.go
+++ b/node/duties.go
@@ -175,7 +175,7 @@
 	}
 	if !isConfirmed {
 		d.n.shareFinalCounts(ctx, window, counts)
-		if _, _, isConfirmed = d.n.finals.get(window); !isConfirmed && !d.isLastChance(window) {
+		if counts, _, isConfirmed = d.n.finals.get(window); !isConfirmed && !d.isLastChance(window) {
 			return errCountsSpreading
 		}
 	}
--- a/node/finalcounts.go
+++ b/node/finalcounts.go
@@ -85,17 +85,19 @@
 	return true
 }
 
-// confirm records that a peer has the final counts of a window, or that there is none to have them.
-func (t *finalCountsTable) confirm(window uint64) {
+// confirm records the final counts of a window that a peer has, or that there is no peer to have them. They take the place of
+// counts that none has.
+func (t *finalCountsTable) confirm(window uint64, counts usage.Counts) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if w := t.windows[window]; w != nil {
-		w.isConfirmed = true
+	if w := t.windows[window]; w != nil && !w.isConfirmed {
+		w.counts, w.isConfirmed = counts, true
 	}
 }
 
 // shareFinalCounts sends the final counts of a window to the peers, which keep them also if this process ends. It returns
-// once a peer has confirmed them, or none of those asked did.
+// once a peer has confirmed them, or none of those asked did. A peer that knows others, which an earlier holder may have
+// reported, replies with these.
 func (n *Node) shareFinalCounts(ctx context.Context, window uint64, counts usage.Counts) {
 	fact := finalCountsFact{window, counts}
 	now := time.Now()
@@ -104,25 +106,28 @@
 		return
 	}
 	if len(n.members.sending(now)) == 1 {
-		n.finals.confirm(window)
+		n.finals.confirm(window, counts)
 		return
 	}
-	n.publishFinalCounts(fact)
 	ids := slices.DeleteFunc(n.memberIDs(), func(id string) bool { return id == n.settings.Name })
 	rand.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
 	ids = ids[:min(len(ids), finalCountsPeers)]
 	ctx, cancel := context.WithTimeout(ctx, finalCountsTimeout)
 	defer cancel()
-	results := make(chan error, len(ids))
+	confirmed := make(chan *finalCountsFact, len(ids))
 	for _, id := range ids {
 		go func() {
-			_, err := callPeer[empty](ctx, n, id, callFinalCounts, fact)
-			results <- err
+			reply, err := callPeer[finalCountsFact](ctx, n, id, callFinalCounts, fact)
+			if err != nil {
+				confirmed <- nil
+				return
+			}
+			confirmed <- &reply
 		}()
 	}
 	for range ids {
-		if err := <-results; err == nil {
-			n.finals.confirm(window)
+		if reply := <-confirmed; reply != nil {
+			n.finals.confirm(window, reply.Counts)
 			return
 		}
 	}
@@ -132,13 +137,14 @@
 	n.publishShared(fmt.Sprintf("%s%d", factFinalCounts, fact.Window), 0, fact, reportLifetime)
 }
 
-// handleFinalCounts keeps the final counts of a window for a holder that is about to report them, and sends them on: the
-// holder may end before its own fact has spread.
-func (n *Node) handleFinalCounts(fact finalCountsFact) (empty, error) {
+// handleFinalCounts keeps the final counts of a window for a holder that is about to report them, unless it knows others, and
+// sends them to all peers: the holder may end. It replies with the counts that it knows.
+func (n *Node) handleFinalCounts(fact finalCountsFact) (finalCountsFact, error) {
 	n.finals.set(fact.Window, fact.Counts)
-	n.finals.confirm(fact.Window)
+	n.finals.confirm(fact.Window, fact.Counts)
+	fact.Counts, _, _ = n.finals.get(fact.Window)
 	n.publishFinalCounts(fact)
-	return empty{}, nil
+	return fact, nil
 }
 
 func (n *Node) receiveFinalCounts(f peer.Fact) {
@@ -148,5 +154,5 @@
 		return
 	}
 	n.finals.set(fact.Window, fact.Counts)
-	n.finals.confirm(fact.Window)
+	n.finals.confirm(fact.Window, fact.Counts)
 }
--- a/node/finalcounts_test.go
+++ b/node/finalcounts_test.go
@@ -30,7 +30,12 @@
 	must.True(t, table.beginSending(7, now))
 	must.False(t, table.beginSending(7, now.Add(finalCountsRetry/2)))
 	must.True(t, table.beginSending(7, now.Add(finalCountsRetry)))
-	table.confirm(7)
+	table.confirm(7, usage.Counts{"w": 5}) // of an earlier holder
+	counts, _, _ = table.get(7)
+	must.Eq(t, usage.Counts{"w": 5}, counts)
+	table.confirm(7, usage.Counts{"w": 6})
+	counts, _, _ = table.get(7)
+	must.Eq(t, usage.Counts{"w": 5}, counts)
 	_, _, isConfirmed = table.get(7)
 	must.True(t, isConfirmed)
 	must.False(t, table.beginSending(7, now.Add(time.Minute)))
@@ -82,3 +87,18 @@
 	must.NoError(t, d.reportWindow(t.Context(), window))
 	must.Eq(t, []usage.Counts{{"w": 1}}, api.counts)
 }
+
+// Guards against a holder that reports its own counts of a window though a peer knows those that an earlier holder reported.
+func TestHandleFinalCounts_KnownAreKept(t *testing.T) {
+	log, _ := test.NewNullLogger()
+	mesh, err := peer.New(peer.Settings{Self: peer.Member{ID: "a", Address: "127.0.0.1:1"}, Transport: peer.NewWebSocket(), Log: log})
+	must.NoError(t, err)
+	mesh.Start()
+	t.Cleanup(mesh.Close)
+	n := &Node{log: log, mesh: mesh}
+	for _, counts := range []usage.Counts{{"w": 3}, {"w": 4}} {
+		reply, err := n.handleFinalCounts(finalCountsFact{Window: 7, Counts: counts})
+		must.NoError(t, err)
+		must.Eq(t, usage.Counts{"w": 3}, reply.Counts)
+	}
+}
