--- a/standin/platformdrill.go
+++ b/standin/platformdrill.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"maps"
 	"net/http"
 	"strconv"
 	"time"
@@ -30,6 +29,13 @@
 	byCall     bool            // by a call, as the system's changes are
 }
 
+// rewrite is an object that its owner has to write again, as it was before the drill.
+type rewrite struct {
+	kind, name string
+	object     *platformObject // nil: it was removed
+	changedAt  time.Time
+}
+
 // AnnounceEra makes all answers state the era of the store, which rises by one with each drill, in a header.
 func (s *PlatformStore) AnnounceEra(first uint64) {
 	s.mu.Lock()
@@ -53,34 +59,21 @@
 	s.notifyWatches()
 	s.mu.Unlock()
 	time.Sleep(d.RewriteAfter)
-	for _, w := range rewrites {
+	for _, r := range rewrites {
 		s.mu.Lock()
-		s.writeAgain(w)
+		s.writeAgain(r)
 		s.mu.Unlock()
 	}
 }
 
-// restore undoes the changes since a time, and returns the objects that others than the system changed, as they were
-// before, oldest change first. The caller holds s.mu.
-func (s *PlatformStore) restore(to time.Time) (rewrites []pastChange) {
-	last := map[string]int{} // index in rewrites
+// restore undoes the changes since a time, and returns the objects that others than the system changed, oldest change
+// first. The caller holds s.mu.
+func (s *PlatformStore) restore(to time.Time) []rewrite {
 	first := len(s.past)
 	for first > 0 && s.past[first-1].at.After(to) {
 		first--
 	}
-	for _, c := range s.past[first:] {
-		if c.byCall {
-			continue
-		}
-		key := c.kind + "/" + c.name
-		c.before = s.objects[c.kind][c.name] // nil: it was removed
-		if at, known := last[key]; known {
-			rewrites[at] = c
-			continue
-		}
-		last[key] = len(rewrites)
-		rewrites = append(rewrites, c)
-	}
+	rewrites := s.rewrites(s.past[first:])
 	for i := len(s.past) - 1; i >= first; i-- {
 		c := s.past[i]
 		s.revision = c.revision
@@ -101,19 +94,37 @@
 	return rewrites
 }
 
+// rewrites returns the objects, as they are now, that others than the system changed. The caller holds s.mu.
+func (s *PlatformStore) rewrites(changes []pastChange) (rewrites []rewrite) {
+	last := map[string]int{} // index in rewrites
+	for _, c := range changes {
+		if c.byCall {
+			continue
+		}
+		r := rewrite{c.kind, c.name, s.objects[c.kind][c.name], c.at}
+		if i, known := last[c.kind+"/"+c.name]; known {
+			rewrites[i] = r
+			continue
+		}
+		last[c.kind+"/"+c.name] = len(rewrites)
+		rewrites = append(rewrites, r)
+	}
+	return rewrites
+}
+
 // writeAgain writes the newest state of an object, unless its owner has changed it since the store's return. The caller
 // holds s.mu.
-func (s *PlatformStore) writeAgain(w pastChange) {
+func (s *PlatformStore) writeAgain(r rewrite) {
 	for _, c := range s.past {
-		if c.kind == w.kind && c.name == w.name && !c.byCall && c.at.After(w.at) {
+		if c.kind == r.kind && c.name == r.name && !c.byCall && c.at.After(r.changedAt) {
 			return
 		}
 	}
-	if w.before == nil {
-		s.remove(w.kind, w.name)
+	if r.object == nil {
+		s.remove(r.kind, r.name)
 		return
 	}
-	s.putSpec(w.kind, w.name, w.before.Spec)
+	s.putSpec(r.kind, r.name, r.object.Spec)
 }
 
 // putSpec creates an object or replaces its spec. The caller holds s.mu.
@@ -181,14 +192,3 @@
 	defer s.mu.Unlock()
 	return s.era
 }
-
-// Kind returns the specs of all objects of a kind by name.
-func (s *PlatformStore) Kind(kind string) map[string]json.RawMessage {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	specs := map[string]json.RawMessage{}
-	for name, o := range maps.All(s.objects[kind]) {
-		specs[name] = o.Spec
-	}
-	return specs
-}
