--- a/soak/environment.go
+++ b/soak/environment.go
@@ -269,8 +269,9 @@
 		}
 		end := env.evidence.openSpan(FaultSpan{From: time.Now(), Kind: InstanceStop, Instance: i.machine.Name, Planned: err == nil})
 		time.Sleep(restartDelay)
-		i.machine.Restarted = true
-		if err := os.WriteFile(i.file, []byte(i.machine.Settings()), 0o600); err != nil {
+		machine := i.machine
+		machine.Restarted = true
+		if err := os.WriteFile(i.file, []byte(machine.Settings()), 0o600); err != nil {
 			env.evidence.update(func() { env.evidence.Leaks = append(env.evidence.Leaks, "settings not written: "+err.Error()) })
 		}
 		if err := env.spawn(i); err != nil {
