quarantine, forward, relay: a request is told from others by all that endpoints get

Cause: the fingerprint dropped fields of chat requests from any JSON body and left out the host and all headers. On our own interface it left out fields that engines get, the workspace and the headers of plain calls.

Change: quarantine.Content.Identity. Crashes are counted by the whole content; a family, without query and headers, is refused only when three of its requests have crashed endpoints in turn without an answer. A harmless request that was interrupted beside the deadly one needs three crashes. Refusals say why and for how long. Records keep the time of the crash, are read from a current list, and are stored again after a restore by one instance that knows them. Counts of earlier builds, whose fingerprints stand for several requests, are not used, and each is logged and counted.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -107,7 +107,7 @@
 	d.config = config.NewDistributor(config.Options{
 		Store: d.store, Mesh: node, Log: log, Apply: d.applyConfig, Seed: seedFor(s.ID),
 	})
-	d.suspects = suspects{table: quarantine.New(quarantine.Options{}), process: s.ID + "-" + d.started, publish: node.PublishShared}
+	d.suspects = suspects{table: quarantine.New(quarantine.Options{}), process: s.ID + "-" + d.started, log: log, publish: node.PublishShared}
 	if s.Pool {
 		d.pool = newPoolDuty(d, hc)
 	}
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/sirupsen/logrus"
 
 	"github.com/trefoillug/trefoillug/core"
 	"github.com/trefoillug/trefoillug/peer"
@@ -30,12 +31,14 @@
 type suspects struct {
 	table   *quarantine.Table
 	process string // of this instance, no other one has its name
+	log     logrus.FieldLogger
 	publish func(key string, rank uint8, value []byte, ttl time.Duration)
 }
 
-// IsQuarantined implements relay.Quarantine.
-func (s suspects) IsQuarantined(fp uint64) bool {
-	return s.table.IsQuarantined(quarantine.Fingerprint(fp), time.Now())
+// Quarantined implements relay.Quarantine.
+func (s suspects) Quarantined(fp uint64) (until time.Time, refused bool) {
+	d := s.table.Decide(quarantine.Fingerprint(fp), time.Now())
+	return d.Until, d.Action == quarantine.Refuse
 }
 
 // MustIsolate implements relay.Quarantine. A crash makes all requests on the endpoint suspects, and most did not cause
@@ -93,6 +96,13 @@
 	s.publish(fmt.Sprintf("%s%s/%d/%s", factCrash, f.Crash.Endpoint, f.Crash.Number, s.process), 0, value, quarantine.DefaultTTL)
 }
 
+// recordLegacy logs that the suspects of a crash are unknown here, since an instance of another build has identified them
+// otherwise. The crash itself counts: others may have caused it than the requests of this instance.
+func (s suspects) recordLegacy(f quarantine.Fact) {
+	s.log.WithFields(logrus.Fields{"endpoint": f.Crash.Endpoint, "suspects": len(f.Running)}).
+		Warn("suspects of a crash were identified by another build and can't be refused here")
+}
+
 // merge applies a fact of another member and returns the endpoint that crashed. The endpoint is empty for facts that
 // clear a request, since they report no new crash.
 func (s suspects) merge(f peer.Fact) (endpoint string, err error) {
@@ -100,6 +110,9 @@
 	if err := cbor.Unmarshal(f.Value, &fact); err != nil {
 		return "", fmt.Errorf("decode crash fact %q of %s: %w", strings.TrimPrefix(f.Key, factCrash), f.Origin, err)
 	}
+	if fact.Scheme != quarantine.CurrentScheme && len(fact.Running) > len(fact.Cleared) {
+		s.recordLegacy(fact)
+	}
 	s.table.Merge(fact, time.Now())
 	if len(fact.Cleared) > 0 {
 		return "", nil
--- a/forward/admit.go
+++ b/forward/admit.go
@@ -14,6 +14,7 @@
 	"github.com/trefoillug/trefoillug/fleet"
 	"github.com/trefoillug/trefoillug/placement"
 	"github.com/trefoillug/trefoillug/problem"
+	"github.com/trefoillug/trefoillug/routing"
 	"github.com/trefoillug/trefoillug/upstream"
 )
 
@@ -224,8 +225,9 @@
 	var d xxhash.Digest
 	d.Reset()
 	// Digest writes never fail.
-	_, _ = d.WriteString(r.req.URI)
-	_, _ = d.WriteString("\x00" + r.req.Key + "\x00")
+	for _, part := range []string{routing.CanonicalHost(r.req.Host), r.req.Method, r.req.URI, r.req.Key} {
+		_, _ = d.WriteString(part + "\x00")
+	}
 	_, _ = d.Write(r.req.Body)
 	return max(1, d.Sum64())
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -74,6 +74,8 @@
 	Signals(status int, h http.Header) fleet.Signals
 	// Refusal returns the refusal of another instance that did not run a request, and nil if it states none.
 	Refusal(h http.Header) *Refusal
+	// RepeatedHeader returns the headers of a caller without those that differ between repeats of the same request.
+	RepeatedHeader(h http.Header) http.Header
 }
 
 // Quotas limits what workspaces may use over all instances.
@@ -102,27 +104,32 @@
 
 // Suspects finds requests that crash the endpoints that run them.
 type Suspects interface {
-	// Any reports whether any request has crashed an endpoint. If none has, requests need no fingerprint.
+	// Any reports whether any request has crashed an endpoint. If none has, requests need no identity.
 	Any() bool
-	// IsRefused reports whether requests with a fingerprint must not run again.
-	IsRefused(fp quarantine.Fingerprint) bool
+	// Refused returns why a request must not run again, and false if it may.
+	Refused(id quarantine.Identity) (quarantine.Refusal, bool)
+	// BeginProbe reports whether a request of a refused family is to be let through, as the only one of all instances, and
+	// records that it is.
+	BeginProbe(family quarantine.Fingerprint) bool
 	// RecordLost records that the connection to an endpoint broke while it ran a request.
 	RecordLost(e *fleet.Endpoint, loss Loss)
 	// RecordAnswered records that an endpoint has answered a request.
-	RecordAnswered(fp quarantine.Fingerprint)
+	RecordAnswered(id quarantine.Identity)
 	// RefusedBlock returns the ID of the block because of which a request to a service with the given shared blocks must
-	// not run, and false if there is none.
-	RefusedBlock(service string, shared []placement.Block) (id string, refused bool)
-	// RecordBegun records that an endpoint has begun to generate the answer to a request with the given shared blocks.
-	RecordBegun(service string, shared []placement.Block)
+	// not run, with the time until which it is refused at most, and false if there is none.
+	RefusedBlock(service string, shared []placement.Block) (id string, until time.Time, refused bool)
+	// RecordBegun records that an endpoint has begun to generate the answer to a request of a family with the given shared
+	// blocks.
+	RecordBegun(service string, family quarantine.Fingerprint, shared []placement.Block)
 }
 
 // Loss describes a request whose connection to an endpoint broke.
 type Loss struct {
-	Fingerprint quarantine.Fingerprint
-	Sent        time.Time // when the request was sent
-	Begun       bool      // an endpoint had begun to generate the answer
-	Shared      []placement.Block
+	Identity   quarantine.Identity
+	Sent       time.Time // when the request was sent
+	Begun      bool      // an endpoint had begun to generate the answer, maybe an earlier one
+	Generating bool      // the endpoint had begun to generate the answer
+	Shared     []placement.Block
 }
 
 // Versions splits the traffic of services whose version is being moved.
@@ -236,14 +243,18 @@
 	sentAt       time.Time     // start of the latest attempt
 	measured     float64       // prompt tokens that show the speed of the engine of the latest attempt; 0: none do
 	begun        bool          // an endpoint has generated at least one event or an answer
-	paceSample   paceSample    // of the latest attempt
-	workCounted  bool          // an engine has begun to work on the request, which OnWork was told
-	load         int           // this instance's other requests at the endpoint when the latest attempt was sent
-	rejections   int           // attempts that an endpoint rejected
-	arrivals     int           // attempts that may have reached an endpoint
-	runs         int           // attempts that may have run the request; moves are not counted
-	mayHaveRun   bool          // an endpoint may have run the request, or may still run it
-	startCounted bool          // Config.OnStarted was called
+	crashed      bool          // an attempt ended as it does when its endpoint crashes
+	isProbe      bool          // lets one request of a refused family through
+	identifyOnce sync.Once
+	id           quarantine.Identity // set by identifyOnce
+	paceSample   paceSample          // of the latest attempt
+	workCounted  bool                // an engine has begun to work on the request, which OnWork was told
+	load         int                 // this instance's other requests at the endpoint when the latest attempt was sent
+	rejections   int                 // attempts that an endpoint rejected
+	arrivals     int                 // attempts that may have reached an endpoint
+	runs         int                 // attempts that may have run the request; moves are not counted
+	mayHaveRun   bool                // an endpoint may have run the request, or may still run it
+	startCounted bool                // Config.OnStarted was called
 	stream       streamState
 	admission    fleet.Admission          // of the next or latest attempt
 	pendingMove  *moveResult              // where the next attempt continues the run; nil unless it was moved
@@ -271,7 +282,7 @@
 		return r.refuse(refusal)
 	}
 	if err := r.checkQuarantine(); err != nil {
-		return r.refuse(&Refusal{Err: err})
+		return r.refuse(&Refusal{Err: err, RetryAfter: problem.RetryAfter(err)})
 	}
 	if r.route.Resumable {
 		r.stream.position = continuation.After(req.LastEventID)
@@ -450,7 +461,7 @@
 	var refusal *Refusal
 	switch {
 	case !errors.As(cause, &refusal):
-		if r.mayHaveRun || r.stream.started || ctx.Err() != nil || !errors.As(r.checkPaused(), &refusal) {
+		if problem.KindOf(cause) == problem.Quarantined || r.mayHaveRun || r.stream.started || ctx.Err() != nil || !errors.As(r.checkPaused(), &refusal) {
 			return r.finish(ctx, *last, cause)
 		}
 	case (r.mayHaveRun || r.stream.started) && *last != nil && (*last).answer != nil:
@@ -482,6 +493,10 @@
 		return r.deliver(out.answer)
 	case context.Cause(ctx) == context.DeadlineExceeded && r.mayHaveRun:
 		return r.refuse(&Refusal{Err: problem.New(problem.TimedOut, "no answer in time: %v", out.err)})
+	case problem.KindOf(cause) == problem.Quarantined && !r.mayHaveRun:
+		return r.refuse(&Refusal{Err: cause, RetryAfter: problem.RetryAfter(cause)})
+	case problem.KindOf(cause) == problem.Quarantined:
+		return r.refuse(&Refusal{Err: problem.New(problem.EndpointFailed, "%v; %v", out.err, cause), RetryAfter: problem.RetryAfter(cause)})
 	case r.mayHaveRun:
 		return r.refuse(&Refusal{Err: problem.New(problem.EndpointFailed, "%v", out.err)})
 	default:
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -44,6 +44,8 @@
 	return l, n == 3
 }
 
+func (wire) RepeatedHeader(h http.Header) http.Header { return h }
+
 func (wire) Refusal(h http.Header) *forward.Refusal {
 	if h.Get("Refusal") == "" {
 		return nil
--- a/forward/suspect.go
+++ b/forward/suspect.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"strings"
+	"time"
 
 	"github.com/trefoillug/trefoillug/continuation"
 	"github.com/trefoillug/trefoillug/fleet"
@@ -9,11 +11,20 @@
 	"github.com/trefoillug/trefoillug/problem"
 	"github.com/trefoillug/trefoillug/progress"
 	"github.com/trefoillug/trefoillug/quarantine"
+	"github.com/trefoillug/trefoillug/routing"
 )
 
-// fingerprint identifies requests with the same content, regardless of their IDs.
-func (r *exchange) fingerprint() quarantine.Fingerprint {
-	return quarantine.FingerprintOf(r.service.Name, r.req.Key+" "+r.req.Method+" "+r.req.URI, r.req.Body)
+// identity returns what tells the request from others. The service does not, since a configuration may move a route or split
+// it between services.
+func (r *exchange) identity() quarantine.Identity {
+	r.identifyOnce.Do(func() {
+		path, query, _ := strings.Cut(r.req.URI, "?")
+		r.id = quarantine.Content{
+			Host: routing.CanonicalHost(r.req.Host), Method: r.req.Method, Path: path, Query: query, Caller: r.req.Key,
+			Header: r.f.cfg.Wire.RepeatedHeader(r.req.Header), Body: r.req.Body,
+		}.Identity()
+	})
+	return r.id
 }
 
 // sharedBlocks returns the prompt blocks that other requests may have too.
@@ -30,25 +41,64 @@
 	if s == nil {
 		return nil
 	}
-	if s.Any() && s.IsRefused(r.fingerprint()) {
-		return problem.New(problem.Quarantined, "the request has crashed the endpoints that ran it")
+	if err := r.checkCrashes(); err != nil {
+		return err
 	}
 	if shared := r.sharedBlocks(); len(shared) > 0 {
-		if id, refused := s.RefusedBlock(r.service.Name, shared); refused {
-			return problem.New(problem.Quarantined, "prompt block %q has crashed the endpoints that got it", id)
+		if id, until, refused := s.RefusedBlock(r.service.Name, shared); refused {
+			left := max(time.Second, time.Until(until))
+			return problem.NewWithRetryAfter(problem.Quarantined, left,
+				"prompt block %q has crashed the endpoints that got it; requests with it are refused for up to %d s more", id, seconds(left))
 		}
 	}
 	return nil
 }
 
+// checkCrashes returns an error if the request, or its family, has crashed too many endpoints to be sent to another one.
+func (r *exchange) checkCrashes() error {
+	s := r.f.cfg.Suspects
+	if s == nil || !s.Any() {
+		return nil
+	}
+	refusal, ok := s.Refused(r.identity())
+	if !ok {
+		return nil
+	}
+	if refusal.Scope == quarantine.ScopeFamily && !r.crashed {
+		if r.isProbe = r.isProbe || s.BeginProbe(r.identity().Family); r.isProbe {
+			return nil
+		}
+	}
+	return quarantined(refusal, time.Now())
+}
+
+// quarantined returns the error for a refused request. It says why and for how long.
+func quarantined(refusal quarantine.Refusal, now time.Time) error {
+	left := max(time.Second, refusal.Until.Sub(now))
+	if refusal.Scope == quarantine.ScopeFamily {
+		return problem.NewWithRetryAfter(problem.Quarantined, left,
+			"%d requests with this path, caller and body have crashed the endpoints that ran them; such requests are refused for up to %d s more", refusal.Crashes, seconds(left))
+	}
+	return problem.NewWithRetryAfter(problem.Quarantined, left,
+		"this request has crashed the endpoints that ran it, %d times; it is refused for %d s more", refusal.Crashes, seconds(left))
+}
+
+// seconds returns a time in whole seconds, rounded up.
+func seconds(d time.Duration) int { return int((d + time.Second - 1) / time.Second) }
+
 // recordBegun records that an endpoint has begun to generate the answer.
 func (r *exchange) recordBegun() {
 	if r.begun || r.proxy.isCurrent {
 		return
 	}
 	r.begun = true
-	if shared := r.sharedBlocks(); len(shared) > 0 && r.f.cfg.Suspects != nil {
-		r.f.cfg.Suspects.RecordBegun(r.service.Name, shared)
+	s := r.f.cfg.Suspects
+	switch shared := r.sharedBlocks(); {
+	case s == nil:
+	case s.Any():
+		s.RecordBegun(r.service.Name, r.identity().Family, shared)
+	case len(shared) > 0:
+		s.RecordBegun(r.service.Name, 0, shared)
 	}
 }
 
@@ -59,9 +109,12 @@
 	switch {
 	case s == nil || r.pendingMove != nil || e.IsLeaving():
 	case r.mayHaveCrashed(out):
-		s.RecordLost(e, Loss{Fingerprint: r.fingerprint(), Sent: r.sentAt, Begun: r.begun, Shared: r.sharedBlocks()})
+		r.crashed = true
+		s.RecordLost(e, Loss{
+			Identity: r.identity(), Sent: r.sentAt, Begun: r.begun, Generating: r.timeToFirst > 0, Shared: r.sharedBlocks(),
+		})
 	case out.end == answered && s.Any():
-		s.RecordAnswered(r.fingerprint())
+		s.RecordAnswered(r.identity())
 	}
 }
 
--- a/node/blocks.go
+++ b/node/blocks.go
@@ -17,7 +17,7 @@
 
 const (
 	// factBlocks is the key prefix of facts about the prompt blocks of crashed endpoints. It must not begin with
-	// factCrash, whose facts earlier versions decode differently.
+	// factLegacyCrash, whose facts earlier versions decode differently.
 	factBlocks = "blocks/"
 	// evidenceKeys and refusedKeys bound the facts about blocks that the peers store for each process. New facts
 	// replace the oldest.
@@ -57,8 +57,9 @@
 }
 
 // RecordBegun implements forward.Suspects.
-func (s *suspects) RecordBegun(service string, shared []placement.Block) {
-	if !s.blocks.Any() {
+func (s *suspects) RecordBegun(service string, family quarantine.Fingerprint, shared []placement.Block) {
+	s.recordFamilyAnswered(family)
+	if len(shared) == 0 || !s.blocks.Any() {
 		return
 	}
 	facts, wereRefused := s.blocks.Begun(service, fingerprints(service, shared), time.Now())
@@ -87,27 +88,28 @@
 }
 
 // RefusedBlock implements forward.Suspects.
-func (s *suspects) RefusedBlock(service string, shared []placement.Block) (string, bool) {
+func (s *suspects) RefusedBlock(service string, shared []placement.Block) (id string, until time.Time, refused bool) {
 	if !s.blocks.Any() {
-		return "", false
+		return "", time.Time{}, false
 	}
 	now, all := time.Now(), fingerprints(service, shared)
 	i, facts := s.blocks.Refused(all, now)
 	if i < 0 {
-		return "", false
+		return "", time.Time{}, false
 	}
-	if s.blocks.IsProbeDue(all[i], now) && s.ownsBlock(all[i]) && s.blocks.BeginProbe(all[i], now) {
+	if s.blocks.IsProbeDue(all[i], now) && s.owns(all[i]) && s.blocks.BeginProbe(all[i], now) {
 		s.n.log.WithFields(logrus.Fields{"service": service, "block": shared[i].ID}).Info("refused prompt block is tried with one request")
-		return "", false
+		return "", time.Time{}, false
 	}
 	if len(facts) > 0 {
 		s.reportRefused(service, shared[i].ID, facts)
 	}
-	return shared[i].ID, true
+	return shared[i].ID, s.blocks.RefusedUntil(all[i]), true
 }
 
-// ownsBlock reports whether this instance is the one that tries a refused block again.
-func (s *suspects) ownsBlock(fp quarantine.Fingerprint) bool {
+// owns reports whether this instance is the one that tries a refused block or family again, and stores what is refused after
+// a restore of the store.
+func (s *suspects) owns(fp quarantine.Fingerprint) bool {
 	owner := rendezvous.Top(fmt.Sprint(uint64(fp)), s.n.memberIDs(), 1)
 	return len(owner) == 1 && owner[0] == s.n.settings.Name
 }
--- a/node/suspectrecords.go
+++ b/node/suspectrecords.go
@@ -54,25 +54,38 @@
 	return len(stored.Facts) != len(r.Facts) || !isRecent
 }
 
-// requestRecord records a request that is refused for its crashes. One that was answered since has none.
+// requestRecord records the crashes because of which a request or a family is refused.
 type requestRecord struct {
-	Request    quarantine.Fingerprint `json:"request"`
-	RecordedMs int64                  `json:"recorded_ms"` // time of day of the latest crash in Unix milliseconds
-	Crashes    int                    `json:"crashes"`
+	Scope       quarantine.Scope       `json:"scope"`
+	Fingerprint quarantine.Fingerprint `json:"fingerprint"`
+	RecordedMs  int64                  `json:"recorded_ms"` // time of day of the latest crash, or answer, in Unix milliseconds
+	Count       int                    `json:"count"`       // 0: it was answered since
+	Attributed  bool                   `json:"attributed,omitempty"`
+}
+
+// legacyRecord is the record of builds up to 0694119, in slots without a scope. See factLegacyCrash.
+type legacyRecord struct {
+	Crashes int `json:"crashes"`
 }
 
 func (r requestRecord) slot() string {
-	return fmt.Sprintf("%s%d", requestPrefix, uint64(r.Request)%refusedKeys)
+	return fmt.Sprintf("%s%s-%d", requestPrefix, r.Scope, uint64(r.Fingerprint)%refusedKeys)
+}
+
+func (r requestRecord) isOlderThan(other suspectRecord) bool {
+	o, ok := other.(requestRecord)
+	return ok && r.RecordedMs < o.RecordedMs
 }
 
-// replaces implements suspectRecord. A request that was answered replaces only its own record.
+// replaces implements suspectRecord. One that was answered replaces only its own record, and another one yields to a later
+// crash.
 func (r requestRecord) replaces(value []byte) bool {
 	var stored requestRecord
 	if err := json.Unmarshal(value, &stored); err != nil {
 		return true
 	}
-	if stored.Request != r.Request {
-		return r.Crashes > 0
+	if stored.Fingerprint != r.Fingerprint && r.Count == 0 {
+		return false
 	}
 	return r.RecordedMs > stored.RecordedMs
 }
@@ -85,14 +98,30 @@
 	}
 }
 
-// storeAgain stores what this process has stored before, since a restored store may have forgotten it.
+// storeAgain stores what this process has stored before, and what it knows to be refused if it owns that, since a restored store
+// may have forgotten it. The process that stored it first may be gone.
 func (s *suspects) storeAgain() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, r := range s.stored {
+	now, again := time.Now(), map[string]suspectRecord{}
+	for _, c := range s.AllRefused(now) {
+		if s.owns(c.Fingerprint) {
+			r := requestRecord{
+				Scope: c.Scope, Fingerprint: c.Fingerprint, RecordedMs: s.n.wall.Now().Add(-now.Sub(c.Latest)).UnixMilli(),
+				Count: c.Crashes, Attributed: c.Attributed,
+			}
+			again[r.slot()] = r
+		}
+	}
+	for slot, r := range s.stored {
+		if known, ok := again[slot].(requestRecord); !ok || known.isOlderThan(r) {
+			again[slot] = r
+		}
+	}
+	for _, r := range again {
 		s.storeLater(r)
 	}
-	if len(s.stored) > 0 {
+	if len(again) > 0 {
 		s.n.recordedAgain("refused")
 	}
 }
@@ -141,7 +170,12 @@
 
 // readEach calls merge with each record with a key prefix. A record that merge can't decode is skipped.
 func (s *suspects) readEach(ctx context.Context, prefix string, merge func(value []byte) error) error {
-	objects, err := s.n.platform.Records.List(ctx, prefix)
+	// A list that is seconds old may lack the refusals from right before all instances were killed.
+	list := s.n.platform.ListRecords
+	if list == nil {
+		list = s.n.platform.Records.List
+	}
+	objects, err := list(ctx, prefix)
 	if err != nil {
 		return err
 	}
@@ -159,8 +193,25 @@
 		return err
 	}
 	age := s.n.wall.Now().Sub(time.UnixMilli(r.RecordedMs))
-	if r.Crashes > 0 && age < quarantine.CrashTTL {
-		s.MergeCount(r.Request, r.Crashes, time.Now().Add(-max(0, age)))
+	if age >= quarantine.CrashTTL || age <= -quarantine.CrashTTL {
+		return nil // over, or of a clock that was far ahead: the refusal would begin anew at each start
+	}
+	count, at := quarantine.Count{Crashes: r.Count, Attributed: r.Attributed}, time.Now().Add(-max(0, age))
+	switch r.Scope {
+	case quarantine.ScopeRequest:
+		s.MergeRequest(r.Fingerprint, count, at)
+	case quarantine.ScopeFamily:
+		s.MergeFamily(r.Fingerprint, quarantine.Count{Crashes: count.Crashes, Attributed: true}, at)
+	default:
+		var legacy legacyRecord
+		if err := json.Unmarshal(value, &legacy); err != nil {
+			return err
+		}
+		if legacy.Crashes > 0 {
+			s.n.metrics.scope.Counter("legacy_crash_counts").Inc(1)
+			s.n.log.WithField("crashes", legacy.Crashes).
+				Warn("stored count of crashes by an earlier build not used: harmless requests may share its fingerprint")
+		}
 	}
 	return nil
 }
--- a/node/suspects.go
+++ b/node/suspects.go
@@ -14,12 +14,19 @@
 
 	"github.com/trefoillug/trefoillug/fleet"
 	"github.com/trefoillug/trefoillug/forward"
+	"github.com/trefoillug/trefoillug/loglimit"
 	"github.com/trefoillug/trefoillug/peer"
 	"github.com/trefoillug/trefoillug/quarantine"
 )
 
 const (
-	factCrash = "crash/"
+	// factCrashes and factAnswered are the key prefixes of facts about requests that crash endpoints, and about families
+	// of which a request was answered.
+	factCrashes  = "crashed/request/"
+	factAnswered = "crashed/answered/"
+	// factLegacyCrash is the key prefix of the counts of builds up to 0694119. Their fingerprints left out the host and some
+	// fields of the body, so that a harmless request may have the fingerprint of a deadly one.
+	factLegacyCrash = "crash/"
 	// confirmDelay leaves an endpoint that has crashed time to close its listener; it restarts only after seconds.
 	confirmDelay = 50 * time.Millisecond
 	// confirmTimeout bounds the connection attempt that shows whether an endpoint still runs.
@@ -40,6 +47,8 @@
 
 	toStore chan suspectRecord
 	stored  map[string]suspectRecord // by slot: the latest one that this process has stored
+
+	legacyLines loglimit.Limit
 }
 
 type lostRequest struct {
@@ -47,19 +56,41 @@
 	ended time.Time
 }
 
-// crashReport reports how often a request has crashed its endpoint, or that an endpoint has answered it.
+// crashReport reports how often a request and its family have crashed endpoints, or that an endpoint has answered the request.
 type crashReport struct {
-	Fingerprint quarantine.Fingerprint `cbor:"1,keyasint"`
-	Crashes     int                    `cbor:"2,keyasint,omitempty"` // 0: an endpoint has answered the request
+	Request       quarantine.Fingerprint `cbor:"1,keyasint"`
+	Crashes       int                    `cbor:"2,keyasint,omitempty"` // 0: an endpoint has answered the request
+	Attributed    bool                   `cbor:"3,keyasint,omitempty"`
+	Family        quarantine.Fingerprint `cbor:"4,keyasint,omitempty"`
+	FamilyCrashes int                    `cbor:"5,keyasint,omitempty"`
+}
+
+// answeredReport reports that an endpoint has answered a request of a family that had crashes, or begun to.
+type answeredReport struct {
+	Family quarantine.Fingerprint `cbor:"1,keyasint"`
 }
 
 func newSuspects(n *Node) *suspects {
-	return &suspects{Crashes: quarantine.NewCrashes(), n: n, blocks: quarantine.NewBlocks(), lost: map[*fleet.Endpoint][]lostRequest{}, toStore: make(chan suspectRecord, 2*refusedKeys), stored: map[string]suspectRecord{}}
+	return &suspects{
+		Crashes: quarantine.NewCrashes(), n: n, blocks: quarantine.NewBlocks(), lost: map[*fleet.Endpoint][]lostRequest{},
+		toStore: make(chan suspectRecord, 3*refusedKeys), stored: map[string]suspectRecord{},
+		legacyLines: loglimit.Limit{Lines: 1},
+	}
+}
+
+// Refused implements forward.Suspects.
+func (s *suspects) Refused(id quarantine.Identity) (quarantine.Refusal, bool) {
+	return s.Crashes.Refused(id, time.Now())
 }
 
-// IsRefused implements forward.Suspects.
-func (s *suspects) IsRefused(fp quarantine.Fingerprint) bool {
-	return s.Crashes.IsRefused(fp, time.Now())
+// BeginProbe implements forward.Suspects.
+func (s *suspects) BeginProbe(family quarantine.Fingerprint) bool {
+	now := time.Now()
+	if !s.IsProbeDue(family, now) || !s.owns(family) || !s.Crashes.BeginProbe(family, now) {
+		return false
+	}
+	s.n.log.Info("refused family of requests is tried with one request")
+	return true
 }
 
 // RecordLost implements forward.Suspects. A broken connection alone does not prove a crash, so a new connection is
@@ -88,58 +119,130 @@
 	notBegun, highest, known := 0, 0, s.Len()
 	var blocks []quarantine.Fingerprint
 	for _, r := range lost {
-		count := s.Crashed(r.Fingerprint, r.Sent, r.ended)
-		s.publish(crashReport{Fingerprint: r.Fingerprint, Crashes: count})
-		if quarantine.Refuses(count) {
-			s.storeLater(requestRecord{Request: r.Fingerprint, Crashes: count, RecordedMs: s.n.wall.Now().UnixMilli()})
-		}
-		highest = max(highest, count)
 		if !r.Begun {
 			notBegun++
 			blocks = append(blocks, fingerprints(e.Service, r.Shared)...)
 		}
 	}
+	accused, attributed := accusedOf(lost)
+	for _, r := range accused {
+		highest = max(highest, s.countCrash(r, attributed))
+	}
 	// A refused connection shows that the machine is up and the process is not. Without one, the path may be cut.
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		s.recordCrash(e, blocks, lost[0].ended)
 	}
 	s.n.metrics.scope.Counter("endpoint_crashes").Inc(1)
 	s.n.log.WithError(err).WithFields(logrus.Fields{
-		"endpoint": e.ID, "service": e.Service, "requests": len(lost), "not_begun": notBegun, "highest": highest, "known": known,
+		"endpoint": e.ID, "service": e.Service, "requests": len(lost),
+		"not_begun": notBegun, "accused": len(accused), "attributed": attributed, "highest": highest, "known": known,
 	}).Info("endpoint crashed; the requests on it are suspected")
 }
 
-// RecordAnswered implements forward.Suspects.
-func (s *suspects) RecordAnswered(fp quarantine.Fingerprint) {
-	crashes := s.Crashes.Answered(fp)
-	if crashes == 0 {
-		return
+// accusedOf returns the requests that may have caused a crash, and whether there is only one. A request that crashes
+// endpoints does so when its run begins, so one of those that had not begun is the cause if there are any.
+func accusedOf(lost []lostRequest) (accused []lostRequest, attributed bool) {
+	for _, r := range lost {
+		if !r.Generating {
+			accused = append(accused, r)
+		}
+	}
+	if len(accused) == 0 {
+		return lost, false
+	}
+	for _, r := range accused[1:] {
+		if r.Identity != accused[0].Identity {
+			return accused, false
+		}
+	}
+	return accused, true
+}
+
+// countCrash counts the crash of an endpoint that ran a request, and returns the number of the request's crashes. The caller
+// must hold s.mu.
+func (s *suspects) countCrash(r lostRequest, attributed bool) int {
+	c := quarantine.Crash{Since: r.Sent, At: r.ended, Attributed: attributed}
+	request, family := s.Crashed(r.Identity, c)
+	age := time.Since(r.ended)
+	s.n.publishShared(keyOf(factCrashes, r.Identity.Request), uint8(min(request.Crashes, math.MaxUint8)), crashReport{
+		Request: r.Identity.Request, Crashes: request.Crashes, Attributed: request.Attributed,
+		Family: r.Identity.Family, FamilyCrashes: family.Crashes,
+	}, quarantine.CrashTTL-age)
+	at := s.n.wall.Now().Add(-age).UnixMilli()
+	if request.Refuses(quarantine.ScopeRequest) {
+		s.storeLater(requestRecord{Scope: quarantine.ScopeRequest, Fingerprint: r.Identity.Request, RecordedMs: at, Count: request.Crashes, Attributed: request.Attributed})
 	}
-	s.publish(crashReport{Fingerprint: fp})
-	if quarantine.Refuses(crashes) {
-		s.storeLater(requestRecord{Request: fp, RecordedMs: s.n.wall.Now().UnixMilli()})
+	if family.Refuses(quarantine.ScopeFamily) {
+		s.storeLater(requestRecord{Scope: quarantine.ScopeFamily, Fingerprint: r.Identity.Family, RecordedMs: at, Count: family.Crashes})
 	}
+	return request.Crashes
 }
 
-// publish reports to the peers for this process and all later ones: the count is about the request and its endpoints, and
-// a request that has crashed some is not to crash more because the instance that saw it was restarted.
-func (s *suspects) publish(report crashReport) {
-	s.n.publishShared(fmt.Sprintf("%s%x", factCrash, uint64(report.Fingerprint)), uint8(min(report.Crashes, math.MaxUint8)), report, quarantine.CrashTTL)
+// keyOf returns the key of a shared fact. It is the same at all instances, and for the time after the process that publishes
+// it: a request that has crashed some endpoints is not to crash more because the instance that saw it was restarted.
+func keyOf(prefix string, fp quarantine.Fingerprint) string {
+	return fmt.Sprintf("%s%x", prefix, uint64(fp))
 }
 
+// RecordAnswered implements forward.Suspects.
+func (s *suspects) RecordAnswered(id quarantine.Identity) {
+	if request := s.RequestAnswered(id.Request); request.Crashes > 0 {
+		s.n.publishShared(keyOf(factCrashes, id.Request), 0, crashReport{Request: id.Request}, quarantine.CrashTTL)
+		if request.Refuses(quarantine.ScopeRequest) {
+			s.storeLater(requestRecord{Scope: quarantine.ScopeRequest, Fingerprint: id.Request, RecordedMs: s.n.wall.Now().UnixMilli()})
+		}
+	}
+	s.recordFamilyAnswered(id.Family)
+}
+
+// recordFamilyAnswered records that an endpoint has answered a request of a family, or begun to.
+func (s *suspects) recordFamilyAnswered(id quarantine.Fingerprint) {
+	family := s.FamilyAnswered(id, time.Now())
+	if family.Crashes == 0 {
+		return
+	}
+	s.n.publishShared(keyOf(factAnswered, id), 0, answeredReport{Family: id}, quarantine.CrashTTL)
+	if family.Refuses(quarantine.ScopeFamily) {
+		s.storeLater(requestRecord{Scope: quarantine.ScopeFamily, Fingerprint: id, RecordedMs: s.n.wall.Now().UnixMilli()})
+	}
+}
+
+// receive merges a crash report of a peer. Its age shortens the refusal that follows from it.
 func (s *suspects) receive(f peer.Fact) {
 	var report crashReport
 	if err := cbor.Unmarshal(f.Value, &report); err != nil {
 		s.n.log.WithError(err).WithField("peer", f.Origin).Warn("crash report from peer could not be decoded")
 		return
 	}
-	if report.Crashes == 0 {
-		s.Crashes.Answered(report.Fingerprint)
+	if report.Crashes <= 0 {
+		s.RequestAnswered(report.Request)
 		return
 	}
-	age := max(0, quarantine.CrashTTL-f.TTL)
-	isNew := s.MergeCount(report.Fingerprint, report.Crashes, time.Now().Add(-age))
-	if isNew && f.Origin != "" {
-		s.publish(report) // of an earlier release, whose report ends with its process
+	at := publishedAt(f)
+	s.MergeRequest(report.Request, quarantine.Count{Crashes: report.Crashes, Attributed: report.Attributed}, at)
+	s.MergeFamily(report.Family, quarantine.Count{Crashes: report.FamilyCrashes, Attributed: true}, at)
+}
+
+// receiveAnswered merges a report of a peer that a request of a family was answered.
+func (s *suspects) receiveAnswered(f peer.Fact) {
+	var report answeredReport
+	if err := cbor.Unmarshal(f.Value, &report); err != nil {
+		s.n.log.WithError(err).WithField("peer", f.Origin).Warn("report of an answer from peer could not be decoded")
+		return
+	}
+	s.MergeFamilyAnswered(report.Family, publishedAt(f))
+}
+
+// publishedAt returns the time of what a fact with the lifetime quarantine.CrashTTL reports.
+func publishedAt(f peer.Fact) time.Time {
+	return time.Now().Add(-max(0, quarantine.CrashTTL-f.TTL))
+}
+
+// receiveLegacy drops the count of an instance of an earlier build. It says so, since a deadly request that the other instance
+// refuses may crash endpoints once more from here.
+func (s *suspects) receiveLegacy(f peer.Fact) {
+	s.n.metrics.scope.Counter("legacy_crash_counts").Inc(1)
+	if s.legacyLines.Allow(time.Now()) {
+		s.n.log.WithField("fact", f.Key).Warn("count of crashes by an earlier build not used: harmless requests may share its fingerprint")
 	}
 }
--- a/quarantine/blocks.go
+++ b/quarantine/blocks.go
@@ -254,6 +254,17 @@
 	return cause, b.facts(blocks[cause])
 }
 
+// RefusedUntil returns when the refusal of a faulty block ends unless it crashes another endpoint.
+func (b *Blocks) RefusedUntil(fp Fingerprint) time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var latest time.Time
+	for _, id := range b.accused[fp] {
+		latest = later(latest, b.crashes[id].recordedAt)
+	}
+	return latest.Add(blockRefusalTTL)
+}
+
 // IsProbeDue reports whether a request with a refused block may be let through, as one that shows whether the block still
 // crashes endpoints. Of all instances, one should do so.
 func (b *Blocks) IsProbeDue(fp Fingerprint, now time.Time) bool {
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -31,6 +31,9 @@
 	MaxCrashes int           // crashes kept; the oldest are dropped first
 }
 
+// CurrentScheme is the Fact.Scheme of Content.Identity.
+const CurrentScheme = 1
+
 // CrashID identifies a crash of an endpoint. The instances that detect the crashes of an endpoint number them from 1.
 type CrashID struct {
 	_        struct{} `cbor:",toarray"`
@@ -43,6 +46,9 @@
 	Crash   CrashID       `cbor:"1,keyasint"`
 	Running []Fingerprint `cbor:"2,keyasint"` // on the endpoint when it crashed, as recorded by the origin
 	Cleared []Fingerprint `cbor:"3,keyasint"` // those of Running that have completed on another endpoint since
+	// Scheme says how the fingerprints were computed; 0: by a build whose fingerprints leave out some fields of a body, the
+	// headers and the workspace. Those match no request here.
+	Scheme uint8 `cbor:"4,keyasint,omitempty"`
 }
 
 // RunningAttempt is an attempt that was on an endpoint when it crashed.
@@ -65,7 +71,7 @@
 // Decision is an action for a fingerprint.
 type Decision struct {
 	Action Action
-	Until  time.Time // set for Hold
+	Until  time.Time // set for Hold, and for Refuse: the refusal ends then at the latest
 	// Crashes is the number of crashes that the request may have caused.
 	Crashes int
 }
@@ -143,7 +149,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
-	total, attributed, unsettled := 0, 0, time.Time{}
+	total, attributed, unsettled, latest := 0, 0, time.Time{}, time.Time{}
 	for _, id := range t.byFingerprint[fp] {
 		c := t.crashes[id]
 		possible, only := c.attribution(fp)
@@ -151,6 +157,7 @@
 			continue
 		}
 		total++
+		latest = later(latest, c.recordedAt)
 		if only {
 			attributed++
 		}
@@ -166,7 +173,7 @@
 	case !unsettled.IsZero():
 		return Decision{Action: Hold, Until: unsettled, Crashes: total}
 	default:
-		return Decision{Action: Refuse, Crashes: total}
+		return Decision{Action: Refuse, Until: latest.Add(t.opts.TTL), Crashes: total}
 	}
 }
 
@@ -224,7 +231,7 @@
 		!slices.ContainsFunc(running, func(r RunningAttempt) bool { return r.Started.Before(last.recordedAt) }) {
 		id.Number++
 	}
-	f := Fact{Crash: id}
+	f := Fact{Crash: id, Scheme: CurrentScheme}
 	for _, r := range running {
 		t.release(r.Fingerprint, endpoint)
 		if !slices.Contains(f.Running, r.Fingerprint) {
@@ -256,7 +263,7 @@
 
 // fact returns all that is known of a crash. The caller must hold t.mu.
 func (t *Table) fact(id CrashID) Fact {
-	f := Fact{Crash: id}
+	f := Fact{Crash: id, Scheme: CurrentScheme}
 	for running, cleared := range t.crashes[id].running {
 		f.Running = append(f.Running, running)
 		if cleared {
--- a/relay/acquire.go
+++ b/relay/acquire.go
@@ -83,9 +83,10 @@
 		return nil, nil
 	}
 	q, fingerprint := r.cfg.Quarantine, s.call.Fingerprint
+	if err := r.checkQuarantine(s.call); err != nil {
+		return nil, err
+	}
 	switch {
-	case q.IsQuarantined(fingerprint):
-		return nil, problem.New(problem.Quarantined, "the request crashed its endpoints")
 	case s.isOffer && r.isSuspect(s.call):
 		return nil, problem.New(problem.Quarantined, "the request may have crashed an endpoint, and another one runs it")
 	case q.MustHold(fingerprint):
--- a/relay/defaults.go
+++ b/relay/defaults.go
@@ -53,8 +53,8 @@
 // NoQuarantine is a Quarantine that restricts no request.
 type NoQuarantine struct{}
 
-// IsQuarantined implements Quarantine.
-func (NoQuarantine) IsQuarantined(uint64) bool { return false }
+// Quarantined implements Quarantine.
+func (NoQuarantine) Quarantined(uint64) (time.Time, bool) { return time.Time{}, false }
 
 // MustIsolate implements Quarantine.
 func (NoQuarantine) MustIsolate(uint64, time.Duration) bool { return false }
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -109,8 +109,9 @@
 	case g.errorAnswers >= maxErrorAnswers && !g.hasStalled():
 		return g.incompleteError(problem.EndpointFailed, "%d endpoints failed: %v",
 			g.errorAnswers, result.Err)
-	case g.relay.cfg.Quarantine.IsQuarantined(g.call.Fingerprint):
-		return g.incompleteError(problem.Quarantined, "the request crashed its endpoints")
+	}
+	if err := g.relay.checkQuarantine(g.call); err != nil {
+		return g.incompleteError(problem.Quarantined, "%v", err)
 	}
 	return nil
 }
--- a/relay/handover.go
+++ b/relay/handover.go
@@ -217,11 +217,12 @@
 		return nil, fmt.Errorf("service %s has no route for %s", h.Service, engine.PathChat)
 	}
 	now := r.cfg.Now()
-	return &Call{
+	call := &Call{
 		RequestID: h.RequestID, Service: svc.Config, Route: route, Workspace: h.Workspace, Method: "POST",
 		Path: engine.PathChat, Body: h.Body, Accepted: now, Deadline: now.Add(h.TimeLeft), Chat: chat,
-		Fingerprint: fingerprint(h.Service, route.Name, chat.content()),
-	}, nil
+	}
+	call.Fingerprint = call.fingerprint()
+	return call, nil
 }
 
 // holdSession creates a session for a stream that was handed over, or returns the existing one if the handover is
--- a/relay/input.go
+++ b/relay/input.go
@@ -5,6 +5,7 @@
 	"errors"
 	"maps"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -13,6 +14,7 @@
 	"github.com/trefoillug/trefoillug/engine"
 	"github.com/trefoillug/trefoillug/intake"
 	"github.com/trefoillug/trefoillug/problem"
+	"github.com/trefoillug/trefoillug/quarantine"
 	"github.com/trefoillug/trefoillug/table"
 )
 
@@ -117,12 +119,10 @@
 	return &c, nil
 }
 
-// content returns the request body without the fields that differ between repeats of the same request.
+// content returns what engines get of the request body. They always stream.
 func (c *Chat) content() []byte {
 	fields := maps.Clone(c.fields)
-	for _, volatile := range []string{"seed", "stream", "stream_options", "user", "metadata"} {
-		delete(fields, volatile)
-	}
+	delete(fields, "stream")
 	// Marshaling raw messages that were just decoded can't fail.
 	b, _ := json.Marshal(fields)
 	return b
@@ -189,14 +189,33 @@
 	return name, nil
 }
 
-// fingerprint is the digest of a request's content.
-func fingerprint(service, route string, content []byte) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	// Digest writes never fail.
-	_, _ = d.WriteString(service + "\x00" + route + "\x00")
-	_, _ = d.Write(content)
-	return d.Sum64()
+// attemptHeaders differ between the attempts of the same request: IDs, positions and traces that clients set.
+var attemptHeaders = []string{headerRequestID, headerIdempotencyKey, headerLastEventID, "Traceparent", "Tracestate", "Baggage"}
+
+// fingerprint identifies calls with the same content, of the same workspace. Engines get none of the headers.
+func (c *Call) fingerprint() uint64 {
+	path, query, _ := strings.Cut(c.Path, "?")
+	content := quarantine.Content{Host: c.Service.Name, Method: c.Method, Path: path, Query: query, Caller: c.Workspace, Body: c.Body}
+	if c.Chat != nil {
+		content.Body = c.Chat.content()
+	} else {
+		header := maps.Clone(c.Header) // the values are not changed
+		for _, name := range attemptHeaders {
+			header.Del(name)
+		}
+		content.Header = header
+	}
+	return uint64(content.Identity().Request)
+}
+
+// checkQuarantine returns an error that says for how long if the call is refused for crashing its endpoints.
+func (r *Relay) checkQuarantine(call *Call) error {
+	until, refused := r.cfg.Quarantine.Quarantined(call.Fingerprint)
+	if !refused {
+		return nil
+	}
+	left := max(time.Second, until.Sub(r.cfg.Now())).Round(time.Second)
+	return problem.NewWithRetryAfter(problem.Quarantined, left, "this request has crashed the endpoints that ran it; it is refused for up to %v more", left)
 }
 
 func (r *Relay) newRequestID() string { return r.cfg.Instance + "." + r.cfg.NewID() }
--- a/relay/interfaces.go
+++ b/relay/interfaces.go
@@ -21,7 +21,7 @@
 	Path        string // escaped path relative to the service, with the query
 	Header      http.Header
 	Body        []byte
-	Fingerprint uint64 // digest of the content without fields that differ between repeats
+	Fingerprint uint64 // of the content; repeats of a call share it
 	Accepted    time.Time
 	Deadline    time.Time
 	Chat        *Chat        // parsed body of a model request; nil for plain services
@@ -86,7 +86,8 @@
 
 // Quarantine restricts requests that crash endpoints. Requests are identified by their fingerprints.
 type Quarantine interface {
-	IsQuarantined(fingerprint uint64) bool
+	// Quarantined reports whether the request is refused, and until when at most.
+	Quarantined(fingerprint uint64) (until time.Time, refused bool)
 	// MustIsolate reports whether the request may only run on an endpoint that runs no other request at the same time.
 	// waited is how long the request has waited for an endpoint.
 	MustIsolate(fingerprint uint64, waited time.Duration) bool
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -104,7 +104,7 @@
 		call.Path += "?" + req.URL.RawQuery
 	}
 	call.Header = forwardedHeader(req.Header)
-	call.Fingerprint = fingerprint(name, call.Route.Name, append([]byte(call.Method+" "+call.Path+"\x00"), call.Body...))
+	call.Fingerprint = call.fingerprint()
 	if call.runsAtMostOnce() && call.Key == "" {
 		return nil, refusal{
 			err:     problem.New(problem.KeyMissing, "route %s needs an %s", call.Route.Name, headerIdempotencyKey),
@@ -114,8 +114,8 @@
 }
 
 func (r *Relay) admitPlain(ctx context.Context, call *Call) (func(), error) {
-	if r.cfg.Quarantine.IsQuarantined(call.Fingerprint) {
-		return nil, problem.New(problem.Quarantined, "this request crashed its endpoints")
+	if err := r.checkQuarantine(call); err != nil {
+		return nil, err
 	}
 	return r.cfg.Admitter.Admit(ctx, call)
 }
@@ -229,8 +229,8 @@
 	if ctx.Err() != nil {
 		return plainError(ctx, ctx.Err(), true)
 	}
-	if s.relay.cfg.Quarantine.IsQuarantined(s.call.Fingerprint) {
-		return problem.New(problem.Quarantined, "the request crashed its endpoints")
+	if err := s.relay.checkQuarantine(s.call); err != nil {
+		return err
 	}
 	s.search.recordFailure(acquired.endpoint, out.answer != nil)
 	return nil
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -165,12 +165,17 @@
 	return &t
 }
 
-// Match returns the route with the longest prefix of path among those of the host, and nil without one.
-func (t *Table) Match(host, path string) *Route {
+// CanonicalHost returns the form of a Host header in which routes name their host: in lower case, without a port.
+func CanonicalHost(host string) string {
 	if h, _, err := net.SplitHostPort(host); err == nil {
 		host = h
 	}
-	host = strings.ToLower(host)
+	return strings.ToLower(host)
+}
+
+// Match returns the route with the longest prefix of path among those of the host, and nil without one.
+func (t *Table) Match(host, path string) *Route {
+	host = CanonicalHost(host)
 	for end := len(path); end > 0; {
 		slash := strings.LastIndexByte(path[:end], '/')
 		if slash < 0 {
--- a/standin/platformworker.go
+++ b/standin/platformworker.go
@@ -27,8 +27,10 @@
 	EventTokens int
 	// Work is the time that a plain request takes.
 	Work time.Duration
-	// CrashPath, if not empty, is a substring of the path of requests that crash the worker. OnCrash is called for them.
+	// CrashPath, if not empty, is a substring of the path of requests that crash the worker, and IsDeadly, if not nil, reports
+	// whether a request does. OnCrash is called for them.
 	CrashPath string
+	IsDeadly  func(r *http.Request, body []byte) bool
 	OnCrash   func()
 	// DeadlyBlocks, if not empty, begins the IDs of prompt blocks that crash the worker before the first event of a
 	// stream. The last block of a prompt never does. OnDeadlyBlock is called with the ID of the block for each crash.
@@ -194,7 +196,7 @@
 		return
 	}
 	switch {
-	case u.CrashPath != "" && strings.Contains(r.URL.Path, u.CrashPath):
+	case u.CrashPath != "" && strings.Contains(r.URL.Path, u.CrashPath), u.IsDeadly != nil && u.IsDeadly(r, body):
 		u.OnCrash()
 		panic(http.ErrAbortHandler)
 	case u.status.Load() != 0:
