node, forward, upstream: a refused connection shows a crash, and silence shows nothing

Harmless requests on machines that were lost one after the other were refused for two minutes.

Cause: a crash counted only if another endpoint accepted a connection 50 ms later, when the repeat had crashed the other one as well; and any failed connection counted then, also one that nothing answered.

Change: a refused connection to the lost endpoint is a crash, unless no other endpoint is reached and a peer reaches this one. Silence is none. The attempt after a lost one opens a connection, so that two crashes count separately only if the second endpoint is known to have run after the first. A request that waited is checked again right before it is sent.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -131,7 +131,7 @@
 		e.Stats.End()
 		e.EndRun(admission, mayStillRun(&out), time.Now())
 	}()
-	r.sentAt = sent
+	r.sentAt, r.opens = sent, false
 	r.timeToFirst, r.load = 0, e.Stats.Snapshot(sent).Running-1
 	onData := func() {
 		if r.timeToFirst != 0 {
@@ -335,6 +335,7 @@
 	}
 	call := r.newCall(ctx, e, r.stream.lastID, movedFrom, r.proxied(e, r.proxy.runs, false))
 	call.MayTimeOut = func() bool { go onStall(); return false }
+	r.opens = call.OpensConn
 	return call
 }
 
@@ -358,7 +359,8 @@
 	}
 	call := &upstream.Call{
 		Method: r.req.Method, URI: r.req.URI, Host: r.req.Host, Header: r.f.cfg.Wire.Outbound(a), Body: r.req.Body,
-		NonIdempotent: !r.route.MayRepeat(), HeadTimeout: headTimeout, MaySend: func() error { return r.maySend(e) },
+		NonIdempotent: !r.route.MayRepeat(), HeadTimeout: headTimeout, MaySend: func() error { return r.maySend(e, movedFrom != "") },
+		OpensConn: !e.IsInstance() && r.mustOpen(),
 	}
 	if r.req.ID != "" {
 		call.MatchesAnswer = func(h http.Header, reused bool) bool { return r.f.cfg.Wire.IsAnswerTo(h, r.req.ID, reused) }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -106,6 +106,8 @@
 type Suspects interface {
 	// Any reports whether any request has crashed an endpoint. If none has, requests need no identity.
 	Any() bool
+	// IsSuspect reports whether a request has crashed an endpoint and none has answered it since.
+	IsSuspect(id quarantine.Identity) bool
 	// Refused returns why a request must not run again, and false if it may.
 	Refused(id quarantine.Identity) (quarantine.Refusal, bool)
 	// BeginProbe reports whether a request of a refused family is to be let through, as the only one of all instances, and
@@ -127,6 +129,7 @@
 type Loss struct {
 	Identity   quarantine.Identity
 	Sent       time.Time // when the request was sent
+	Opened     bool      // a connection was opened for the request after Sent
 	Begun      bool      // an endpoint had begun to generate the answer, maybe an earlier one
 	Generating bool      // the endpoint had begun to generate the answer
 	Shared     []placement.Block
@@ -244,6 +247,7 @@
 	measured     float64       // prompt tokens that show the speed of the engine of the latest attempt; 0: none do
 	begun        bool          // an endpoint has generated at least one event or an answer
 	crashed      bool          // an attempt ended as it does when its endpoint crashes
+	opens        bool          // the latest attempt was to open a connection
 	isProbe      bool          // lets one request of a refused family through
 	identifyOnce sync.Once
 	id           quarantine.Identity // set by identifyOnce
--- a/forward/offer.go
+++ b/forward/offer.go
@@ -366,9 +366,9 @@
 
 // recordOffer records the outcome of an offer that was not accepted like that of an attempt.
 func (r *exchange) recordOffer(o endedOffer) {
-	sent, timeToFirst, runs := r.sentAt, r.timeToFirst, r.proxy.runs
-	defer func() { r.sentAt, r.timeToFirst, r.proxy.runs = sent, timeToFirst, runs }()
-	r.sentAt, r.timeToFirst, r.proxy.runs = o.sent, 0, 1
+	sent, opens, timeToFirst, runs := r.sentAt, r.opens, r.timeToFirst, r.proxy.runs
+	defer func() { r.sentAt, r.opens, r.timeToFirst, r.proxy.runs = sent, opens, timeToFirst, runs }()
+	r.sentAt, r.opens, r.timeToFirst, r.proxy.runs = o.sent, false, 0, 1
 	r.mayHaveRun = r.mayHaveRun || o.out.mayHaveRun()
 	r.recordAttempt(o.endpoint, &o.out)
 }
--- a/forward/suspect.go
+++ b/forward/suspect.go
@@ -111,13 +111,20 @@
 	case r.mayHaveCrashed(out):
 		r.crashed = true
 		s.RecordLost(e, Loss{
-			Identity: r.identity(), Sent: r.sentAt, Begun: r.begun, Generating: r.timeToFirst > 0, Shared: r.sharedBlocks(),
+			Identity: r.identity(), Sent: r.sentAt, Opened: r.opens, Begun: r.begun, Generating: r.timeToFirst > 0, Shared: r.sharedBlocks(),
 		})
 	case out.end == answered && s.Any():
 		s.RecordAnswered(r.identity())
 	}
 }
 
+// mustOpen reports whether the next attempt needs a connection of its own because the request may crash endpoints. That an
+// endpoint accepts one shows that it runs then: otherwise its loss could be the same one as that of the endpoint before.
+func (r *exchange) mustOpen() bool {
+	s := r.f.cfg.Suspects
+	return s != nil && (r.crashed || s.Any() && s.IsSuspect(r.identity()))
+}
+
 // mayHaveCrashed reports whether an attempt ended as it does when its endpoint crashes.
 func (r *exchange) mayHaveCrashed(out *outcome) bool {
 	var refused *continuation.Error
--- a/forward/suspect_test.go
+++ b/forward/suspect_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -23,6 +24,7 @@
 }
 
 func (s *suspects) Any() bool                              { return false }
+func (s *suspects) IsSuspect(quarantine.Identity) bool     { return false }
 func (s *suspects) BeginProbe(quarantine.Fingerprint) bool { return false }
 func (s *suspects) RecordAnswered(quarantine.Identity)     {}
 
@@ -92,3 +94,24 @@
 	must.Eq(t, 0, w.arrivalCount())
 	must.Eq(t, 0.0, w.quotaUsed)
 }
+
+// Guards against a request that waits for an endpoint, crashes others elsewhere meanwhile, and is sent all the same, and
+// against a refusal that doesn't say why and for how long.
+func TestServe_RefusedWhileWaiting(t *testing.T) {
+	s := &refuseLater{}
+	script := func(a *arrival) { a.reply(http.StatusOK, "run") }
+	w := newHarness(t, 0, script, func(cfg *forward.Config) { cfg.Suspects = s })
+	w.table.Routes[1].TargetLatency = 40 * time.Second // an eighth of it is the wait for an endpoint
+	go func() {
+		time.Sleep(50 * time.Millisecond)
+		s.refused.Store(true)
+		w.fleet.Put(fleet.Entry{ID: "e", Service: service, Address: w.listen("e", script), Slots: 8})
+	}()
+	got := w.send(t.Context(), "safe")
+	must.NotNil(t, got.refusal)
+	must.Eq(t, problem.Quarantined, problem.KindOf(got.refusal.Err))
+	must.StrContains(t, got.refusal.Err.Error(), "it is refused for")
+	must.Positive(t, got.refusal.RetryAfter)
+	must.Eq(t, 0, w.arrivalCount())
+	must.Eq(t, 0.0, w.quotaUsed)
+}
--- a/node/peers.go
+++ b/node/peers.go
@@ -93,6 +93,7 @@
 	handleCalls(n, callUsage, n.handleUsage)
 	handleCalls(n, callOwnUsage, n.handleOwnUsage)
 	handleCalls(n, callFinalCounts, n.handleFinalCounts)
+	handleCalls(n, callReach, n.handleReach)
 	handleCalls(n, callAcquire, n.acquireLocal)
 	handleCalls(n, callRelease, n.releaseLocal)
 	handleCalls(n, callColdPermit, n.cold.handlePermit)
--- a/node/reachability.go
+++ b/node/reachability.go
@@ -6,7 +6,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/trefoillug/trefoillug/fleet"
 	"github.com/trefoillug/trefoillug/peer"
 	"github.com/trefoillug/trefoillug/reachability"
 	"github.com/trefoillug/trefoillug/upstream"
@@ -56,12 +55,6 @@
 	return all
 }
 
-// reachesOther reports whether another endpoint accepts a connection. It is true if there is no other.
-func (n *Node) reachesOther(e *fleet.Endpoint) bool {
-	self := reachability.Endpoint{Address: e.Address, Zone: e.Zone, Service: e.Service}
-	return n.prober.ReachesOther(context.Background(), self, n.probeCandidates())
-}
-
 // receiveReachability logs and reports that isolation has begun or ended.
 func (n *Node) receiveReachability(c reachability.Change) {
 	n.stateChanged.Store(true)
--- a/node/suspects.go
+++ b/node/suspects.go
@@ -1,12 +1,9 @@
 package node
 
 import (
-	"context"
-	"errors"
 	"fmt"
 	"math"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -29,8 +26,9 @@
 	factLegacyCrash = "crash/"
 	// confirmDelay leaves an endpoint that has crashed time to close its listener; it restarts only after seconds.
 	confirmDelay = 50 * time.Millisecond
-	// confirmTimeout bounds the connection attempt that shows whether an endpoint still runs.
-	confirmTimeout = 200 * time.Millisecond
+	// connectionSpacing is the time before a request was sent on an open connection at which the endpoint counts as running.
+	// The end of connections to endpoints that are lost together takes less time to arrive.
+	connectionSpacing = 250 * time.Millisecond
 )
 
 // suspects implements forward.Suspects: it counts crashes, including those that peers report.
@@ -48,6 +46,7 @@
 	toStore chan suspectRecord
 	stored  map[string]suspectRecord // by slot: the latest one that this process has stored
 
+	peerChecks  chan struct{} // holds an element for each crash that peers are being asked about
 	legacyLines loglimit.Limit
 }
 
@@ -74,10 +73,15 @@
 	return &suspects{
 		Crashes: quarantine.NewCrashes(), n: n, blocks: quarantine.NewBlocks(), lost: map[*fleet.Endpoint][]lostRequest{},
 		toStore: make(chan suspectRecord, 3*refusedKeys), stored: map[string]suspectRecord{},
-		legacyLines: loglimit.Limit{Lines: 1},
+		peerChecks: make(chan struct{}, maxPeerChecks), legacyLines: loglimit.Limit{Lines: 1},
 	}
 }
 
+// IsSuspect implements forward.Suspects.
+func (s *suspects) IsSuspect(id quarantine.Identity) bool {
+	return s.Crashes.IsSuspect(id, time.Now())
+}
+
 // Refused implements forward.Suspects.
 func (s *suspects) Refused(id quarantine.Identity) (quarantine.Refusal, bool) {
 	return s.Crashes.Refused(id, time.Now())
@@ -103,17 +107,22 @@
 	}
 }
 
+// confirmCrash counts the loss of an endpoint's connections as a crash if the endpoint has crashed.
 func (s *suspects) confirmCrash(e *fleet.Endpoint) {
-	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
-	defer cancel()
-	err := s.n.prober.Check(ctx, e.Address)
-	// An instance that reaches no other endpoint either has no evidence against this one.
-	reachesOthers := err == nil || s.n.reachesOther(e)
+	found, err := s.checkLost(e)
 	s.mu.Lock()
 	defer s.mu.Unlock() // held while publishing, so that peers receive the counts in order
 	lost := s.lost[e]
 	delete(s.lost, e)
-	if err == nil || e.IsLeaving() || !reachesOthers {
+	s.n.metrics.scope.Tagged(map[string]string{"found": string(found)}).Counter("lost_endpoints").Inc(1)
+	log := s.n.log.WithError(err).WithFields(logrus.Fields{"endpoint": e.ID, "service": e.Service, "requests": len(lost)})
+	switch {
+	case e.IsLeaving():
+		return
+	case found == lossSilent, found == lossOwnPath:
+		log.WithField("found", found).Info("endpoint lost; the requests on it are not suspected")
+		return
+	case found != lossCrash:
 		return
 	}
 	notBegun, highest, known := 0, 0, s.Len()
@@ -128,13 +137,9 @@
 	for _, r := range accused {
 		highest = max(highest, s.countCrash(r, attributed))
 	}
-	// A refused connection shows that the machine is up and the process is not. Without one, the path may be cut.
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		s.recordCrash(e, blocks, lost[0].ended)
-	}
+	s.recordCrash(e, blocks, lost[0].ended)
 	s.n.metrics.scope.Counter("endpoint_crashes").Inc(1)
-	s.n.log.WithError(err).WithFields(logrus.Fields{
-		"endpoint": e.ID, "service": e.Service, "requests": len(lost),
+	log.WithFields(logrus.Fields{
 		"not_begun": notBegun, "accused": len(accused), "attributed": attributed, "highest": highest, "known": known,
 	}).Info("endpoint crashed; the requests on it are suspected")
 }
@@ -162,6 +167,9 @@
 // must hold s.mu.
 func (s *suspects) countCrash(r lostRequest, attributed bool) int {
 	c := quarantine.Crash{Since: r.Sent, At: r.ended, Attributed: attributed}
+	if !r.Opened {
+		c.Since = r.Sent.Add(-connectionSpacing)
+	}
 	request, family := s.Crashed(r.Identity, c)
 	age := time.Since(r.ended)
 	s.n.publishShared(keyOf(factCrashes, r.Identity.Request), uint8(min(request.Crashes, math.MaxUint8)), crashReport{
--- a/quarantine/crashes.go
+++ b/quarantine/crashes.go
@@ -109,6 +109,13 @@
 	return len(s.requests)
 }
 
+// IsSuspect reports whether a request has crashed an endpoint.
+func (s *Crashes) IsSuspect(id Identity, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.requests[id.Request].isCurrent(now)
+}
+
 // Refused returns why a request is refused because of its crashes or those of its family, and false if it is not.
 func (s *Crashes) Refused(id Identity, now time.Time) (Refusal, bool) {
 	s.mu.Lock()
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -42,6 +42,8 @@
 	// UnusedSince, unless zero, excludes connections that were in use since then: one that has carried the same request
 	// may deliver another copy of its answer.
 	UnusedSince time.Time
+	// OpensConn makes the request open a connection, which shows that the endpoint runs when it gets the request.
+	OpensConn bool
 	// HeadTimeout is the time in which the head of an answer has to arrive once its first byte has; 0: no limit.
 	HeadTimeout time.Duration
 	// MayTimeOut is called when HeadTimeout has passed, from another goroutine. If it returns false, the exchange goes on and
--- a/upstream/exchange_test.go
+++ b/upstream/exchange_test.go
@@ -364,3 +364,23 @@
 	must.NoError(t, err)
 	must.Eq(t, "", body)
 }
+
+// Guards against a call that is to show that its endpoint runs and goes out on a connection from before the endpoint's end,
+// and against more connections because of that.
+func TestDo_OpensConn(t *testing.T) {
+	e := serve(t, func(e *endpoint, _ int, c net.Conn) {
+		r := bufio.NewReader(c)
+		for id, ok := e.read(r); ok; id, ok = e.read(r) {
+			_, _ = io.WriteString(c, answer(id, "ok"))
+		}
+	})
+	p := e.pool()
+	p.SetLimit(1)
+	for i, opens := range []bool{false, false, true, true} {
+		c := call("a")
+		c.OpensConn = opens
+		_, err := do(t, p, c)
+		must.NoError(t, err)
+		must.Eq(t, []int32{1, 1, 2, 3}[i], e.conns.Load())
+	}
+}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -128,6 +128,9 @@
 	if call.MatchesAnswer == nil {
 		return p.dial(ctx)
 	}
+	if call.OpensConn {
+		return p.dialInPlace(ctx)
+	}
 	return p.get(ctx, call)
 }
 
@@ -144,8 +147,14 @@
 		}
 		c.discard()
 	}
+	return p.dialInPlace(ctx)
+}
+
+// dialInPlace opens a connection in the place of an idle one that the call may not use, if there is any, so that the number of
+// connections stays within the limit.
+func (p *Pool) dialInPlace(ctx context.Context) (*conn, error) {
 	if c := p.takeIdle(time.Time{}); c != nil {
-		c.discard() // excluded by UnusedSince; the new connection takes its place within the limit
+		c.discard()
 	}
 	return p.dial(ctx)
 }
