--- a/cmd/trefoillug-soak/main.go
+++ b/cmd/trefoillug-soak/main.go
@@ -42,7 +42,7 @@
 	var runs, parallel, instances int
 	var length time.Duration
 	var program, site string
-	var planned, soundContinuations, drills bool
+	var planned, soundContinuations, drills, repeats bool
 	return &cli.Command{
 		Name:  "trefoillug-soak",
 		Usage: "inject seeded faults into real processes and check the guarantees",
@@ -55,6 +55,7 @@
 			&cli.BoolFlag{Name: "planned", Usage: "planned work only, by which no request may be interrupted", Destination: &planned},
 			&cli.BoolFlag{Name: "sound-continuations", Usage: "endpoints answer requests for the rest of a stream soundly", Destination: &soundContinuations},
 			&cli.BoolFlag{Name: "drills", Usage: "the store also comes back from an older copy of itself", Destination: &drills},
+			&cli.BoolFlag{Name: "repeats", Usage: "requests that crash endpoints also come again throughout, with harmless ones beside them", Destination: &repeats},
 			&cli.StringFlag{Name: "program", Aliases: []string{"binary"}, Usage: "path of the program to run as an instance; built if empty", Destination: &program},
 			&cli.StringFlag{Name: "site", Usage: "shape of the installation: " + strings.Join(siteNames(), ", "), Value: "standard", Destination: &site},
 		},
@@ -83,6 +84,9 @@
 				if drills {
 					plans[n].Plan.AddDrills()
 				}
+				if repeats {
+					plans[n].Plan.AddRepeatedRequests()
+				}
 			}
 			results := runPlans(ctx, plans, parallel)
 			failed, err := soak.WriteSummary(os.Stdout, results)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -113,6 +113,9 @@
 	// BeginProbe reports whether a request of a refused family is to be let through, as the only one of all instances, and
 	// records that it is.
 	BeginProbe(family quarantine.Fingerprint) bool
+	// BeginTrial waits for a time until no other suspect is being sent to a service. The caller calls end once an endpoint has
+	// begun to answer the request, or the attempt has ended.
+	BeginTrial(ctx context.Context, service string) (end func())
 	// RecordLost records that the connection to an endpoint broke while it ran a request.
 	RecordLost(e *fleet.Endpoint, loss Loss)
 	// RecordAnswered records that an endpoint has answered a request.
@@ -248,6 +251,7 @@
 	begun        bool          // an endpoint has generated at least one event or an answer
 	crashed      bool          // an attempt ended as it does when its endpoint crashes
 	opens        bool          // the latest attempt was to open a connection
+	endTrial     func()        // of the latest attempt of a suspect; nil: there is none
 	isProbe      bool          // lets one request of a refused family through
 	identifyOnce sync.Once
 	id           quarantine.Identity // set by identifyOnce
@@ -364,8 +368,13 @@
 
 // Choose implements attempt.Steps.
 func (r *exchange) Choose(ctx context.Context) (*fleet.Endpoint, error) {
-	endpoint, refusal := r.choose(ctx)
+	refusal := r.beginTrial(ctx)
+	var endpoint *fleet.Endpoint
+	if refusal == nil {
+		endpoint, refusal = r.choose(ctx)
+	}
 	if refusal != nil {
+		r.finishTrial()
 		r.leavePlace(nil)
 		return nil, refusal
 	}
@@ -374,6 +383,7 @@
 
 // Try implements attempt.Steps.
 func (r *exchange) Try(ctx context.Context, e *fleet.Endpoint) *outcome {
+	defer r.finishTrial()
 	r.offers.begin()
 	out := r.attempt(ctx, e)
 	r.lastEnd = out.end
--- a/forward/suspect.go
+++ b/forward/suspect.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"errors"
 	"strings"
 	"time"
@@ -74,7 +75,7 @@
 
 // quarantined returns the error for a refused request. It says why and for how long.
 func quarantined(refusal quarantine.Refusal, now time.Time) error {
-	left := max(time.Second, refusal.Until.Sub(now))
+	left := max(time.Second, refusal.Until().Sub(now))
 	if refusal.Scope == quarantine.ScopeFamily {
 		return problem.NewWithRetryAfter(problem.Quarantined, left,
 			"%d requests with this path, caller and body have crashed the endpoints that ran them; such requests are refused for up to %d s more", refusal.Crashes, seconds(left))
@@ -88,6 +89,7 @@
 
 // recordBegun records that an endpoint has begun to generate the answer.
 func (r *exchange) recordBegun() {
+	r.finishTrial()
 	if r.begun || r.proxy.isCurrent {
 		return
 	}
@@ -118,6 +120,28 @@
 	}
 }
 
+// beginTrial waits for its turn if the request may have crashed an endpoint. Another one may turn out to be the cause meanwhile,
+// or this one.
+func (r *exchange) beginTrial(ctx context.Context) *Refusal {
+	s := r.f.cfg.Suspects
+	if s == nil || r.offers.isAccepted() || r.pendingMove != nil || !s.Any() || !s.IsSuspect(r.identity()) {
+		return nil
+	}
+	r.endTrial = s.BeginTrial(ctx, r.service.Name)
+	if err := r.checkCrashes(); err != nil {
+		return &Refusal{Err: err, RetryAfter: problem.RetryAfter(err)}
+	}
+	return nil
+}
+
+// finishTrial lets the next suspect go.
+func (r *exchange) finishTrial() {
+	if r.endTrial != nil {
+		r.endTrial()
+		r.endTrial = nil
+	}
+}
+
 // mustOpen reports whether the next attempt needs a connection of its own because the request may crash endpoints. That an
 // endpoint accepts one shows that it runs then: otherwise its loss could be the same one as that of the endpoint before.
 func (r *exchange) mustOpen() bool {
--- a/forward/suspect_test.go
+++ b/forward/suspect_test.go
@@ -1,6 +1,7 @@
 package forward_test
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"sync"
@@ -28,6 +29,8 @@
 func (s *suspects) BeginProbe(quarantine.Fingerprint) bool { return false }
 func (s *suspects) RecordAnswered(quarantine.Identity)     {}
 
+func (s *suspects) BeginTrial(context.Context, string) func() { return func() {} }
+
 func (s *suspects) Refused(quarantine.Identity) (quarantine.Refusal, bool) {
 	return quarantine.Refusal{}, false
 }
--- a/node/suspectrecords.go
+++ b/node/suspectrecords.go
@@ -60,7 +60,6 @@
 	Fingerprint quarantine.Fingerprint `json:"fingerprint"`
 	RecordedMs  int64                  `json:"recorded_ms"` // time of day of the latest crash, or answer, in Unix milliseconds
 	Count       int                    `json:"count"`       // 0: it was answered since
-	Attributed  bool                   `json:"attributed,omitempty"`
 }
 
 // legacyRecord is the record of builds up to 0694119, in slots without a scope. See factLegacyCrash.
@@ -106,10 +105,7 @@
 	now, again := time.Now(), map[string]suspectRecord{}
 	for _, c := range s.AllRefused(now) {
 		if s.owns(c.Fingerprint) {
-			r := requestRecord{
-				Scope: c.Scope, Fingerprint: c.Fingerprint, RecordedMs: s.n.wall.Now().Add(-now.Sub(c.Latest)).UnixMilli(),
-				Count: c.Crashes, Attributed: c.Attributed,
-			}
+			r := s.recordOf(c, now)
 			again[r.slot()] = r
 		}
 	}
@@ -196,12 +192,13 @@
 	if age >= quarantine.CrashTTL || age <= -quarantine.CrashTTL {
 		return nil // over, or of a clock that was far ahead: the refusal would begin anew at each start
 	}
-	count, at := quarantine.Count{Crashes: r.Count, Attributed: r.Attributed}, time.Now().Add(-max(0, age))
 	switch r.Scope {
-	case quarantine.ScopeRequest:
-		s.MergeRequest(r.Fingerprint, count, at)
-	case quarantine.ScopeFamily:
-		s.MergeFamily(r.Fingerprint, quarantine.Count{Crashes: count.Crashes, Attributed: true}, at)
+	case quarantine.ScopeRequest, quarantine.ScopeFamily:
+		if r.Count > 0 {
+			s.RefuseStored(quarantine.Refusal{
+				Subject: quarantine.Subject{Scope: r.Scope, Fingerprint: r.Fingerprint}, Crashes: r.Count, Latest: time.Now().Add(-max(0, age)),
+			})
+		}
 	default:
 		var legacy legacyRecord
 		if err := json.Unmarshal(value, &legacy); err != nil {
--- a/node/suspects.go
+++ b/node/suspects.go
@@ -1,8 +1,12 @@
 package node
 
 import (
+	"cmp"
+	"context"
 	"fmt"
-	"math"
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,10 +21,10 @@
 )
 
 const (
-	// factCrashes and factAnswered are the key prefixes of facts about requests that crash endpoints, and about families
-	// of which a request was answered.
-	factCrashes  = "crashed/request/"
-	factAnswered = "crashed/answered/"
+	// factCrashes and factAnswered are the key prefixes of facts about crashes of endpoints, and about requests that were
+	// answered although they had been on crashed endpoints.
+	factCrashes  = "crashed/"
+	factAnswered = "answered/"
 	// factLegacyCrash is the key prefix of the counts of builds up to 0694119. Their fingerprints left out the host and some
 	// fields of the body, so that a harmless request may have the fingerprint of a deadly one.
 	factLegacyCrash = "crash/"
@@ -29,6 +33,10 @@
 	// connectionSpacing is the time before a request was sent on an open connection at which the endpoint counts as running.
 	// The end of connections to endpoints that are lost together takes less time to arrive.
 	connectionSpacing = 250 * time.Millisecond
+	// maxTrialWait bounds the time for which a suspect waits until another one that this instance sends to the same service has
+	// begun or ended. It is also bounded by trialWaitShare of the time that its caller waits.
+	maxTrialWait   = 500 * time.Millisecond
+	trialWaitShare = 0.25
 )
 
 // suspects implements forward.Suspects: it counts crashes, including those that peers report.
@@ -48,6 +56,9 @@
 
 	peerChecks  chan struct{} // holds an element for each crash that peers are being asked about
 	legacyLines loglimit.Limit
+
+	trials    map[string]chan struct{}         // by service: holds an element while a suspect is sent
+	announced map[quarantine.Subject]time.Time // by refusal: the latest crash for which it was logged and stored
 }
 
 type lostRequest struct {
@@ -55,18 +66,27 @@
 	ended time.Time
 }
 
-// crashReport reports how often a request and its family have crashed endpoints, or that an endpoint has answered the request.
+// crashReport reports the crash of an endpoint, whose time is that of the report.
 type crashReport struct {
-	Request       quarantine.Fingerprint `cbor:"1,keyasint"`
-	Crashes       int                    `cbor:"2,keyasint,omitempty"` // 0: an endpoint has answered the request
-	Attributed    bool                   `cbor:"3,keyasint,omitempty"`
-	Family        quarantine.Fingerprint `cbor:"4,keyasint,omitempty"`
-	FamilyCrashes int                    `cbor:"5,keyasint,omitempty"`
+	Endpoint string          `cbor:"1,keyasint"`
+	Accused  []accusedReport `cbor:"2,keyasint"`
+}
+
+// accusedReport is a request that may have caused the crash.
+type accusedReport struct {
+	Request  quarantine.Fingerprint `cbor:"1,keyasint"`
+	Family   quarantine.Fingerprint `cbor:"2,keyasint"`
+	RanMs    int64                  `cbor:"3,keyasint"` // from the time at which the endpoint is known to have run until the crash
+	HadBegun bool                   `cbor:"4,keyasint,omitempty"`
 }
 
-// answeredReport reports that an endpoint has answered a request of a family that had crashes, or begun to.
+// maxReportAccused bounds the requests in a report to 8 KiB. Those that had not begun come first.
+const maxReportAccused = 256
+
+// answeredReport reports that an endpoint has answered a request with crashes, or one of a family, or begun to.
 type answeredReport struct {
-	Family quarantine.Fingerprint `cbor:"1,keyasint"`
+	IsFamily    bool                   `cbor:"1,keyasint,omitempty"`
+	Fingerprint quarantine.Fingerprint `cbor:"2,keyasint"`
 }
 
 func newSuspects(n *Node) *suspects {
@@ -74,6 +94,7 @@
 		Crashes: quarantine.NewCrashes(), n: n, blocks: quarantine.NewBlocks(), lost: map[*fleet.Endpoint][]lostRequest{},
 		toStore: make(chan suspectRecord, 3*refusedKeys), stored: map[string]suspectRecord{},
 		peerChecks: make(chan struct{}, maxPeerChecks), legacyLines: loglimit.Limit{Lines: 1},
+		trials: map[string]chan struct{}{}, announced: map[quarantine.Subject]time.Time{},
 	}
 }
 
@@ -97,6 +118,36 @@
 	return true
 }
 
+// BeginTrial implements forward.Suspects. Suspects that are sent one at a time are not lost in the same crash, so that it shows
+// which of them is the cause.
+func (s *suspects) BeginTrial(ctx context.Context, service string) (end func()) {
+	s.mu.Lock()
+	slot := s.trials[service]
+	if slot == nil {
+		slot = make(chan struct{}, 1)
+		s.trials[service] = slot
+	}
+	s.mu.Unlock()
+	wait := maxTrialWait
+	if deadline, ok := ctx.Deadline(); ok {
+		wait = min(wait, time.Duration(trialWaitShare*float64(time.Until(deadline))))
+	}
+	timeout := time.NewTimer(wait)
+	defer timeout.Stop()
+	// Suspects that come at the same time at several instances are spread over the time that a short request takes several times.
+	select {
+	case <-time.After(rand.N(max(1, wait/2))):
+	case <-ctx.Done():
+	}
+	select {
+	case slot <- struct{}{}:
+		return sync.OnceFunc(func() { <-slot })
+	case <-timeout.C:
+	case <-ctx.Done():
+	}
+	return func() {}
+}
+
 // RecordLost implements forward.Suspects. A broken connection alone does not prove a crash, so a new connection is
 // tried.
 func (s *suspects) RecordLost(e *fleet.Endpoint, loss forward.Loss) {
@@ -125,7 +176,7 @@
 	case found != lossCrash:
 		return
 	}
-	notBegun, highest, known := 0, 0, s.Len()
+	notBegun, known := 0, s.Len()
 	var blocks []quarantine.Fingerprint
 	for _, r := range lost {
 		if !r.Begun {
@@ -133,112 +184,127 @@
 			blocks = append(blocks, fingerprints(e.Service, r.Shared)...)
 		}
 	}
-	accused, attributed := accusedOf(lost)
-	for _, r := range accused {
-		highest = max(highest, s.countCrash(r, attributed))
-	}
+	s.reportCrash(e, lost)
 	s.recordCrash(e, blocks, lost[0].ended)
 	s.n.metrics.scope.Counter("endpoint_crashes").Inc(1)
-	log.WithFields(logrus.Fields{
-		"not_begun": notBegun, "accused": len(accused), "attributed": attributed, "highest": highest, "known": known,
-	}).Info("endpoint crashed; the requests on it are suspected")
+	log.WithFields(logrus.Fields{"not_begun": notBegun, "known": known}).Info("endpoint crashed; the requests on it are suspected")
 }
 
-// accusedOf returns the requests that may have caused a crash, and whether there is only one. A request that crashes
-// endpoints does so when its run begins, so one of those that had not begun is the cause if there are any.
-func accusedOf(lost []lostRequest) (accused []lostRequest, attributed bool) {
-	for _, r := range lost {
-		if !r.Generating {
-			accused = append(accused, r)
-		}
-	}
-	if len(accused) == 0 {
-		return lost, false
-	}
-	for _, r := range accused[1:] {
-		if r.Identity != accused[0].Identity {
-			return accused, false
+// reportCrash records a crash and publishes it, for the time after this process as well: a request that has crashed some
+// endpoints is not to crash more because the instance that saw it was restarted. The caller must hold s.mu.
+func (s *suspects) reportCrash(e *fleet.Endpoint, lost []lostRequest) {
+	crash := quarantine.Report{Endpoint: e.ID, At: lost[0].ended}
+	report := crashReport{Endpoint: e.ID}
+	slices.SortStableFunc(lost, func(a, b lostRequest) int { return cmp.Compare(order(a.Generating), order(b.Generating)) })
+	for _, r := range lost[:min(len(lost), maxReportAccused)] {
+		since := r.Sent
+		if !r.Opened {
+			since = r.Sent.Add(-connectionSpacing)
 		}
+		crash.Accused = append(crash.Accused, quarantine.Accused{Identity: r.Identity, Since: since, HadBegun: r.Generating})
+		report.Accused = append(report.Accused, accusedReport{
+			Request: r.Identity.Request, Family: r.Identity.Family, RanMs: crash.At.Sub(since).Milliseconds(), HadBegun: r.Generating,
+		})
 	}
-	return accused, true
+	now := time.Now()
+	s.Record(crash, true, now)
+	key := fmt.Sprintf("%s%s/%s/%x", factCrashes, e.ID, s.n.process, crash.At.UnixMilli())
+	s.n.publishShared(key, 0, report, quarantine.CrashTTL-now.Sub(crash.At))
+	time.AfterFunc(quarantine.SettleTime, s.announceRefusals)
 }
 
-// countCrash counts the crash of an endpoint that ran a request, and returns the number of the request's crashes. The caller
-// must hold s.mu.
-func (s *suspects) countCrash(r lostRequest, attributed bool) int {
-	c := quarantine.Crash{Since: r.Sent, At: r.ended, Attributed: attributed}
-	if !r.Opened {
-		c.Since = r.Sent.Add(-connectionSpacing)
-	}
-	request, family := s.Crashed(r.Identity, c)
-	age := time.Since(r.ended)
-	s.n.publishShared(keyOf(factCrashes, r.Identity.Request), uint8(min(request.Crashes, math.MaxUint8)), crashReport{
-		Request: r.Identity.Request, Crashes: request.Crashes, Attributed: request.Attributed,
-		Family: r.Identity.Family, FamilyCrashes: family.Crashes,
-	}, quarantine.CrashTTL-age)
-	at := s.n.wall.Now().Add(-age).UnixMilli()
-	if request.Refuses(quarantine.ScopeRequest) {
-		s.storeLater(requestRecord{Scope: quarantine.ScopeRequest, Fingerprint: r.Identity.Request, RecordedMs: at, Count: request.Crashes, Attributed: request.Attributed})
+func order(last bool) int {
+	if last {
+		return 1
 	}
-	if family.Refuses(quarantine.ScopeFamily) {
-		s.storeLater(requestRecord{Scope: quarantine.ScopeFamily, Fingerprint: r.Identity.Family, RecordedMs: at, Count: family.Crashes})
+	return 0
+}
+
+// announceRefusals logs and stores what is refused from now on because of a crash that this instance has seen.
+func (s *suspects) announceRefusals() {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	maps.DeleteFunc(s.announced, func(_ quarantine.Subject, latest time.Time) bool { return now.Sub(latest) >= quarantine.CrashTTL })
+	for _, r := range s.AllRefused(now) {
+		if !r.IsOwn || !r.Latest.After(s.announced[r.Subject]) {
+			continue
+		}
+		s.announced[r.Subject] = r.Latest
+		s.n.metrics.scope.Tagged(map[string]string{"scope": string(r.Scope)}).Counter("refusals_begun").Inc(1)
+		s.n.log.WithFields(logrus.Fields{"scope": r.Scope, "crashes": r.Crashes, "fingerprint": fmt.Sprintf("%x", uint64(r.Fingerprint))}).
+			Warn("requests that crash endpoints are refused")
+		s.storeLater(s.recordOf(r, now))
 	}
-	return request.Crashes
 }
 
-// keyOf returns the key of a shared fact. It is the same at all instances, and for the time after the process that publishes
-// it: a request that has crashed some endpoints is not to crash more because the instance that saw it was restarted.
-func keyOf(prefix string, fp quarantine.Fingerprint) string {
-	return fmt.Sprintf("%s%x", prefix, uint64(fp))
+// recordOf returns the record of a refusal, with the time of day of its latest crash.
+func (s *suspects) recordOf(r quarantine.Refusal, now time.Time) requestRecord {
+	return requestRecord{Scope: r.Scope, Fingerprint: r.Fingerprint, RecordedMs: s.n.wall.Now().Add(-now.Sub(r.Latest)).UnixMilli(), Count: r.Crashes}
 }
 
 // RecordAnswered implements forward.Suspects.
 func (s *suspects) RecordAnswered(id quarantine.Identity) {
-	if request := s.RequestAnswered(id.Request); request.Crashes > 0 {
-		s.n.publishShared(keyOf(factCrashes, id.Request), 0, crashReport{Request: id.Request}, quarantine.CrashTTL)
-		if request.Refuses(quarantine.ScopeRequest) {
-			s.storeLater(requestRecord{Scope: quarantine.ScopeRequest, Fingerprint: id.Request, RecordedMs: s.n.wall.Now().UnixMilli()})
-		}
+	request, family := s.Answered(id, time.Now())
+	if request {
+		s.publishAnswered(quarantine.Subject{Scope: quarantine.ScopeRequest, Fingerprint: id.Request})
+	}
+	if family {
+		s.publishAnswered(quarantine.Subject{Scope: quarantine.ScopeFamily, Fingerprint: id.Family})
 	}
-	s.recordFamilyAnswered(id.Family)
 }
 
-// recordFamilyAnswered records that an endpoint has answered a request of a family, or begun to.
-func (s *suspects) recordFamilyAnswered(id quarantine.Fingerprint) {
-	family := s.FamilyAnswered(id, time.Now())
-	if family.Crashes == 0 {
-		return
+// recordFamilyAnswered records that an endpoint has begun to answer a request of a family.
+func (s *suspects) recordFamilyAnswered(family quarantine.Fingerprint) {
+	if s.FamilyAnswered(family, time.Now()) {
+		s.publishAnswered(quarantine.Subject{Scope: quarantine.ScopeFamily, Fingerprint: family})
 	}
-	s.n.publishShared(keyOf(factAnswered, id), 0, answeredReport{Family: id}, quarantine.CrashTTL)
-	if family.Refuses(quarantine.ScopeFamily) {
-		s.storeLater(requestRecord{Scope: quarantine.ScopeFamily, Fingerprint: id, RecordedMs: s.n.wall.Now().UnixMilli()})
+}
+
+// publishAnswered reports that a request, or one of a family, was answered. What it was accused of, another request has caused.
+func (s *suspects) publishAnswered(subject quarantine.Subject) {
+	key := fmt.Sprintf("%s%s/%x", factAnswered, subject.Scope, uint64(subject.Fingerprint))
+	s.n.publishShared(key, 0, answeredReport{IsFamily: subject.Scope == quarantine.ScopeFamily, Fingerprint: subject.Fingerprint}, quarantine.CrashTTL)
+	s.mu.Lock()
+	_, wasRefused := s.announced[subject]
+	delete(s.announced, subject)
+	s.mu.Unlock()
+	if wasRefused {
+		s.storeLater(requestRecord{Scope: subject.Scope, Fingerprint: subject.Fingerprint, RecordedMs: s.n.wall.Now().UnixMilli()})
 	}
+	s.announceRefusals()
 }
 
-// receive merges a crash report of a peer. Its age shortens the refusal that follows from it.
+// receive merges a crash report of a peer. Its age shortens the refusals that follow from it.
 func (s *suspects) receive(f peer.Fact) {
 	var report crashReport
 	if err := cbor.Unmarshal(f.Value, &report); err != nil {
 		s.n.log.WithError(err).WithField("peer", f.Origin).Warn("crash report from peer could not be decoded")
 		return
 	}
-	if report.Crashes <= 0 {
-		s.RequestAnswered(report.Request)
-		return
+	crash := quarantine.Report{Endpoint: report.Endpoint, At: publishedAt(f)}
+	for _, a := range report.Accused {
+		ran := time.Duration(min(max(0, a.RanMs), quarantine.CrashTTL.Milliseconds())) * time.Millisecond
+		crash.Accused = append(crash.Accused, quarantine.Accused{
+			Identity: quarantine.Identity{Request: a.Request, Family: a.Family}, Since: crash.At.Add(-ran), HadBegun: a.HadBegun,
+		})
 	}
-	at := publishedAt(f)
-	s.MergeRequest(report.Request, quarantine.Count{Crashes: report.Crashes, Attributed: report.Attributed}, at)
-	s.MergeFamily(report.Family, quarantine.Count{Crashes: report.FamilyCrashes, Attributed: true}, at)
+	s.Record(crash, false, time.Now())
+	time.AfterFunc(quarantine.SettleTime, s.announceRefusals)
 }
 
-// receiveAnswered merges a report of a peer that a request of a family was answered.
+// receiveAnswered merges a report of a peer that a request, or one of a family, was answered.
 func (s *suspects) receiveAnswered(f peer.Fact) {
 	var report answeredReport
 	if err := cbor.Unmarshal(f.Value, &report); err != nil {
 		s.n.log.WithError(err).WithField("peer", f.Origin).Warn("report of an answer from peer could not be decoded")
 		return
 	}
-	s.MergeFamilyAnswered(report.Family, publishedAt(f))
+	subject := quarantine.Subject{Scope: quarantine.ScopeRequest, Fingerprint: report.Fingerprint}
+	if report.IsFamily {
+		subject.Scope = quarantine.ScopeFamily
+	}
+	s.MergeAnswered(subject, publishedAt(f))
 }
 
 // publishedAt returns the time of what a fact with the lifetime quarantine.CrashTTL reports.
--- a/quarantine/crashes.go
+++ b/quarantine/crashes.go
@@ -1,19 +1,25 @@
 package quarantine
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 )
 
 const (
-	// maxCrashes is the number of crashes after which a request is refused. The requirement allows three, and another
-	// instance may already be running the request for the third time when the second crash is counted.
+	// maxCrashes is the number of crashes after which a request is refused if it was the only possible cause of each. The
+	// requirement allows three, and another instance may already be running the request for the third time when the second
+	// crash is counted.
 	maxCrashes = 2
-	// maxSharedCrashes is that number if other requests may have caused each of the crashes. A harmless request that was
-	// repeated on the same endpoint as the deadly one has two crashes like it, and is answered when it comes again.
+	// maxSharedCrashes is that number if other requests may have caused some of the crashes, but none of them all. An instance
+	// that was killed does not report what it had on the endpoint, so one crash with a single possible cause is not enough.
 	maxSharedCrashes = 3
-	// maxFamilyCrashes is the number of requests of a family that have crashed an endpoint one after the other, with no
-	// answer to any request of the family in between, after which all of them are refused.
+	// maxTiedCrashes is that number if another request may have caused all of the crashes as well. Suspects are sent one at a
+	// time, so that two requests hardly go on being lost together by chance.
+	maxTiedCrashes = 5
+	// maxFamilyCrashes is the number of crashes, each by other requests of a family, with no answer to any request of the
+	// family in between, after which all of them are refused.
 	maxFamilyCrashes = 3
 	// familyProbeDelay is the time after the latest crash of a family that is refused after which one of its requests may be
 	// let through, since endpoints that failed for other reasons can't answer any. Each further crash makes the time
@@ -22,199 +28,256 @@
 	// CrashTTL is how long a crash counts. A request that was on crashed endpoints only by chance is served again
 	// after it.
 	CrashTTL = 2 * time.Minute
-	// sweepInterval is the least time between sweeps for expired counts, so that a burst of crashes doesn't cause one
-	// sweep per crash.
-	sweepInterval = 10 * time.Second
-	// maxCounted bounds the number of requests, and that of families, with crashes and so their memory, 100 bytes each.
-	maxCounted = 10_000
+	// SettleTime is the time in which the reports of the other instances arrive, which say what else was on a crashed endpoint.
+	SettleTime = 300 * time.Millisecond
+	// maxCrashRecords bounds the recorded crashes, maxAccused the requests of each, and maxCleared the answers to requests
+	// that had crashes.
+	maxCrashRecords = 512
+	maxAccused      = 1024
+	maxCleared      = 10_000
 )
 
-// Scope is what a count of crashes is about.
+// Scope is what a refusal is about.
 type Scope string
 
-// Scopes of counts.
+// Scopes of refusals.
 const (
 	ScopeRequest Scope = "request" // the fingerprint is Identity.Request
 	ScopeFamily  Scope = "family"  // the fingerprint is Identity.Family
 )
 
-// Count is what is known of the crashes of a request or a family. Of two counts the one with more crashes holds.
-type Count struct {
-	Crashes int
-	// Attributed is set if no other request can have caused one of the crashes. It is always set for families.
-	Attributed bool
-}
-
-// Refuses reports whether requests are refused because of a count.
-func (c Count) Refuses(scope Scope) bool {
-	switch {
-	case scope == ScopeFamily:
-		return c.Crashes >= maxFamilyCrashes
-	case c.Attributed:
-		return c.Crashes >= maxCrashes
-	}
-	return c.Crashes >= maxSharedCrashes
+// Subject is what is refused.
+type Subject struct {
+	Scope       Scope
+	Fingerprint Fingerprint
 }
 
-// Refusal says why and until when a request is refused.
+// Refusal says why requests are refused.
 type Refusal struct {
-	Scope   Scope
+	Subject
 	Crashes int
-	Until   time.Time
+	Latest  time.Time // of the crashes
+	IsOwn   bool      // this instance has seen one of the crashes
 }
 
-// Crash describes a crash of an endpoint to the requests that it ran.
-type Crash struct {
+// Until returns when the refusal ends.
+func (r Refusal) Until() time.Time { return r.Latest.Add(CrashTTL) }
+
+// Accused is a request that may have caused a crash.
+type Accused struct {
+	Identity
 	// Since is a time at which the endpoint ran, as late as is known. Crashes of endpoints that ran at the same time count
-	// once, because endpoints can be lost together.
+	// once for a request, because endpoints can be lost together.
 	Since time.Time
-	At    time.Time
-	// Attributed is set if no other request can have caused the crash.
-	Attributed bool
+	// HadBegun is set if the endpoint had begun to generate the answer. A request that crashes endpoints does so when its run
+	// begins, so it is accused only if there is no other one.
+	HadBegun bool
 }
 
-// Crashes counts the endpoint crashes for each request that was running, and for each family of requests the requests
-// that crashed an endpoint. The counts restart when the request, or one of the family, is answered. It is meant for engines
-// that run dozens of requests at once, where suspects can't be isolated as Table requires. It is safe for concurrent use.
+// Report is what an instance knows of the crash of an endpoint.
+type Report struct {
+	Endpoint string
+	At       time.Time
+	Accused  []Accused
+}
+
+// Crashes finds requests that crash the endpoints that run them, by the reports of all instances. It is meant for engines that
+// run dozens of requests at once, where suspects can't be isolated as Table requires.
+//
+// A crash accuses the requests that were on the endpoint. An answer to one of them, anywhere, clears it. A request is refused
+// for several crashes, one after the other, that no other refused request explains: for two if it was the only one accused
+// of each, and for more if others were. What a refused request explains is held against no other one, so requests
+// that ran beside a deadly one are served as soon as that is known. A family is refused if other requests of it crash
+// endpoints each time.
+//
+// It is safe for concurrent use.
 type Crashes struct {
 	mu       sync.Mutex
-	requests map[Fingerprint]*crashCount
-	families map[Fingerprint]*crashCount
-	answered map[Fingerprint]time.Time // by family that had crashes: when one of its requests was last answered
-	swept    time.Time                 // when old counts were last dropped
+	crashes  []*crashRecord                 // by the time of recording
+	requests map[Fingerprint][]*crashRecord // of which a request is accused
+	families map[Fingerprint][]*crashRecord
+	// cleared holds when requests and families with crashes were answered last. Reports of earlier crashes may arrive later.
+	cleared map[Subject]time.Time
+	stored  map[Subject]Refusal // what earlier processes have refused
+	probed  map[Fingerprint]time.Time
+	faulty  map[Fingerprint]Refusal // the requests that are refused, until evaluated changes
+	// evaluateAt is when faulty has to be determined again; zero: now.
+	evaluateAt time.Time
 }
 
-type crashCount struct {
-	Count
-	first, last time.Time // first: Crash.Since of the last counted crash; last: time of the latest crash
-	probed      time.Time // when a request of a refused family was last let through
+type crashRecord struct {
+	endpoint       string
+	at, recordedAt time.Time
+	isOwn          bool
+	accused        map[Fingerprint]Accused // by request
 }
 
-// NewCrashes returns an empty count.
+// NewCrashes returns an empty record.
 func NewCrashes() *Crashes {
-	return &Crashes{requests: map[Fingerprint]*crashCount{}, families: map[Fingerprint]*crashCount{}, answered: map[Fingerprint]time.Time{}}
+	return &Crashes{
+		requests: map[Fingerprint][]*crashRecord{}, families: map[Fingerprint][]*crashRecord{}, cleared: map[Subject]time.Time{},
+		stored: map[Subject]Refusal{}, probed: map[Fingerprint]time.Time{}, faulty: map[Fingerprint]Refusal{},
+	}
 }
 
-// Any reports whether any request has crashes. While none has, callers needn't compute identities.
+// Any reports whether any request is accused. While none is, callers needn't compute identities.
 func (s *Crashes) Any() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.requests) > 0 || len(s.families) > 0
+	return len(s.requests) > 0 || len(s.stored) > 0
 }
 
-// Len returns the number of requests with crashes.
+// Len returns the number of accused requests.
 func (s *Crashes) Len() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return len(s.requests)
 }
 
-// IsSuspect reports whether a request has crashed an endpoint.
-func (s *Crashes) IsSuspect(id Identity, now time.Time) bool {
+// Record records a crash. isOwn is set for one that this instance has seen.
+func (s *Crashes) Record(r Report, isOwn bool, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.requests[id.Request].isCurrent(now)
+	s.expire(now)
+	if now.Sub(r.At) >= CrashTTL {
+		return
+	}
+	c := s.crashOf(r, now)
+	c.isOwn = c.isOwn || isOwn
+	if r.At.Before(c.at) {
+		c.at = r.At
+	}
+	for _, a := range r.Accused {
+		_, known := c.accused[a.Request]
+		if known || len(c.accused) >= maxAccused || !r.At.After(s.cleared[Subject{ScopeRequest, a.Request}]) {
+			continue
+		}
+		c.accused[a.Request] = a
+		s.requests[a.Request] = append(s.requests[a.Request], c)
+		if !slices.Contains(s.families[a.Family], c) {
+			s.families[a.Family] = append(s.families[a.Family], c)
+		}
+	}
+	s.evaluateAt = time.Time{}
 }
 
-// Refused returns why a request is refused because of its crashes or those of its family, and false if it is not.
-func (s *Crashes) Refused(id Identity, now time.Time) (Refusal, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if k := s.requests[id.Request]; k.isCurrent(now) && k.Refuses(ScopeRequest) {
-		return k.refusal(ScopeRequest), true
+// crashOf returns the record of a crash, which several instances may report.
+func (s *Crashes) crashOf(r Report, now time.Time) *crashRecord {
+	for _, c := range s.crashes {
+		if c.endpoint == r.Endpoint && r.At.Sub(c.at).Abs() < restartTime {
+			return c
+		}
 	}
-	if k := s.families[id.Family]; k.isCurrent(now) && k.Refuses(ScopeFamily) {
-		return k.refusal(ScopeFamily), true
+	if len(s.crashes) >= maxCrashRecords {
+		s.remove(s.crashes[0])
 	}
-	return Refusal{}, false
+	c := &crashRecord{endpoint: r.Endpoint, at: r.At, recordedAt: now, accused: map[Fingerprint]Accused{}}
+	s.crashes = append(s.crashes, c)
+	return c
+}
+
+// expire drops what no longer counts.
+func (s *Crashes) expire(now time.Time) {
+	for len(s.crashes) > 0 && now.Sub(s.crashes[0].at) >= CrashTTL {
+		s.remove(s.crashes[0])
+	}
+	maps.DeleteFunc(s.cleared, func(_ Subject, at time.Time) bool { return now.Sub(at) >= CrashTTL })
+	maps.DeleteFunc(s.stored, func(_ Subject, r Refusal) bool { return !r.Until().After(now) })
+	maps.DeleteFunc(s.probed, func(_ Fingerprint, at time.Time) bool { return now.Sub(at) >= CrashTTL })
 }
 
-func (k *crashCount) isCurrent(now time.Time) bool { return k != nil && now.Sub(k.last) < CrashTTL }
+func (s *Crashes) remove(c *crashRecord) {
+	s.crashes = slices.DeleteFunc(s.crashes, func(other *crashRecord) bool { return other == c })
+	for request := range maps.Clone(c.accused) {
+		s.acquit(c, request)
+	}
+}
 
-func (k *crashCount) refusal(scope Scope) Refusal {
-	return Refusal{Scope: scope, Crashes: k.Crashes, Until: k.last.Add(CrashTTL)}
+// acquit removes a request from those accused of a crash.
+func (s *Crashes) acquit(c *crashRecord, request Fingerprint) {
+	family := c.accused[request].Family
+	delete(c.accused, request)
+	dropCrash(s.requests, request, c)
+	if !slices.ContainsFunc(slices.Collect(maps.Values(c.accused)), func(a Accused) bool { return a.Family == family }) {
+		dropCrash(s.families, family, c)
+	}
+	s.evaluateAt = time.Time{}
 }
 
-// StoredCount is the count of a request or family that is refused.
-type StoredCount struct {
-	Scope       Scope
-	Fingerprint Fingerprint
-	Count
-	Latest time.Time // time of the latest crash
+func dropCrash(index map[Fingerprint][]*crashRecord, fp Fingerprint, c *crashRecord) {
+	rest := slices.DeleteFunc(index[fp], func(other *crashRecord) bool { return other == c })
+	if index[fp] = rest; len(rest) == 0 {
+		delete(index, fp)
+	}
 }
 
-// AllRefused returns the counts because of which requests are refused.
-func (s *Crashes) AllRefused(now time.Time) []StoredCount {
+// Answered records that an endpoint has answered a request. It reports whether the request had crashes, and whether its family
+// had, so that the peers have to know.
+func (s *Crashes) Answered(id Identity, now time.Time) (request, family bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var all []StoredCount
-	for scope, counts := range map[Scope]map[Fingerprint]*crashCount{ScopeRequest: s.requests, ScopeFamily: s.families} {
-		for fp, k := range counts {
-			if k.isCurrent(now) && k.Refuses(scope) {
-				all = append(all, StoredCount{scope, fp, k.Count, k.last})
-			}
-		}
+	if request = s.has(Subject{ScopeRequest, id.Request}); request {
+		s.clearRequest(id.Request, now)
 	}
-	return all
+	return request, s.familyAnswered(id.Family, now)
 }
 
-// IsProbeDue reports whether a request of a refused family may be let through, as one that shows whether the family still
-// crashes endpoints. Of all instances, one should do so.
-func (s *Crashes) IsProbeDue(family Fingerprint, now time.Time) bool {
+// FamilyAnswered records that an endpoint has answered a request of a family, or begun to. It reports whether the family had
+// crashes.
+func (s *Crashes) FamilyAnswered(family Fingerprint, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.families[family].isProbeDue(now)
+	return s.familyAnswered(family, now)
 }
 
-// BeginProbe records that a request of a refused family is let through, and returns false if none is due.
-func (s *Crashes) BeginProbe(family Fingerprint, now time.Time) bool {
+func (s *Crashes) familyAnswered(family Fingerprint, now time.Time) bool {
+	had := s.has(Subject{ScopeFamily, family})
+	if had {
+		s.clearFamily(family, now)
+	}
+	return had
+}
+
+// MergeAnswered merges the report of a peer that a request or one of a family was answered at a time.
+func (s *Crashes) MergeAnswered(subject Subject, at time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	k := s.families[family]
-	if !k.isProbeDue(now) {
-		return false
+	if subject.Scope == ScopeFamily {
+		s.clearFamily(subject.Fingerprint, at)
+	} else {
+		s.clearRequest(subject.Fingerprint, at)
 	}
-	k.probed = now
-	return true
 }
 
-func (k *crashCount) isProbeDue(now time.Time) bool {
-	if !k.isCurrent(now) || !k.Refuses(ScopeFamily) {
-		return false
+func (s *Crashes) has(subject Subject) bool {
+	_, isStored := s.stored[subject]
+	if subject.Scope == ScopeRequest {
+		return isStored || len(s.requests[subject.Fingerprint]) > 0
 	}
-	delay := familyProbeDelay
-	for range min(k.Crashes, maxCounted) - maxFamilyCrashes {
-		if delay *= probeBackoff; delay >= CrashTTL {
-			break
+	cleared := s.cleared[subject]
+	return isStored || slices.ContainsFunc(s.families[subject.Fingerprint], func(c *crashRecord) bool { return c.at.After(cleared) })
+}
+
+func (s *Crashes) clearRequest(request Fingerprint, at time.Time) {
+	s.setCleared(Subject{ScopeRequest, request}, at)
+	for _, c := range slices.Clone(s.requests[request]) {
+		if !c.at.After(at) {
+			s.acquit(c, request)
 		}
 	}
-	return now.Sub(later(k.last, k.probed)) >= delay
 }
 
-// Crashed counts the crash of an endpoint for a request that it ran, and returns the new counts of the request and of its
-// family. The crashes may be reported in any order.
-func (s *Crashes) Crashed(id Identity, c Crash) (request, family Count) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	k := s.countFor(s.requests, id.Request, c.At)
-	isFirst := k.Crashes == 0
-	k.add(c)
-	f := s.countFor(s.families, id.Family, c.At)
-	if isFirst {
-		// A request that crashes several endpoints says nothing of the others of its family.
-		c.Attributed = true
-		f.add(c)
-	}
-	return k.Count, f.Count
+func (s *Crashes) clearFamily(family Fingerprint, at time.Time) {
+	s.setCleared(Subject{ScopeFamily, family}, at)
 }
 
-func (k *crashCount) add(c Crash) {
-	if k.Crashes == 0 || c.Since.After(k.last) || c.At.Before(k.first) {
-		k.Crashes++
-		k.first = c.Since
-		k.Attributed = k.Attributed || c.Attributed
+func (s *Crashes) setCleared(subject Subject, at time.Time) {
+	if r, ok := s.stored[subject]; ok && !r.Latest.After(at) {
+		delete(s.stored, subject)
+	}
+	if _, known := s.cleared[subject]; known || len(s.cleared) < maxCleared {
+		s.cleared[subject] = later(s.cleared[subject], at)
 	}
-	k.last = later(k.last, c.At)
 }
 
 func later(a, b time.Time) time.Time {
@@ -224,115 +287,253 @@
 	return b
 }
 
-// MergeRequest sets the count of a request to that of a peer, whose latest crash was at the time at, if the peer's is
-// higher.
-func (s *Crashes) MergeRequest(request Fingerprint, c Count, at time.Time) {
+// RefuseStored refuses what an earlier process has refused, until that refusal ends.
+func (s *Crashes) RefuseStored(r Refusal) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.merge(s.requests, request, c, at)
+	if r.Latest.After(s.cleared[r.Subject]) && r.Latest.After(s.stored[r.Subject].Latest) {
+		s.stored[r.Subject] = r
+	}
 }
 
-// MergeFamily is MergeRequest for a family. It ignores crashes from before an answer to a request of the family: unlike
-// those of a request, reports on a family come from several instances and may arrive in any order.
-func (s *Crashes) MergeFamily(family Fingerprint, c Count, at time.Time) {
+// IsSuspect reports whether a request may have crashed an endpoint before that had begun to answer it.
+func (s *Crashes) IsSuspect(id Identity, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if at.After(s.answered[family]) {
-		s.merge(s.families, family, c, at)
+	if len(s.requests[id.Request]) == 0 {
+		return false
 	}
+	s.evaluate(now)
+	return slices.ContainsFunc(s.requests[id.Request], func(c *crashRecord) bool {
+		return now.Sub(c.at) < CrashTTL && !c.accused[id.Request].HadBegun && !s.isExplained(c, id.Request)
+	})
 }
 
-func (s *Crashes) merge(counts map[Fingerprint]*crashCount, fp Fingerprint, c Count, at time.Time) {
-	if c.Crashes <= 0 {
-		return
-	}
-	k := s.countFor(counts, fp, at)
-	if c.Crashes < k.Crashes {
-		return
-	}
-	k.Attributed = k.Attributed || c.Attributed
-	if c.Crashes > k.Crashes {
-		k.Crashes, k.first, k.last = c.Crashes, at, at
+// Refused returns why a request is refused, and false if it is not.
+func (s *Crashes) Refused(id Identity, now time.Time) (Refusal, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, subject := range []Subject{{ScopeRequest, id.Request}, {ScopeFamily, id.Family}} {
+		if r, ok := s.refusal(subject, now); ok {
+			return r, true
+		}
 	}
+	return Refusal{}, false
 }
 
-// countFor returns the count of a fingerprint, a new one if it has none. While maxCounted counts are stored, a new one
-// is returned but not stored. The caller must hold s.mu.
-func (s *Crashes) countFor(counts map[Fingerprint]*crashCount, fp Fingerprint, now time.Time) *crashCount {
-	k := counts[fp]
-	if k.isCurrent(now) {
-		return k
-	}
-	if now.Sub(s.swept) >= sweepInterval {
-		s.expire(now)
+func (s *Crashes) refusal(subject Subject, now time.Time) (r Refusal, ok bool) {
+	switch {
+	case subject.Scope == ScopeRequest && len(s.requests[subject.Fingerprint]) >= maxCrashes:
+		s.evaluate(now)
+		r, ok = s.faulty[subject.Fingerprint]
+	case subject.Scope == ScopeFamily && len(s.families[subject.Fingerprint]) >= maxFamilyCrashes:
+		s.evaluate(now)
+		r, ok = s.familyRefusal(subject.Fingerprint)
 	}
-	k = &crashCount{last: now}
-	if len(counts) < maxCounted || counts[fp] != nil {
-		counts[fp] = k
+	if !ok {
+		r, ok = s.stored[subject]
 	}
-	return k
-}
-
-// Answered drops the crashes of a request that an endpoint has answered and those of its family, and returns what they were.
-func (s *Crashes) Answered(id Identity, now time.Time) (request, family Count) {
-	return s.RequestAnswered(id.Request), s.FamilyAnswered(id.Family, now)
+	return r, ok && r.Until().After(now)
 }
 
-// RequestAnswered drops the crashes of a request that an endpoint has answered, and returns what they were.
-func (s *Crashes) RequestAnswered(request Fingerprint) Count {
+// AllRefused returns all refusals.
+func (s *Crashes) AllRefused(now time.Time) []Refusal {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	k := s.requests[request]
-	if k == nil {
-		return Count{}
+	s.evaluate(now)
+	all := maps.Clone(s.stored)
+	for _, r := range s.faulty {
+		all[r.Subject] = r
 	}
-	delete(s.requests, request)
-	return k.Count
+	for family := range s.families {
+		if r, ok := s.familyRefusal(family); ok {
+			all[r.Subject] = r
+		}
+	}
+	return slices.DeleteFunc(slices.Collect(maps.Values(all)), func(r Refusal) bool { return !r.Until().After(now) })
 }
 
-// FamilyAnswered drops the crashes of a family of which an endpoint has answered a request, or begun to, and returns what they
-// were.
-func (s *Crashes) FamilyAnswered(family Fingerprint, now time.Time) Count {
+// IsProbeDue reports whether a request of a refused family may be let through, as one that shows whether the family still
+// crashes endpoints. Of all instances, one should do so.
+func (s *Crashes) IsProbeDue(family Fingerprint, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	k := s.families[family]
-	if k == nil {
-		return Count{}
-	}
-	delete(s.families, family)
-	s.recordAnswered(family, now)
-	return k.Count
+	return s.isProbeDue(family, now)
 }
 
-// MergeFamilyAnswered is FamilyAnswered for a report of a peer, whose time of the answer is at. Later crashes stay.
-func (s *Crashes) MergeFamilyAnswered(family Fingerprint, at time.Time) {
+// BeginProbe records that a request of a refused family is let through, and returns false if none is due.
+func (s *Crashes) BeginProbe(family Fingerprint, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if k := s.families[family]; k != nil && !k.last.After(at) {
-		delete(s.families, family)
+	if !s.isProbeDue(family, now) {
+		return false
+	}
+	s.probed[family] = now
+	return true
+}
+
+func (s *Crashes) isProbeDue(family Fingerprint, now time.Time) bool {
+	r, ok := s.refusal(Subject{ScopeFamily, family}, now)
+	if !ok {
+		return false
+	}
+	delay := familyProbeDelay
+	for n := maxFamilyCrashes; n < r.Crashes && delay < CrashTTL; n++ {
+		delay *= probeBackoff
 	}
-	s.recordAnswered(family, at)
+	return now.Sub(later(r.Latest, s.probed[family])) >= delay
 }
 
-func (s *Crashes) recordAnswered(family Fingerprint, at time.Time) {
-	if len(s.answered) < maxCounted {
-		s.answered[family] = later(s.answered[family], at)
+// evaluate determines the requests that are refused, the one with the strongest evidence first, since it may explain crashes
+// that others are accused of.
+func (s *Crashes) evaluate(now time.Time) {
+	if now.Before(s.evaluateAt) {
+		return
+	}
+	s.expire(now)
+	clear(s.faulty)
+	s.evaluateAt = now.Add(CrashTTL)
+	for _, c := range s.crashes {
+		if settled := c.recordedAt.Add(SettleTime); settled.After(now) && settled.Before(s.evaluateAt) {
+			s.evaluateAt = settled
+		}
+	}
+	for {
+		best, strength := Fingerprint(0), 0
+		for request := range s.requests {
+			if n := s.strength(request, now); n > strength || n == strength && n > 0 && request < best {
+				best, strength = request, n
+			}
+		}
+		if strength == 0 {
+			return
+		}
+		s.faulty[best] = s.requestRefusal(best)
 	}
 }
 
-// expire drops the counts whose last crash is older than CrashTTL. The caller must hold s.mu.
-func (s *Crashes) expire(now time.Time) {
-	s.swept = now
-	for _, counts := range []map[Fingerprint]*crashCount{s.requests, s.families} {
-		for fp, k := range counts {
-			if !k.isCurrent(now) {
-				delete(counts, fp)
+// strength returns how strong the evidence against a request is that is not faulty yet; 0: not strong enough to refuse it.
+func (s *Crashes) strength(request Fingerprint, now time.Time) int {
+	if _, known := s.faulty[request]; known || len(s.requests[request]) < maxCrashes {
+		return 0
+	}
+	var crashes, alone []*crashRecord
+	for _, c := range s.requests[request] {
+		if c.accuses(request) && !s.isExplained(c, request) {
+			crashes = append(crashes, c)
+			if c.isAttributed(now) {
+				alone = append(alone, c)
 			}
 		}
 	}
-	for fp, at := range s.answered {
-		if now.Sub(at) >= CrashTTL {
-			delete(s.answered, fp)
+	since := func(c *crashRecord) time.Time { return c.accused[request].Since }
+	n := countSeparate(crashes, since)
+	switch {
+	case countSeparate(alone, since) >= maxCrashes:
+		return n + maxCrashRecords // stronger than crashes that others may have caused
+	case n >= maxTiedCrashes, n >= maxSharedCrashes && !isTied(crashes, request):
+		return n
+	}
+	return 0
+}
+
+// accuses reports whether a request counts as a possible cause. One that the endpoint had begun to answer does if all had begun.
+func (c *crashRecord) accuses(request Fingerprint) bool {
+	a, ok := c.accused[request]
+	if !ok || !a.HadBegun {
+		return ok
+	}
+	for _, other := range c.accused {
+		if !other.HadBegun {
+			return false
+		}
+	}
+	return true
+}
+
+// isAttributed reports whether one request only is accused of the crash, and had not begun.
+func (c *crashRecord) isAttributed(now time.Time) bool {
+	n := 0
+	for _, a := range c.accused {
+		if !a.HadBegun {
+			n++
+		}
+	}
+	return n == 1 && now.Sub(c.recordedAt) >= SettleTime
+}
+
+// isExplained reports whether a faulty request other than the given one may have caused a crash.
+func (s *Crashes) isExplained(c *crashRecord, request Fingerprint) bool {
+	for other := range c.accused {
+		if _, faulty := s.faulty[other]; faulty && other != request && c.accuses(other) {
+			return true
+		}
+	}
+	return false
+}
+
+// isTied reports whether another request is accused of all of the crashes too.
+func isTied(crashes []*crashRecord, request Fingerprint) bool {
+	for other := range crashes[0].accused {
+		if other != request && !slices.ContainsFunc(crashes, func(c *crashRecord) bool { return !c.accuses(other) }) {
+			return true
+		}
+	}
+	return false
+}
+
+// countSeparate returns the number of crashes of endpoints that ran after the crash before. since returns when an endpoint ran.
+func countSeparate(crashes []*crashRecord, since func(c *crashRecord) time.Time) int {
+	slices.SortFunc(crashes, func(a, b *crashRecord) int { return a.at.Compare(b.at) })
+	n, last := 0, time.Time{}
+	for _, c := range crashes {
+		if n == 0 || since(c).After(last) {
+			n++
+		}
+		last = later(last, c.at)
+	}
+	return n
+}
+
+func (s *Crashes) requestRefusal(request Fingerprint) Refusal {
+	all := slices.Clone(s.requests[request])
+	n := countSeparate(all, func(c *crashRecord) time.Time { return c.accused[request].Since })
+	return refusalFor(Subject{ScopeRequest, request}, all, n)
+}
+
+func refusalFor(subject Subject, crashes []*crashRecord, n int) Refusal {
+	r := Refusal{Subject: subject, Crashes: n}
+	for _, c := range crashes {
+		r.Latest, r.IsOwn = later(r.Latest, c.at), r.IsOwn || c.isOwn
+	}
+	return r
+}
+
+// familyRefusal returns why a family is refused: other requests of it crash endpoints each time. One that is accused twice
+// is judged by itself.
+func (s *Crashes) familyRefusal(family Fingerprint) (Refusal, bool) {
+	var crashes []*crashRecord
+	seen := map[Fingerprint]bool{}
+	cleared := s.cleared[Subject{ScopeFamily, family}]
+	for _, c := range s.families[family] {
+		if !c.at.After(cleared) || s.isExplained(c, 0) {
+			continue
+		}
+		crashes = append(crashes, c)
+		for request, a := range c.accused {
+			if a.Family == family && seen[request] {
+				return Refusal{}, false
+			}
+			seen[request] = a.Family == family
 		}
 	}
+	n := countSeparate(crashes, func(c *crashRecord) (since time.Time) {
+		for _, a := range c.accused {
+			if a.Family == family {
+				since = later(since, a.Since)
+			}
+		}
+		return since
+	})
+	return refusalFor(Subject{ScopeFamily, family}, crashes, n), n >= maxFamilyCrashes
 }
--- a/soak/checks.go
+++ b/soak/checks.go
@@ -67,6 +67,7 @@
 	all = append(all, e.checkLeaving(attempts)...)
 	all = append(all, e.checkAnnouncedLeaving(attempts, runs)...)
 	all = append(all, e.checkDeadlyBlocks(attempts, runs)...)
+	all = append(all, e.checkRepeatedRequests(attempts)...)
 	all = append(all, e.checkFull(attempts)...)
 	all = append(all, e.checkNewEndpoints(attempts)...)
 	all = append(all, e.checkQuota(attempts)...)
@@ -320,7 +321,11 @@
 	for _, d := range e.Deadly {
 		crashes += len(d.Crashes)
 	}
+	repeatedCrashes := 0
+	for _, d := range e.Repeated {
+		repeatedCrashes += len(d.Crashes)
+	}
 	return fmt.Sprintf(
-		"%d refusals with a time to wait, %d answers of leaving endpoints, %d deadly blocks with %d crashes, %d endpoints started, %d requests behind the end of a connection",
-		waits, leaving, len(e.Deadly), crashes, len(e.Lifetimes), unowed)
+		"%d refusals with a time to wait, %d answers of leaving endpoints, %d deadly blocks with %d crashes, %d deadly requests with %d crashes, %d endpoints started, %d requests behind the end of a connection",
+		waits, leaving, len(e.Deadly), crashes, len(e.Repeated), repeatedCrashes, len(e.Lifetimes), unowed)
 }
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -56,6 +56,22 @@
 	}
 }
 
+// addRepeated adds a deadly request that crashed three endpoints until 18 s and reached others later, and a harmless one beside it.
+func addRepeated(e *Evidence, later int, harmless string) {
+	d := RepeatedRequest{Content: standin.DeadlyContent(0), Route: "book", From: at(10), To: at(30), Crashes: []time.Time{at(16), at(17), at(18)}}
+	e.Repeated = append(e.Repeated, d)
+	call := standin.PlatformCall{Route: "book", Key: standin.PlatformOpenKey, Content: &d.Content}
+	for i := range later {
+		call.ID = fmt.Sprint("r", i)
+		e.addAttempt(Attempt{Call: call, Instance: "n01", Sent: at(22), Ended: at(22.1), Status: 502, Complete: true})
+		e.Runs = append(e.Runs, runOf(call.ID, "i-1", at(22)))
+	}
+	for i, call := range harmlessVariants(call) {
+		call.ID = fmt.Sprint("h", i)
+		e.addAttempt(Attempt{Call: call, Instance: "n01", Sent: at(22), Ended: at(22.1), Status: 502, Complete: true, Body: harmless})
+	}
+}
+
 // addFull adds a rejection with a Retry-After at 30 s, and requests from the same instance 1 s later.
 func addFull(e *Evidence, retryAfter string, later int) {
 	e.addAttempt(Attempt{Call: standin.PlatformCall{ID: "f", Route: "book"}, Instance: "n01", Sent: at(30), Ended: at(30), Status: 503, Complete: true})
@@ -146,6 +162,10 @@
 			e.Runs = append(e.Runs, leaving)
 		},
 		"deadly requests are kept away": func(e *Evidence) { addDeadlyBlock(e, 4) },
+		"harmless requests beside deadly ones": func(e *Evidence) {
+			addRepeated(e, 0, "endpoint_failed")
+			e.Attempts[len(e.Attempts)-1].Body = "quarantined: it has crashed\n"
+		},
 		"sound requests beside deadly ones": func(e *Evidence) {
 			addDeadlyBlock(e, 3)
 			for i := range 8 {
@@ -238,6 +258,7 @@
 			}
 		},
 		"three deadly requests":           func(e *Evidence) { addDeadlyBlock(e, 3) },
+		"three deadly repeats":            func(e *Evidence) { addRepeated(e, 3, "endpoint_failed") },
 		"two requests to a full endpoint": func(e *Evidence) { addFull(e, "2", 2) },
 		"an odd time to come back":        func(e *Evidence) { addFull(e, "Wed, 21 Oct 2099 07:28:00 GMT", 3) },
 		"a new endpoint that is used":     func(e *Evidence) { addNewEndpoint(e, "i-2") },
--- a/soak/environment.go
+++ b/soak/environment.go
@@ -159,6 +159,7 @@
 		DeadlyBlocks: deadlyBlocks, Oddities: env.oddities,
 	}
 	worker.OnDeadlyBlock = func(block string) { env.crashByBlock(e, worker, block) }
+	worker.IsDeadly, worker.OnCrash = standin.IsDeadlyContent, func(r *http.Request) { env.crashByRequest(e, worker, r) }
 	l, err := net.Listen("tcp", anyAddress)
 	if err != nil {
 		return err
--- a/soak/evidence.go
+++ b/soak/evidence.go
@@ -64,6 +64,14 @@
 	Crashes  []time.Time // in order
 }
 
+// RepeatedRequest is a request that crashes the endpoints that run it and comes again under other IDs.
+type RepeatedRequest struct {
+	Content  standin.PlatformContent
+	Route    string
+	From, To time.Time
+	Crashes  []time.Time // in order
+}
+
 // Lifetime is the time from the entry of an endpoint in the list to its end.
 type Lifetime struct {
 	Endpoint, Service string
@@ -87,6 +95,7 @@
 	Oddities      map[string]int // number of odd answers by name
 	Rollouts      []string       // how the orders to move to a new version ended
 	Deadly        []DeadlyBlock
+	Repeated      []RepeatedRequest
 	Lifetimes     []Lifetime
 	Spans         []FaultSpan
 	Leaving       map[string]time.Time // when an endpoint announced that it leaves, or was removed; by endpoint ID
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -49,6 +49,8 @@
 		env.changeWeights(f)
 	case f.Kind == RequestDeadly:
 		env.sendDeadlyRequests(f)
+	case f.Kind == RequestRepeated:
+		env.sendRepeatedRequest(f)
 	case f.Kind == ListOddEntry:
 		env.addOddEntry(f)
 	case f.Kind.onStore():
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -52,6 +52,7 @@
 	EndpointLeavesEarly       Kind = "endpoint-leave-early"  // its answers say that it leaves before the list does; its address is used again
 	EndpointFullFor           Kind = "endpoint-full-for"     // it rejects each request and says when to come back
 	RequestDeadly             Kind = "request-deadly"        // requests with one block crash the endpoints that run them
+	RequestRepeated           Kind = "request-repeated"      // one request comes again and again, and crashes the endpoints that run it
 	ListOddEntry              Kind = "list-odd-entry"        // another writer's entry is in the endpoint list
 	StreamsBreak              Kind = "streams-break"         // streams break off, and requests for their rest are answered oddly
 	RollOut                   Kind = "roll-out"              // the model service moves to a new version
@@ -155,10 +156,38 @@
 	rng := rand.New(rand.NewPCG(seed, 0))
 	p := Plan{Seed: seed, Length: length, Instances: instances, Site: standardSite, Faults: drawFaults(rng, length, kinds)}
 	p.addDeadlyRequests(rng)
+	p.addRepeatedRequests()
 	p.addPlannedEnd(rng)
 	return p
 }
 
+// addRepeatedRequests adds a request that crashes endpoints and comes again, with harmless ones beside it, to a share of plans.
+// It draws by itself, so that the other faults of a seed stay the same.
+func (p *Plan) addRepeatedRequests() {
+	rng := rand.New(rand.NewPCG(p.Seed, 4))
+	if last := p.Length - CalmEnd - repeatedTime; last > calmStart && rng.Float64() < repeatedShare {
+		at := calmStart + time.Duration(rng.Int64N(int64(last-calmStart)))
+		p.Faults = append(p.Faults, Fault{At: at, For: repeatedTime, Kind: RequestRepeated, Target: rng.IntN(1000)})
+	}
+}
+
+// AddRepeatedRequests adds requests that crash endpoints to the faults of a plan, one on each kind of route for as long as there
+// are faults, with harmless ones beside them. Meanwhile all instances are killed and the store comes back from an older copy. The
+// same seed adds the same faults.
+func (p *Plan) AddRepeatedRequests() {
+	rng := rand.New(rand.NewPCG(p.Seed, 5))
+	p.StatesEra = rng.IntN(2) == 0
+	length := p.Length - CalmEnd - calmStart
+	for k := range 2 {
+		p.Faults = append(p.Faults, Fault{At: calmStart, For: length, Kind: RequestRepeated, Target: 1000 + k})
+	}
+	for _, kind := range []Kind{InstanceKillAll, StoreRestored} {
+		at := calmStart + length/4 + time.Duration(rng.Int64N(int64(length/2)))
+		p.Faults = append(p.Faults, Fault{At: at, For: minFor, Kind: kind, Target: rng.IntN(1000), CopyAge: minCopyAge + time.Duration(rng.Int64N(int64(maxCopyAge-minCopyAge)))})
+	}
+	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return int(a.At - b.At) })
+}
+
 // addDeadlyRequests adds requests that crash endpoints to a share of plans.
 func (p *Plan) addDeadlyRequests(rng *rand.Rand) {
 	length := p.Length
--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -23,6 +23,14 @@
 	mustHold(t, soak.Options{Plan: soak.NewPlannedWork(1, 40*time.Second, 4)})
 }
 
+// Guards against a deadly request that is sent again after a kill of all instances or a restore of the store, and against harmless
+// ones that are refused for it.
+func TestRun_RepeatedDeadlyRequests(t *testing.T) {
+	p := soak.NewPlan(1, 36*time.Second, 3)
+	p.AddRepeatedRequests()
+	mustHold(t, soak.Options{Plan: p})
+}
+
 // Guards against a broken stream that is not continued where its caller is, by the instance or by the caller's resume.
 func TestRun_ResumedStreams(t *testing.T) {
 	mustHold(t, soak.Options{Plan: soak.NewSitePlan(1, resumeLength, 3, soak.Sites["wide"]), SoundContinuations: true})
--- a/soak/site.go
+++ b/soak/site.go
@@ -99,6 +99,7 @@
 		at += f.For + time.Duration(rng.ExpFloat64()*float64(meanWhole))
 	}
 	p.addDeadlyRequests(rng)
+	p.addRepeatedRequests()
 	p.addPlannedEnd(rng)
 	return p
 }
--- a/standin/platformsite.go
+++ b/standin/platformsite.go
@@ -11,9 +11,13 @@
 // Names of the host, services, keys and workspaces in PlatformConfig, and the quota.
 const (
 	PlatformHost             = "app.example"
+	PlatformOtherHost        = "other.example" // has the routes look and book, too
 	PlatformModels           = "models"
 	PlatformOrders           = "orders"
-	PlatformOpenKey          = "key-open"  // key of the workspace "open", whose quota is too high to be reached
+	PlatformOpenKey          = "key-open" // key of PlatformOpenWorkspace, whose quota is too high to be reached
+	PlatformOpenWorkspace    = "open"
+	PlatformSecondWorkspace  = "second" // has the quota of PlatformOpenWorkspace
+	PlatformSecondKey        = "key-second"
 	PlatformLimitedWorkspace = "tight"     // workspace with a quota and burst of PlatformLimitedRate tokens a second
 	PlatformLimitedKey       = "key-tight" // key of PlatformLimitedWorkspace
 
@@ -44,6 +48,8 @@
 		c.route("notes", "streaming", map[string]any{"service": PlatformModels, "maxAttempts": 2, "resumable": true, "targetGapMs": 500}),
 		c.route("book", "non_idempotent", map[string]any{"service": PlatformOrders, "maxAttempts": 1}),
 		c.route("look", "idempotent", map[string]any{"service": PlatformOrders, "maxAttempts": 2}),
+		c.route("book", "non_idempotent", map[string]any{"service": PlatformOrders, "maxAttempts": 1, "host": PlatformOtherHost, "name": "other-book"}),
+		c.route("look", "idempotent", map[string]any{"service": PlatformOrders, "maxAttempts": 2, "host": PlatformOtherHost, "name": "other-look"}),
 	}
 	for _, name := range c.ExtraRoutes {
 		routes = append(routes, c.route(name, "idempotent", map[string]any{"service": PlatformOrders, "maxAttempts": 2}))
@@ -56,7 +62,8 @@
 		},
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 100000, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants": []any{
-			map[string]any{"name": "open", "apiKeys": append([]string{PlatformOpenKey}, c.ExtraKeys...), "unit": "tokens", "plainTokens": 100, "ratePerS": 1e6, "burst": 1e6},
+			map[string]any{"name": PlatformSecondWorkspace, "apiKeys": []string{PlatformSecondKey}, "unit": "tokens", "plainTokens": 100, "ratePerS": 1e6, "burst": 1e6},
+			map[string]any{"name": PlatformOpenWorkspace, "apiKeys": append([]string{PlatformOpenKey}, c.ExtraKeys...), "unit": "tokens", "plainTokens": 100, "ratePerS": 1e6, "burst": 1e6},
 			map[string]any{"name": PlatformLimitedWorkspace, "apiKeys": []string{PlatformLimitedKey}, "unit": "tokens", "plainTokens": 100, "ratePerS": PlatformLimitedRate, "burst": PlatformLimitedRate},
 		},
 	}
@@ -139,6 +146,36 @@
 	Block    string // ID of a prompt block between the first one, which all streams share, and the last one; empty: none
 	After    int    // number of the last event that the caller has; 0: none
 	Form     string // EventAnswer or UnnumberedAnswer for plain requests whose answers are events; empty: others
+	// Content is what all repeats of a plain request have in common; nil: the request has no repeats.
+	Content *PlatformContent
+}
+
+// PlatformContent is the content of a plain request that comes again under other IDs.
+type PlatformContent struct {
+	Host  string
+	Name  string // rest of the path
+	Query string
+	Kind  string // value of the header X-Kind
+	User  string // value of a field of the body
+}
+
+// deadlyNames begins the names of deadly contents.
+const deadlyNames = "deadly-"
+
+// DeadlyContent returns the content of a request that crashes workers, from the workspace PlatformOpenWorkspace.
+func DeadlyContent(n int) PlatformContent {
+	return PlatformContent{Host: PlatformHost, Name: fmt.Sprint(deadlyNames, n), Query: "q=1", Kind: "a", User: "kitchen-13"}
+}
+
+func (c PlatformContent) body() string { return fmt.Sprintf(`{"user":%q,"item":"aprons"}`, c.User) }
+
+// IsDeadlyContent reports whether a request that has reached a worker has a content of DeadlyContent.
+func IsDeadlyContent(r *http.Request, body []byte) bool {
+	_, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	c := PlatformContent{Host: r.Host, Name: name, Query: r.URL.RawQuery, Kind: r.Header.Get("X-Kind"), User: "kitchen-13"}
+	deadly := DeadlyContent(0)
+	deadly.Name = name
+	return strings.HasPrefix(name, deadlyNames) && c == deadly && string(body) == deadly.body() && r.Header.Get("X-Trefoillug-Tenant") == PlatformOpenWorkspace
 }
 
 // Request returns the call as a request to an instance at host:port.
@@ -147,11 +184,18 @@
 	if c.Route == "look" {
 		method, body = http.MethodGet, ""
 	}
+	if c.Content != nil {
+		method, body = http.MethodPost, c.Content.body()
+	}
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+c.path(), strings.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
 	req.Host = PlatformHost
+	if c.Content != nil {
+		req.Host = c.Content.Host
+		req.Header.Set("X-Kind", c.Content.Kind)
+	}
 	req.Header.Set("Authorization", "Bearer "+c.Key)
 	req.Header.Set("X-Trefoillug-Attempt-Id", c.ID)
 	req.Header.Set("X-Trefoillug-Deadline-Ms", fmt.Sprint(c.Deadline.Milliseconds()))
@@ -183,6 +227,9 @@
 }
 
 func (c PlatformCall) path() string {
+	if c.Content != nil {
+		return "/" + c.Route + "/" + c.Content.Name + "?" + c.Content.Query
+	}
 	if c.Form != "" {
 		return "/" + c.Route + "/" + c.ID + "/" + c.Form
 	}
@@ -208,6 +255,9 @@
 	if c.Route == "look" {
 		length = 0
 	}
+	if c.Content != nil {
+		length = len(c.Content.body())
+	}
 	return strings.HasSuffix(body, fmt.Sprintf(" %s %d", c.path(), length))
 }
 
--- a/standin/platformworker.go
+++ b/standin/platformworker.go
@@ -31,7 +31,7 @@
 	// whether a request does. OnCrash is called for them.
 	CrashPath string
 	IsDeadly  func(r *http.Request, body []byte) bool
-	OnCrash   func()
+	OnCrash   func(r *http.Request)
 	// DeadlyBlocks, if not empty, begins the IDs of prompt blocks that crash the worker before the first event of a
 	// stream. The last block of a prompt never does. OnDeadlyBlock is called with the ID of the block for each crash.
 	DeadlyBlocks  string
@@ -197,7 +197,7 @@
 	}
 	switch {
 	case u.CrashPath != "" && strings.Contains(r.URL.Path, u.CrashPath), u.IsDeadly != nil && u.IsDeadly(r, body):
-		u.OnCrash()
+		u.OnCrash(r)
 		panic(http.ErrAbortHandler)
 	case u.status.Load() != 0:
 		w.WriteHeader(int(u.status.Load()))
