node: a stored refusal is withdrawn when its evidence is explained otherwise

Cause: it had been judged the cause of three crashes and stored; when the deadly one was known the judgement changed, but not the record. Now the instance that stored it stores that it has ended. TestSuspects_WithdrawnRefusal requires that.

--- a/node/suspects.go
+++ b/node/suspects.go
@@ -220,13 +220,16 @@
 	return 0
 }
 
-// announceRefusals logs and stores what is refused from now on because of a crash that this instance has seen.
+// announceRefusals logs and stores what is refused from now on because of a crash that this instance has seen, and what of that
+// is refused no longer.
 func (s *suspects) announceRefusals() {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	maps.DeleteFunc(s.announced, func(_ quarantine.Subject, latest time.Time) bool { return now.Sub(latest) >= quarantine.CrashTTL })
+	refused := map[quarantine.Subject]bool{}
 	for _, r := range s.AllRefused(now) {
+		refused[r.Subject] = true
 		if !r.IsOwn || !r.Latest.After(s.announced[r.Subject]) {
 			continue
 		}
@@ -236,6 +239,19 @@
 			Warn("requests that crash endpoints are refused")
 		s.storeLater(s.recordOf(r, now))
 	}
+	for subject := range s.announced {
+		if !refused[subject] { // it was answered, or another request explains its crashes
+			s.withdrawRefusal(subject)
+		}
+	}
+}
+
+// withdrawRefusal stores that a refusal of which this instance has stored a record has ended early. The caller must hold s.mu.
+func (s *suspects) withdrawRefusal(subject quarantine.Subject) {
+	delete(s.announced, subject)
+	s.n.log.WithFields(logrus.Fields{"scope": subject.Scope, "fingerprint": fmt.Sprintf("%x", uint64(subject.Fingerprint))}).
+		Info("requests are served again: they did not crash endpoints")
+	s.storeLater(requestRecord{Scope: subject.Scope, Fingerprint: subject.Fingerprint, RecordedMs: s.n.wall.Now().UnixMilli()})
 }
 
 // recordOf returns the record of a refusal, with the time of day of its latest crash.
@@ -265,13 +281,6 @@
 func (s *suspects) publishAnswered(subject quarantine.Subject) {
 	key := fmt.Sprintf("%s%s/%x", factAnswered, subject.Scope, uint64(subject.Fingerprint))
 	s.n.publishShared(key, 0, answeredReport{IsFamily: subject.Scope == quarantine.ScopeFamily, Fingerprint: subject.Fingerprint}, quarantine.CrashTTL)
-	s.mu.Lock()
-	_, wasRefused := s.announced[subject]
-	delete(s.announced, subject)
-	s.mu.Unlock()
-	if wasRefused {
-		s.storeLater(requestRecord{Scope: subject.Scope, Fingerprint: subject.Fingerprint, RecordedMs: s.n.wall.Now().UnixMilli()})
-	}
 	s.announceRefusals()
 }
 
--- a/node/suspects_test.go
+++ b/node/suspects_test.go
@@ -68,6 +68,46 @@
 	}
 }
 
+// Guards against a stored refusal of a harmless request that outlives the evidence against it, which names the deadly one: the
+// instances that start after all were killed would refuse it.
+func TestSuspects_WithdrawnRefusal(t *testing.T) {
+	s, _, _ := newSuspectsOfNode(t)
+	crash := func(endpoint string, requests ...quarantine.Fingerprint) {
+		time.Sleep(2 * time.Millisecond) // each endpoint has run after the crash before
+		r := quarantine.Report{Endpoint: endpoint, At: time.Now()}
+		for _, request := range requests {
+			r.Accused = append(r.Accused, quarantine.Accused{Identity: quarantine.Identity{Request: request}, Since: r.At.Add(-time.Millisecond)})
+		}
+		s.Record(r, true, time.Now())
+	}
+	record := func() requestRecord {
+		time.Sleep(quarantine.SettleTime)
+		s.announceRefusals()
+		must.Positive(t, len(s.toStore))
+		return (<-s.toStore).(requestRecord)
+	}
+	const harmless, deadly = 7, 8
+	crash("e1", harmless, deadly)
+	crash("e2", harmless, 9)
+	crash("e3", harmless, deadly)
+	r := record()
+	must.Eq(t, harmless, r.Fingerprint)
+	must.Eq(t, 3, r.Count)
+	for _, endpoint := range []string{"e4", "e5"} {
+		crash(endpoint, deadly)
+	}
+	must.NoError(t, s.mergeRequest([]byte(`{}`)))
+	s.MergeAnswered(quarantine.Subject{Scope: quarantine.ScopeRequest, Fingerprint: 9}, time.Now())
+	stored := map[quarantine.Fingerprint]int{}
+	for r = record(); ; r = (<-s.toStore).(requestRecord) {
+		stored[r.Fingerprint] = r.Count
+		if len(s.toStore) == 0 {
+			break
+		}
+	}
+	must.Eq(t, map[quarantine.Fingerprint]int{harmless: 0, deadly: 4}, stored)
+}
+
 // Guards against a suspect that waits too long for others, and against two that are sent at the same time.
 func TestSuspects_Trials(t *testing.T) {
 	s, _, _ := newSuspectsOfNode(t)
