quarantine: two deadly requests at a time don't accuse a harmless one

A request that others were beside is refused after four crashes now, by which harmless ones have been answered or are explained; a deadly one may crash one endpoint more where others always run beside it, within the bound of the rule.

--- a/quarantine/crashes.go
+++ b/quarantine/crashes.go
@@ -14,7 +14,8 @@
 	maxCrashes = 2
 	// maxSharedCrashes is that number if other requests may have caused some of the crashes, but none of them all. An instance
 	// that was killed does not report what it had on the endpoint, so one crash with a single possible cause is not enough.
-	maxSharedCrashes = 3
+	// Two deadly requests at a time can each crash an endpoint that a harmless one is on, which three crashes don't rule out.
+	maxSharedCrashes = 4
 	// maxTiedCrashes is that number if another request may have caused all of the crashes as well. Suspects are sent one at a
 	// time, so that two requests hardly go on being lost together by chance.
 	maxTiedCrashes = 5
--- a/relay/input.go
+++ b/relay/input.go
@@ -215,7 +215,7 @@
 		return nil
 	}
 	left := max(time.Second, until.Sub(r.cfg.Now())).Round(time.Second)
-	return problem.NewWithRetryAfter(problem.Quarantined, left, "this request has crashed the endpoints that ran it; it is refused for up to %v more", left)
+	return problem.NewWithRetryAfter(problem.Quarantined, left, "the request crashed its endpoints and is refused for up to %v more", left)
 }
 
 func (r *Relay) newRequestID() string { return r.cfg.Instance + "." + r.cfg.NewID() }
