--- a/forward/forward.go
+++ b/forward/forward.go
@@ -102,42 +102,6 @@
 	Move(ctx context.Context, requestID string, from, to *fleet.Endpoint) (ref string, err error)
 }
 
-// Suspects finds requests that crash the endpoints that run them.
-type Suspects interface {
-	// Any reports whether any request has crashed an endpoint. If none has, requests need no identity.
-	Any() bool
-	// IsSuspect reports whether a request has crashed an endpoint and none has answered it since.
-	IsSuspect(id quarantine.Identity) bool
-	// Refused returns why a request must not run again, and false if it may.
-	Refused(id quarantine.Identity) (quarantine.Refusal, bool)
-	// BeginProbe reports whether a request of a refused family is to be let through, as the only one of all instances, and
-	// records that it is.
-	BeginProbe(family quarantine.Fingerprint) bool
-	// BeginTrial waits for a time until no other suspect is being sent to a service. The caller calls end once an endpoint has
-	// begun to answer the request, or the attempt has ended.
-	BeginTrial(ctx context.Context, service string) (end func())
-	// RecordLost records that the connection to an endpoint broke while it ran a request.
-	RecordLost(e *fleet.Endpoint, loss Loss)
-	// RecordAnswered records that an endpoint has answered a request.
-	RecordAnswered(id quarantine.Identity)
-	// RefusedBlock returns the ID of the block because of which a request to a service with the given shared blocks must
-	// not run, with the time until which it is refused at most, and false if there is none.
-	RefusedBlock(service string, shared []placement.Block) (id string, until time.Time, refused bool)
-	// RecordBegun records that an endpoint has begun to generate the answer to a request of a family with the given shared
-	// blocks.
-	RecordBegun(service string, family quarantine.Fingerprint, shared []placement.Block)
-}
-
-// Loss describes a request whose connection to an endpoint broke.
-type Loss struct {
-	Identity   quarantine.Identity
-	Sent       time.Time // when the request was sent
-	Opened     bool      // a connection was opened for the request after Sent
-	Begun      bool      // an endpoint had begun to generate the answer, maybe an earlier one
-	Generating bool      // the endpoint had begun to generate the answer
-	Shared     []placement.Block
-}
-
 // Versions splits the traffic of services whose version is being moved.
 type Versions interface {
 	// Version returns the new version of a service that is being moved, and whether a request goes to it. moving is
