--- a/node/suspects.go
+++ b/node/suspects.go
@@ -158,11 +158,11 @@
 	}
 }
 
-// confirmCrash counts the loss of an endpoint's connections as a crash if the endpoint has crashed.
+// confirmCrash finds out why the connections to an endpoint were lost, and reports a crash.
 func (s *suspects) confirmCrash(e *fleet.Endpoint) {
 	found, err := s.checkLost(e)
 	s.mu.Lock()
-	defer s.mu.Unlock() // held while publishing, so that peers receive the counts in order
+	defer s.mu.Unlock()
 	lost := s.lost[e]
 	delete(s.lost, e)
 	s.n.metrics.scope.Tagged(map[string]string{"found": string(found)}).Counter("lost_endpoints").Inc(1)
