--- a/forward/zones.go
+++ b/forward/zones.go
@@ -88,7 +88,8 @@
 }
 
 // maySend returns an error if an endpoint may not get the request any more. It is called right before the request is
-// written: since it was chosen, the zone may have been evacuated, or the request may have crashed other endpoints. isMove is set for the run of a request that goes on elsewhere.
+// written: since it was chosen, the zone may have been evacuated, or the request may have crashed other endpoints. isMove is set
+// for the run of a request that goes on elsewhere.
 func (r *exchange) maySend(e *fleet.Endpoint, isMove bool) error {
 	if e.IsEvacuated() {
 		return fmt.Errorf("%w: its zone %s is evacuated", errWithheld, e.Zone)
